--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -154,6 +154,7 @@
             self.places.clone(),
             self.plan.host.clone(),
             self.plan.incarnation,
+            self.leaving.clone(),
         );
         let registry = self.registry.clone();
         let own = self.plan.peers;
@@ -306,7 +307,20 @@
 
     /// Addresses that callers should use.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
-        let mut addresses = self.registry.with_list(|list| list.caller_addresses());
+        let own = self.plan.host.as_str();
+        let book = self.places.book();
+        let mut addresses = self.registry.with_list(|list| {
+            let ready = list.caller_entries();
+            let hosts: Vec<&str> = ready.iter().map(|entry| entry.host.as_str()).collect();
+            let usable = book.pulse().usable(own, &hosts, Instant::now());
+            let usable = ready
+                .iter()
+                .filter(|entry| usable.contains(&entry.host.as_str()));
+            usable.filter_map(|entry| entry.callers).collect::<Vec<_>>()
+        });
+        if self.leaving.is_cancelled() && addresses.len() > 1 {
+            addresses.retain(|address| *address != self.plan.callers);
+        }
         if addresses.is_empty() && self.is_ready() {
             addresses.push(self.plan.callers);
         }
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -15,6 +15,7 @@
 use crate::places::health::Standing;
 use crate::places::health::UpstreamFault;
 use crate::places::health::UpstreamHealth;
+use crate::places::pulse::PeerPulse;
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
 use crate::places::report::upstream_tag;
@@ -132,6 +133,7 @@
     upstreams: HashMap<PlaceKey, Upstream>,
     keys: HashMap<UpstreamId, PlaceKey>,
     peers: HashMap<String, PeerLoad>,
+    pulse: PeerPulse,
 }
 
 impl PlaceBook {
@@ -144,6 +146,7 @@
             upstreams: HashMap::default(),
             keys: HashMap::default(),
             peers: HashMap::default(),
+            pulse: PeerPulse::default(),
         }
     }
 
@@ -378,6 +381,7 @@
         if is_old {
             return;
         }
+        self.pulse.note(&report.host, report.is_leaving, now);
         let peer = PeerLoad {
             incarnation: report.incarnation,
             number: report.number,
@@ -388,6 +392,11 @@
         self.recount();
     }
 
+    /// Which other hosts are alive.
+    pub fn pulse(&self) -> &PeerPulse {
+        &self.pulse
+    }
+
     /// Forgets the work of hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
         let before = self.peers.len();
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -5,6 +5,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
@@ -24,15 +25,24 @@
     places: PlaceDesk,
     report: LoadReport,
     sent: Vec<UpstreamLoad>,
+    leaving: CancellationToken,
 }
 
 impl LoadExchange {
-    /// Returns an exchange for the process `incarnation` of `host`.
-    pub fn new(socket: UdpSocket, places: PlaceDesk, host: String, incarnation: u64) -> Self {
+    /// Returns an exchange for the process `incarnation` of `host`, which is about to stop once
+    /// `leaving` is cancelled.
+    pub fn new(
+        socket: UdpSocket,
+        places: PlaceDesk,
+        host: String,
+        incarnation: u64,
+        leaving: CancellationToken,
+    ) -> Self {
         let report = LoadReport {
             host,
             incarnation,
             number: 0,
+            is_leaving: false,
             loads: Vec::new(),
         };
         Self {
@@ -40,6 +50,7 @@
             places,
             report,
             sent: Vec::new(),
+            leaving,
         }
     }
 
@@ -63,7 +74,9 @@
                     let addresses = peers();
                     self.places.book().forget_silent(now);
                     let loads = self.places.book().own_loads();
-                    if loads != self.sent || now - last_sent >= QUIET_INTERVAL {
+                    let is_news = loads != self.sent
+                        || self.leaving.is_cancelled() != self.report.is_leaving;
+                    if is_news || now - last_sent >= QUIET_INTERVAL {
                         last_sent = now;
                         self.send(loads, &addresses).await;
                     }
@@ -76,6 +89,7 @@
 
     async fn send(&mut self, loads: Vec<UpstreamLoad>, addresses: &[SocketAddr]) {
         self.report.number += 1;
+        self.report.is_leaving = self.leaving.is_cancelled();
         self.report.loads = loads.clone();
         self.sent = loads;
         let bytes = self.report.encode();
--- a/lib/src/places/mod.rs
+++ b/lib/src/places/mod.rs
@@ -7,6 +7,7 @@
 mod book;
 mod exchange;
 mod health;
+mod pulse;
 mod report;
 mod roster;
 mod shared;
@@ -18,6 +19,7 @@
 pub use book::UpstreamEntry;
 pub use exchange::LoadExchange;
 pub use health::UpstreamFault;
+pub use pulse::PeerPulse;
 pub use report::LoadReport;
 pub use report::UpstreamLoad;
 pub use report::upstream_tag;
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -29,6 +29,9 @@
     /// Number of the report since then.
     #[serde(rename = "n")]
     pub number: u64,
+    /// Whether the host is about to stop.
+    #[serde(rename = "q")]
+    pub is_leaving: bool,
     /// Work by upstream.
     #[serde(rename = "l")]
     pub loads: Vec<UpstreamLoad>,
--- a/lib/src/registry/entry.rs
+++ b/lib/src/registry/entry.rs
@@ -103,12 +103,11 @@
             .is_some_and(|known| known.vanished.is_none())
     }
 
-    /// Addresses of all hosts that take callers.
-    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
-        let ready = self.entries().into_iter();
-        ready
-            .filter(|entry| entry.state == HostState::Ready)
-            .filter_map(|entry| entry.callers)
+    /// Entries of all hosts that take callers.
+    pub fn caller_entries(&self) -> Vec<&HostEntry> {
+        let entries = self.entries().into_iter();
+        entries
+            .filter(|entry| entry.state == HostState::Ready && entry.callers.is_some())
             .collect()
     }
 }
--- a/lib/src/registry/keeper.rs
+++ b/lib/src/registry/keeper.rs
@@ -35,7 +35,7 @@
 impl Default for RegistryPlan {
     fn default() -> Self {
         Self {
-            lease_ttl: Duration::from_millis(4_500),
+            lease_ttl: Duration::from_millis(3_600),
             list_interval: Duration::from_millis(1_000),
         }
     }
--- /dev/null
+++ b/lib/tests/test_places.rs
@@ -0,0 +1,257 @@
+//! Choosing upstreams: fullness, faults, batch work giving way, reports of other hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parsleywall::ids::DataCentre;
+use parsleywall::ids::HostId;
+use parsleywall::ids::ServiceName;
+use parsleywall::ids::UpstreamId;
+use parsleywall::ids::WorkClass;
+use parsleywall::places::EntryState;
+use parsleywall::places::LoadReport;
+use parsleywall::places::PlaceBook;
+use parsleywall::places::PlacePick;
+use parsleywall::places::UpstreamEntry;
+use parsleywall::places::UpstreamFault;
+use parsleywall::places::UpstreamLoad;
+use parsleywall::places::UpstreamRoster;
+use parsleywall::places::upstream_tag;
+use tokio::time::Instant;
+
+const SLOTS: u32 = 4;
+
+fn service() -> ServiceName {
+    ServiceName::new("desk")
+}
+
+fn entry(name: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::new(name),
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: DataCentre::new("west"),
+        slots: SLOTS,
+        state: EntryState::Ready,
+        born: 1,
+    }
+}
+
+fn book(upstreams: &[&str]) -> PlaceBook {
+    let mut book = PlaceBook::new(HostId::new("host-a"), DataCentre::new("east"));
+    for name in upstreams {
+        book.put(entry(name));
+    }
+    book
+}
+
+fn take(book: &mut PlaceBook, class: WorkClass, now: Instant) -> Option<PlacePick> {
+    book.take(&service(), class, &[], now, 0)
+}
+
+fn report(host: &str, number: u64, loads: &[(&str, u16, u16)]) -> LoadReport {
+    let loads = loads.iter().map(|(upstream, online, batch)| {
+        UpstreamLoad(upstream_tag(&UpstreamId::new(upstream)), *online, *batch)
+    });
+    LoadReport {
+        host: host.to_owned(),
+        incarnation: 1,
+        number,
+        is_leaving: false,
+        loads: loads.collect(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_online_spreads_evenly() {
+    let now = Instant::now();
+    let mut book = book(&["a", "b", "c"]);
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..12 {
+        let pick = take(&mut book, WorkClass::Online, now).unwrap();
+        *counts.entry(pick.id.to_string()).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|count| *count == SLOTS), "{counts:?}");
+    // Beyond all places online work still gets an upstream, where it waits.
+    let pick = take(&mut book, WorkClass::Online, now).unwrap();
+    assert_eq!((pick.ahead, pick.slots), (SLOTS, SLOTS));
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_online_counts_other_hosts() {
+    let now = Instant::now();
+    let mut book = book(&["a", "b"]);
+    book.hear(report("host-b", 2, &[("a", 3, 0)]), now);
+    for _ in 0..3 {
+        assert_eq!(
+            take(&mut book, WorkClass::Online, now).unwrap().id.as_str(),
+            "b"
+        );
+    }
+    // An older report changes nothing; a host that falls silent is forgotten.
+    book.hear(report("host-b", 1, &[("b", 4, 0)]), now);
+    let later = now + Duration::from_millis(1_100);
+    book.forget_silent(later);
+    assert_eq!(
+        take(&mut book, WorkClass::Online, later)
+            .unwrap()
+            .id
+            .as_str(),
+        "a"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_batch_leaves_a_place_free() {
+    let now = Instant::now();
+    let mut book = book(&["a"]);
+    for _ in 0..SLOTS - 1 {
+        assert!(take(&mut book, WorkClass::Batch, now).is_some());
+    }
+    assert!(take(&mut book, WorkClass::Batch, now).is_none());
+    assert!(take(&mut book, WorkClass::Online, now).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_batch_gives_way_once_among_hosts() {
+    let now = Instant::now();
+    let loads_a = [("a", 0, 2)];
+    let loads_b = [("a", 3, 1)];
+    let mut book_a = book(&["a"]);
+    let mut book_b = PlaceBook::new(HostId::new("host-b"), DataCentre::new("east"));
+    book_b.put(entry("a"));
+    for _ in 0..2 {
+        take(&mut book_a, WorkClass::Batch, now).unwrap();
+    }
+    take(&mut book_b, WorkClass::Batch, now).unwrap();
+    for _ in 0..3 {
+        take(&mut book_b, WorkClass::Online, now).unwrap();
+    }
+    book_a.hear(report("host-b", 1, &loads_b), now);
+    book_b.hear(report("host-a", 1, &loads_a), now);
+    // Six at four places with one kept free: three give way, as many as there are.
+    let parked = |book: &PlaceBook| book.give_way().iter().map(|(_, count)| count).sum::<u32>();
+    assert_eq!((parked(&book_a), parked(&book_b)), (2, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_batch_alone_does_not_give_way() {
+    let now = Instant::now();
+    let mut book = book(&["a"]);
+    take(&mut book, WorkClass::Batch, now).unwrap();
+    book.hear(report("host-b", 1, &[("a", 0, 4)]), now);
+    assert!(book.give_way().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_fault_pauses_then_one_trial() {
+    let start = Instant::now();
+    let mut book = book(&["a"]);
+    let pick = take(&mut book, WorkClass::Online, start).unwrap();
+    book.fault(pick.key, UpstreamFault::Unreachable, start);
+    book.release(pick.key, WorkClass::Online);
+    assert!(take(&mut book, WorkClass::Online, start).is_none());
+    let later = start + Duration::from_millis(600);
+    let trial = take(&mut book, WorkClass::Online, later).unwrap();
+    assert!(
+        take(&mut book, WorkClass::Online, later).is_none(),
+        "one trial at a time"
+    );
+    book.success(trial.key);
+    assert!(take(&mut book, WorkClass::Online, later).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_broken_answers_pause_only_in_series() {
+    let now = Instant::now();
+    let mut book = book(&["a"]);
+    let pick = take(&mut book, WorkClass::Online, now).unwrap();
+    book.release(pick.key, WorkClass::Online);
+    book.fault(pick.key, UpstreamFault::Broken, now);
+    book.fault(pick.key, UpstreamFault::Broken, now);
+    assert!(take(&mut book, WorkClass::Online, now).is_some());
+    book.fault(pick.key, UpstreamFault::Broken, now);
+    assert!(take(&mut book, WorkClass::Online, now).is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_draining_takes_nothing_new() {
+    let now = Instant::now();
+    let mut book = book(&["a", "b"]);
+    let mut leaving = entry("a");
+    leaving.state = EntryState::Draining;
+    book.put(leaving);
+    for _ in 0..6 {
+        assert_eq!(
+            take(&mut book, WorkClass::Online, now).unwrap().id.as_str(),
+            "b"
+        );
+    }
+    assert_eq!(book.ready_count(&service()), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_restart_under_old_identifier_has_clean_record() {
+    let now = Instant::now();
+    let mut book = book(&["a"]);
+    let pick = take(&mut book, WorkClass::Online, now).unwrap();
+    book.fault(pick.key, UpstreamFault::Silent, now);
+    let mut again = entry("a");
+    again.born = 2;
+    book.put(again);
+    let fresh = take(&mut book, WorkClass::Online, now).unwrap();
+    assert_ne!(fresh.key, pick.key);
+    assert_eq!(fresh.ahead, 0, "work of the earlier start is not counted");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_roster_keeps_entries_that_an_outage_hid() {
+    let start = Instant::now();
+    let mut book = book(&["a", "b"]);
+    let mut roster = UpstreamRoster::default();
+    let id = UpstreamId::new("a");
+    roster.lost();
+    assert!(!roster.remove(&id, &mut book, start));
+    roster.regained(start);
+    assert!(!roster.remove(&UpstreamId::new("b"), &mut book, start));
+    assert_eq!(book.ready_count(&service()), 2);
+    roster.put(entry("b"), &mut book);
+    let gone = roster.sweep(&mut book, start + Duration::from_millis(2_000));
+    assert!(gone.is_empty(), "its time to return is not over");
+    let gone = roster.sweep(&mut book, start + Duration::from_millis(2_200));
+    assert_eq!(gone, vec![id]);
+    assert_eq!(book.ready_count(&service()), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_roster_removes_at_once_in_calm() {
+    let now = Instant::now();
+    let mut book = book(&["a", "b"]);
+    let mut roster = UpstreamRoster::default();
+    assert!(roster.remove(&UpstreamId::new("a"), &mut book, now));
+    let gone = roster.list(vec![], &mut book, now);
+    assert_eq!(gone, vec![UpstreamId::new("b")]);
+    assert_eq!(book.ready_count(&service()), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_pulse_leaves_out_silent_and_leaving_hosts() {
+    let start = Instant::now();
+    let mut book = book(&[]);
+    let hosts = ["host-a", "host-b", "host-c", "host-d"];
+    for host in &hosts[1..] {
+        book.hear(report(host, 1, &[]), start);
+    }
+    let later = start + Duration::from_millis(1_600);
+    book.hear(report("host-b", 2, &[]), later);
+    let mut leaving = report("host-c", 2, &[]);
+    leaving.is_leaving = true;
+    book.hear(leaving, later);
+    assert_eq!(
+        book.pulse().usable("host-a", &hosts, later),
+        ["host-a", "host-b"]
+    );
+    // A host that hears nobody may be the one that is cut off.
+    let silence = later + Duration::from_secs(2);
+    assert_eq!(book.pulse().usable("host-a", &hosts, silence), hosts);
+}
