jobs: a submission or an end whose answer was lost is followed up

Found by a test: an ended job's items were started again while the end was being stored, and an owner that no scan had shown yet was not told of the end. Change: such jobs are adopted, by the submission and by each scan; an ending job starts nothing; the owner is looked up and told until it knows. Closed jobs are removed after a while.

--- a/lib/src/jobs/book.rs
+++ b/lib/src/jobs/book.rs
@@ -99,6 +99,7 @@
     finished_since: Option<Instant>,
     committing: bool,
     commit_not_before: Option<Instant>,
+    is_ending: bool,
 }
 
 impl OwnedJob {
@@ -156,6 +157,7 @@
             finished_since: None,
             committing: false,
             commit_not_before: None,
+            is_ending: false,
             spec,
         };
         set_listed(&mut job, listed);
@@ -167,6 +169,20 @@
         self.jobs.remove(job).is_some()
     }
 
+    /// Nothing of `job` runs or is listed any more. Whether its end is stored may be unknown.
+    pub(crate) fn stop(&mut self, job: &str) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.is_ending = true;
+        }
+    }
+
+    /// Jobs that were stopped and are still here.
+    pub(crate) fn ending(&self) -> Vec<String> {
+        let jobs = self.jobs.iter();
+        let ending = jobs.filter(|(_, job)| job.is_ending);
+        ending.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether this host owns `job`.
     pub fn owns(&self, job: &str) -> bool {
         self.jobs.contains_key(job)
@@ -207,7 +223,7 @@
     /// The waiting item of the job that is due first; items that have begun go before others.
     pub(crate) fn next_item(&self, now: Instant) -> Option<ItemOrder> {
         let mut best: Option<((u64, bool, usize), &OwnedJob)> = None;
-        for job in self.jobs.values() {
+        for job in self.jobs.values().filter(|job| !job.is_ending) {
             for (index, slot) in job.slots.iter().enumerate() {
                 let is_paused = slot.not_before.is_some_and(|at| now < at);
                 if slot.state != ItemState::Waiting || is_paused {
@@ -288,7 +304,7 @@
     pub(crate) fn take_commits(&mut self, now: Instant, now_ms: u64) -> Vec<CommitOrder> {
         let mut orders = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.committing || !is_commit_due(job, now, now_ms) {
+            if job.committing || job.is_ending || !is_commit_due(job, now, now_ms) {
                 continue;
             }
             job.committing = true;
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -23,6 +23,7 @@
 use crate::jobs::spec::JobSpec;
 use crate::jobs::store::JobOwner;
 use crate::jobs::store::JobStore;
+use crate::registry::HostEntry;
 use crate::registry::HostRegistry;
 use crate::relay::RelayDesk;
 use crate::routes::RouteTable;
@@ -30,6 +31,10 @@
 /// Tries to store a job whose first try had no answer.
 const CREATE_TRIES: usize = 3;
 const CREATE_PAUSE: Duration = Duration::from_millis(120);
+const END_TIMEOUT: Duration = Duration::from_millis(900);
+/// Tries to tell a job's owner of its end, once the end is stored.
+const END_TRIES: usize = 8;
+const END_PAUSE: Duration = Duration::from_millis(300);
 
 /// Bounds of a host's batch work.
 #[derive(Clone, Copy, Debug)]
@@ -38,8 +43,10 @@
     pub memory_bytes: usize,
     /// Time between two looks at all open jobs.
     pub scan_interval: Duration,
-    /// Time after its submission for which a job's results stay.
+    /// Time after its closing for which a job's results stay.
     pub keep_time: Duration,
+    /// Time between two looks for closed jobs that need not be kept.
+    pub sweep_interval: Duration,
 }
 
 impl Default for JobPlan {
@@ -48,6 +55,7 @@
             memory_bytes: 64 * 1024 * 1024,
             scan_interval: Duration::from_millis(1_500),
             keep_time: Duration::from_secs(300),
+            sweep_interval: Duration::from_secs(60),
         }
     }
 }
@@ -144,7 +152,12 @@
     /// Works on jobs until `stop`.
     pub async fn run(&self, stop: CancellationToken) {
         let work = async {
-            tokio::join!(self.run_items(), self.run_commits(), self.run_scans());
+            tokio::join!(
+                self.run_items(),
+                self.run_commits(),
+                self.run_scans(),
+                self.run_sweeps()
+            );
         };
         tokio::select! {
             () = work => {}
@@ -179,6 +192,10 @@
                 }
                 Err(KvError::Conflict { .. }) => {
                     self.log_job(&spec.id, "accepted_before", spec.items.len(), 0);
+                    if was_unknown {
+                        // This host's own try may be the one that took effect.
+                        self.adopt(&spec.id).await;
+                    }
                     return SubmitOutcome::Accepted;
                 }
                 Err(KvError::LeaseLost) => {
@@ -232,29 +249,49 @@
         if self.with_book(|book| book.owns(job)) {
             return self.end_own(job).await;
         }
-        if let Some(host) = self.owner_of(job) {
-            let call = JobCall::End {
-                job: job.to_owned(),
-            };
-            let reply = self
-                .shared
-                .peers
-                .call(&host, call, Duration::from_millis(900));
-            if let Ok(JobReply::Ended) = reply.await {
-                return EndOutcome::Ended;
-            }
+        let host = self.find_owner(job).await;
+        if let Some(host) = &host
+            && self.tell_end(host, job).await
+        {
+            return EndOutcome::Ended;
         }
-        match self.shared.store.load(job).await {
-            Ok(None) => EndOutcome::NoSuchJob,
+        let outcome = match self.shared.store.load(job).await {
+            Ok(None) => return EndOutcome::NoSuchJob,
             Ok(Some(stored)) if stored.is_ended => EndOutcome::Ended,
             Ok(Some(_)) => self.end_stored(job).await,
             Err(_) => EndOutcome::Unknown,
+        };
+        if let Some(host) = host {
+            let keeper = self.clone();
+            let job = job.to_owned();
+            tokio::spawn(async move { keeper.keep_telling_end(&host, &job).await });
+        }
+        outcome
+    }
+
+    /// Tells the owner of a job until it knows of the end.
+    async fn keep_telling_end(&self, host: &HostEntry, job: &str) {
+        for _ in 0..END_TRIES {
+            if self.tell_end(host, job).await {
+                return;
+            }
+            tokio::time::sleep(END_PAUSE).await;
         }
     }
 
+    /// Has the owner end its job. Returns whether it has.
+    async fn tell_end(&self, host: &HostEntry, job: &str) -> bool {
+        let call = JobCall::End {
+            job: job.to_owned(),
+        };
+        let reply = self.shared.peers.call(host, call, END_TIMEOUT).await;
+        matches!(reply, Ok(JobReply::Ended))
+    }
+
     /// Ends a job of this host.
     pub(super) async fn end_own(&self, job: &str) -> EndOutcome {
         // Items stop first: an end whose answer is lost holds all the same.
+        self.with_book(|book| book.stop(job));
         self.shared.running.stop_job(job);
         let outcome = self.end_stored(job).await;
         if outcome == EndOutcome::Ended {
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -7,13 +7,17 @@
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::edges::kv::KvError;
+use crate::events::unix_millis;
 use crate::jobs::keeper::JobKeeper;
+use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
 use crate::jobs::store::OpenJobs;
 use crate::registry::HostState;
 
 /// Jobs that one scan claims at most, so that a host that comes first does not take all.
 const MAX_CLAIMS: usize = 8;
+/// Hosts that may claim a job in the same scan; the first of them gets it.
+const CLAIMERS_PER_SCAN: u32 = 3;
 
 /// What earlier scans saw.
 #[derive(Debug, Default)]
@@ -39,6 +43,9 @@
     /// Looks at all open jobs again and again.
     pub(super) async fn run_scans(&self) {
         loop {
+            for job in self.with_book(|book| book.ending()) {
+                self.end_own(&job).await;
+            }
             if let Ok(open) = self.shared.store.open_jobs().await {
                 self.take_scan(&open).await;
             }
@@ -55,6 +62,7 @@
         let own = &self.shared.owner;
         let mut ownerless = Vec::new();
         let mut claims = Vec::new();
+        let mut unknown = Vec::new();
         for job in &open.jobs {
             match &job.owner {
                 None => ownerless.push(job),
@@ -64,6 +72,10 @@
                 {
                     claims.push(job);
                 }
+                // A submission or claim whose answer was lost has made this host the owner.
+                Some((owner, _)) if owner == own && !self.runs_or_ran(&job.id) => {
+                    unknown.push(job.id.clone());
+                }
                 Some(_) => {}
             }
         }
@@ -77,7 +89,7 @@
             let is_mine = self.with_book(|book| book.owns(&job.id));
             let seen = counts.get(&job.id).copied().unwrap_or(0);
             // The owner itself claims again first; then the other hosts, one after the other.
-            if is_mine || seen > self.rank(&job.id) + 1 {
+            if is_mine || seen > 1 + self.rank(&job.id) / CLAIMERS_PER_SCAN {
                 claims.push(job);
             }
         }
@@ -85,6 +97,47 @@
         for job in claims {
             self.claim(job).await;
         }
+        for job in unknown {
+            self.adopt(&job).await;
+        }
+    }
+
+    fn runs_or_ran(&self, job: &str) -> bool {
+        self.with_book(|book| book.owns(job)) || self.shared.settled.contains(job)
+    }
+
+    /// Runs a job that the service says is this host's, if it is still open.
+    pub(super) async fn adopt(&self, id: &str) {
+        let Ok(Some(job)) = self.shared.store.open_job(id).await else {
+            return;
+        };
+        let is_own = job
+            .owner
+            .as_ref()
+            .is_some_and(|(owner, _)| *owner == self.shared.owner);
+        if is_own {
+            self.load(id, JobClaim { open: job.version }).await;
+        }
+    }
+
+    /// Removes jobs that were closed long ago, again and again.
+    pub(super) async fn run_sweeps(&self) {
+        loop {
+            tokio::time::sleep(self.shared.plan.sweep_interval).await;
+            let Ok(closed) = self.shared.store.closed_jobs().await else {
+                continue;
+            };
+            let keep_ms = self.shared.plan.keep_time.as_millis() as u64;
+            let oldest = unix_millis().saturating_sub(keep_ms);
+            let old = closed
+                .into_iter()
+                .filter(|(_, closed_ms)| *closed_ms < oldest);
+            for (id, _) in old.filter(|(id, _)| self.rank(id) == 0) {
+                if self.shared.store.remove(&id).await.is_ok() {
+                    self.log_job(&id, "removed", 0, 0);
+                }
+            }
+        }
     }
 
     /// Place of this host in the order in which hosts claim `job`, from 0.
@@ -116,29 +169,28 @@
             Err(KvError::LeaseLost) => return self.shared.registry.lease_lost(lease),
             Err(_) => return,
         };
-        if self.with_book(|book| book.owns(&job.id)) {
+        self.load(&job.id, claim).await;
+    }
+
+    /// Reads a job of this host and runs what is missing. If it can't be read, a later scan
+    /// finds a job of this host that the host does not run.
+    async fn load(&self, id: &str, claim: JobClaim) {
+        if self.with_book(|book| book.owns(id)) {
             return;
         }
         let (Ok(Some(spec)), Ok(Some(stored))) = (
-            self.shared.store.load_spec(&job.id).await,
-            self.shared.store.load(&job.id).await,
+            self.shared.store.load_spec(id).await,
+            self.shared.store.load(id).await,
         ) else {
-            // The key stays; a later scan sees a job of this host that it does not run.
-            let _ = self
-                .shared
-                .store
-                .release(std::slice::from_ref(&job.id))
-                .await;
             return;
         };
-        self.log_job(
-            &job.id,
-            "taken_over",
-            spec.items.len(),
-            stored.results.len(),
-        );
-        self.set_owner(&job.id, None);
-        self.with_book(|book| book.insert(Arc::new(spec), claim, stored.results, stored.segments));
+        self.log_job(id, "taken_over", spec.items.len(), stored.results.len());
+        self.set_owner(id, None);
+        self.with_book(|book| {
+            if !book.owns(id) {
+                book.insert(Arc::new(spec), claim, stored.results, stored.segments);
+            }
+        });
         self.shared.work.notify_one();
     }
 
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Whether the results of a job are kept.
+    pub(super) fn contains(&self, job: &str) -> bool {
+        self.jobs
+            .lock()
+            .expect("settled jobs lock")
+            .contains_key(job)
+    }
+
     fn page(&self, job: &str, after: usize) -> Option<ResultPage> {
         let mut jobs = self.jobs.lock().expect("settled jobs lock");
         let settled = jobs.get_mut(job)?;
@@ -237,6 +245,17 @@
             .with_list(|list| list.get(host).cloned())
     }
 
+    /// The other host that owns `job`, asking the service if no scan has shown it yet.
+    pub(super) async fn find_owner(&self, job: &str) -> Option<HostEntry> {
+        if let Some(host) = self.owner_of(job) {
+            return Some(host);
+        }
+        let open = self.shared.store.open_job(job).await.ok().flatten()?;
+        let (owner, _) = open.owner?;
+        self.set_owner(job, Some(owner.host));
+        self.owner_of(job)
+    }
+
     fn is_known_owner(&self, job: &str, host: &str) -> bool {
         let owners = self.shared.owners.lock().expect("owners lock");
         owners.get(job).is_some_and(|known| known == host)
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -2,7 +2,8 @@
 //!
 //! Keys of job `J`: `spec/J/P` holds part `P` of the items; `job/J/info` a summary; `job/J/seg/S`
 //! segment `S` of the results, written once; `job/J/end` marks a job that was ended; `open/J`
-//! stays while results are missing, and `open/J/owner` while its owner's lease holds.
+//! stays while results are missing, and `open/J/owner` while its owner's lease holds; then
+//! `closed/J` tells when the job was closed, until all of its keys are removed.
 
 use std::sync::Arc;
 
@@ -19,6 +20,7 @@
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
+use crate::events::unix_millis;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
@@ -184,6 +186,7 @@
             deletes: Vec::new(),
         };
         if is_last {
+            commit.puts.push(closed_mark(id));
             commit.deletes = vec![open_key(id), owner_key(id)];
         }
         self.kv.commit(commit).await.map(|_| ())
@@ -193,7 +196,7 @@
     pub(crate) async fn end(&self, id: &str) -> Result<(), KvError> {
         let commit = KvCommit {
             expect: Vec::new(),
-            puts: vec![lasting(end_key(id), Bytes::new())],
+            puts: vec![lasting(end_key(id), Bytes::new()), closed_mark(id)],
             deletes: vec![open_key(id), owner_key(id)],
         };
         self.kv.commit(commit).await.map(|_| ())
@@ -306,12 +309,35 @@
         }
     }
 
-    /// Removes all that is stored of a job.
-    pub(crate) async fn remove(&self, id: &str, segments: usize) -> Result<(), KvError> {
-        let mut deletes = vec![info_key(id), end_key(id), open_key(id), owner_key(id)];
-        let parts = self.load(id).await?.map_or(0, |stored| stored.info.parts);
-        deletes.extend((0..parts).map(|number| part_key(id, number)));
-        deletes.extend((0..segments).map(|number| segment_key(id, number)));
+    /// Closed jobs with the time of their closing in milliseconds since 1970, possibly as of
+    /// some seconds ago.
+    pub(crate) async fn closed_jobs(&self) -> Result<Vec<(String, u64)>, KvError> {
+        let mut jobs = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self
+                .kv
+                .list_stale(CLOSED_PREFIX, after.as_deref(), PAGE)
+                .await?;
+            for entry in &page.entries {
+                let id = entry.key.strip_prefix(CLOSED_PREFIX).unwrap_or_default();
+                jobs.extend(decode(&entry.value).map(|closed_ms| (id.to_owned(), closed_ms)));
+            }
+            match page.entries.last() {
+                Some(last) if page.more => after = Some(last.key.clone()),
+                _ => return Ok(jobs),
+            }
+        }
+    }
+
+    /// Removes all that is stored of a closed job; the mark of its closing goes last.
+    pub(crate) async fn remove(&self, id: &str) -> Result<(), KvError> {
+        let mut deletes = vec![info_key(id), end_key(id)];
+        if let Some(stored) = self.load(id).await? {
+            deletes.extend((0..stored.info.parts).map(|number| part_key(id, number)));
+            deletes.extend((0..stored.segments).map(|number| segment_key(id, number)));
+        }
+        deletes.push(closed_key(id));
         for keys in deletes.chunks(MAX_PARTS) {
             let commit = KvCommit {
                 deletes: keys.to_vec(),
@@ -324,6 +350,7 @@
 }
 
 const OPEN_PREFIX: &str = "open/";
+const CLOSED_PREFIX: &str = "closed/";
 
 fn take_open_entry(
     entry: &KvEntry,
@@ -348,6 +375,14 @@
     }
 }
 
+fn closed_mark(id: &str) -> KvPut {
+    lasting(closed_key(id), encode(&unix_millis()))
+}
+
+fn closed_key(id: &str) -> String {
+    format!("{CLOSED_PREFIX}{id}")
+}
+
 fn malformed(key: &str) -> KvError {
     KvError::Unknown(format!("the value of {key} is malformed"))
 }
--- /dev/null
+++ b/lib/tests/opaque/mod.rs
@@ -0,0 +1,130 @@
+//! Shared pieces of the tests of opaque requests and jobs.
+#![allow(dead_code)] // Each test program uses some of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::HeaderMap;
+use http::Method;
+use parsleywall::events::EventLog;
+use parsleywall::ids::DataCentre;
+use parsleywall::ids::HostId;
+use parsleywall::ids::RequestId;
+use parsleywall::ids::ServiceName;
+use parsleywall::ids::UpstreamId;
+use parsleywall::ids::WorkClass;
+use parsleywall::places::EntryState;
+use parsleywall::places::PlaceBook;
+use parsleywall::places::PlaceDesk;
+use parsleywall::places::UpstreamEntry;
+use parsleywall::relay::RelayAnswer;
+use parsleywall::relay::RelayDesk;
+use parsleywall::relay::RelayRequest;
+use parsleywall::relay::UpstreamWire;
+use parsleywall::routes::CallerLimits;
+use parsleywall::routes::Route;
+use parsleywall::routes::RouteKind;
+use parsleywall::routes::RouteTable;
+use parsleywall::routes::ServiceShare;
+use tokio::time::Instant;
+
+pub(crate) const HOST: &str = "desk.example";
+pub(crate) const SLOTS: u32 = 4;
+
+pub(crate) fn route(kind: RouteKind, attempts: u32) -> Route {
+    Route {
+        name: "route".to_owned(),
+        host: HOST.to_owned(),
+        prefix: "/ask/".to_owned(),
+        kind,
+        shares: vec![ServiceShare {
+            service: ServiceName::new("desk"),
+            weight: 1,
+        }],
+        attempts,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        gap_objective: Some(Duration::from_millis(300)),
+        priority: 0,
+        run_objective: Duration::from_secs(18),
+        retention: Duration::from_secs(60),
+    }
+}
+
+pub(crate) fn table(version: u64, kind: RouteKind) -> RouteTable {
+    let routes = vec![route(kind, 3)];
+    RouteTable::new(version, CallerLimits::default(), Vec::new(), routes)
+}
+
+pub(crate) fn upstream(name: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: UpstreamId::new(name),
+        service: ServiceName::new("desk"),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        data_centre: DataCentre::new("west"),
+        slots: SLOTS,
+        state: EntryState::Ready,
+        born: 1,
+    }
+}
+
+pub(crate) fn desk(host: &str, wire: Arc<dyn UpstreamWire>, upstreams: &[&str]) -> RelayDesk {
+    let mut book = PlaceBook::new(HostId::new(host), DataCentre::new("west"));
+    for name in upstreams {
+        book.put(upstream(name));
+    }
+    RelayDesk::new(wire, PlaceDesk::new(book), EventLog::disabled())
+}
+
+pub(crate) fn request(id: &str, route: Route) -> RelayRequest {
+    let now = Instant::now();
+    RelayRequest {
+        id: RequestId::new(id),
+        class: WorkClass::Online,
+        service: ServiceName::new("desk"),
+        version: 1,
+        method: Method::POST,
+        target: "/ask/1".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"body"),
+        received: now,
+        deadline: now + route.timeout,
+        resume_after: None,
+        route: Arc::new(route),
+    }
+}
+
+/// Text of an answer's events, and whether the answer is complete.
+pub(crate) async fn read_stream(answer: RelayAnswer) -> (String, bool) {
+    let RelayAnswer::Stream { mut body, .. } = answer else {
+        panic!("the answer is no stream: {}", answer_name(&answer));
+    };
+    let mut text = String::new();
+    while let Some(part) = body.next().await {
+        match part {
+            Ok(bytes) => text.push_str(std::str::from_utf8(&bytes).unwrap()),
+            Err(_) => return (text, false),
+        }
+    }
+    (text, true)
+}
+
+pub(crate) fn answer_name(answer: &RelayAnswer) -> &'static str {
+    match answer {
+        RelayAnswer::Refused { .. } => "refused",
+        RelayAnswer::Whole { .. } => "whole",
+        RelayAnswer::Stream { .. } => "stream",
+        RelayAnswer::Lost => "lost",
+        RelayAnswer::TimedOut => "timed_out",
+    }
+}
+
+/// The events that `request` gets if nothing goes wrong.
+pub(crate) fn all_events(request: &str, count: u64) -> String {
+    (1..=count)
+        .map(|id| format!("id: {id}\ndata: {request} {id}\n\n"))
+        .collect()
+}
--- /dev/null
+++ b/lib/tests/test_jobs.rs
@@ -0,0 +1,512 @@
+//! Batch jobs of opaque items: kept, run, listed once, and taken over.
+
+mod opaque;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use opaque::HOST;
+use opaque::desk;
+use opaque::table;
+use parsleywall::events::EventLog;
+use parsleywall::events::unix_millis;
+use parsleywall::jobs::BodyOutcome;
+use parsleywall::jobs::EndOutcome;
+use parsleywall::jobs::JobCall;
+use parsleywall::jobs::JobItem;
+use parsleywall::jobs::JobKeeper;
+use parsleywall::jobs::JobPlan;
+use parsleywall::jobs::JobReply;
+use parsleywall::jobs::JobSpec;
+use parsleywall::jobs::JobStore;
+use parsleywall::jobs::PeerCaller;
+use parsleywall::jobs::ReadOutcome;
+use parsleywall::jobs::ResultPage;
+use parsleywall::jobs::ResultState;
+use parsleywall::jobs::SubmitOutcome;
+use parsleywall::registry::HostEntry;
+use parsleywall::registry::HostRegistry;
+use parsleywall::registry::HostState;
+use parsleywall::registry::RegistryPlan;
+use parsleywall::routes::RouteKind;
+use parsleywall::routes::RouteTable;
+use parsleywall_standins::kv::KvMemory;
+use parsleywall_standins::opaque::OpaqueBehaviour;
+use parsleywall_standins::opaque::OpaqueUpstreams;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+const EVENTS: u64 = 50;
+const UPSTREAMS: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Default)]
+struct LocalPeers {
+    hosts: Mutex<Vec<(String, JobKeeper)>>,
+}
+
+#[async_trait]
+impl PeerCaller for LocalPeers {
+    async fn call(
+        &self,
+        host: &HostEntry,
+        call: JobCall,
+        _timeout: Duration,
+    ) -> Result<JobReply, String> {
+        let keeper = {
+            let hosts = self.hosts.lock().unwrap();
+            let found = hosts.iter().rev().find(|(name, _)| *name == host.host);
+            found.map(|(_, keeper)| keeper.clone())
+        };
+        match keeper {
+            Some(keeper) => Ok(keeper.answer(call).await),
+            None => Err("no such host".to_owned()),
+        }
+    }
+}
+
+struct JobHost {
+    keeper: JobKeeper,
+    registry: HostRegistry,
+    relay: parsleywall::relay::RelayDesk,
+    routes: watch::Sender<Arc<RouteTable>>,
+    stop: CancellationToken,
+}
+
+impl JobHost {
+    /// Ends the host's work at once, as a crash would.
+    fn kill(&self) {
+        self.stop.cancel();
+    }
+}
+
+struct JobFleet {
+    kv: Arc<KvMemory>,
+    wire: Arc<OpaqueUpstreams>,
+    peers: Arc<LocalPeers>,
+    incarnations: u64,
+}
+
+impl JobFleet {
+    fn new() -> Self {
+        let (first, gap) = (Duration::from_millis(60), Duration::from_millis(20));
+        Self {
+            kv: KvMemory::new(),
+            wire: OpaqueUpstreams::new(EVENTS, first, gap),
+            peers: Arc::default(),
+            incarnations: 0,
+        }
+    }
+
+    async fn host(&mut self, name: &str) -> JobHost {
+        self.incarnations += 1;
+        let entry = HostEntry {
+            host: name.to_owned(),
+            incarnation: self.incarnations,
+            data_centre: "west".to_owned(),
+            callers: Some("127.0.0.1:1".parse().unwrap()),
+            peers: "127.0.0.1:2".parse().unwrap(),
+            state: HostState::Ready,
+        };
+        let log = EventLog::disabled();
+        let plan = RegistryPlan::default();
+        let registry = HostRegistry::new(self.kv.clone(), log.clone(), entry, plan);
+        let relay = desk(name, self.wire.clone(), &UPSTREAMS);
+        let (routes, table) = watch::channel(Arc::new(table(1, RouteKind::Batch)));
+        let keeper = JobKeeper::new(
+            JobStore::new(self.kv.clone()),
+            relay.clone(),
+            table,
+            registry.clone(),
+            self.peers.clone(),
+            log,
+            name.to_owned(),
+            self.incarnations,
+            JobPlan::default(),
+        );
+        let stop = CancellationToken::new();
+        tokio::spawn({
+            let (registry, stop) = (registry.clone(), stop.clone());
+            async move { registry.run(stop).await }
+        });
+        tokio::spawn({
+            let (keeper, stop) = (keeper.clone(), stop.clone());
+            async move { keeper.run(stop).await }
+        });
+        let mut hosts = self.peers.hosts.lock().unwrap();
+        hosts.push((name.to_owned(), keeper.clone()));
+        drop(hosts);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        JobHost {
+            keeper,
+            registry,
+            relay,
+            routes,
+            stop,
+        }
+    }
+}
+
+fn job(id: &str, items: usize) -> JobSpec {
+    let now = unix_millis();
+    let items = (0..items).map(|number| JobItem {
+        id: format!("{id}-{number}"),
+        target: "/ask/item".to_owned(),
+        headers: vec![("model".to_owned(), "m".to_owned())],
+        body: Bytes::from(format!("body of {number}")),
+    });
+    JobSpec {
+        id: id.to_owned(),
+        host: HOST.to_owned(),
+        submitted_ms: now,
+        due_ms: now + 18_000,
+        retention_ms: now + 60_000,
+        attempts: 3,
+        version: 1,
+        items: items.collect(),
+    }
+}
+
+async fn read(host: &JobHost, job: &str, after: usize) -> ResultPage {
+    match host.keeper.read(job, after, Duration::from_millis(0)).await {
+        ReadOutcome::Page(page) => page,
+        outcome => panic!("{outcome:?}"),
+    }
+}
+
+/// Reads until all results are listed, and checks that positions do not change.
+async fn read_all(host: &JobHost, job: &str) -> ResultPage {
+    let mut before = ResultPage::default();
+    for _ in 0..600 {
+        let page = read(host, job, 0).await;
+        assert!(
+            page.results.starts_with(&before.results),
+            "positions have changed"
+        );
+        if page.results.len() == page.total {
+            return page;
+        }
+        before = page;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!(
+        "{} of {} results are listed",
+        before.results.len(),
+        before.total
+    );
+}
+
+fn assert_whole(wire: &OpaqueUpstreams, page: &ResultPage) {
+    for result in &page.results {
+        assert_eq!(result.state, ResultState::Done, "{}", result.id);
+        assert_eq!(result.output, wire.text(&result.id), "{}", result.id);
+    }
+    let ids: std::collections::BTreeSet<&str> = page
+        .results
+        .iter()
+        .map(|result| result.id.as_str())
+        .collect();
+    assert_eq!(ids.len(), page.total, "each item is listed once");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_runs_and_is_read_anywhere() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 12)).await,
+        SubmitOutcome::Accepted
+    );
+    assert_eq!(
+        host_b.keeper.body("j1", "j1-3").await,
+        BodyOutcome::Body(Bytes::from_static(b"body of 3"))
+    );
+    let page = read_all(&host_b, "j1").await;
+    assert_whole(&fleet.wire, &page);
+    assert_eq!(read(&host_a, "j1", 0).await, page);
+    assert_eq!(read(&host_a, "j1", 10).await.results, page.results[10..]);
+    for number in 0..12 {
+        assert_eq!(fleet.wire.runs(&format!("j1-{number}")).len(), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_sent_again_is_accepted_once() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 3)).await,
+        SubmitOutcome::Accepted
+    );
+    assert_eq!(
+        host_b.keeper.submit(job("j1", 3)).await,
+        SubmitOutcome::Accepted
+    );
+    read_all(&host_b, "j1").await;
+    assert_eq!(
+        host_b.keeper.submit(job("j1", 3)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    for number in 0..3 {
+        assert_eq!(fleet.wire.runs(&format!("j1-{number}")).len(), 1);
+    }
+}
+
+/// The store carried the submission out, and its answer was lost: the host's second try meets
+/// its own job, and must run it.
+#[tokio::test(start_paused = true)]
+async fn test_job_whose_acceptance_was_lost_is_run() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    fleet.kv.faults.lose_answers.store(1, Ordering::Relaxed);
+    assert_eq!(
+        host.keeper.submit(job("j1", 4)).await,
+        SubmitOutcome::Accepted
+    );
+    assert_whole(&fleet.wire, &read_all(&host, "j1").await);
+}
+
+/// The answers of all tries were lost: the caller knows nothing, and the job runs all the same.
+#[tokio::test(start_paused = true)]
+async fn test_job_with_unknown_outcome_is_no_refusal() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    fleet.kv.faults.lose_answers.store(3, Ordering::Relaxed);
+    assert_eq!(
+        host.keeper.submit(job("j1", 4)).await,
+        SubmitOutcome::Unknown
+    );
+    assert_whole(&fleet.wire, &read_all(&host, "j1").await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_refused_while_the_service_is_away() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    fleet.kv.faults.down.store(true, Ordering::Relaxed);
+    let outcome = host.keeper.submit(job("j1", 4)).await;
+    assert!(
+        matches!(outcome, SubmitOutcome::Refused { .. }),
+        "{outcome:?}"
+    );
+    let unsure = host.keeper.read("j1", 0, Duration::ZERO).await;
+    assert_eq!(unsure, ReadOutcome::Unsure);
+    fleet.kv.faults.down.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert!(fleet.wire.sendings().is_empty());
+    assert_eq!(
+        host.keeper.read("j1", 0, Duration::ZERO).await,
+        ReadOutcome::NoSuchJob
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_of_a_dead_host_is_taken_over() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 20)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    host_a.kill();
+    let page = read_all(&host_b, "j1").await;
+    assert_whole(&fleet.wire, &page);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_of_a_restarted_host_goes_on_at_once() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    assert_eq!(
+        host.keeper.submit(job("j1", 6)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    host.kill();
+    let again = fleet.host("host-a").await;
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    assert_whole(&fleet.wire, &read_all(&again, "j1").await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_of_a_leaving_host_is_given_away() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 6)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    host_a.registry.leave().await;
+    host_a.keeper.leave().await;
+    assert_eq!(
+        host_a.keeper.submit(job("j2", 2)).await,
+        SubmitOutcome::Accepted
+    );
+    for job in ["j1", "j2"] {
+        assert_whole(&fleet.wire, &read_all(&host_b, job).await);
+    }
+}
+
+/// Both hosts run the items while the first one is away from the service; what is listed stays.
+#[tokio::test(start_paused = true)]
+async fn test_job_with_two_owners_is_listed_once() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 8)).await,
+        SubmitOutcome::Accepted
+    );
+    // The key that names the owner vanishes, as after an outage or by a lapsed lease.
+    use parsleywall::edges::kv::KvStore;
+    let owner = "open/j1/owner";
+    let expect = parsleywall::edges::kv::Expect::Any;
+    for _ in 0..10 {
+        fleet.kv.delete(owner, expect).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    let page = read_all(&host_b, "j1").await;
+    assert_whole(&fleet.wire, &page);
+    assert_eq!(read(&host_a, "j1", 0).await, page);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_end_stops_items_everywhere() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 30)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(host_b.keeper.end("j1").await, EndOutcome::Ended);
+    assert_eq!(host_b.keeper.end("j1").await, EndOutcome::Ended);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let sent = fleet.wire.sendings().len();
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(fleet.wire.sendings().len(), sent);
+    assert!(UPSTREAMS.iter().all(|name| fleet.wire.running(name) == 0));
+    assert_eq!(
+        host_a.keeper.end("no-such-job").await,
+        EndOutcome::NoSuchJob
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_item_that_can_never_be_done() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    for (status, id, runs) in [(422, "j1", 1), (500, "j2", 3)] {
+        for name in UPSTREAMS {
+            fleet.wire.set(name, OpaqueBehaviour::Fails(status));
+        }
+        assert_eq!(
+            host.keeper.submit(job(id, 1)).await,
+            SubmitOutcome::Accepted
+        );
+        let page = read_all(&host, id).await;
+        assert_eq!(page.results[0].state, ResultState::DeadLetter);
+        assert_eq!(fleet.wire.runs(&format!("{id}-0")).len(), runs);
+        tokio::time::sleep(Duration::from_secs(10)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_item_goes_on_after_broken_runs() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    for name in UPSTREAMS {
+        fleet.wire.set(name, OpaqueBehaviour::BreaksAfter(20));
+    }
+    assert_eq!(
+        host.keeper.submit(job("j1", 1)).await,
+        SubmitOutcome::Accepted
+    );
+    assert_whole(&fleet.wire, &read_all(&host, "j1").await);
+    let resumes: Vec<Option<u64>> = fleet
+        .wire
+        .runs("j1-0")
+        .iter()
+        .map(|run| run.resume_after)
+        .collect();
+    assert_eq!(resumes, [None, Some(20), Some(40)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_items_give_way_to_online_work_and_come_back() {
+    use parsleywall::ids::ServiceName;
+    use parsleywall::ids::WorkClass;
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    assert_eq!(
+        host.keeper.submit(job("j1", 9)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let running = || {
+        UPSTREAMS
+            .iter()
+            .map(|name| fleet.wire.running(name))
+            .sum::<usize>()
+    };
+    assert_eq!(running(), 9, "one place of each upstream stays free");
+    let service = ServiceName::new("desk");
+    let online: Vec<_> = (0..9)
+        .map(|_| host.relay.places().take(&service, WorkClass::Online, &[]))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(running(), 0, "online work and the free places take all");
+    drop(online);
+    assert_whole(&fleet.wire, &read_all(&host, "j1").await);
+    let runs = fleet.wire.runs("j1-0");
+    assert!(runs.len() > 1 && runs[1].resume_after.is_some(), "{runs:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_items_of_a_removed_route_are_given_up() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    host.routes.send_replace(Arc::new(RouteTable::new(
+        2,
+        parsleywall::routes::CallerLimits::default(),
+        Vec::new(),
+        Vec::new(),
+    )));
+    assert_eq!(
+        host.keeper.submit(job("j1", 2)).await,
+        SubmitOutcome::Accepted
+    );
+    let page = read_all(&host, "j1").await;
+    assert!(
+        page.results
+            .iter()
+            .all(|result| result.state == ResultState::DeadLetter)
+    );
+    assert!(fleet.wire.sendings().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_job_takes_few_calls() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    let before = fleet.kv.calls.writes.load(Ordering::Relaxed);
+    assert_eq!(
+        host.keeper.submit(job("j1", 9)).await,
+        SubmitOutcome::Accepted
+    );
+    read_all(&host, "j1").await;
+    let writes = fleet.kv.calls.writes.load(Ordering::Relaxed) - before;
+    // One to accept, one to list all results, and the renewals of the host's lease meanwhile.
+    assert!(writes <= 5, "{writes} writes");
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod host_list;
 pub mod kv;
+pub mod opaque;
 pub mod server;
 pub mod service;
 pub mod terms;
