follow: the end of an outage is known at once

Ruled out: a late watch (other hosts heard in 6 ms). Change: a follower that has lost the service lists again, which answers as soon as it is back. Result: test_follow_regains_without_a_change fails before and passes.

--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -119,6 +119,9 @@
     fn failed(&mut self, err: KvError, take: &mut impl FnMut(FollowEvent)) {
         self.failures += 1;
         if self.failures == FAILURES_OF_OUTAGE {
+            // A listing answers as soon as the service is back; a watch would only answer with
+            // the next change.
+            self.revision = None;
             self.lost_since = Some(Instant::now());
             take(FollowEvent::Lost(err));
         }
--- /dev/null
+++ b/lib/tests/test_follow.rs
@@ -0,0 +1,77 @@
+//! Following keys: changes, outages and forgotten history.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvChange;
+use parsleywall::edges::kv::KvStore;
+use parsleywall::follow::FollowEvent;
+use parsleywall::follow::PrefixFollower;
+use parsleywall_standins::kv::KvMemory;
+
+struct Follower {
+    kv: Arc<KvMemory>,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl Follower {
+    async fn start() -> Self {
+        let kv = KvMemory::new();
+        let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+        let follower = PrefixFollower::new(kv.clone(), "a/");
+        let notes = seen.clone();
+        tokio::spawn(follower.run(move |event| notes.lock().unwrap().push(name(&event))));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        Self { kv, seen }
+    }
+
+    async fn put(&self, key: &str) {
+        let value = Bytes::from_static(b"value");
+        self.kv.put(key, value, Expect::Any, None).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    fn take(&self) -> Vec<String> {
+        std::mem::take(&mut self.seen.lock().unwrap())
+    }
+}
+
+fn name(event: &FollowEvent) -> String {
+    match event {
+        FollowEvent::Listed(entries) => format!("listed {}", entries.len()),
+        FollowEvent::Changed(KvChange::Put(entry)) => format!("put {}", entry.key),
+        FollowEvent::Changed(KvChange::Deleted { key }) => format!("deleted {key}"),
+        FollowEvent::Lost(_) => "lost".to_owned(),
+        FollowEvent::Regained(_) => "regained".to_owned(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_follow_changes() {
+    let follower = Follower::start().await;
+    follower.put("a/1").await;
+    follower.put("b/1").await;
+    follower.kv.delete("a/1", Expect::Any).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    assert_eq!(follower.take(), ["listed 0", "put a/1", "deleted a/1"]);
+}
+
+/// The end of an outage is known soon, and not only with the next change: what vanishes later
+/// is gone at once.
+#[tokio::test(start_paused = true)]
+async fn test_follow_regains_without_a_change() {
+    let follower = Follower::start().await;
+    follower.put("a/1").await;
+    follower.kv.faults.down.store(true, Ordering::Relaxed);
+    // The watch that waits ends first; then the follower meets the outage.
+    follower.take();
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    assert_eq!(follower.take(), ["lost"]);
+    follower.kv.faults.down.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(follower.take(), ["regained", "listed 1"]);
+}
