--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -24,6 +24,9 @@
 const REPORT_LIFE: Duration = Duration::from_millis(1_000);
 /// Places of each upstream that batch items leave free for online requests to come.
 const ONLINE_RESERVE: u32 = 1;
+/// Time after an upstream was full in which no batch item starts there. In a peak places are
+/// free only for moments, and an item that starts and gives way at once only costs its upstream.
+const CROWDED_TIME: Duration = Duration::from_millis(400);
 /// Advantage of an upstream in the host's own data centre, in places.
 const NEAR_BONUS: f64 = 0.5;
 
@@ -101,6 +104,8 @@
     others: WorkCount,
     health: UpstreamHealth,
     listed: bool,
+    /// When all places were last taken, with online work among it.
+    crowded: Option<Instant>,
 }
 
 impl Upstream {
@@ -111,6 +116,13 @@
         }
     }
 
+    fn note_crowd(&mut self, now: Instant) {
+        let work = self.work();
+        if work.total() >= self.entry.slots && work.online > 0 {
+            self.crowded = Some(now);
+        }
+    }
+
     fn takes_requests(&self) -> bool {
         self.listed && self.entry.state == EntryState::Ready && self.entry.slots > 0
     }
@@ -176,6 +188,7 @@
             others: WorkCount::default(),
             health: UpstreamHealth::default(),
             listed: true,
+            crowded: None,
         };
         self.upstreams.insert(key, upstream);
         self.recount();
@@ -261,6 +274,7 @@
             WorkClass::Batch => upstream.work().total(),
         };
         *upstream.own.of(class) += 1;
+        upstream.note_crowd(now);
         Some(PlacePick {
             key,
             id: upstream.entry.id.clone(),
@@ -390,6 +404,9 @@
         };
         self.peers.insert(report.host, peer);
         self.recount();
+        for upstream in self.upstreams.values_mut() {
+            upstream.note_crowd(now);
+        }
     }
 
     /// Which other hosts are alive.
@@ -440,6 +457,9 @@
     }
     match class {
         WorkClass::Online => true,
-        WorkClass::Batch => upstream.work().total() + ONLINE_RESERVE < upstream.entry.slots,
+        WorkClass::Batch => {
+            let was_crowded = upstream.crowded.is_some_and(|at| now - at < CROWDED_TIME);
+            !was_crowded && upstream.work().total() + ONLINE_RESERVE < upstream.entry.slots
+        }
     }
 }
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -255,3 +255,20 @@
     let silence = later + Duration::from_secs(2);
     assert_eq!(book.pulse().usable("host-a", &hosts, silence), hosts);
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_batch_waits_after_a_crowd() {
+    let start = Instant::now();
+    let mut book = book(&["a"]);
+    let online: Vec<PlacePick> = (0..SLOTS)
+        .map(|_| take(&mut book, WorkClass::Online, start).unwrap())
+        .collect();
+    for pick in &online {
+        book.release(pick.key, WorkClass::Online);
+    }
+    let soon = start + Duration::from_millis(300);
+    assert!(take(&mut book, WorkClass::Batch, soon).is_none());
+    assert!(take(&mut book, WorkClass::Online, soon).is_some());
+    let later = start + Duration::from_millis(500);
+    assert!(take(&mut book, WorkClass::Batch, later).is_some());
+}
