jobs: results are listed and shown under a claim that holds

Ruled out: a stale listing at the reading host, which loads without staleness. Change: listing depends on the owner key's version; reads are answered from memory only while the claim goes with the lease that the host has; a claim that is made again loads what is stored. Result: test_owner_that_lost_its_lease_shows_what_others_listed fails before and passes.

--- a/lib/src/jobs/book.rs
+++ b/lib/src/jobs/book.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::edges::kv::LeaseId;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
@@ -103,6 +104,13 @@
 }
 
 impl OwnedJob {
+    /// Has results that wait to be listed gathered from now on.
+    fn note_finished(&mut self, now: Instant) {
+        let mut slots = self.slots.iter();
+        let has_finished = slots.any(|slot| slot.state == ItemState::Finished);
+        self.finished_since = has_finished.then_some(now);
+    }
+
     fn is_settled(&self) -> bool {
         self.listed.len() == self.slots.len()
     }
@@ -195,6 +203,18 @@
             .collect()
     }
 
+    /// Replaces the claim on an owned job.
+    pub(crate) fn set_claim(&mut self, job: &str, claim: JobClaim) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.claim = claim;
+        }
+    }
+
+    /// The lease that the claim on `job` goes with; `None` if this host does not own it.
+    pub(crate) fn lease(&self, job: &str) -> Option<LeaseId> {
+        self.jobs.get(job)?.claim.lease
+    }
+
     /// Number of items of `job`, and how many are listed.
     pub fn counts(&self, job: &str) -> Option<(usize, usize)> {
         let job = self.jobs.get(job)?;
@@ -341,13 +361,7 @@
         let mut listed = std::mem::take(&mut job.listed);
         listed.extend(order.results.iter().cloned());
         set_listed(job, listed);
-        if job
-            .slots
-            .iter()
-            .any(|slot| slot.state == ItemState::Finished)
-        {
-            job.finished_since = Some(now);
-        }
+        job.note_finished(now);
         job.is_settled()
     }
 
@@ -361,13 +375,20 @@
     }
 
     /// Takes in what is listed according to the service.
-    pub(crate) fn relist(&mut self, job: &str, listed: Vec<JobResult>, segments: usize) -> bool {
+    pub(crate) fn relist(
+        &mut self,
+        job: &str,
+        listed: Vec<JobResult>,
+        segments: usize,
+        now: Instant,
+    ) -> bool {
         let Some(job) = self.jobs.get_mut(job) else {
             return false;
         };
         job.committing = false;
         job.segments = segments;
         set_listed(job, listed);
+        job.note_finished(now);
         job.is_settled()
     }
 
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::collections::HashMap;
@@ -116,7 +117,12 @@
             .as_ref()
             .is_some_and(|(owner, _)| *owner == self.shared.owner);
         if is_own {
-            self.load(id, JobClaim { open: job.version }).await;
+            let claim = JobClaim {
+                open: job.version,
+                owner: job.owner.map(|(_, version)| version),
+                lease: self.shared.registry.lease(),
+            };
+            self.load(id, claim).await;
         }
     }
 
@@ -155,7 +161,7 @@
         })
     }
 
-    async fn claim(&self, job: &OpenJob) {
+    pub(super) async fn claim(&self, job: &OpenJob) {
         let Some(lease) = self.shared.registry.lease() else {
             return;
         };
@@ -176,7 +182,7 @@
     /// finds a job of this host that the host does not run.
     async fn load(&self, id: &str, claim: JobClaim) {
         if self.with_book(|book| book.owns(id)) {
-            return;
+            return self.claimed_again(id, claim).await;
         }
         let (Ok(Some(spec)), Ok(Some(stored))) = (
             self.shared.store.load_spec(id).await,
@@ -194,6 +200,21 @@
         self.shared.work.notify_one();
     }
 
+    /// Goes on with a job of this host under another claim. Another host may have owned the job
+    /// and listed results in between.
+    async fn claimed_again(&self, id: &str, claim: JobClaim) {
+        if let Ok(Some(stored)) = self.shared.store.load(id).await {
+            let is_settled = self.with_book(|book| {
+                book.set_claim(id, claim);
+                book.relist(id, stored.results, stored.segments, Instant::now())
+            });
+            self.shared.listed.notify_waiters();
+            if is_settled {
+                self.drop_job(id, "finished");
+            }
+        }
+    }
+
     fn note_owners(&self, open: &OpenJobs) {
         let mut owners = self.shared.owners.lock().expect("owners lock");
         let ids: HashSet<&str> = open.jobs.iter().map(|job| job.id.as_str()).collect();
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -140,7 +140,7 @@
                     _ => break,
                 },
                 Ok(None) => break,
-                Err(_) => return ReadOutcome::Unsure,
+                Err(_) => return self.read_remembered(job, after),
             }
         }
         self.read_stored(job, after).await
@@ -155,7 +155,10 @@
     ) -> Option<ResultPage> {
         loop {
             let listed = self.shared.listed.notified();
-            let page = self.with_book(|book| book.page(job, after));
+            let page = match self.owns_for_sure(job) {
+                true => self.with_book(|book| book.page(job, after)),
+                false => None,
+            };
             let Some(page) = page else {
                 return self.shared.settled.page(job, after);
             };
@@ -166,6 +169,13 @@
         }
     }
 
+    /// Whether no other host can have listed results of `job`: its claim goes with the lease that
+    /// this host has. Without the service the host can't know better.
+    fn owns_for_sure(&self, job: &str) -> bool {
+        let lease = self.with_book(|book| book.lease(job));
+        lease.is_some() && lease == self.shared.registry.lease()
+    }
+
     async fn read_at(
         &self,
         host: &HostEntry,
@@ -185,6 +195,14 @@
         }
     }
 
+    /// Results that this host remembers, while the service does not answer.
+    fn read_remembered(&self, job: &str, after: usize) -> ReadOutcome {
+        match self.with_book(|book| book.page(job, after)) {
+            Some(page) if !page.results.is_empty() => ReadOutcome::Page(page),
+            _ => ReadOutcome::Unsure,
+        }
+    }
+
     async fn read_stored(&self, job: &str, after: usize) -> ReadOutcome {
         match self.shared.store.load(job).await {
             Ok(Some(stored)) => {
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -284,14 +284,16 @@
         let Some(stored) = stored else {
             return self.drop_job(job, "removed");
         };
-        let is_settled = self.with_book(|book| book.relist(job, stored.results, stored.segments));
+        let is_settled = self
+            .with_book(|book| book.relist(job, stored.results, stored.segments, Instant::now()));
         self.shared.listed.notify_waiters();
         match (is_settled, open) {
             (true, _) => self.drop_job(job, "finished"),
             (false, None) => self.drop_job(job, "ended"),
-            (false, Some(open)) => match open.owner {
-                Some((owner, _)) if owner != self.shared.owner => self.drop_job(job, "lost"),
-                _ => self.with_book(|book| book.commit_failed(job, Instant::now())),
+            (false, Some(open)) => match &open.owner {
+                Some((owner, _)) if *owner != self.shared.owner => self.drop_job(job, "lost"),
+                Some(_) => self.adopt(job).await,
+                None => self.claim(&open).await,
             },
         }
     }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -75,10 +75,13 @@
     pub(crate) is_ended: bool,
 }
 
-/// A claim on an open job: the versions that its writes depend on.
+/// A claim on an open job: the versions that its writes depend on, and the lease that it goes
+/// with.
 #[derive(Clone, Debug)]
 pub(crate) struct JobClaim {
     pub(crate) open: KvVersion,
+    pub(crate) owner: Option<KvVersion>,
+    pub(crate) lease: Option<LeaseId>,
 }
 
 /// Reads and writes jobs.
@@ -127,8 +130,12 @@
                 lease: Some(lease),
             });
         }
-        let open = self.kv.commit(commit).await?;
-        Ok(JobClaim { open })
+        let version = self.kv.commit(commit).await?;
+        Ok(JobClaim {
+            open: version,
+            owner: lease.map(|_| version),
+            lease,
+        })
     }
 
     /// Claims an open job that has no owner, or an owner that is this host's earlier process.
@@ -152,8 +159,12 @@
             }],
             deletes: Vec::new(),
         };
-        self.kv.commit(commit).await?;
-        Ok(JobClaim { open: job.version })
+        let version = self.kv.commit(commit).await?;
+        Ok(JobClaim {
+            open: job.version,
+            owner: Some(version),
+            lease: Some(lease),
+        })
     }
 
     /// Gives up ownership of jobs, so that other hosts claim them at once.
@@ -170,7 +181,8 @@
     }
 
     /// Appends segment `number`. [`KvError::Conflict`] means that another host has written it,
-    /// or that the job was ended. The last segment closes the job.
+    /// that the claim does not hold any more, or that the job was ended. The last segment closes
+    /// the job.
     pub(crate) async fn append(
         &self,
         id: &str,
@@ -181,7 +193,11 @@
     ) -> Result<(), KvError> {
         let key = segment_key(id, number);
         let mut commit = KvCommit {
-            expect: vec![(key.clone(), None), (open_key(id), Some(claim.open))],
+            expect: vec![
+                (key.clone(), None),
+                (open_key(id), Some(claim.open)),
+                (owner_key(id), claim.owner),
+            ],
             puts: vec![lasting(key, encode(&results))],
             deletes: Vec::new(),
         };
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -510,3 +510,32 @@
     // One to accept, one to list all results, and the renewals of the host's lease meanwhile.
     assert!(writes <= 5, "{writes} writes");
 }
+
+/// Another host owned the job for a while and listed results; the first one, which has not heard
+/// of it, must neither list on top of them nor show fewer results.
+#[tokio::test(start_paused = true)]
+async fn test_owner_that_lost_its_lease_shows_what_others_listed() {
+    use parsleywall::edges::kv::KvStore;
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 10)).await,
+        SubmitOutcome::Accepted
+    );
+    let lease = host_a.registry.lease().unwrap();
+    // The service takes the lease away without a word, and the second host claims the job.
+    fleet.kv.revoke_lease(lease).await.unwrap();
+    let mut most = 0;
+    for _ in 0..400 {
+        for host in [&host_b, &host_a] {
+            let is_sure = host.registry.lease() != Some(lease);
+            let count = read(host, "j1", 0).await.results.len();
+            assert!(count >= most || !is_sure, "{count} of {most} results");
+            most = most.max(count);
+        }
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    assert_whole(&fleet.wire, &read_all(&host_a, "j1").await);
+    assert_eq!(read(&host_a, "j1", 0).await, read(&host_b, "j1", 0).await);
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod host_list;
 pub mod kv;
 pub mod opaque;
+pub mod platform_store;
+pub mod platform_worker;
 pub mod server;
 pub mod service;
 pub mod terms;
--- /dev/null
+++ b/standins/src/platform_worker.rs
@@ -0,0 +1,163 @@
+//! Stand-in of a worker of the co-operative's platform, over HTTP.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+
+use crate::server::StandinReply;
+use crate::server::StandinServer;
+use crate::server::read_body;
+
+/// What a worker does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorkerBehaviour {
+    /// Answers with a stream of events.
+    #[default]
+    Streams,
+    /// Answers with the request's body.
+    Echoes,
+    /// Says that it is full.
+    Sheds,
+    /// Says that it is another worker.
+    IsAnother,
+    /// Answers with the identifier of another request.
+    AnswersAnother,
+    /// Answers without its signature.
+    LeavesOutSeal,
+    /// Answers that the request can never be done.
+    Rejects,
+}
+
+/// A request as the worker got it.
+#[derive(Clone, Debug)]
+pub struct WorkerRequest {
+    /// Method and target.
+    pub line: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A worker.
+pub struct PlatformWorker {
+    id: String,
+    events: u64,
+    behaviour: Mutex<WorkerBehaviour>,
+    requests: Mutex<Vec<WorkerRequest>>,
+}
+
+impl PlatformWorker {
+    /// Returns worker `id`, whose streams have `events` events.
+    pub fn new(id: &str, events: u64) -> Arc<Self> {
+        Arc::new(Self {
+            id: id.to_owned(),
+            events,
+            behaviour: Mutex::default(),
+            requests: Mutex::default(),
+        })
+    }
+
+    /// Serves on a free loopback port.
+    pub async fn serve(self: &Arc<Self>) -> std::io::Result<StandinServer> {
+        let worker = self.clone();
+        StandinServer::start(move |request| {
+            let worker = worker.clone();
+            async move { Some(worker.answer(request).await) }
+        })
+        .await
+    }
+
+    /// Changes what the worker does from now on.
+    pub fn set(&self, behaviour: WorkerBehaviour) {
+        *self.behaviour.lock().expect("behaviour lock") = behaviour;
+    }
+
+    /// All requests so far.
+    pub fn requests(&self) -> Vec<WorkerRequest> {
+        self.requests.lock().expect("requests lock").clone()
+    }
+
+    /// Text of a whole answer's events, joined by line feeds.
+    pub fn text(&self) -> String {
+        let lines: Vec<String> = (1..=self.events).map(|id| format!("piece {id}")).collect();
+        lines.join("\n")
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> StandinReply {
+        let line = format!("{} {}", request.method(), request.uri());
+        let headers = request.headers().clone();
+        let body = read_body(request).await;
+        let taken = WorkerRequest {
+            line,
+            headers: headers.clone(),
+            body: body.clone(),
+        };
+        self.requests.lock().expect("requests lock").push(taken);
+        let behaviour = *self.behaviour.lock().expect("behaviour lock");
+        let mut reply = match behaviour {
+            WorkerBehaviour::Streams
+            | WorkerBehaviour::AnswersAnother
+            | WorkerBehaviour::LeavesOutSeal => self.stream(&headers),
+            WorkerBehaviour::Echoes => Response::new(Full::new(body).boxed_unsync()),
+            WorkerBehaviour::Sheds => empty(StatusCode::SERVICE_UNAVAILABLE),
+            WorkerBehaviour::IsAnother => empty(StatusCode::MISDIRECTED_REQUEST),
+            WorkerBehaviour::Rejects => empty(StatusCode::UNPROCESSABLE_ENTITY),
+        };
+        let answered = reply.headers_mut();
+        if let Some(id) = headers.get("attempt-id") {
+            answered.insert("attempt-id", id.clone());
+        }
+        match behaviour {
+            WorkerBehaviour::Sheds => {
+                answered.insert("not-executed", http::HeaderValue::from_static("1"));
+            }
+            WorkerBehaviour::LeavesOutSeal | WorkerBehaviour::IsAnother => {}
+            WorkerBehaviour::AnswersAnother => {
+                answered.insert("attempt-id", http::HeaderValue::from_static("another"));
+                answered.insert("response-seal", seal(&self.id));
+            }
+            _ => {
+                answered.insert("response-seal", seal(&self.id));
+            }
+        }
+        reply
+    }
+
+    fn stream(&self, headers: &HeaderMap) -> StandinReply {
+        let after = headers.get("last-event-id").and_then(|id| id.to_str().ok());
+        let first = after.and_then(|id| id.parse::<u64>().ok()).unwrap_or(0) + 1;
+        let events = stream::iter(first..=self.events).then(|id| async move {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            Ok(Frame::data(Bytes::from(event)))
+        });
+        let mut reply = Response::new(StreamBody::new(events).boxed_unsync());
+        let kind = http::HeaderValue::from_static("text/event-stream");
+        reply.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+        reply
+    }
+}
+
+fn empty(status: StatusCode) -> StandinReply {
+    let mut reply = Response::new(Full::new(Bytes::new()).boxed_unsync());
+    *reply.status_mut() = status;
+    reply
+}
+
+fn seal(id: &str) -> http::HeaderValue {
+    http::HeaderValue::from_str(&format!("seal-of-{id}")).expect("identifiers are ASCII")
+}
