jobs: the test of a lost lease is sharp

The test that came with the commit before passed on the code before it, too: its job was finished before another host could claim it. It now has 60 items and a host that scans rarely; it fails there with 18 of 36 results shown, and passes now.

--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -102,6 +102,10 @@
     }
 
     async fn host(&mut self, name: &str) -> JobHost {
+        self.host_with(name, JobPlan::default()).await
+    }
+
+    async fn host_with(&mut self, name: &str, jobs: JobPlan) -> JobHost {
         self.incarnations += 1;
         let entry = HostEntry {
             host: name.to_owned(),
@@ -125,7 +129,7 @@
             log,
             name.to_owned(),
             self.incarnations,
-            JobPlan::default(),
+            jobs,
         );
         let stop = CancellationToken::new();
         tokio::spawn({
@@ -517,10 +521,14 @@
 async fn test_owner_that_lost_its_lease_shows_what_others_listed() {
     use parsleywall::edges::kv::KvStore;
     let mut fleet = JobFleet::new();
-    let host_a = fleet.host("host-a").await;
+    let rare_scans = JobPlan {
+        scan_interval: Duration::from_secs(60),
+        ..JobPlan::default()
+    };
+    let host_a = fleet.host_with("host-a", rare_scans).await;
     let host_b = fleet.host("host-b").await;
     assert_eq!(
-        host_a.keeper.submit(job("j1", 10)).await,
+        host_a.keeper.submit(job("j1", 60)).await,
         SubmitOutcome::Accepted
     );
     let lease = host_a.registry.lease().unwrap();
