peers: each slice defines and registers its own calls

Cause: the module of messages between hosts imported from every slice above it, so that each new slice changed it. Change: a call is a type with a name and a reply; hosts register handlers by type.

--- a/bench/src/scenarios/membership.rs
+++ b/bench/src/scenarios/membership.rs
@@ -15,11 +15,11 @@
 use parsleywall::membership::HostState;
 use parsleywall::membership::Membership;
 use parsleywall::membership::MembershipAgent;
+use parsleywall::membership::MembershipCall;
 use parsleywall::membership::PeerHost;
 use parsleywall::membership::SeedSources;
+use parsleywall::peers::PeerHandlers;
 use parsleywall::peers::PeerLinks;
-use parsleywall::peers::PeerReply;
-use parsleywall::peers::PeerRequest;
 use parsleywall::peers::PeerServer;
 use serde_json::Value;
 use serde_json::json;
@@ -86,18 +86,11 @@
         );
         let server = PeerServer::new(listener, SECRET.to_owned(), counters.clone());
         let answering = membership.clone();
-        let answer = move |_, request| {
-            let state = answering.state();
-            async move {
-                match request {
-                    PeerRequest::Membership => PeerReply::Membership(state),
-                    _ => PeerReply::Unsupported("only membership".to_owned()),
-                }
-            }
-        };
+        let answer = move |_, _: MembershipCall| std::future::ready(answering.state());
+        let handlers = PeerHandlers::new().with(answer);
         let tasks = vec![
             tokio::spawn(agent.run(stop.clone())),
-            tokio::spawn(server.run(stop.clone(), answer)),
+            tokio::spawn(server.run(stop.clone(), handlers)),
         ];
         Ok(Self {
             membership,
--- a/lib/src/admin/mod.rs
+++ b/lib/src/admin/mod.rs
@@ -22,6 +22,7 @@
 use crate::counters::CounterSet;
 use crate::counters::RefusalReason;
 use crate::decisions::DecisionRing;
+use crate::decisions::ExplainCall;
 use crate::http::body::BodyReader;
 use crate::http::reply::Reply;
 use crate::http::reply::json_reply;
@@ -30,8 +31,6 @@
 use crate::membership::Membership;
 use crate::membership::PeerHost;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::terms::Principal;
@@ -47,6 +46,7 @@
 pub(crate) use status::HostReporter;
 pub use status::HostStatus;
 pub use status::QueueReport;
+pub use status::StatusCall;
 pub use status::UpstreamStatus;
 
 /// First path segments of this interface.
@@ -127,16 +127,13 @@
             .filter(|host| host.id != self.settings.host);
         let calls = others.map(|host| {
             let subject = subject.to_owned();
-            self.peers.call(
-                host.peer_address,
-                PeerRequest::Explain { subject },
-                COLLECT_TIMEOUT,
-            )
+            self.peers
+                .call(host.peer_address, ExplainCall { subject }, COLLECT_TIMEOUT)
         });
         let mut explanation = Explanation::new(self.decisions.about(subject));
         for reply in join_all(calls).await {
             match reply {
-                Ok(PeerReply::Explain(decisions)) => explanation.add(decisions),
+                Ok(decisions) => explanation.add(decisions),
                 _ => explanation.note_silent_host(),
             }
         }
@@ -208,11 +205,8 @@
     async fn ask_report(&self, host: &PeerHost) -> Option<HostReport> {
         let call = self
             .peers
-            .call(host.peer_address, PeerRequest::Status, COLLECT_TIMEOUT);
-        match call.await {
-            Ok(PeerReply::Status(report)) => Some(report),
-            _ => None,
-        }
+            .call(host.peer_address, StatusCall, COLLECT_TIMEOUT);
+        call.await.ok()
     }
 }
 
--- a/lib/src/admin/status.rs
+++ b/lib/src/admin/status.rs
@@ -21,6 +21,7 @@
 use crate::ids::Revision;
 use crate::ids::UpstreamId;
 use crate::membership::HostState;
+use crate::peers::PeerMessage;
 use crate::terms::TermsKeeper;
 
 /// Tokens a second below which an allowance is not reported.
@@ -162,3 +163,13 @@
     /// Allowances in use.
     pub caps: Vec<CapStatus>,
 }
+
+/// Asks for the host's report of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StatusCall;
+
+impl PeerMessage for StatusCall {
+    const NAME: &'static str = "status";
+
+    type Reply = HostReport;
+}
--- a/lib/src/admission/desk.rs
+++ b/lib/src/admission/desk.rs
@@ -46,8 +46,6 @@
 use crate::membership::PeerHost;
 use crate::membership::rendezvous_score;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::refusal::Refusal;
 use crate::upstreams::Upstream;
 use crate::upstreams::UpstreamTable;
@@ -653,10 +651,9 @@
         request: AdmissionRequest,
         timeout: Duration,
     ) -> Option<AdmissionReply> {
-        let request = PeerRequest::Admission(request);
         match self.parts.links.call(address, request, timeout).await {
-            Ok(PeerReply::Admission(reply)) => Some(reply),
-            Ok(_) | Err(_) => {
+            Ok(reply) => Some(reply),
+            Err(_) => {
                 self.parts.counters.retry(RetryReason::PeerFailed);
                 None
             }
--- a/lib/src/admission/message.rs
+++ b/lib/src/admission/message.rs
@@ -8,6 +8,7 @@
 use crate::ids::UpstreamId;
 use crate::ids::WorkClass;
 use crate::ids::WorkspaceName;
+use crate::peers::PeerMessage;
 
 /// Number of a ticket, unique on the host that holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -181,3 +182,9 @@
     /// The order to yield was taken.
     Yielding,
 }
+
+impl PeerMessage for AdmissionRequest {
+    const NAME: &'static str = "admission";
+
+    type Reply = AdmissionReply;
+}
--- a/lib/src/batch/desk.rs
+++ b/lib/src/batch/desk.rs
@@ -39,8 +39,6 @@
 use crate::inference::InferenceRunner;
 use crate::membership::Membership;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::terms::TermsKeeper;
 
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -220,11 +218,7 @@
         timeout: Duration,
     ) -> Option<BatchReply> {
         let address = self.peer_address(host)?;
-        let request = PeerRequest::Batch(request);
-        match self.parts.peers.call(address, request, timeout).await {
-            Ok(PeerReply::Batch(reply)) => Some(reply),
-            _ => None,
-        }
+        self.parts.peers.call(address, request, timeout).await.ok()
     }
 
     /// Tells all other hosts; those that miss it learn of it by their own means.
@@ -234,7 +228,7 @@
         for host in others {
             let peers = self.parts.peers.clone();
             let address = host.peer_address;
-            let request = PeerRequest::Batch(request.clone());
+            let request = request.clone();
             tokio::spawn(async move {
                 let _ = peers.call(address, request, NOTICE_TIMEOUT).await;
             });
--- a/lib/src/batch/message.rs
+++ b/lib/src/batch/message.rs
@@ -8,6 +8,7 @@
 use crate::ids::HostId;
 use crate::ids::JobId;
 use crate::ids::WorkspaceName;
+use crate::peers::PeerMessage;
 
 /// What other hosts are told of an open job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,3 +120,9 @@
     /// The job as last committed.
     Record(Box<JobRecord>),
 }
+
+impl PeerMessage for BatchRequest {
+    const NAME: &'static str = "batch";
+
+    type Reply = BatchReply;
+}
--- a/lib/src/caps/duty.rs
+++ b/lib/src/caps/duty.rs
@@ -25,8 +25,6 @@
 use crate::ids::HostId;
 use crate::membership::HostState;
 use crate::membership::PeerHost;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 
 /// Key of the division in the key-value service.
 pub const DIVISION_KEY: &str = "caps/division";
@@ -174,14 +172,14 @@
         }
         addresses.remove(&self.fleet.host);
         let calls = addresses.into_values().map(|address| {
-            let request = PeerRequest::Caps(CapsRequest::Epoch { known: epoch });
+            let request = CapsRequest::Epoch { known: epoch };
             self.fleet.peers.call(address, request, EPOCH_TIMEOUT)
         });
         let replies = futures_util::future::join_all(calls).await;
         let mut reports: Vec<EpochReport> = Vec::new();
         let mut ledger = self.keeper.lock();
         for reply in replies {
-            if let Ok(PeerReply::Caps(CapsReply::Epoch { report, newer })) = reply {
+            if let Ok(CapsReply::Epoch { report, newer }) = reply {
                 reports.push(report);
                 if let Some(record) = newer {
                     ledger.learn(record, Instant::now());
@@ -277,9 +275,9 @@
     }
 
     async fn ask_start(&self, address: SocketAddr) -> Option<u64> {
-        let request = PeerRequest::Caps(CapsRequest::Epoch { known: u64::MAX });
+        let request = CapsRequest::Epoch { known: u64::MAX };
         match self.fleet.peers.call(address, request, EPOCH_TIMEOUT).await {
-            Ok(PeerReply::Caps(CapsReply::Epoch { report, .. })) => Some(report.incarnation),
+            Ok(CapsReply::Epoch { report, .. }) => Some(report.incarnation),
             _ => None,
         }
     }
--- a/lib/src/caps/keeper.rs
+++ b/lib/src/caps/keeper.rs
@@ -29,8 +29,6 @@
 use crate::ids::WorkClass;
 use crate::membership::Membership;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::rate::RateMeter;
 use crate::refusal::Refusal;
 use crate::terms::Allowance;
@@ -270,20 +268,18 @@
             return self.gather(fleet, key, allowance, tokens).await;
         };
         let asked = Instant::now();
-        let request = PeerRequest::Caps(CapsRequest::Ask {
+        let request = CapsRequest::Ask {
             key: key.clone(),
             tokens,
-        });
+        };
         let reply = fleet
             .peers
             .call(broker.peer_address, request, GRANT_TIME)
             .await;
         match reply {
             // A grant that was delayed by a pause of this host may have expired.
-            Ok(PeerReply::Caps(CapsReply::Granted(parts))) if asked.elapsed() <= GRANT_TIME => {
-                Ok(parts)
-            }
-            Ok(PeerReply::Caps(CapsReply::Short { retry_after })) => Err(retry_after),
+            Ok(CapsReply::Granted(parts)) if asked.elapsed() <= GRANT_TIME => Ok(parts),
+            Ok(CapsReply::Short { retry_after }) => Err(retry_after),
             _ => {
                 fleet.counters.retry(RetryReason::PeerFailed);
                 self.gather(fleet, key, allowance, tokens).await
@@ -373,12 +369,12 @@
         address: SocketAddr,
     ) {
         let asked = Instant::now();
-        let request = PeerRequest::Caps(CapsRequest::Pull {
+        let request = CapsRequest::Pull {
             key: key.clone(),
             tokens: tokens * PULL_FACTOR,
-        });
+        };
         match fleet.peers.call(address, request, PULL_TIMEOUT).await {
-            Ok(PeerReply::Caps(CapsReply::Lent(Some(part)))) => {
+            Ok(CapsReply::Lent(Some(part))) => {
                 self.lock().pool(&key, part, asked);
             }
             Ok(_) => {}
@@ -502,7 +498,7 @@
         let members = self.members();
         let calls = queued.into_iter().filter_map(|(lender, settlements)| {
             let host = members.iter().find(|host| host.id == lender)?;
-            let request = PeerRequest::Caps(CapsRequest::Settle(settlements));
+            let request = CapsRequest::Settle(settlements);
             Some(fleet.peers.call(host.peer_address, request, GRANT_TIME))
         });
         let outcomes = futures_util::future::join_all(calls).await;
--- a/lib/src/caps/message.rs
+++ b/lib/src/caps/message.rs
@@ -10,6 +10,7 @@
 use crate::ids::HostId;
 use crate::ids::WorkClass;
 use crate::ids::WorkspaceName;
+use crate::peers::PeerMessage;
 
 /// One allowance of one workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -92,3 +93,9 @@
         newer: Option<DivisionRecord>,
     },
 }
+
+impl PeerMessage for CapsRequest {
+    const NAME: &'static str = "caps";
+
+    type Reply = CapsReply;
+}
--- a/lib/src/decisions.rs
+++ b/lib/src/decisions.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::ids::HostId;
+use crate::peers::PeerMessage;
 
 /// Decisions kept per host; the oldest is dropped first.
 const MAX_DECISIONS: usize = 20_000;
@@ -107,3 +108,16 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
+
+/// Asks for the decisions about a subject, oldest first.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ExplainCall {
+    /// Identifier of a request, job, upstream or workspace.
+    pub subject: String,
+}
+
+impl PeerMessage for ExplainCall {
+    const NAME: &'static str = "explain";
+
+    type Reply = Vec<Decision>;
+}
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -31,9 +31,8 @@
 use crate::jobs::JobReply;
 use crate::jobs::JobStore;
 use crate::jobs::PeerCaller;
+use crate::peers::PeerHandlers;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::peers::PeerServer;
 use crate::places::EntryState;
 use crate::places::LoadExchange;
@@ -200,16 +199,11 @@
         links.set(PeerLinks::new(HostId::new(&self.plan.host), secret.clone()));
         let server = PeerServer::new(listener, secret, Arc::new(CounterSet::default()));
         let jobs = self.jobs.clone();
-        let answer = move |_, request| {
+        let handlers = PeerHandlers::new().with(move |_, call: JobCall| {
             let jobs = jobs.clone();
-            async move {
-                match request {
-                    PeerRequest::Jobs(call) => PeerReply::Jobs(jobs.answer(call).await),
-                    _ => PeerReply::Unsupported("this host serves opaque requests".to_owned()),
-                }
-            }
-        };
-        server.run(self.stop.clone(), answer).await;
+            async move { jobs.answer(call).await }
+        });
+        server.run(self.stop.clone(), handlers).await;
     }
 
     async fn sweep_roster(&self) {
@@ -371,13 +365,7 @@
         timeout: Duration,
     ) -> Result<JobReply, String> {
         let links = self.links.get().ok_or("the fleet's secret is not known")?;
-        match links
-            .call(host.peers, PeerRequest::Jobs(call), timeout)
-            .await
-        {
-            Ok(PeerReply::Jobs(reply)) => Ok(reply),
-            Ok(_) => Err("the host does not serve jobs".to_owned()),
-            Err(err) => Err(err.to_string()),
-        }
+        let reply = links.call(host.peers, call, timeout).await;
+        reply.map_err(|err| err.to_string())
     }
 }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -1,6 +1,7 @@
 //! An entry host: all slices wired together in one process.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,19 +20,24 @@
 use crate::admin::ADMIN_PATH;
 use crate::admin::AdminApi;
 use crate::admin::HostReporter;
+use crate::admin::StatusCall;
 use crate::admission::AdmissionDesk;
+use crate::admission::AdmissionRequest;
 use crate::admission::DeskParts;
 use crate::batch::BatchDesk;
 use crate::batch::BatchParts;
+use crate::batch::BatchRequest;
 use crate::batch::BatchService;
 use crate::batch::BatchStore;
 use crate::callers::CallerApi;
 use crate::caps::CapFleet;
 use crate::caps::CapKeeper;
+use crate::caps::CapsRequest;
 use crate::caps::DivisionDuty;
 use crate::counters::CounterSet;
 use crate::counters::RefusalReason;
 use crate::decisions::DecisionRing;
+use crate::decisions::ExplainCall;
 use crate::edges::engine::HttpEngine;
 use crate::edges::engine::ModelEngine;
 use crate::edges::host_list::HostList;
@@ -49,25 +55,29 @@
 use crate::http::server::ServerStop;
 use crate::idempotency::ClaimKeeper;
 use crate::idempotency::ClaimParts;
+use crate::idempotency::ClaimRequest;
 use crate::ids::HostId;
 use crate::ids::Revision;
 use crate::inference::InferenceRunner;
 use crate::membership::HostState;
 use crate::membership::Membership;
 use crate::membership::MembershipAgent;
+use crate::membership::MembershipCall;
 use crate::membership::PeerHost;
 use crate::membership::SeedSources;
+use crate::peers::PeerHandlers;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::peers::PeerServer;
 use crate::placement::ControllerParts;
+use crate::placement::DemandCall;
 use crate::placement::DemandMeter;
 use crate::placement::PlacementController;
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::suspects::SuspectKeeper;
+use crate::suspects::SuspectNews;
 use crate::suspects::SuspectParts;
+use crate::terms::TermsCall;
 use crate::terms::TermsFollower;
 use crate::terms::TermsKeeper;
 use crate::upstreams::UpstreamTable;
@@ -486,18 +496,7 @@
             self.settings.peer_secret.clone(),
             self.counters.clone(),
         );
-        let desk = PeerDesk {
-            reporter: self.reporter(),
-            decisions: self.decisions.clone(),
-            terms: self.terms.clone(),
-            admission: self.desk.clone(),
-            caps: self.caps.clone(),
-            suspects: self.suspects.clone(),
-            claims: self.claims.clone(),
-            membership: self.membership.clone(),
-            batch: self.batch.clone(),
-            meter: self.meter.clone(),
-        };
+        let handlers = self.peer_handlers();
         let admission = self.desk.clone();
         let stops: [CancellationToken; 4] = std::array::from_fn(|_| stop.clone());
         let [table_stop, desk_stop, batch_stop, peer_stop] = stops;
@@ -506,14 +505,43 @@
             tokio::spawn(async move { upstreams.run(table_stop).await }),
             tokio::spawn(async move { admission.run(desk_stop).await }),
             tokio::spawn(async move { batch.run(batch_stop).await }),
-            tokio::spawn(server.run(peer_stop, move |from, request| {
-                let desk = desk.clone();
-                async move { desk.answer(from, request).await }
-            })),
+            tokio::spawn(server.run(peer_stop, handlers)),
         ]);
         duties
     }
 
+    /// What other entry hosts may ask.
+    fn peer_handlers(&self) -> PeerHandlers {
+        let (decisions, meter) = (self.decisions.clone(), self.meter.clone());
+        let (terms, reporter) = (self.terms.clone(), self.reporter());
+        let (membership, batch) = (self.membership.clone(), self.batch.clone());
+        PeerHandlers::new()
+            .with::<AdmissionRequest, _, _>(answering(
+                self.desk.clone(),
+                |desk, from, request| async move { desk.answer(from, request).await },
+            ))
+            .with::<CapsRequest, _, _>(answering(
+                self.caps.clone(),
+                |caps, _, request| async move { caps.answer(request).await },
+            ))
+            .with::<ClaimRequest, _, _>(answering(
+                self.claims.clone(),
+                |claims, _, request| async move { claims.serve(request).await },
+            ))
+            .with::<SuspectNews, _, _>(answering(
+                self.suspects.clone(),
+                |suspects, _, news| async move {
+                    suspects.note_news(&news);
+                },
+            ))
+            .with(move |_, call: ExplainCall| ready(decisions.about(&call.subject)))
+            .with(move |_, _: DemandCall| ready(meter.demand()))
+            .with(move |_, _: StatusCall| ready(reporter.report()))
+            .with(move |_, _: MembershipCall| ready(membership.state()))
+            .with(move |from, request: BatchRequest| ready(batch.answer(&from, request)))
+            .with(move |_, call: TermsCall| ready(terms.news_after(call.known)))
+    }
+
     /// Membership and what it carries.
     fn spawn_fleet_duties(
         &self,
@@ -578,42 +606,10 @@
     }
 }
 
-/// Answers calls of other entry hosts.
-#[derive(Clone)]
-struct PeerDesk {
-    reporter: HostReporter,
-    decisions: Arc<DecisionRing>,
-    terms: Arc<TermsKeeper>,
-    admission: Arc<AdmissionDesk>,
-    caps: Arc<CapKeeper>,
-    suspects: Arc<SuspectKeeper>,
-    claims: Arc<ClaimKeeper>,
-    membership: Arc<Membership>,
-    batch: Arc<BatchDesk>,
-    meter: Arc<DemandMeter>,
-}
-
-impl PeerDesk {
-    async fn answer(&self, from: HostId, request: PeerRequest) -> PeerReply {
-        match request {
-            PeerRequest::Admission(request) => {
-                PeerReply::Admission(self.admission.answer(from, request).await)
-            }
-            PeerRequest::Caps(request) => PeerReply::Caps(self.caps.answer(request).await),
-            PeerRequest::Idempotency(request) => {
-                PeerReply::Idempotency(self.claims.serve(request).await)
-            }
-            PeerRequest::Suspects(news) => {
-                self.suspects.note_news(&news);
-                PeerReply::Noted
-            }
-            PeerRequest::Jobs(_) => PeerReply::Unsupported("opaque jobs".to_owned()),
-            PeerRequest::Explain { subject } => PeerReply::Explain(self.decisions.about(&subject)),
-            PeerRequest::Demand => PeerReply::Demand(self.meter.demand()),
-            PeerRequest::Status => PeerReply::Status(self.reporter.report()),
-            PeerRequest::Membership => PeerReply::Membership(self.membership.state()),
-            PeerRequest::Batch(request) => PeerReply::Batch(self.batch.answer(&from, request)),
-            PeerRequest::Terms { known } => PeerReply::Terms(self.terms.news_after(known)),
-        }
-    }
+/// A handler that gets a share of `slice` with each call.
+fn answering<S, M, F>(
+    slice: Arc<S>,
+    answer: impl Fn(Arc<S>, HostId, M) -> F,
+) -> impl Fn(HostId, M) -> F {
+    move |from, message| answer(slice.clone(), from, message)
 }
--- a/lib/src/idempotency/keeper.rs
+++ b/lib/src/idempotency/keeper.rs
@@ -23,8 +23,6 @@
 use crate::ids::WorkspaceName;
 use crate::membership::Membership;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 use crate::refusal::Refusal;
 
 /// Logs of the fleet; bounds the writes to the key-value service.
@@ -157,14 +155,14 @@
         let Some(owner) = owner.filter(|owner| owner.id != self.parts.host) else {
             return self.serve(request).await;
         };
-        let call = PeerRequest::Idempotency(request.clone());
+        let call = request.clone();
         let reply = self
             .parts
             .peers
             .call(owner.peer_address, call, CALL_TIMEOUT)
             .await;
         match reply {
-            Ok(PeerReply::Idempotency(answer)) => answer,
+            Ok(answer) => answer,
             _ => {
                 self.parts.counters.retry(RetryReason::PeerFailed);
                 self.serve(request).await
--- a/lib/src/idempotency/message.rs
+++ b/lib/src/idempotency/message.rs
@@ -6,6 +6,7 @@
 use sha2::Sha256;
 
 use crate::ids::WorkspaceName;
+use crate::peers::PeerMessage;
 
 /// Digest of a workspace and an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -100,3 +101,9 @@
     /// The key-value service did not take the entry, or not certainly.
     Unavailable,
 }
+
+impl PeerMessage for ClaimRequest {
+    const NAME: &'static str = "idempotency";
+
+    type Reply = ClaimAnswer;
+}
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::jobs::spec::ResultPage;
+use crate::peers::PeerMessage;
 use crate::registry::HostEntry;
 
 /// A call to the owner of a job.
@@ -64,3 +65,9 @@
         timeout: Duration,
     ) -> Result<JobReply, String>;
 }
+
+impl PeerMessage for JobCall {
+    const NAME: &'static str = "jobs";
+
+    type Reply = JobReply;
+}
--- a/lib/src/membership/agent.rs
+++ b/lib/src/membership/agent.rs
@@ -16,12 +16,11 @@
 use crate::decisions::DecisionRing;
 use crate::decisions::unix_millis;
 use crate::membership::Membership;
+use crate::membership::message::MembershipCall;
 use crate::membership::protocol::GossipEvent;
 use crate::membership::seal::PacketSealer;
 use crate::membership::seeds::SeedSources;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
 
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 const PULL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -147,9 +146,9 @@
         let links = self.links.clone();
         let counters = self.counters.clone();
         tokio::spawn(async move {
-            let call = links.call(address, PeerRequest::Membership, PULL_TIMEOUT);
+            let call = links.call(address, MembershipCall, PULL_TIMEOUT);
             match call.await {
-                Ok(PeerReply::Membership(hosts)) => membership.merge_state(hosts),
+                Ok(hosts) => membership.merge_state(hosts),
                 _ => counters.retry(RetryReason::PeerFailed),
             }
         });
--- a/lib/src/membership/message.rs
+++ b/lib/src/membership/message.rs
@@ -8,6 +8,7 @@
 use crate::ids::HostId;
 use crate::ids::Revision;
 use crate::membership::view::PeerHost;
+use crate::peers::PeerMessage;
 
 /// Something that a host learned about another one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -110,3 +111,13 @@
     #[serde(rename = "u")]
     pub updates: Vec<HostUpdate>,
 }
+
+/// Asks for all hosts that are not dead, the answering one included.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MembershipCall;
+
+impl PeerMessage for MembershipCall {
+    const NAME: &'static str = "membership";
+
+    type Reply = Vec<PeerHost>;
+}
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -27,6 +27,7 @@
 pub use message::GossipMessage;
 pub use message::GossipPacket;
 pub use message::HostUpdate;
+pub use message::MembershipCall;
 pub use protocol::GossipCore;
 pub use protocol::GossipEvent;
 pub use protocol::OutgoingPacket;
--- /dev/null
+++ b/lib/src/peers/handlers.rs
@@ -0,0 +1,55 @@
+//! Which slice answers which call.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+
+use crate::collections::HashMap;
+use crate::ids::HostId;
+use crate::peers::message::PeerAnswer;
+use crate::peers::message::PeerCall;
+use crate::peers::message::PeerMessage;
+use crate::peers::message::decode;
+use crate::peers::message::encode;
+
+type Handler = Arc<dyn Fn(HostId, &[u8]) -> BoxFuture<'static, PeerAnswer> + Send + Sync>;
+
+/// Answers calls by the handlers that slices have registered. Clones share them.
+#[derive(Clone, Default)]
+pub struct PeerHandlers {
+    handlers: HashMap<&'static str, Handler>,
+}
+
+impl PeerHandlers {
+    /// Returns handlers that answer nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Answers calls of type `M` by `handle`, which gets the calling host's name.
+    pub fn with<M, H, F>(mut self, handle: H) -> Self
+    where
+        M: PeerMessage,
+        H: Fn(HostId, M) -> F + Send + Sync + 'static,
+        F: Future<Output = M::Reply> + Send + 'static,
+    {
+        let handler = move |from, fields: &[u8]| match decode::<M>(fields) {
+            Some(message) => {
+                let reply = handle(from, message);
+                async move { Some(Bytes::from(encode(&reply.await))) }.boxed()
+            }
+            None => std::future::ready(None).boxed(),
+        };
+        self.handlers.insert(M::NAME, Arc::new(handler));
+        self
+    }
+
+    /// Answers one call.
+    pub(crate) async fn answer(&self, from: HostId, call: PeerCall) -> PeerAnswer {
+        let handler = self.handlers.get(call.name.as_str())?;
+        handler(from, &call.fields).await
+    }
+}
--- a/lib/src/peers/links.rs
+++ b/lib/src/peers/links.rs
@@ -18,9 +18,12 @@
 use crate::collections::HashMap;
 use crate::ids::HostId;
 use crate::peers::auth;
+use crate::peers::message::PeerAnswer;
+use crate::peers::message::PeerCall;
 use crate::peers::message::PeerFrame;
-use crate::peers::message::PeerReply;
-use crate::peers::message::PeerRequest;
+use crate::peers::message::PeerMessage;
+use crate::peers::message::decode;
+use crate::peers::message::encode;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,8 +50,8 @@
 }
 
 struct PendingCall {
-    body: PeerRequest,
-    reply: oneshot::Sender<Result<PeerReply, PeerError>>,
+    body: PeerCall,
+    reply: oneshot::Sender<Result<PeerAnswer, PeerError>>,
 }
 
 /// Connections to other entry hosts. Clones share them.
@@ -76,21 +79,28 @@
     }
 
     /// Calls the peer at `address` and waits up to `timeout` for its reply.
-    pub async fn call(
+    pub async fn call<M: PeerMessage>(
         &self,
         address: SocketAddr,
-        body: PeerRequest,
+        message: M,
         timeout: Duration,
-    ) -> Result<PeerReply, PeerError> {
+    ) -> Result<M::Reply, PeerError> {
         let (reply, answer) = oneshot::channel();
+        let body = PeerCall {
+            name: M::NAME.to_owned(),
+            fields: encode(&message).into(),
+        };
         self.link(address)
             .try_send(PendingCall { body, reply })
             .map_err(|_| PeerError::NotSent("the link's queue is full".to_owned()))?;
-        match tokio::time::timeout(timeout, answer).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => Err(PeerError::NoReply("the link closed".to_owned())),
-            Err(_) => Err(PeerError::NoReply("no reply in time".to_owned())),
-        }
+        let answer = match tokio::time::timeout(timeout, answer).await {
+            Ok(Ok(outcome)) => outcome?,
+            Ok(Err(_)) => return Err(PeerError::NoReply("the link closed".to_owned())),
+            Err(_) => return Err(PeerError::NoReply("no reply in time".to_owned())),
+        };
+        answer
+            .and_then(|fields| decode(&fields))
+            .ok_or_else(|| PeerError::NoReply("the host does not serve the call".to_owned()))
     }
 
     fn link(&self, address: SocketAddr) -> mpsc::Sender<PendingCall> {
@@ -159,7 +169,7 @@
 
 struct LinkTask {
     socket: PeerSocket,
-    waiting: HashMap<u64, oneshot::Sender<Result<PeerReply, PeerError>>>,
+    waiting: HashMap<u64, oneshot::Sender<Result<PeerAnswer, PeerError>>>,
     next_call: u64,
 }
 
--- a/lib/src/peers/mod.rs
+++ b/lib/src/peers/mod.rs
@@ -4,12 +4,13 @@
 //! by a number that is unique on the connection, so that a late reply reaches its own caller.
 
 mod auth;
+mod handlers;
 mod links;
 mod message;
 mod server;
 
+pub use handlers::PeerHandlers;
 pub use links::PeerError;
 pub use links::PeerLinks;
-pub use message::PeerReply;
-pub use message::PeerRequest;
+pub use message::PeerMessage;
 pub use server::PeerServer;
--- a/lib/src/peers/server.rs
+++ b/lib/src/peers/server.rs
@@ -1,6 +1,5 @@
 //! The called side: accepts authenticated connections and answers calls side by side.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,11 +17,9 @@
 
 use crate::counters::CounterSet;
 use crate::counters::Event;
-use crate::ids::HostId;
 use crate::peers::auth;
+use crate::peers::handlers::PeerHandlers;
 use crate::peers::message::PeerFrame;
-use crate::peers::message::PeerReply;
-use crate::peers::message::PeerRequest;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection on which nothing arrives for this long is closed.
@@ -46,12 +43,8 @@
         }
     }
 
-    /// Answers calls with `handle` until `stop`.
-    pub async fn run<H, F>(self, stop: CancellationToken, handle: H)
-    where
-        H: Fn(HostId, PeerRequest) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = PeerReply> + Send + 'static,
-    {
+    /// Answers calls by `handlers` until `stop`.
+    pub async fn run(self, stop: CancellationToken, handlers: PeerHandlers) {
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -63,11 +56,11 @@
             let _ = stream.set_nodelay(true);
             let secret = self.secret.clone();
             let counters = self.counters.clone();
-            let handle = handle.clone();
+            let handlers = handlers.clone();
             let stop = stop.clone();
             tokio::spawn(async move {
                 tokio::select! {
-                    () = serve_peer(stream, secret, counters, handle) => {}
+                    () = serve_peer(stream, secret, counters, handlers) => {}
                     () = stop.cancelled() => {}
                 }
             });
@@ -75,11 +68,12 @@
     }
 }
 
-async fn serve_peer<H, F>(stream: TcpStream, secret: String, counters: Arc<CounterSet>, handle: H)
-where
-    H: Fn(HostId, PeerRequest) -> F,
-    F: Future<Output = PeerReply> + Send + 'static,
-{
+async fn serve_peer(
+    stream: TcpStream,
+    secret: String,
+    counters: Arc<CounterSet>,
+    handlers: PeerHandlers,
+) {
     #[allow(clippy::result_large_err)] // The callback's signature is tungstenite's.
     let handshake = accept_hdr_async(stream, |request: &Request, response: Response| {
         check_proof(&secret, request, response)
@@ -112,10 +106,11 @@
             match (PeerFrame::decode(&bytes), &peer) {
                 (Some(PeerFrame::Hello { host }), None) => peer = Some(host),
                 (Some(PeerFrame::Request { call, body }), Some(host)) => {
-                    let answer = handle(host.clone(), body);
+                    let handlers = handlers.clone();
+                    let host = host.clone();
                     let replies = replies.clone();
                     tokio::spawn(async move {
-                        let body = answer.await;
+                        let body = handlers.answer(host, body).await;
                         let frame = PeerFrame::Reply { call, body };
                         let _ = replies.send(Message::binary(frame.encode())).await;
                     });
--- a/lib/src/placement/controller.rs
+++ b/lib/src/placement/controller.rs
@@ -38,8 +38,7 @@
 use crate::ids::ModelName;
 use crate::membership::Membership;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
+use crate::placement::demand::DemandCall;
 use crate::placement::demand::DemandMeter;
 use crate::placement::demand::ModelDemand;
 use crate::placement::lease::LeaseKeeper;
@@ -297,13 +296,11 @@
         let others = view.hosts.iter().filter(|host| host.id != self.parts.host);
         let calls = others.map(|host| {
             let peers = &self.parts.peers;
-            peers.call(host.peer_address, PeerRequest::Demand, DEMAND_TIMEOUT)
+            peers.call(host.peer_address, DemandCall, DEMAND_TIMEOUT)
         });
         let mut demand = self.parts.meter.demand();
-        for reply in join_all(calls).await {
-            if let Ok(PeerReply::Demand(other)) = reply {
-                demand.add(&other);
-            }
+        for other in join_all(calls).await.into_iter().flatten() {
+            demand.add(&other);
         }
         demand
     }
--- a/lib/src/placement/demand.rs
+++ b/lib/src/placement/demand.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::ids::ModelName;
+use crate::peers::PeerMessage;
 use crate::rate::RateMeter;
 
 /// Time in which the weight of a past request falls to 1/e.
@@ -65,3 +66,13 @@
         Self::new()
     }
 }
+
+/// Asks for the demand that the host sees.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DemandCall;
+
+impl PeerMessage for DemandCall {
+    const NAME: &'static str = "demand";
+
+    type Reply = ModelDemand;
+}
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -10,6 +10,7 @@
 
 pub use controller::ControllerParts;
 pub use controller::PlacementController;
+pub use demand::DemandCall;
 pub use demand::DemandMeter;
 pub use demand::ModelDemand;
 pub use lease::LeaseKeeper;
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -245,7 +245,7 @@
     /// Takes a place for one piece of work, or returns `None` if no upstream may take it.
     ///
     /// An online request gets the upstream with the least work, even if all places there are
-    /// taken. A batch item gets one only where [`ONLINE_RESERVE`] places stay free. `avoid` are
+    /// taken. A batch item gets one only where a place stays free. `avoid` are
     /// upstreams that the request has already been sent to; `draw` breaks ties.
     pub fn take(
         &mut self,
--- a/lib/src/places/roster.rs
+++ b/lib/src/places/roster.rs
@@ -15,8 +15,8 @@
 
 /// Applies changes of entries to a [`PlaceBook`].
 ///
-/// An upstream whose entry vanished in or right after an outage of the service is kept for
-/// [`RETURN_TIME`] after the outage; if its entry is still missing then, it is gone.
+/// An upstream whose entry vanished in or right after an outage of the service is kept for two
+/// seconds after the outage; if its entry is still missing then, it is gone.
 #[derive(Debug, Default)]
 pub struct UpstreamRoster {
     missing: HashMap<UpstreamId, Instant>,
--- a/lib/src/suspects/keeper.rs
+++ b/lib/src/suspects/keeper.rs
@@ -29,7 +29,6 @@
 use crate::ids::UpstreamId;
 use crate::membership::Membership;
 use crate::peers::PeerLinks;
-use crate::peers::PeerRequest;
 use crate::refusal::Refusal;
 use crate::suspects::book::SuspectBook;
 use crate::suspects::book::SuspectVerdict;
@@ -325,10 +324,9 @@
             .iter()
             .filter(|host| host.id != self.parts.host)
             .map(|host| {
-                let request = PeerRequest::Suspects(news.clone());
                 self.parts
                     .peers
-                    .call(host.peer_address, request, NEWS_TIMEOUT)
+                    .call(host.peer_address, news.clone(), NEWS_TIMEOUT)
             });
         let replies = futures_util::future::join_all(calls).await;
         for _ in replies.iter().filter(|reply| reply.is_err()) {
--- a/lib/src/suspects/message.rs
+++ b/lib/src/suspects/message.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::ids::UpstreamId;
+use crate::peers::PeerMessage;
 use crate::suspects::fingerprint::Fingerprint;
 
 /// News about requests that may crash upstreams.
@@ -39,3 +40,9 @@
         fingerprint: Fingerprint,
     },
 }
+
+impl PeerMessage for SuspectNews {
+    const NAME: &'static str = "suspects";
+
+    type Reply = ();
+}
--- a/lib/src/terms/follower.rs
+++ b/lib/src/terms/follower.rs
@@ -20,8 +20,7 @@
 use crate::membership::RevisionHint;
 use crate::membership::rendezvous_score;
 use crate::peers::PeerLinks;
-use crate::peers::PeerReply;
-use crate::peers::PeerRequest;
+use crate::terms::keeper::TermsCall;
 use crate::terms::keeper::TermsError;
 use crate::terms::keeper::TermsKeeper;
 use crate::terms::keeper::TermsNews;
@@ -170,11 +169,9 @@
 
     async fn ask(&self, address: SocketAddr) -> Option<TermsNews> {
         let known = self.terms.view().revision;
-        let call = self
-            .links
-            .call(address, PeerRequest::Terms { known }, PULL_TIMEOUT);
+        let call = self.links.call(address, TermsCall { known }, PULL_TIMEOUT);
         match call.await {
-            Ok(PeerReply::Terms(news)) => Some(news),
+            Ok(news) => Some(news),
             _ => {
                 self.counters.retry(RetryReason::PeerFailed);
                 None
--- a/lib/src/terms/keeper.rs
+++ b/lib/src/terms/keeper.rs
@@ -20,6 +20,7 @@
 use crate::edges::kv::KvStore;
 use crate::ids::Revision;
 use crate::ids::random_id;
+use crate::peers::PeerMessage;
 use crate::terms::document::TermsDocument;
 use crate::terms::document::TermsFault;
 use crate::terms::edit::ProposedChange;
@@ -394,3 +395,16 @@
         objects: 0,
     }
 }
+
+/// Asks for the terms, if newer than those that are known.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TermsCall {
+    /// Revision that the caller has.
+    pub known: Revision,
+}
+
+impl PeerMessage for TermsCall {
+    const NAME: &'static str = "terms";
+
+    type Reply = TermsNews;
+}
--- a/lib/src/terms/mod.rs
+++ b/lib/src/terms/mod.rs
@@ -21,6 +21,7 @@
 pub use edit::changed_objects;
 pub use edit::differences;
 pub(crate) use follower::TermsFollower;
+pub use keeper::TermsCall;
 pub use keeper::TermsError;
 pub use keeper::TermsKeeper;
 pub use keeper::TermsNews;
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -140,9 +140,8 @@
             let (keeper, stop) = (keeper.clone(), stop.clone());
             async move { keeper.run(stop).await }
         });
-        let mut hosts = self.peers.hosts.lock().unwrap();
-        hosts.push((name.to_owned(), keeper.clone()));
-        drop(hosts);
+        let reachable = (name.to_owned(), keeper.clone());
+        self.peers.hosts.lock().unwrap().push(reachable);
         tokio::time::sleep(Duration::from_millis(50)).await;
         JobHost {
             keeper,
