events: metrics from the log, and a command that reads logs

Cause: a failure had to be explained from raw lines, and nothing was counted. Change: counters and histograms follow from the log's events and are served under /metrics; parsleywall trace tells the story of an identifier or lists the worst requests, with clocks set right by events that all hosts log. The writer takes 64 KB at once at most. Result: 4 tests, one with a pipe that nobody reads.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod dev;
 mod platform;
 mod serve;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -26,6 +27,7 @@
     Dev(dev::DevArgs),
     Ctl(ctl::CtlArgs),
     Platform(platform::PlatformArgs),
+    Trace(trace::TraceArgs),
 }
 
 impl Arguments {
@@ -41,6 +43,7 @@
             Command::Dev(args) => args.run().await,
             Command::Ctl(args) => args.run().await,
             Command::Platform(args) => args.run().await,
+            Command::Trace(args) => args.run(),
         }
     }
 }
--- a/cli/src/commands/platform.rs
+++ b/cli/src/commands/platform.rs
@@ -16,6 +16,9 @@
     /// role of the process: front or store
     #[argh(positional, from_str_fn(parse_role))]
     role: Role,
+    /// port for the metrics of a front, under /metrics
+    #[argh(option)]
+    metrics: Option<u16>,
     /// only check the settings file
     #[argh(switch)]
     check: bool,
@@ -43,7 +46,7 @@
             println!("the settings are valid");
             return ExitCode::SUCCESS;
         }
-        match parsleywall_platform::run(self.role, file).await {
+        match parsleywall_platform::run(self.role, file, self.metrics).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(err) => {
                 eprintln!("error: {err}");
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -12,8 +12,12 @@
 
 use serde::Serialize;
 
+use crate::metrics::FrontMetrics;
+
 /// Lines that may wait for the writer; further ones are dropped and counted.
 const MAX_WAITING_LINES: usize = 4_096;
+/// Bytes that the writer takes from the queue at once.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
 /// Ordinary lines are dropped while more than this many wait, so that failures still fit.
 const ORDINARY_LINES: usize = MAX_WAITING_LINES / 2;
 
@@ -216,6 +220,7 @@
     lines: Option<SyncSender<String>>,
     waiting: Arc<AtomicU64>,
     dropped: AtomicU64,
+    metrics: FrontMetrics,
 }
 
 impl EventLog {
@@ -246,6 +251,7 @@
             lines,
             waiting,
             dropped: AtomicU64::new(0),
+            metrics: FrontMetrics::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -254,6 +260,7 @@
 
     /// Writes one line, or drops and counts it while too many wait.
     pub fn write(&self, event: LogEvent) {
+        self.shared.metrics.note(&event);
         let Some(lines) = &self.shared.lines else {
             return;
         };
@@ -271,6 +278,11 @@
         }
     }
 
+    /// Metrics that follow from the log.
+    pub fn metrics(&self) -> &FrontMetrics {
+        &self.shared.metrics
+    }
+
     /// Number of lines that were dropped and not yet reported.
     pub fn dropped(&self) -> u64 {
         self.shared.dropped.load(Ordering::Relaxed)
@@ -297,7 +309,9 @@
     while let Ok(mut text) = lines.recv() {
         waiting.fetch_sub(1, Ordering::Relaxed);
         text.push('\n');
-        while let Ok(next) = lines.try_recv() {
+        while text.len() < MAX_BATCH_BYTES
+            && let Ok(next) = lines.try_recv()
+        {
             waiting.fetch_sub(1, Ordering::Relaxed);
             text.push_str(&next);
             text.push('\n');
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -294,6 +294,22 @@
         }
     }
 
+    /// The host's metrics as text that Prometheus reads.
+    pub fn metrics_text(&self) -> String {
+        let metrics = self.log.metrics();
+        let table = self.routes.borrow().clone();
+        let book = self.places.book();
+        for service in table.services() {
+            let (places, _) = book.online_fill(service, Instant::now());
+            let (online, batch) = book.work_of(service);
+            for (kind, count) in [("places", places), ("online", online), ("batch", batch)] {
+                metrics.note_places(service.as_str(), kind, count);
+            }
+        }
+        drop(book);
+        metrics.text()
+    }
+
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
         !self.leaving.is_cancelled() && self.routes.borrow().version() > 0
--- /dev/null
+++ b/lib/src/metrics.rs
@@ -0,0 +1,180 @@
+//! Counters and latency histograms of a front host, as text that Prometheus reads.
+//!
+//! Counts follow from the lines of the event log, so that both always tell the same.
+
+use std::time::Duration;
+
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::events::LogEvent;
+
+/// Upper bounds of latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Metrics of one process.
+pub struct FrontMetrics {
+    registry: Registry,
+    events: IntCounterVec,
+    refusals: IntCounterVec,
+    faults: IntCounterVec,
+    requests: IntCounterVec,
+    items: IntCounterVec,
+    jobs: IntCounterVec,
+    first: Histogram,
+    total: Histogram,
+    calls: HistogramVec,
+    places: IntGaugeVec,
+}
+
+impl FrontMetrics {
+    /// Returns metrics that count from zero.
+    pub fn new() -> Self {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(format!("parsleywall_{name}"), help), labels)
+                .expect("names of metrics are proper")
+        };
+        let latency = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(format!("parsleywall_{name}"), help);
+            opts.buckets(LATENCY_BUCKETS.to_vec())
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            events: counter("log_events_total", "Decisions, by event.", &["event"]),
+            refusals: counter(
+                "refusals_total",
+                "Refused requests, by reason.",
+                &["reason"],
+            ),
+            faults: counter(
+                "sending_faults_total",
+                "Sendings without a usable answer, by fault; each may lead to another sending.",
+                &["fault"],
+            ),
+            requests: counter(
+                "requests_total",
+                "Ended requests, by outcome.",
+                &["outcome"],
+            ),
+            items: counter(
+                "item_runs_total",
+                "Ended runs of items, by outcome.",
+                &["outcome"],
+            ),
+            jobs: counter("job_changes_total", "Changes of batch jobs.", &["outcome"]),
+            first: Histogram::with_opts(latency(
+                "first_event_seconds",
+                "Time from a request's arrival to the first event or the whole answer.",
+            ))
+            .expect("names of metrics are proper"),
+            total: Histogram::with_opts(latency(
+                "request_seconds",
+                "Time from a request's arrival to its end.",
+            ))
+            .expect("names of metrics are proper"),
+            calls: HistogramVec::new(
+                latency(
+                    "store_call_seconds",
+                    "Time of calls to the key-value service.",
+                ),
+                &["outcome"],
+            )
+            .expect("names of metrics are proper"),
+            places: IntGaugeVec::new(
+                Opts::new(
+                    "parsleywall_places",
+                    "Places of upstreams, and the work at them.",
+                ),
+                &["service", "kind"],
+            )
+            .expect("names of metrics are proper"),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let counters = [
+            &self.events,
+            &self.refusals,
+            &self.faults,
+            &self.requests,
+            &self.items,
+            &self.jobs,
+        ];
+        let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
+        all.extend(counters.map(|counter| Box::new(counter.clone()) as _));
+        all.push(Box::new(self.first.clone()));
+        all.push(Box::new(self.total.clone()));
+        all.push(Box::new(self.calls.clone()));
+        all.push(Box::new(self.places.clone()));
+        for collector in all {
+            self.registry
+                .register(collector)
+                .expect("each metric has its own name");
+        }
+    }
+
+    /// Counts one line of the event log, whether it is written or dropped.
+    pub(crate) fn note(&self, event: &LogEvent) {
+        let name: &'static str = event.into();
+        self.events.with_label_values(&[name]).inc();
+        match event {
+            LogEvent::RequestRefused { reason, .. } => {
+                self.refusals.with_label_values(&[reason]).inc();
+            }
+            LogEvent::SendingFailed { fault, .. } => {
+                self.faults.with_label_values(&[fault]).inc();
+            }
+            LogEvent::RequestEnded {
+                outcome,
+                first_ms,
+                total_ms,
+                ..
+            } => {
+                self.requests.with_label_values(&[outcome]).inc();
+                self.total.observe(*total_ms as f64 / 1_000.0);
+                if let Some(first_ms) = first_ms {
+                    self.first.observe(*first_ms as f64 / 1_000.0);
+                }
+            }
+            LogEvent::Item { outcome, .. } => self.items.with_label_values(&[outcome]).inc(),
+            LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
+            _ => {}
+        }
+    }
+
+    /// Notes a call to the key-value service.
+    pub fn note_call(&self, outcome: &str, time: Duration) {
+        let histogram = self.calls.with_label_values(&[outcome]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Notes the places of a service, and the work at them.
+    pub fn note_places(&self, service: &str, kind: &str, count: u32) {
+        let gauge = self.places.with_label_values(&[service, kind]);
+        gauge.set(i64::from(count));
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+impl Default for FrontMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -236,6 +236,16 @@
         (slots, online)
     }
 
+    /// Online and batch work at the upstreams of `service`, of all hosts.
+    pub fn work_of(&self, service: &ServiceName) -> (u32, u32) {
+        let mut sum = WorkCount::default();
+        for (_, upstream) in self.serving(service) {
+            sum.online += upstream.work().online;
+            sum.batch += upstream.work().batch;
+        }
+        (sum.online, sum.batch)
+    }
+
     fn serving(&self, service: &ServiceName) -> impl Iterator<Item = (PlaceKey, &Upstream)> {
         let all = self.upstreams.iter();
         all.filter(move |(_, up)| up.takes_requests() && up.entry.service == *service)
--- /dev/null
+++ b/lib/src/trace.rs
@@ -0,0 +1,219 @@
+//! Reading the event logs of several hosts: the story of one request, job or upstream.
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::collections::HashMap;
+
+/// Events that all hosts log at about the same time, so that they show how clocks differ.
+const SHARED_EVENTS: [&str; 3] = ["config_changed", "upstream_listed", "upstream_gone"];
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TraceLine {
+    /// Time by the clock of the host that logs first, in milliseconds since 1970.
+    pub time_ms: i64,
+    /// Host that wrote the line.
+    pub host: String,
+    /// Event.
+    pub event: String,
+    /// All other fields, in the order of their names.
+    pub fields: Map<String, Value>,
+}
+
+impl TraceLine {
+    /// Reads a line; `None` if it holds no event. Text before the event's JSON is passed over.
+    fn parse(text: &str) -> Option<Self> {
+        let json = &text[text.find('{')?..];
+        let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let time_ms = fields.remove("time_ms")?.as_i64()?;
+        let host = fields.remove("host")?.as_str()?.to_owned();
+        let event = fields.remove("event")?.as_str()?.to_owned();
+        Some(Self {
+            time_ms,
+            host,
+            event,
+            fields,
+        })
+    }
+
+    /// Whether a field is `id`.
+    pub fn is_about(&self, id: &str) -> bool {
+        self.fields.values().any(|value| value.as_str() == Some(id))
+    }
+
+    /// A field as text.
+    pub fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    /// A field as a number.
+    pub fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+
+    /// What the line says, without time and host.
+    pub fn story(&self) -> String {
+        let mut story = self.event.replace('_', " ");
+        for (name, value) in &self.fields {
+            let value = match value {
+                Value::Null => continue,
+                Value::String(text) => text.clone(),
+                value => value.to_string(),
+            };
+            story.push_str(&format!(", {name} {value}"));
+        }
+        story
+    }
+}
+
+/// A request that ended badly or late.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorstRequest {
+    /// The request.
+    pub request: String,
+    /// How it ended.
+    pub outcome: String,
+    /// Time from its arrival to its end in milliseconds.
+    pub total_ms: u64,
+    /// The last fault or refusal that was logged of it.
+    pub reason: Option<String>,
+}
+
+/// Lines of several hosts in causal order.
+#[derive(Clone, Debug, Default)]
+pub struct EventTrace {
+    lines: Vec<TraceLine>,
+}
+
+impl EventTrace {
+    /// Reads logs; lines that hold no event are passed over.
+    pub fn read<'a>(lines: impl Iterator<Item = &'a str>) -> Self {
+        let mut lines: Vec<TraceLine> = lines.filter_map(TraceLine::parse).collect();
+        let offsets = clock_offsets(&lines);
+        let mut latest: HashMap<String, i64> = HashMap::default();
+        for line in &mut lines {
+            line.time_ms -= offsets.get(&line.host).copied().unwrap_or(0);
+            // A clock that was set back does not turn a host's own lines round.
+            let latest = latest.entry(line.host.clone()).or_insert(line.time_ms);
+            line.time_ms = line.time_ms.max(*latest);
+            *latest = line.time_ms;
+        }
+        lines.sort_by_key(|line| line.time_ms);
+        Self { lines }
+    }
+
+    /// All lines.
+    pub fn lines(&self) -> &[TraceLine] {
+        &self.lines
+    }
+
+    /// Lines about `id`, and those about the upstreams that it reached, around its time.
+    pub fn about(&self, id: &str) -> Vec<&TraceLine> {
+        let own: Vec<&TraceLine> = self.lines.iter().filter(|line| line.is_about(id)).collect();
+        let (Some(first), Some(last)) = (own.first(), own.last()) else {
+            return own;
+        };
+        let span = first.time_ms - 1_000..=last.time_ms;
+        let upstreams: Vec<&str> = own
+            .iter()
+            .filter_map(|line| line.text("upstream"))
+            .collect();
+        let is_told = |line: &&TraceLine| {
+            let is_belief = line.event == "upstream_gone" || line.event == "upstream_listed";
+            let of_upstream = is_belief
+                && upstreams.iter().any(|upstream| line.is_about(upstream))
+                && own.iter().any(|own| own.host == line.host);
+            line.is_about(id) || (of_upstream && span.contains(&line.time_ms))
+        };
+        self.lines.iter().filter(is_told).collect()
+    }
+
+    /// The `count` requests that ended worst: those without an answer first, then the slowest.
+    pub fn worst(&self, count: usize) -> Vec<WorstRequest> {
+        let mut reasons: HashMap<&str, String> = HashMap::default();
+        let mut ended = Vec::new();
+        for line in &self.lines {
+            let Some(request) = line.text("request") else {
+                continue;
+            };
+            match line.event.as_str() {
+                "sending_failed" => {
+                    let fault = line.text("fault").unwrap_or_default();
+                    let cause = line.text("cause").unwrap_or_default();
+                    let upstream = line.text("upstream").unwrap_or_default();
+                    reasons.insert(request, format!("{fault} at {upstream}: {cause}"));
+                }
+                "request_refused" => {
+                    let reason = line.text("reason").unwrap_or_default();
+                    let (online, places) = (line.number("online"), line.number("places"));
+                    let load = format!("{} at {} places", num(online), num(places));
+                    reasons.insert(request, format!("{reason}, {load}"));
+                    ended.push((request, "refused", 0));
+                }
+                "request_ended" if line.text("outcome") != Some("refused") => {
+                    let outcome = line.text("outcome").unwrap_or_default();
+                    ended.push((request, outcome, line.number("total_ms").unwrap_or(0)));
+                }
+                _ => {}
+            }
+        }
+        ended.sort_by_key(|(_, outcome, total)| (*outcome == "served", std::cmp::Reverse(*total)));
+        let worst = ended
+            .into_iter()
+            .take(count)
+            .map(|(request, outcome, total_ms)| {
+                let reason = reasons.get(request).cloned();
+                WorstRequest {
+                    request: request.to_owned(),
+                    outcome: outcome.to_owned(),
+                    total_ms,
+                    reason,
+                }
+            });
+        worst.collect()
+    }
+}
+
+fn num(number: Option<u64>) -> String {
+    number.map_or_else(|| "?".to_owned(), |number| number.to_string())
+}
+
+/// How far each host's clock is ahead of the common one: the median over events that all hosts
+/// log at about the same time.
+fn clock_offsets(lines: &[TraceLine]) -> HashMap<String, i64> {
+    let mut shared: HashMap<String, Vec<(&str, i64)>> = HashMap::default();
+    for line in lines {
+        if SHARED_EVENTS.contains(&line.event.as_str()) {
+            let what = line.text("upstream").map(str::to_owned);
+            let what = what.or_else(|| line.number("version").map(|version| version.to_string()));
+            let state = line.text("state").unwrap_or_default();
+            let key = format!("{} {} {state}", line.event, what.unwrap_or_default());
+            shared
+                .entry(key)
+                .or_default()
+                .push((&line.host, line.time_ms));
+        }
+    }
+    let mut differences: HashMap<String, Vec<i64>> = HashMap::default();
+    for times in shared.values() {
+        let Some(middle) = median(times.iter().map(|(_, time)| *time).collect()) else {
+            continue;
+        };
+        for (host, time) in times {
+            differences
+                .entry((*host).to_owned())
+                .or_default()
+                .push(time - middle);
+        }
+    }
+    let offsets = differences.into_iter();
+    offsets
+        .filter_map(|(host, differences)| Some((host, median(differences)?)))
+        .collect()
+}
+
+fn median(mut values: Vec<i64>) -> Option<i64> {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied()
+}
--- /dev/null
+++ b/lib/tests/test_events.rs
@@ -0,0 +1,199 @@
+//! The event log: never blocks, counts what it drops, and can be told afterwards.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+
+use parsleywall::events::EventLog;
+use parsleywall::events::LogEvent;
+use parsleywall::trace::EventTrace;
+use serde_json::Value;
+use strum::IntoEnumIterator;
+
+/// A pipe whose reader may not read.
+struct StuckPipe {
+    go_on: Receiver<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+    done: Sender<()>,
+}
+
+impl Write for StuckPipe {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // A sender that is gone lets everything through.
+        let _ = self.go_on.recv();
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        let _ = self.done.send(());
+        Ok(())
+    }
+}
+
+fn served(number: usize) -> LogEvent {
+    LogEvent::RequestEnded {
+        request: format!("r{number}"),
+        outcome: "served".to_owned(),
+        runs: 1,
+        first_ms: Some(80),
+        total_ms: 700,
+    }
+}
+
+fn refused(number: usize) -> LogEvent {
+    LogEvent::RequestRefused {
+        request: format!("r{number}"),
+        reason: "no_free_place".to_owned(),
+        places: 8,
+        online: 12,
+        retry_ms: 500,
+        version: 3,
+    }
+}
+
+#[test]
+fn test_log_never_blocks_and_counts_what_it_drops() {
+    let (go_on, stuck) = channel();
+    let (done, flushed) = channel();
+    let written: Arc<Mutex<Vec<u8>>> = Arc::default();
+    let pipe = StuckPipe {
+        go_on: stuck,
+        written: written.clone(),
+        done,
+    };
+    let log = EventLog::new("host-a".to_owned(), 7, pipe);
+    // Nobody reads: all calls return, and the ordinary lines are dropped first.
+    for number in 0..10_000 {
+        log.write(served(number));
+    }
+    let dropped = log.dropped();
+    assert!(dropped >= 5_000, "{dropped}");
+    log.write(refused(1));
+    assert_eq!(
+        log.dropped(),
+        0,
+        "the next line that fits says how many were dropped"
+    );
+    drop(go_on);
+    let text = loop {
+        flushed.recv().unwrap();
+        let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+        if text.contains("request_refused") {
+            break text;
+        }
+    };
+    let events: Vec<Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let dropped_line = events
+        .iter()
+        .find(|event| event["event"] == "lines_dropped")
+        .unwrap();
+    assert_eq!(dropped_line["lines"], dropped);
+    assert!(
+        events
+            .iter()
+            .all(|event| event["host"] == "host-a" && event["boot"] == 7)
+    );
+    // Metrics count dropped lines, too.
+    let metrics = log.metrics().text();
+    assert!(
+        metrics.contains("parsleywall_requests_total{outcome=\"served\"} 10000"),
+        "{metrics}"
+    );
+    assert!(metrics.contains("parsleywall_refusals_total{reason=\"no_free_place\"} 1"));
+}
+
+#[test]
+fn test_page_lists_all_events_and_fields() {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    for event in LogEvent::iter() {
+        let name: &'static str = (&event).into();
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| `{name}` |")));
+        let row = row.unwrap_or_else(|| panic!("docs/OPERATIONS.md does not list {name}"));
+        let Value::Object(fields) = serde_json::to_value(&event).unwrap() else {
+            panic!("{name} has no fields");
+        };
+        for field in fields.keys() {
+            assert!(row.contains(&format!("`{field}`")), "{name} lacks {field}");
+        }
+    }
+}
+
+fn line(host: &str, time_ms: i64, event: &str, fields: &str) -> String {
+    format!(
+        "  3.2 {host} {{\"time_ms\":{time_ms},\"host\":\"{host}\",\"boot\":1,\"event\":\"{event}\"{fields}}}"
+    )
+}
+
+/// The second host's clock is 5 s ahead: shared events show it, and the job's story comes out
+/// in the order of causes.
+#[test]
+fn test_trace_orders_hosts_whose_clocks_differ() {
+    let config = ",\"before\":0,\"version\":3,\"routes\":2";
+    let accepted = ",\"job\":\"j1\",\"outcome\":\"accepted\",\"items\":2,\"listed\":0";
+    let taken = ",\"job\":\"j1\",\"outcome\":\"taken_over\",\"items\":2,\"listed\":1";
+    let finished = ",\"job\":\"j1\",\"outcome\":\"finished\",\"items\":2,\"listed\":2";
+    let lines = [
+        line("host-b", 6_000, "config_changed", config),
+        line("host-b", 9_000, "job", taken),
+        line("host-b", 9_500, "job", finished),
+        "no event at all".to_owned(),
+        line("host-a", 1_000, "config_changed", config),
+        line("host-a", 2_000, "job", accepted),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let outcomes: Vec<&str> = trace
+        .about("j1")
+        .iter()
+        .filter_map(|line| line.text("outcome"))
+        .collect();
+    assert_eq!(outcomes, ["accepted", "taken_over", "finished"]);
+    assert!(trace.about("j2").is_empty());
+}
+
+#[test]
+fn test_trace_lists_worst_with_reasons() {
+    let ended = |id: &str, outcome: &str, total: u64| {
+        format!(",\"request\":\"{id}\",\"outcome\":\"{outcome}\",\"runs\":1,\"total_ms\":{total}")
+    };
+    let fault =
+        ",\"request\":\"r2\",\"upstream\":\"u1\",\"fault\":\"silent\",\"cause\":\"no event\"";
+    let refusal = ",\"request\":\"r3\",\"reason\":\"no_free_place\",\"places\":8,\"online\":12";
+    let lines = [
+        line(
+            "host-a",
+            1_000,
+            "request_ended",
+            &ended("r1", "served", 300),
+        ),
+        line("host-a", 2_000, "sending_failed", fault),
+        line("host-a", 2_100, "request_ended", &ended("r2", "lost", 900)),
+        line("host-a", 3_000, "request_refused", refusal),
+        line(
+            "host-a",
+            4_000,
+            "request_ended",
+            &ended("r4", "served", 4_000),
+        ),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let worst = trace.worst(3);
+    let names: Vec<&str> = worst
+        .iter()
+        .map(|request| request.request.as_str())
+        .collect();
+    assert_eq!(names, ["r2", "r3", "r4"]);
+    assert_eq!(worst[0].reason.as_deref(), Some("silent at u1: no event"));
+    assert_eq!(
+        worst[1].reason.as_deref(),
+        Some("no_free_place, 12 at 8 places")
+    );
+}
