places, jobs: spare places are counted over the service, and items that can be in time go first

Ruled out: lost jobs (two were), refusals by engines (6). In order of due times alone, one late item also made all later ones late. Change: items start while over a tenth of the service's places is free, hosts share the starts, and items give way when under 4 in 100 are; waiting items that cannot be in time go last, by the mean size and pace of finished ones.

--- a/lib/src/jobs/book.rs
+++ b/lib/src/jobs/book.rs
@@ -8,6 +8,7 @@
 
 use crate::collections::HashMap;
 use crate::edges::kv::LeaseId;
+use crate::jobs::pace::ItemPace;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
@@ -116,6 +117,15 @@
     }
 }
 
+/// Order in which waiting items run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ItemRank {
+    is_late: bool,
+    due_ms: u64,
+    missing: u64,
+    index: usize,
+}
+
 /// An item that is to run now.
 #[derive(Clone, Debug)]
 pub(crate) struct ItemOrder {
@@ -138,6 +148,7 @@
 #[derive(Debug, Default)]
 pub struct JobBook {
     jobs: HashMap<String, OwnedJob>,
+    pace: ItemPace,
 }
 
 impl JobBook {
@@ -240,22 +251,34 @@
         items.map(|item| item.body.len()).sum()
     }
 
-    /// The waiting item of the job that is due first; items that have begun go before others.
-    pub(crate) fn next_item(&self, now: Instant) -> Option<ItemOrder> {
-        let mut best: Option<((u64, bool, usize), &OwnedJob)> = None;
+    /// Notes how long a whole item took.
+    pub(crate) fn note_pace(&mut self, events: u64, gained: u64, time: Duration) {
+        self.pace.note(events, gained, time);
+    }
+
+    /// The waiting item that runs next: of those that can be in time, the one that is due first
+    /// and has the most events; then the others in the same order.
+    pub(crate) fn next_item(&self, now: Instant, now_ms: u64) -> Option<ItemOrder> {
+        let mut best: Option<(ItemRank, &OwnedJob)> = None;
         for job in self.jobs.values().filter(|job| !job.is_ending) {
             for (index, slot) in job.slots.iter().enumerate() {
                 let is_paused = slot.not_before.is_some_and(|at| now < at);
                 if slot.state != ItemState::Waiting || is_paused {
                     continue;
                 }
-                let rank = (job.spec.due_ms, slot.progress.events == 0, index);
+                let ends_ms = now_ms + self.pace.rest_ms(slot.progress.events);
+                let rank = ItemRank {
+                    is_late: ends_ms > job.spec.due_ms,
+                    due_ms: job.spec.due_ms,
+                    missing: u64::MAX - slot.progress.events,
+                    index,
+                };
                 if best.is_none_or(|(least, _)| rank < least) {
                     best = Some((rank, job));
                 }
             }
         }
-        let ((_, _, index), job) = best?;
+        let (ItemRank { index, .. }, job) = best?;
         Some(ItemOrder {
             spec: job.spec.clone(),
             index,
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 mod keeper;
 mod message;
 mod owner;
+mod pace;
 mod read;
 mod run;
 mod spec;
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::edges::kv::KvError;
-use crate::events::unix_millis;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
@@ -134,7 +134,7 @@
                 continue;
             };
             let keep_ms = self.shared.plan.keep_time.as_millis() as u64;
-            let oldest = unix_millis().saturating_sub(keep_ms);
+            let oldest = steady_unix_millis().saturating_sub(keep_ms);
             let old = closed
                 .into_iter()
                 .filter(|(_, closed_ms)| *closed_ms < oldest);
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -12,10 +12,10 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
 use crate::events::LogEvent;
-use crate::events::unix_millis;
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
 use crate::ids::WorkClass;
@@ -148,7 +148,7 @@
     }
 
     fn make_room(&self) {
-        let parks = self.shared.relay.places().book().give_way();
+        let parks = self.shared.relay.places().book().give_way(Instant::now());
         for (place, count) in parks {
             self.shared.running.park(place, count as usize);
         }
@@ -157,7 +157,7 @@
     /// Starts the next item if there is one with a place.
     fn start_item(&self) -> bool {
         let now = Instant::now();
-        let Some(order) = self.with_book(|book| book.next_item(now)) else {
+        let Some(order) = self.with_book(|book| book.next_item(now, steady_unix_millis())) else {
             return false;
         };
         let table = self.shared.routes.borrow().clone();
@@ -195,7 +195,13 @@
         };
         self.with_book(|book| {
             book.started(&order.spec.id, order.index);
-            book.ended(&order.spec.id, order.index, outcome, now, unix_millis());
+            book.ended(
+                &order.spec.id,
+                order.index,
+                outcome,
+                now,
+                steady_unix_millis(),
+            );
         });
     }
 
@@ -218,13 +224,25 @@
             item_policy(),
         )
         .with_place(hold);
+        let began = Instant::now();
+        let before = order.progress.events;
         let outcome = follow(run, order.progress, &stop).await;
+        if let ItemOutcome::Done(progress) = &outcome {
+            let (events, time) = (progress.events, began.elapsed());
+            self.with_book(|book| book.note_pace(events, events - before, time));
+        }
         self.shared.running.remove(place, &stop);
         let name = outcome_name(&outcome);
         let events = outcome_events(&outcome);
         let job = &order.spec.id;
         let ended = |book: &mut crate::jobs::book::JobBook| {
-            book.ended(job, order.index, outcome, Instant::now(), unix_millis())
+            book.ended(
+                job,
+                order.index,
+                outcome,
+                Instant::now(),
+                steady_unix_millis(),
+            )
         };
         let state = self.with_book(ended);
         self.shared.log.write(LogEvent::Item {
@@ -241,7 +259,8 @@
     /// Lists finished items in the service.
     pub(super) async fn run_commits(&self) {
         loop {
-            let orders = self.with_book(|book| book.take_commits(Instant::now(), unix_millis()));
+            let orders =
+                self.with_book(|book| book.take_commits(Instant::now(), steady_unix_millis()));
             for order in orders {
                 let keeper = self.clone();
                 tokio::spawn(async move { keeper.commit(order).await });
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvCommit;
 use crate::edges::kv::KvEntry;
@@ -20,7 +21,6 @@
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
-use crate::events::unix_millis;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
@@ -392,7 +392,7 @@
 }
 
 fn closed_mark(id: &str) -> KvPut {
-    lasting(closed_key(id), encode(&unix_millis()))
+    lasting(closed_key(id), encode(&steady_unix_millis()))
 }
 
 fn closed_key(id: &str) -> String {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch;
 mod callers;
 pub mod caps;
+pub mod clock;
 pub mod collections;
 pub mod counters;
 pub mod decisions;
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -19,14 +19,13 @@
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
 use crate::places::report::upstream_tag;
+use crate::places::spare::SparePlaces;
+use crate::places::spare::UpstreamFill;
 
 /// Work of a host that has not reported for this long is forgotten.
 const REPORT_LIFE: Duration = Duration::from_millis(1_000);
-/// Places of each upstream that batch items leave free for online requests to come.
-const ONLINE_RESERVE: u32 = 1;
-/// Time after an upstream was full in which no batch item starts there. In a peak places are
-/// free only for moments, and an item that starts and gives way at once only costs its upstream.
-const CROWDED_TIME: Duration = Duration::from_millis(400);
+/// Time within which hosts hear of one another's batch items.
+const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
 const NEAR_BONUS: f64 = 0.5;
 
@@ -104,8 +103,6 @@
     others: WorkCount,
     health: UpstreamHealth,
     listed: bool,
-    /// When all places were last taken, with online work among it.
-    crowded: Option<Instant>,
 }
 
 impl Upstream {
@@ -116,13 +113,6 @@
         }
     }
 
-    fn note_crowd(&mut self, now: Instant) {
-        let work = self.work();
-        if work.total() >= self.entry.slots && work.online > 0 {
-            self.crowded = Some(now);
-        }
-    }
-
     fn takes_requests(&self) -> bool {
         self.listed && self.entry.state == EntryState::Ready && self.entry.slots > 0
     }
@@ -146,6 +136,8 @@
     keys: HashMap<UpstreamId, PlaceKey>,
     peers: HashMap<String, PeerLoad>,
     pulse: PeerPulse,
+    /// Batch items that this host started since the instant.
+    starts: HashMap<ServiceName, (Instant, u32)>,
 }
 
 impl PlaceBook {
@@ -159,6 +151,7 @@
             keys: HashMap::default(),
             peers: HashMap::default(),
             pulse: PeerPulse::default(),
+            starts: HashMap::default(),
         }
     }
 
@@ -188,7 +181,6 @@
             others: WorkCount::default(),
             health: UpstreamHealth::default(),
             listed: true,
-            crowded: None,
         };
         self.upstreams.insert(key, upstream);
         self.recount();
@@ -255,7 +247,7 @@
     /// Takes a place for one piece of work, or returns `None` if no upstream may take it.
     ///
     /// An online request gets the upstream with the least work, even if all places there are
-    /// taken. A batch item gets one only where a place stays free. `avoid` are
+    /// taken. A batch item gets a free one, and only while enough others stay free. `avoid` are
     /// upstreams that the request has already been sent to; `draw` breaks ties.
     pub fn take(
         &mut self,
@@ -265,6 +257,9 @@
         now: Instant,
         draw: u32,
     ) -> Option<PlacePick> {
+        if class == WorkClass::Batch && !self.may_start(service, now) {
+            return None;
+        }
         let mut best: Option<(f64, u32, PlaceKey)> = None;
         for (key, upstream) in self.serving(service) {
             if avoid.contains(&key) || !may_take(upstream, class, now) {
@@ -284,7 +279,11 @@
             WorkClass::Batch => upstream.work().total(),
         };
         *upstream.own.of(class) += 1;
-        upstream.note_crowd(now);
+        if class == WorkClass::Batch
+            && let Some(starts) = self.starts.get_mut(service)
+        {
+            starts.1 += 1;
+        }
         Some(PlacePick {
             key,
             id: upstream.entry.id.clone(),
@@ -341,26 +340,51 @@
 
     /// Number of this host's batch items that give way at each upstream.
     ///
-    /// Where no reserve is left, as many items give way as are missing; the hosts with the most
-    /// items go first, then the lesser names, so that hosts with the same reports agree.
-    pub fn give_way(&self) -> Vec<(PlaceKey, u32)> {
+    /// The hosts with the most items go first, then the lesser names, so that hosts with the
+    /// same reports agree.
+    pub fn give_way(&self, now: Instant) -> Vec<(PlaceKey, u32)> {
+        let services: HashSet<&ServiceName> = self
+            .upstreams
+            .values()
+            .map(|up| &up.entry.service)
+            .collect();
         let mut parks = Vec::new();
-        for (key, upstream) in &self.upstreams {
-            let work = upstream.work();
-            let room = upstream.entry.slots.saturating_sub(ONLINE_RESERVE);
-            let over = work.total().saturating_sub(room).min(work.batch);
-            // A single online place that frees soon is no reason to interrupt an item.
-            if over == 0 || upstream.own.batch == 0 || work.online == 0 {
-                continue;
-            }
-            let own = self.own_share(upstream, over);
-            if own > 0 {
-                parks.push((*key, own));
+        for service in services {
+            let fills = self.fills(service, now);
+            for (key, count) in SparePlaces::of(&fills).parks(&fills) {
+                let own = self.own_share(&self.upstreams[&key], count);
+                if own > 0 {
+                    parks.push((key, own));
+                }
             }
         }
         parks
     }
 
+    fn fills(&self, service: &ServiceName, now: Instant) -> Vec<UpstreamFill> {
+        let serving = self.serving(service);
+        let good = serving.filter(|(_, up)| up.health.standing(now) == Standing::Good);
+        let fills = good.map(|(key, upstream)| UpstreamFill {
+            key,
+            tag: upstream.tag,
+            slots: upstream.entry.slots,
+            online: upstream.work().online,
+            batch: upstream.work().batch,
+        });
+        fills.collect()
+    }
+
+    /// Whether this host may start another batch item now.
+    fn may_start(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let hosts = self.peers.len() as u32 + 1;
+        let share = SparePlaces::of(&self.fills(service, now)).start_share(hosts);
+        let starts = self.starts.entry(service.clone()).or_insert((now, 0));
+        if now - starts.0 >= START_WINDOW {
+            *starts = (now, 0);
+        }
+        starts.1 < share
+    }
+
     fn own_share(&self, upstream: &Upstream, over: u32) -> u32 {
         let mut holders: Vec<(u32, &str)> = vec![(upstream.own.batch, self.host.as_str())];
         for (name, peer) in &self.peers {
@@ -414,9 +438,6 @@
         };
         self.peers.insert(report.host, peer);
         self.recount();
-        for upstream in self.upstreams.values_mut() {
-            upstream.note_crowd(now);
-        }
     }
 
     /// Which other hosts are alive.
@@ -467,9 +488,6 @@
     }
     match class {
         WorkClass::Online => true,
-        WorkClass::Batch => {
-            let was_crowded = upstream.crowded.is_some_and(|at| now - at < CROWDED_TIME);
-            !was_crowded && upstream.work().total() + ONLINE_RESERVE < upstream.entry.slots
-        }
+        WorkClass::Batch => upstream.work().total() < upstream.entry.slots,
     }
 }
--- a/lib/src/places/mod.rs
+++ b/lib/src/places/mod.rs
@@ -11,6 +11,7 @@
 mod report;
 mod roster;
 mod shared;
+mod spare;
 
 pub use book::EntryState;
 pub use book::PlaceBook;
