--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -130,14 +130,23 @@
     }
 
     /// The `count` requests that ended worst: those without an answer first, then the slowest.
+    /// Requests and items that ran when their host's process ended count as cut off.
     pub fn worst(&self, count: usize) -> Vec<WorstRequest> {
         let mut reasons: HashMap<&str, String> = HashMap::default();
+        let mut open: HashMap<&str, &TraceLine> = HashMap::default();
         let mut ended = Vec::new();
         for line in &self.lines {
-            let Some(request) = line.text("request") else {
+            // A run of an item bears the item's identifier.
+            let Some(request) = line.text("request").or_else(|| line.text("item")) else {
                 continue;
             };
             match line.event.as_str() {
+                "request_sent" => {
+                    open.insert(request, line);
+                }
+                "item" => {
+                    open.remove(request);
+                }
                 "sending_failed" => {
                     let fault = line.text("fault").unwrap_or_default();
                     let cause = line.text("cause").unwrap_or_default();
@@ -149,16 +158,26 @@
                     let (online, places) = (line.number("online"), line.number("places"));
                     let load = format!("{} at {} places", num(online), num(places));
                     reasons.insert(request, format!("{reason}, {load}"));
+                    open.remove(request);
                     ended.push((request, "refused", 0));
                 }
                 "request_ended" if line.text("outcome") != Some("refused") => {
+                    open.remove(request);
                     let outcome = line.text("outcome").unwrap_or_default();
                     ended.push((request, outcome, line.number("total_ms").unwrap_or(0)));
                 }
                 _ => {}
             }
         }
-        ended.sort_by_key(|(_, outcome, total)| (*outcome == "served", std::cmp::Reverse(*total)));
+        for (request, sent) in open {
+            if self.has_ended_after(sent) {
+                reasons.insert(request, format!("the process of {} ended", sent.host));
+                ended.push((request, "cut_off", 0));
+            }
+        }
+        ended.sort_by_key(|(request, outcome, total)| {
+            (*outcome == "served", std::cmp::Reverse(*total), *request)
+        });
         let worst = ended
             .into_iter()
             .take(count)
@@ -175,6 +194,15 @@
     }
 }
 
+impl EventTrace {
+    /// Whether the process that wrote `line` has ended: its host started again.
+    fn has_ended_after(&self, line: &TraceLine) -> bool {
+        let boot = line.number("boot");
+        let mut starts = self.lines.iter().filter(|start| start.event == "started");
+        starts.any(|start| start.host == line.host && start.number("boot") > boot)
+    }
+}
+
 fn num(number: Option<u64>) -> String {
     number.map_or_else(|| "?".to_owned(), |number| number.to_string())
 }
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -183,14 +183,23 @@
             "request_ended",
             &ended("r4", "served", 4_000),
         ),
+        line(
+            "host-b",
+            4_000,
+            "request_sent",
+            ",\"request\":\"r5\",\"upstream\":\"u1\"",
+        ),
+        line("host-b", 5_000, "started", "").replace("\"boot\":1", "\"boot\":2"),
     ];
     let trace = EventTrace::read(lines.iter().map(String::as_str));
-    let worst = trace.worst(3);
+    let worst = trace.worst(4);
     let names: Vec<&str> = worst
         .iter()
         .map(|request| request.request.as_str())
         .collect();
-    assert_eq!(names, ["r2", "r3", "r4"]);
+    assert_eq!(names, ["r2", "r3", "r5", "r4"]);
+    let end = "the process of host-b ended";
+    assert_eq!(worst[2].reason.as_deref(), Some(end));
     assert_eq!(worst[0].reason.as_deref(), Some("silent at u1: no event"));
     assert_eq!(
         worst[1].reason.as_deref(),
