jobs: a host that leaves hands its jobs over

Change: running items are stopped, finished ones listed, and each job with what its items have produced is offered to the hosts that would claim it; what no host takes is claimed as before.

--- a/lib/src/jobs/book.rs
+++ b/lib/src/jobs/book.rs
@@ -8,6 +8,7 @@
 
 use crate::collections::HashMap;
 use crate::edges::kv::LeaseId;
+use crate::jobs::message::ItemCarry;
 use crate::jobs::pace::ItemPace;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
@@ -343,6 +344,47 @@
         Some(owned.slots[index].state)
     }
 
+    /// What the waiting items of `job` have produced.
+    pub(crate) fn carries(&self, job: &str) -> Vec<ItemCarry> {
+        let Some(job) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        let slots = job.slots.iter().enumerate();
+        let begun =
+            slots.filter(|(_, slot)| slot.state == ItemState::Waiting && slot.progress.events > 0);
+        let carries = begun.map(|(index, slot)| ItemCarry {
+            index,
+            text: Bytes::from(slot.progress.text.clone()),
+            last_id: slot.progress.last_id,
+            events: slot.progress.events,
+        });
+        carries.collect()
+    }
+
+    /// Takes in what waiting items have produced at another host.
+    pub(crate) fn take_carries(&mut self, job: &str, carries: Vec<ItemCarry>) {
+        for carry in carries {
+            let Some(slot) = self.slot(job, carry.index) else {
+                continue;
+            };
+            if slot.state == ItemState::Waiting && slot.progress.events < carry.events {
+                slot.progress = ItemProgress {
+                    text: carry.text.to_vec(),
+                    last_id: carry.last_id,
+                    events: carry.events,
+                };
+            }
+        }
+    }
+
+    /// Number of items that run.
+    pub(crate) fn running_items(&self) -> usize {
+        let slots = self.jobs.values().flat_map(|job| &job.slots);
+        slots
+            .filter(|slot| slot.state == ItemState::Running)
+            .count()
+    }
+
     /// Segments that are to be written now. Each job has one at a time.
     pub(crate) fn take_commits(&mut self, now: Instant, now_ms: u64) -> Vec<CommitOrder> {
         let mut orders = Vec::new();
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -32,6 +32,12 @@
 const CREATE_TRIES: usize = 3;
 const CREATE_PAUSE: Duration = Duration::from_millis(120);
 const END_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest wait for stopped items when the host leaves.
+const STOP_TIME: Duration = Duration::from_millis(200);
+const STOP_TICK: Duration = Duration::from_millis(5);
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Hosts that a job is offered to.
+const HAND_OVER_TRIES: usize = 3;
 /// Tries to tell a job's owner of its end, once the end is stored.
 const END_TRIES: usize = 8;
 const END_PAUSE: Duration = Duration::from_millis(300);
@@ -323,21 +329,48 @@
         self.shared.listed.notify_waiters();
     }
 
-    /// Stops all work and gives the jobs away, so that other hosts go on with them.
+    /// Stops all work and hands the jobs over to other hosts, with what their items have
+    /// produced. Jobs that no host takes are claimed after their scans.
     pub async fn leave(&self) {
         self.shared.is_leaving.cancel();
         self.shared.running.stop_all();
-        let jobs: Vec<String> = self
-            .with_book(|book| book.claims())
-            .into_iter()
-            .map(|(id, _)| id)
-            .collect();
-        let _ = self.shared.store.release(&jobs).await;
+        self.wait_for_items().await;
+        self.list_all_finished().await;
+        let claims = self.with_book(|book| book.claims());
+        let jobs: Vec<String> = claims.into_iter().map(|(id, _)| id).collect();
+        if self.shared.store.release(&jobs).await.is_ok() {
+            let handed = jobs.iter().map(|job| self.hand_over(job));
+            futures_util::future::join_all(handed).await;
+        }
         for job in &jobs {
             self.drop_job(job, "given_away");
         }
     }
 
+    /// Waits for a moment until stopped items have given back what they have.
+    async fn wait_for_items(&self) {
+        let until = Instant::now() + STOP_TIME;
+        while self.with_book(|book| book.running_items()) > 0 && Instant::now() < until {
+            tokio::time::sleep(STOP_TICK).await;
+        }
+    }
+
+    /// Offers `job` to other hosts, the first in the order of claims first.
+    async fn hand_over(&self, job: &str) {
+        let progress = self.with_book(|book| book.carries(job));
+        for host in self.successors(job).iter().take(HAND_OVER_TRIES) {
+            let call = JobCall::HandOver {
+                job: job.to_owned(),
+                progress: progress.clone(),
+            };
+            let reply = self.shared.peers.call(host, call, HAND_OVER_TIMEOUT).await;
+            if let Ok(JobReply::Taken) = reply {
+                self.set_owner(job, Some(host.host.clone()));
+                return;
+            }
+        }
+    }
+
     /// Answers another host's call.
     pub async fn answer(&self, call: JobCall) -> JobReply {
         match call {
@@ -359,6 +392,10 @@
                 },
                 None => JobReply::NotOwner,
             },
+            JobCall::HandOver { job, progress } => match self.take_over(&job, progress).await {
+                true => JobReply::Taken,
+                false => JobReply::NotOwner,
+            },
             JobCall::End { job } => {
                 if !self.with_book(|book| book.owns(&job)) {
                     return JobReply::NotOwner;
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -11,7 +11,20 @@
 use crate::peers::PeerMessage;
 use crate::registry::HostEntry;
 
-/// A call to the owner of a job.
+/// What an item has produced, on its way to another host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ItemCarry {
+    /// Place of the item in its job.
+    pub index: usize,
+    /// Text of its events, joined by line feeds.
+    pub text: Bytes,
+    /// Number of the last event.
+    pub last_id: Option<u64>,
+    /// Number of events.
+    pub events: u64,
+}
+
+/// A call about a job.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum JobCall {
     /// Asks for results.
@@ -30,6 +43,13 @@
         /// The item.
         item: String,
     },
+    /// Hands over a job that its owner has released.
+    HandOver {
+        /// The job.
+        job: String,
+        /// What its items have produced.
+        progress: Vec<ItemCarry>,
+    },
     /// Ends a job.
     End {
         /// The job.
@@ -48,6 +68,8 @@
     NoSuchItem,
     /// The job is ended.
     Ended,
+    /// The host owns the job now.
+    Taken,
     /// The host does not own the job.
     NotOwner,
     /// The host could not find out.
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 pub use keeper::JobKeeper;
 pub use keeper::JobPlan;
 pub use keeper::SubmitOutcome;
+pub use message::ItemCarry;
 pub use message::JobCall;
 pub use message::JobReply;
 pub use message::PeerCaller;
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -10,10 +10,11 @@
 use crate::collections::HashSet;
 use crate::edges::kv::KvError;
 use crate::jobs::keeper::JobKeeper;
+use crate::jobs::message::ItemCarry;
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
 use crate::jobs::store::OpenJobs;
-use crate::registry::HostState;
+use crate::registry::HostEntry;
 
 /// Jobs that one scan claims at most, so that a host that comes first does not take all.
 const MAX_CLAIMS: usize = 8;
@@ -148,17 +149,24 @@
 
     /// Place of this host in the order in which hosts claim `job`, from 0.
     fn rank(&self, job: &str) -> u32 {
-        let weight = |host: &str| xxh3_64(format!("{job} {host}").as_bytes());
-        let own = weight(&self.shared.owner.host);
-        self.shared.registry.with_list(|list| {
-            let before = list.entries().into_iter().filter(|entry| {
-                entry.state == HostState::Ready
-                    && entry.callers.is_some()
-                    && list.is_listed(&entry.host)
-                    && weight(&entry.host) > own
-            });
-            before.count() as u32
-        })
+        let own = claim_weight(job, &self.shared.owner.host);
+        let others = self.successors(job);
+        let before = others
+            .iter()
+            .filter(|entry| claim_weight(job, &entry.host) > own);
+        before.count() as u32
+    }
+
+    /// The other hosts that may own `job`, in the order in which they claim it.
+    pub(super) fn successors(&self, job: &str) -> Vec<HostEntry> {
+        let own = &self.shared.owner.host;
+        let mut hosts: Vec<HostEntry> = self.shared.registry.with_list(|list| {
+            let entries = list.caller_entries().into_iter();
+            let listed = entries.filter(|entry| list.is_listed(&entry.host));
+            listed.filter(|entry| entry.host != *own).cloned().collect()
+        });
+        hosts.sort_by_key(|entry| std::cmp::Reverse(claim_weight(job, &entry.host)));
+        hosts
     }
 
     pub(super) async fn claim(&self, job: &OpenJob) {
@@ -178,6 +186,19 @@
         self.load(&job.id, claim).await;
     }
 
+    /// Claims a job that its owner hands over, and goes on from what its items have produced.
+    pub(super) async fn take_over(&self, id: &str, carries: Vec<ItemCarry>) -> bool {
+        if self.shared.is_leaving.is_cancelled() {
+            return false;
+        }
+        match self.shared.store.open_job(id).await {
+            Ok(Some(job)) if job.owner.is_none() => self.claim(&job).await,
+            _ => return false,
+        }
+        self.with_book(|book| book.take_carries(id, carries));
+        self.with_book(|book| book.owns(id))
+    }
+
     /// Reads a job of this host and runs what is missing. If it can't be read, a later scan
     /// finds a job of this host that the host does not run.
     async fn load(&self, id: &str, claim: JobClaim) {
@@ -251,3 +272,8 @@
         }
     }
 }
+
+/// Weight of `host` in the order of claims on `job`; the greatest claims first.
+fn claim_weight(job: &str, host: &str) -> u64 {
+    xxh3_64(format!("{job} {host}").as_bytes())
+}
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -46,6 +46,8 @@
 /// Shortest time between two looks.
 const LEAST_TICK: Duration = Duration::from_millis(5);
 const COMMIT_TICK: Duration = Duration::from_millis(50);
+/// Longer than any wait for other items to finish.
+const LIST_NOW: Duration = Duration::from_secs(10);
 
 struct RunningItem {
     job: String,
@@ -269,6 +271,15 @@
         }
     }
 
+    /// Lists all finished items now.
+    pub(super) async fn list_all_finished(&self) {
+        let later = Instant::now() + LIST_NOW;
+        let due = steady_unix_millis();
+        let orders = self.with_book(|book| book.take_commits(later, due));
+        let commits = orders.into_iter().map(|order| self.commit(order));
+        futures_util::future::join_all(commits).await;
+    }
+
     async fn commit(&self, order: CommitOrder) {
         let store = &self.shared.store;
         let written = store.append(
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -339,25 +339,38 @@
     assert_whole(&fleet.wire, &read_all(&again, "j1").await);
 }
 
+/// Items go on where they were, and at once, at the host that takes the job.
 #[tokio::test(start_paused = true)]
-async fn test_job_of_a_leaving_host_is_given_away() {
+async fn test_job_of_a_leaving_host_is_handed_over() {
     let mut fleet = JobFleet::new();
     let host_a = fleet.host("host-a").await;
     let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
     assert_eq!(
         host_a.keeper.submit(job("j1", 6)).await,
         SubmitOutcome::Accepted
     );
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let left = tokio::time::Instant::now();
     host_a.registry.leave().await;
     host_a.keeper.leave().await;
     assert_eq!(
         host_a.keeper.submit(job("j2", 2)).await,
         SubmitOutcome::Accepted
     );
-    for job in ["j1", "j2"] {
-        assert_whole(&fleet.wire, &read_all(&host_b, job).await);
+    let page = read_all(&host_b, "j1").await;
+    assert!(
+        left.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        left.elapsed()
+    );
+    assert_whole(&fleet.wire, &page);
+    for number in 0..6 {
+        let runs = fleet.wire.runs(&format!("j1-{number}"));
+        assert_eq!(runs.len(), 2);
+        assert!(runs[1].resume_after >= Some(15), "{runs:?}");
     }
+    assert_whole(&fleet.wire, &read_all(&host_b, "j2").await);
 }
 
 /// Both hosts run the items while the first one is away from the service; what is listed stays.
