--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -1,9 +1,11 @@
 //! `parsleywall trace`: tells from event logs what became of a request, job, item or upstream.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use parsleywall::trace::EventTrace;
+use parsleywall::trace::WorstRequest;
 
 use crate::commands::EXIT_USAGE;
 
@@ -42,9 +44,10 @@
             text.push('\n');
         }
         let trace = EventTrace::read(text.lines());
+        let mut out = std::io::stdout().lock();
         let found = match (&self.id, self.worst) {
-            (Some(id), _) => print_story(&trace, id),
-            (None, Some(count)) => print_worst(&trace, count),
+            (Some(id), _) => print_story(&trace, id, &mut out),
+            (None, Some(count)) => print_worst(&trace, count, &mut out),
             (None, None) => false,
         };
         match found {
@@ -57,26 +60,38 @@
     }
 }
 
-fn print_story(trace: &EventTrace, id: &str) -> bool {
+fn print_story(trace: &EventTrace, id: &str, out: &mut impl Write) -> bool {
     let lines = trace.about(id);
     let Some(start) = lines.first().map(|line| line.time_ms) else {
         return false;
     };
     for line in &lines {
         let after = line.time_ms - start;
-        println!("{after:>8} ms  {:<20} {}", line.host, line.story());
+        let story = line.story();
+        if writeln!(out, "{after:>8} ms  {:<20} {story}", line.host).is_err() {
+            // The reader has seen enough.
+            break;
+        }
     }
     true
 }
 
-fn print_worst(trace: &EventTrace, count: usize) -> bool {
+fn print_worst(trace: &EventTrace, count: usize, out: &mut impl Write) -> bool {
     let worst = trace.worst(count);
     for request in &worst {
+        let total_ms = request.total_ms;
         let reason = request.reason.as_deref().unwrap_or("no fault was logged");
-        println!(
-            "{:<20} {:<18} {:>6} ms  {reason}",
-            request.request, request.outcome, request.total_ms
-        );
+        let WorstRequest {
+            request, outcome, ..
+        } = request;
+        if writeln!(
+            out,
+            "{request:<20} {outcome:<18} {total_ms:>6} ms  {reason}"
+        )
+        .is_err()
+        {
+            break;
+        }
     }
     !worst.is_empty()
 }
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -51,7 +53,8 @@
 
 struct RunningItem {
     job: String,
-    started: Instant,
+    /// Events that the item has.
+    events: Arc<AtomicU64>,
     stop: CancellationToken,
 }
 
@@ -62,11 +65,11 @@
 }
 
 impl RunningItems {
-    fn add(&self, place: PlaceKey, job: &str) -> CancellationToken {
+    fn add(&self, place: PlaceKey, job: &str, events: Arc<AtomicU64>) -> CancellationToken {
         let stop = CancellationToken::new();
         let item = RunningItem {
             job: job.to_owned(),
-            started: Instant::now(),
+            events,
             stop: stop.clone(),
         };
         self.lock().entry(place).or_default().push(item);
@@ -85,7 +88,8 @@
         }
     }
 
-    /// Stops the `count` items at `place` that started last.
+    /// Stops the `count` items at `place` with the fewest events: those near their end free
+    /// their places soon by themselves.
     fn park(&self, place: PlaceKey, count: usize) {
         let mut items = self.lock();
         let Some(at_place) = items.get_mut(&place) else {
@@ -96,11 +100,8 @@
             .iter()
             .filter(|item| item.stop.is_cancelled())
             .count();
-        at_place.sort_by_key(|item| item.started);
-        let running = at_place
-            .iter()
-            .rev()
-            .filter(|item| !item.stop.is_cancelled());
+        at_place.sort_by_key(|item| item.events.load(Ordering::Relaxed));
+        let running = at_place.iter().filter(|item| !item.stop.is_cancelled());
         for item in running.take(count.saturating_sub(stopping)) {
             item.stop.cancel();
         }
@@ -178,11 +179,12 @@
             return false;
         };
         self.with_book(|book| book.started(&job, order.index));
-        let stop = self.shared.running.add(hold.pick.key, &job);
+        let events = Arc::new(AtomicU64::new(order.progress.events));
+        let stop = self.shared.running.add(hold.pick.key, &job, events.clone());
         let keeper = self.clone();
         tokio::spawn(async move {
             keeper
-                .run_item(order, route, service, table.version(), hold, stop)
+                .run_item(order, route, service, table.version(), hold, events, stop)
                 .await;
         });
         true
@@ -214,6 +216,7 @@
         service: ServiceName,
         version: u64,
         hold: PlaceHold,
+        events: Arc<AtomicU64>,
         stop: CancellationToken,
     ) {
         let place = hold.pick.key;
@@ -228,7 +231,7 @@
         .with_place(hold);
         let began = Instant::now();
         let before = order.progress.events;
-        let outcome = follow(run, order.progress, &stop).await;
+        let outcome = follow(run, order.progress, &events, &stop).await;
         if let ItemOutcome::Done(progress) = &outcome {
             let (events, time) = (progress.events, began.elapsed());
             self.with_book(|book| book.note_pace(events, events - before, time));
@@ -333,6 +336,7 @@
 async fn follow(
     mut run: StreamRun,
     mut progress: ItemProgress,
+    events: &AtomicU64,
     stop: &CancellationToken,
 ) -> ItemOutcome {
     let opened = tokio::select! {
@@ -351,7 +355,10 @@
             () = stop.cancelled() => return ItemOutcome::Parked(progress),
         };
         match step {
-            RunStep::Event(event) => progress.push(event.id, &event.data()),
+            RunStep::Event(event) => {
+                progress.push(event.id, &event.data());
+                events.store(progress.events, Ordering::Relaxed);
+            }
             RunStep::End => return ItemOutcome::Done(progress),
             RunStep::Failed(_) => return ItemOutcome::Broken(progress),
         }
