--- a/bench/src/checker.rs
+++ b/bench/src/checker.rs
@@ -206,6 +206,7 @@
                 runs.entry(*prompt).or_default().push(position);
             }
         }
+        let mut sent: BTreeMap<&str, usize> = BTreeMap::new();
         for (position, _, event) in self.events() {
             match event {
                 HistoryEvent::RequestRefused {
@@ -214,7 +215,10 @@
                     executed: Executed::No,
                     ..
                 } => {
-                    if let Some(run) = runs.get(prompt).and_then(|runs| runs.first()) {
+                    // Runs from before belong to an earlier request with the same prompt.
+                    let first = sent.get(request.as_str()).copied().unwrap_or(0);
+                    let ran = runs.get(prompt).map(Vec::as_slice).unwrap_or_default();
+                    if let Some(run) = ran.iter().find(|run| **run >= first) {
                         let detail = format!("{request} was run but refused as not run");
                         self.add(Promise::TrueRefusals, detail, &[*run, position]);
                     }
@@ -222,8 +226,12 @@
                 HistoryEvent::RequestSent {
                     request,
                     prompt,
-                    idempotent: false,
+                    idempotent,
                 } => {
+                    sent.entry(request).or_insert(position);
+                    if *idempotent {
+                        continue;
+                    }
                     let ran = runs.get(prompt).map(Vec::as_slice).unwrap_or_default();
                     if ran.len() > 1 {
                         let detail = format!("{request} ran {} times", ran.len());
--- a/bench/src/checker/tests.rs
+++ b/bench/src/checker/tests.rs
@@ -358,3 +358,23 @@
     ];
     assert_broken(events, Promise::CapsHeld, &[1, 2, 3]);
 }
+
+/// A request with the prompt of an earlier one that is refused unrun is no violation, though the
+/// earlier one ran; one that ran after it was sent is.
+#[test]
+fn test_checker_refusal_of_a_repeated_prompt() {
+    let events = |ran: u64| {
+        vec![
+            (0, sent("first", 1, true)),
+            (1, executed("e", 1)),
+            (2, answered("first", 5, 5)),
+            (3, sent("again", 1, true)),
+            (ran, executed("e", 1)),
+            (5, refused("again", 1, Executed::No)),
+        ]
+    };
+    let mut honest = events(4);
+    honest.remove(4);
+    assert_eq!(check(&history(honest)), []);
+    assert_broken(events(4), Promise::TrueRefusals, &[4, 5]);
+}
