--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -13,6 +13,8 @@
 
 const PAGE: usize = 500;
 const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Time after changes in which further ones gather, so that one call brings several.
+const GATHER_TIME: Duration = Duration::from_millis(150);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Failures in a row after which the service counts as away. A single one may be a watch that
@@ -102,10 +104,14 @@
             self.revision = None;
             return Ok(());
         }
+        let has_changed = !changes.changes.is_empty();
         for change in changes.changes {
             take(FollowEvent::Changed(change));
         }
         self.revision = Some(changes.revision.max(revision));
+        if has_changed {
+            tokio::time::sleep(GATHER_TIME).await;
+        }
         Ok(())
     }
 
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::collections::HashMap;
 use crate::collections::HashSet;
@@ -24,6 +25,11 @@
 
 /// Work of a host that has not reported for this long is forgotten.
 const REPORT_LIFE: Duration = Duration::from_millis(1_000);
+/// In fleets with more hosts than this, each request chooses among a sample of the upstreams, as
+/// all hosts would choose the same ones from the same reports. Loads of sampled choices stay
+/// close though reports are old: Mitzenmacher, "How useful is old information?", 2000.
+const SAMPLED_FLEET: usize = 12;
+const SAMPLE: usize = 4;
 /// Time within which hosts hear of one another's batch items.
 const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
@@ -136,7 +142,7 @@
     keys: HashMap<UpstreamId, PlaceKey>,
     peers: HashMap<String, PeerLoad>,
     pulse: PeerPulse,
-    /// Batch items that this host started since the instant.
+    /// Batch items that this host may still start in the window that began at the instant.
     starts: HashMap<ServiceName, (Instant, u32)>,
 }
 
@@ -260,19 +266,17 @@
         if class == WorkClass::Batch && !self.may_start(service, now) {
             return None;
         }
-        let mut best: Option<(f64, u32, PlaceKey)> = None;
-        for (key, upstream) in self.serving(service) {
-            if avoid.contains(&key) || !may_take(upstream, class, now) {
-                continue;
-            }
-            let score = self.score(upstream, class);
-            let tie = key.0.wrapping_add(draw).wrapping_mul(0x9E37_79B1);
-            let better = best.is_none_or(|(least, least_tie, _)| (score, tie) < (least, least_tie));
-            if better {
-                best = Some((score, tie, key));
-            }
+        let mut candidates: Vec<(u32, f64, PlaceKey)> = self
+            .serving(service)
+            .filter(|(key, upstream)| !avoid.contains(key) && may_take(upstream, class, now))
+            .map(|(key, upstream)| (mixed(key, draw), self.score(upstream, class), key))
+            .collect();
+        candidates.sort_unstable_by_key(|(order, _, _)| *order);
+        if self.peers.len() >= SAMPLED_FLEET {
+            candidates.truncate(SAMPLE);
         }
-        let (_, _, key) = best?;
+        let best = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
+        let key = best?.2;
         let upstream = self.upstreams.get_mut(&key)?;
         let ahead = match class {
             WorkClass::Online => upstream.work().online,
@@ -282,7 +286,7 @@
         if class == WorkClass::Batch
             && let Some(starts) = self.starts.get_mut(service)
         {
-            starts.1 += 1;
+            starts.1 = starts.1.saturating_sub(1);
         }
         Some(PlacePick {
             key,
@@ -378,11 +382,11 @@
     fn may_start(&mut self, service: &ServiceName, now: Instant) -> bool {
         let hosts = self.peers.len() as u32 + 1;
         let share = SparePlaces::of(&self.fills(service, now)).start_share(hosts);
-        let starts = self.starts.entry(service.clone()).or_insert((now, 0));
+        let starts = self.starts.entry(service.clone()).or_insert((now, share));
         if now - starts.0 >= START_WINDOW {
-            *starts = (now, 0);
+            *starts = (now, share);
         }
-        starts.1 < share
+        share > 0 && starts.1 > 0
     }
 
     fn own_share(&self, upstream: &Upstream, over: u32) -> u32 {
@@ -491,3 +495,9 @@
         WorkClass::Batch => upstream.work().total() < upstream.entry.slots,
     }
 }
+
+/// Position of an upstream in a random order that `draw` picks.
+fn mixed(key: PlaceKey, draw: u32) -> u32 {
+    let seed = (u64::from(draw) << 32) | u64::from(key.0);
+    xxh3_64(&seed.to_le_bytes()) as u32
+}
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -14,7 +14,7 @@
 /// Time between two reports while the load changes, in a fleet of up to [`FAST_FLEET`] hosts.
 const FAST_INTERVAL: Duration = Duration::from_millis(30);
 /// Hosts that can report at the fast interval; larger fleets report more slowly.
-const FAST_FLEET: u32 = 8;
+const FAST_FLEET: u32 = 24;
 /// Time between two reports while nothing changes.
 const QUIET_INTERVAL: Duration = Duration::from_millis(300);
 const MAX_REPORT_BYTES: usize = 16 * 1024;
