--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -243,6 +243,42 @@
     pub lease: LeaseId,
 }
 
+/// How old a listing may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It shows every write that was acknowledged before.
+    Current,
+    /// It may be seconds old, and costs less.
+    Stale,
+}
+
+/// Keys in a page of [`list_all`].
+const LIST_PAGE: usize = 500;
+
+/// Lists all keys with `prefix`, page by page. Returns them with the revision of the first page;
+/// later pages may show changes after it.
+pub async fn list_all(
+    kv: &dyn KvStore,
+    prefix: &str,
+    freshness: Freshness,
+) -> Result<(Vec<KvEntry>, KvVersion), KvError> {
+    let mut entries: Vec<KvEntry> = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = entries.last().map(|entry| entry.key.clone());
+        let page = match freshness {
+            Freshness::Current => kv.list(prefix, after.as_deref(), LIST_PAGE).await?,
+            Freshness::Stale => kv.list_stale(prefix, after.as_deref(), LIST_PAGE).await?,
+        };
+        revision.get_or_insert(page.revision);
+        let is_last = !page.more || page.entries.is_empty();
+        entries.extend(page.entries);
+        if is_last {
+            return Ok((entries, revision.unwrap_or_default()));
+        }
+    }
+}
+
 /// Client of the key-value service over HTTP.
 pub struct HttpKv {
     client: HttpClient,
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -5,13 +5,14 @@
 
 use tokio::time::Instant;
 
+use crate::edges::kv::Freshness;
 use crate::edges::kv::KvChange;
 use crate::edges::kv::KvEntry;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
 use crate::edges::kv::KvVersion;
+use crate::edges::kv::list_all;
 
-const PAGE: usize = 500;
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Time after changes in which further ones gather, so that one call brings several.
 const GATHER_TIME: Duration = Duration::from_millis(150);
@@ -74,21 +75,11 @@
     }
 
     async fn list(&mut self, take: &mut impl FnMut(FollowEvent)) -> Result<(), KvError> {
-        let mut entries = Vec::new();
-        let mut after: Option<String> = None;
-        let mut revision = None;
-        loop {
-            let page = self.kv.list(&self.prefix, after.as_deref(), PAGE).await?;
-            // Later pages may show changes that the watch then reports again.
-            revision.get_or_insert(page.revision);
-            after = page.entries.last().map(|entry| entry.key.clone());
-            entries.extend(page.entries);
-            if !page.more || after.is_none() {
-                break;
-            }
-        }
+        let (entries, revision) =
+            list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await?;
         self.answered(take);
-        self.revision = revision;
+        // What later pages show beyond the revision is reported again by the watch.
+        self.revision = Some(revision);
         take(FollowEvent::Listed(entries));
         Ok(())
     }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
+use crate::edges::kv::Freshness;
 use crate::edges::kv::KvCommit;
 use crate::edges::kv::KvEntry;
 use crate::edges::kv::KvError;
@@ -21,12 +22,12 @@
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
+use crate::edges::kv::list_all;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
 use crate::jobs::spec::encode;
 
-const PAGE: usize = 500;
 /// Bytes of a job's items in one value.
 const PART_BYTES: usize = MAX_VALUE_BYTES * 3 / 4;
 /// Bytes of results in one segment.
@@ -222,21 +223,10 @@
     pub(crate) async fn open_jobs(&self) -> Result<OpenJobs, KvError> {
         let mut jobs: HashMap<String, OpenJob> = HashMap::default();
         let mut owners: HashMap<String, (JobOwner, KvVersion)> = HashMap::default();
-        let mut after: Option<String> = None;
-        let mut revision = None;
-        loop {
-            let page = self
-                .kv
-                .list_stale(OPEN_PREFIX, after.as_deref(), PAGE)
-                .await?;
-            revision.get_or_insert(page.revision);
-            for entry in &page.entries {
-                take_open_entry(entry, &mut jobs, &mut owners);
-            }
-            match page.entries.last() {
-                Some(last) if page.more => after = Some(last.key.clone()),
-                _ => break,
-            }
+        let kv = self.kv.as_ref();
+        let (entries, revision) = list_all(kv, OPEN_PREFIX, Freshness::Stale).await?;
+        for entry in &entries {
+            take_open_entry(entry, &mut jobs, &mut owners);
         }
         for (id, owner) in owners {
             if let Some(job) = jobs.get_mut(&id) {
@@ -245,7 +235,7 @@
         }
         Ok(OpenJobs {
             jobs: jobs.into_values().collect(),
-            revision: revision.unwrap_or_default(),
+            revision,
         })
     }
 
@@ -253,8 +243,9 @@
     pub(crate) async fn open_job(&self, id: &str) -> Result<Option<OpenJob>, KvError> {
         let mut jobs = HashMap::default();
         let mut owners = HashMap::default();
-        let page = self.kv.list(&open_key(id), None, PAGE).await?;
-        for entry in &page.entries {
+        let kv = self.kv.as_ref();
+        let (entries, _) = list_all(kv, &open_key(id), Freshness::Current).await?;
+        for entry in &entries {
             take_open_entry(entry, &mut jobs, &mut owners);
         }
         let job = jobs.remove(id);
@@ -270,24 +261,18 @@
         let mut info: Option<JobInfo> = None;
         let mut segments: Vec<(usize, Vec<JobResult>)> = Vec::new();
         let mut is_ended = false;
-        let mut after: Option<String> = None;
-        loop {
-            let page = self.kv.list(&prefix, after.as_deref(), PAGE).await?;
-            for entry in &page.entries {
-                let name = &entry.key[prefix.len()..];
-                match name.strip_prefix("seg/") {
-                    Some(number) => {
-                        let number = number.parse().map_err(|_| malformed(&entry.key))?;
-                        let results = decode(&entry.value).ok_or_else(|| malformed(&entry.key))?;
-                        segments.push((number, results));
-                    }
-                    None if name == "info" => info = decode(&entry.value),
-                    None => is_ended |= name == "end",
+        let kv = self.kv.as_ref();
+        let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+        for entry in &entries {
+            let name = &entry.key[prefix.len()..];
+            match name.strip_prefix("seg/") {
+                Some(number) => {
+                    let number = number.parse().map_err(|_| malformed(&entry.key))?;
+                    let results = decode(&entry.value).ok_or_else(|| malformed(&entry.key))?;
+                    segments.push((number, results));
                 }
-            }
-            match page.entries.last() {
-                Some(last) if page.more => after = Some(last.key.clone()),
-                _ => break,
+                None if name == "info" => info = decode(&entry.value),
+                None => is_ended |= name == "end",
             }
         }
         segments.sort_by_key(|(number, _)| *number);
@@ -306,19 +291,13 @@
 
     /// The job with all of its items.
     pub(crate) async fn load_spec(&self, id: &str) -> Result<Option<JobSpec>, KvError> {
-        let mut bytes = Vec::new();
-        let mut after: Option<String> = None;
         let prefix = format!("spec/{id}/");
-        loop {
-            let page = self.kv.list(&prefix, after.as_deref(), PAGE).await?;
-            for entry in &page.entries {
-                bytes.extend_from_slice(&entry.value);
-            }
-            match page.entries.last() {
-                Some(last) if page.more => after = Some(last.key.clone()),
-                _ => break,
-            }
-        }
+        let kv = self.kv.as_ref();
+        let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+        let bytes: Vec<u8> = entries
+            .iter()
+            .flat_map(|entry| entry.value.clone())
+            .collect();
         match bytes.is_empty() {
             true => Ok(None),
             false => decode(&bytes).map(Some).ok_or_else(|| malformed(&prefix)),
@@ -328,22 +307,13 @@
     /// Closed jobs with the time of their closing in milliseconds since 1970, possibly as of
     /// some seconds ago.
     pub(crate) async fn closed_jobs(&self) -> Result<Vec<(String, u64)>, KvError> {
-        let mut jobs = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let page = self
-                .kv
-                .list_stale(CLOSED_PREFIX, after.as_deref(), PAGE)
-                .await?;
-            for entry in &page.entries {
-                let id = entry.key.strip_prefix(CLOSED_PREFIX).unwrap_or_default();
-                jobs.extend(decode(&entry.value).map(|closed_ms| (id.to_owned(), closed_ms)));
-            }
-            match page.entries.last() {
-                Some(last) if page.more => after = Some(last.key.clone()),
-                _ => return Ok(jobs),
-            }
-        }
+        let kv = self.kv.as_ref();
+        let (entries, _) = list_all(kv, CLOSED_PREFIX, Freshness::Stale).await?;
+        let jobs = entries.iter().filter_map(|entry| {
+            let id = entry.key.strip_prefix(CLOSED_PREFIX)?;
+            Some((id.to_owned(), decode(&entry.value)?))
+        });
+        Ok(jobs.collect())
     }
 
     /// Removes all that is stored of a closed job; the mark of its closing goes last.
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -335,13 +335,6 @@
         }
     }
 
-    /// Whether requests may go on at the upstream: it is listed and not leaving.
-    pub fn is_ready(&self, key: PlaceKey) -> bool {
-        self.upstreams
-            .get(&key)
-            .is_some_and(Upstream::takes_requests)
-    }
-
     /// Number of this host's batch items that give way at each upstream.
     ///
     /// The hosts with the most items go first, then the lesser names, so that hosts with the
@@ -476,12 +469,6 @@
             self.upstreams.remove(&key);
         }
     }
-
-    /// Addresses of all listed upstreams.
-    pub fn addresses(&self) -> HashSet<SocketAddr> {
-        let listed = self.upstreams.values().filter(|up| up.listed);
-        listed.map(|up| up.entry.address).collect()
-    }
 }
 
 fn may_take(upstream: &Upstream, class: WorkClass, now: Instant) -> bool {
--- a/lib/src/registry/keeper.rs
+++ b/lib/src/registry/keeper.rs
@@ -7,11 +7,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::edges::kv::Freshness;
 use crate::edges::kv::KvCommit;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvPut;
 use crate::edges::kv::KvStore;
 use crate::edges::kv::LeaseId;
+use crate::edges::kv::list_all;
 use crate::events::EventLog;
 use crate::events::LogEvent;
 use crate::registry::entry::HostEntry;
@@ -19,7 +21,6 @@
 use crate::registry::entry::HostState;
 
 const HOSTS_PREFIX: &str = "hosts/";
-const PAGE: usize = 500;
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -109,11 +110,6 @@
         self.with_state(|state| read(&state.list))
     }
 
-    /// Whether the service has answered lately.
-    pub fn in_touch(&self) -> bool {
-        self.with_state(|state| state.lost_since.is_none())
-    }
-
     /// Keeps the entry and the list until `stop`.
     pub async fn run(&self, stop: CancellationToken) {
         let keeping = async {
@@ -226,24 +222,12 @@
     }
 
     async fn read_list(&self) -> Result<Vec<HostEntry>, KvError> {
-        let mut entries = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let page = self
-                .shared
-                .kv
-                .list_stale(HOSTS_PREFIX, after.as_deref(), PAGE)
-                .await?;
-            let decoded = page
-                .entries
-                .iter()
-                .filter_map(|entry| HostEntry::decode(&entry.value));
-            entries.extend(decoded);
-            match page.entries.last() {
-                Some(last) if page.more => after = Some(last.key.clone()),
-                _ => return Ok(entries),
-            }
-        }
+        let kv = self.shared.kv.as_ref();
+        let (entries, _) = list_all(kv, HOSTS_PREFIX, Freshness::Stale).await?;
+        let decoded = entries
+            .iter()
+            .filter_map(|entry| HostEntry::decode(&entry.value));
+        Ok(decoded.collect())
     }
 
     fn note_failure(&self, err: &KvError) {
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -166,16 +166,6 @@
         self.runs
     }
 
-    /// Number of the last event, if it has one.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Upstream that runs the request now.
-    pub fn upstream(&self) -> Option<PlaceKey> {
-        self.open.as_ref().map(|open| open.hold.pick.key)
-    }
-
     /// Sends the request until it has a whole answer or a first event.
     pub async fn start(&mut self) -> Result<Opened, RelayFailure> {
         loop {
