--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -17,6 +17,7 @@
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
 use crate::jobs::message::PeerCaller;
+use crate::jobs::owner::KnownOwner;
 use crate::jobs::owner::OwnerWatch;
 use crate::jobs::read::SettledJobs;
 use crate::jobs::run::RunningItems;
@@ -113,7 +114,7 @@
     pub(super) settled: SettledJobs,
     pub(super) watch: Mutex<OwnerWatch>,
     /// Owners of other hosts' jobs, as far as known.
-    pub(super) owners: Mutex<HashMap<String, String>>,
+    pub(super) owners: Mutex<HashMap<String, KnownOwner>>,
     pub(super) listed: Notify,
     pub(super) work: Notify,
     pub(super) is_leaving: CancellationToken,
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -7,7 +7,6 @@
 
 use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
-use crate::collections::HashSet;
 use crate::edges::kv::KvError;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::ItemCarry;
@@ -21,6 +20,23 @@
 /// Hosts that may claim a job in the same scan; the first of them gets it.
 const CLAIMERS_PER_SCAN: u32 = 3;
 
+/// The host that owns a job, or owned it last.
+#[derive(Clone, Debug)]
+pub(super) struct KnownOwner {
+    pub(super) host: String,
+    seen: Instant,
+}
+
+impl KnownOwner {
+    /// Returns an owner that is known since now.
+    pub(super) fn new(host: String) -> Self {
+        Self {
+            host,
+            seen: Instant::now(),
+        }
+    }
+}
+
 /// What earlier scans saw.
 #[derive(Debug, Default)]
 pub(super) struct OwnerWatch {
@@ -238,11 +254,12 @@
 
     fn note_owners(&self, open: &OpenJobs) {
         let mut owners = self.shared.owners.lock().expect("owners lock");
-        let ids: HashSet<&str> = open.jobs.iter().map(|job| job.id.as_str()).collect();
-        owners.retain(|job, _| ids.contains(job.as_str()));
+        let now = Instant::now();
+        // The last owner of a finished job still remembers its results.
+        owners.retain(|_, known| now - known.seen < self.shared.plan.keep_time);
         for job in &open.jobs {
             if let Some((owner, _)) = &job.owner {
-                owners.insert(job.id.clone(), owner.host.clone());
+                owners.insert(job.id.clone(), KnownOwner::new(owner.host.clone()));
             }
         }
     }
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -13,6 +13,7 @@
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
+use crate::jobs::owner::KnownOwner;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::ResultPage;
 use crate::registry::HostEntry;
@@ -252,15 +253,15 @@
         }
     }
 
-    /// The host that is believed to own `job`, if it is another one.
+    /// The host that is believed to own `job`, or to have owned it last, if it is another one.
     pub(super) fn owner_of(&self, job: &str) -> Option<HostEntry> {
         let owners = self.shared.owners.lock().expect("owners lock");
-        let host = owners
+        let owner = owners
             .get(job)
-            .filter(|host| **host != self.shared.owner.host)?;
+            .filter(|owner| owner.host != self.shared.owner.host)?;
         self.shared
             .registry
-            .with_list(|list| list.get(host).cloned())
+            .with_list(|list| list.get(&owner.host).cloned())
     }
 
     /// The other host that owns `job`, asking the service if no scan has shown it yet.
@@ -276,14 +277,14 @@
 
     fn is_known_owner(&self, job: &str, host: &str) -> bool {
         let owners = self.shared.owners.lock().expect("owners lock");
-        owners.get(job).is_some_and(|known| known == host)
+        owners.get(job).is_some_and(|known| known.host == host)
     }
 
     /// Notes the owner of a job.
     pub(super) fn set_owner(&self, job: &str, host: Option<String>) {
         let mut owners = self.shared.owners.lock().expect("owners lock");
         match host {
-            Some(host) => owners.insert(job.to_owned(), host),
+            Some(host) => owners.insert(job.to_owned(), KnownOwner::new(host)),
             None => owners.remove(job),
         };
     }
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -590,3 +590,24 @@
         assert_whole(&fleet.wire, &read_all(&host, id).await);
     }
 }
+
+/// A host that knows a job's owner reads all of its results there, also once it is finished.
+#[tokio::test(start_paused = true)]
+async fn test_reads_elsewhere_take_no_calls() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 40)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    for _ in 0..3 {
+        let reads = &fleet.kv.calls.reads;
+        let before = reads.load(Ordering::Relaxed);
+        read(&host_b, "j1", 0).await;
+        assert_eq!(reads.load(Ordering::Relaxed), before);
+        tokio::time::sleep(Duration::from_secs(8)).await;
+    }
+    assert_whole(&fleet.wire, &read_all(&host_b, "j1").await);
+}
