--- a/cli/src/commands/platform.rs
+++ b/cli/src/commands/platform.rs
@@ -8,6 +8,9 @@
 
 use crate::commands::EXIT_USAGE;
 
+/// Environment variable for the port of the metrics.
+const METRICS_VARIABLE: &str = "PARSLEYWALL_METRICS_PORT";
+
 /// Runs one process on the co-operative's platform. Its settings are in the file that
 /// PARSLEYWALL_NODE_FILE names.
 #[derive(FromArgs)]
@@ -16,7 +19,7 @@
     /// role of the process: front or store
     #[argh(positional, from_str_fn(parse_role))]
     role: Role,
-    /// port for the metrics of a front, under /metrics
+    /// port for the metrics of a front, under /metrics; also PARSLEYWALL_METRICS_PORT
     #[argh(option)]
     metrics: Option<u16>,
     /// only check the settings file
@@ -46,7 +49,14 @@
             println!("the settings are valid");
             return ExitCode::SUCCESS;
         }
-        match parsleywall_platform::run(self.role, file, self.metrics).await {
+        let metrics = match self.metrics_port() {
+            Ok(metrics) => metrics,
+            Err(value) => {
+                eprintln!("error: {METRICS_VARIABLE} is {value:?}, but must be a port");
+                return ExitCode::from(EXIT_USAGE);
+            }
+        };
+        match parsleywall_platform::run(self.role, file, metrics).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(err) => {
                 eprintln!("error: {err}");
@@ -54,4 +64,13 @@
             }
         }
     }
+
+    /// The port by the flag or else the environment; an error holds a value that is no port.
+    fn metrics_port(&self) -> Result<Option<u16>, String> {
+        match (self.metrics, std::env::var(METRICS_VARIABLE)) {
+            (Some(port), _) => Ok(Some(port)),
+            (None, Ok(value)) => value.parse().map(Some).map_err(|_| value),
+            (None, Err(_)) => Ok(None),
+        }
+    }
 }
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -11,6 +11,7 @@
 
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
+use crate::edges::kv::LeaseId;
 use crate::events::EventLog;
 use crate::events::LogEvent;
 use crate::jobs::book::JobBook;
@@ -29,6 +30,8 @@
 use crate::relay::RelayDesk;
 use crate::routes::RouteTable;
 
+/// Outcome of a job all of whose items are listed.
+pub(super) const FINISHED: &str = "finished";
 /// Tries to store a job whose first try had no answer.
 const CREATE_TRIES: usize = 3;
 const CREATE_PAUSE: Duration = Duration::from_millis(120);
@@ -230,7 +233,7 @@
     }
 
     /// A host that leaves stores jobs without an owner, so that another one claims them.
-    fn lease_for_new(&self) -> Option<crate::edges::kv::LeaseId> {
+    fn lease_for_new(&self) -> Option<LeaseId> {
         match self.shared.is_leaving.is_cancelled() {
             true => None,
             false => self.shared.registry.lease(),
@@ -321,8 +324,10 @@
     pub(super) fn drop_job(&self, job: &str, outcome: &str) {
         self.shared.running.stop_job(job);
         let (items, listed) = self.with_book(|book| book.counts(job)).unwrap_or_default();
-        if let Some(page) = self.with_book(|book| book.page_all(job)) {
-            self.shared.settled.insert(job, page, outcome == "finished");
+        if outcome == FINISHED
+            && let Some(page) = self.with_book(|book| book.page_all(job))
+        {
+            self.shared.settled.insert(job, page);
         }
         if self.with_book(|book| book.remove(job)) {
             self.log_job(job, outcome, items, listed);
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -8,6 +8,7 @@
 use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
+use crate::jobs::keeper::FINISHED;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::ItemCarry;
 use crate::jobs::store::JobClaim;
@@ -247,7 +248,7 @@
             });
             self.shared.listed.notify_waiters();
             if is_settled {
-                self.drop_job(id, "finished");
+                self.drop_job(id, FINISHED);
             }
         }
     }
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -60,11 +60,8 @@
 }
 
 impl SettledJobs {
-    /// Keeps the results of a job if they are final.
-    pub(super) fn insert(&self, job: &str, page: ResultPage, is_final: bool) {
-        if !is_final {
-            return;
-        }
+    /// Keeps the final results of a job.
+    pub(super) fn insert(&self, job: &str, page: ResultPage) {
         let bytes = page.results.iter().map(|result| result.output.len()).sum();
         let settled = SettledJob {
             total: page.total,
@@ -210,12 +207,14 @@
                 let total = stored.info.total;
                 let is_final = stored.results.len() == total || stored.is_ended;
                 let page = page_of(&stored.results, total, after);
-                let all = ResultPage {
-                    total,
-                    next: stored.results.len(),
-                    results: stored.results,
-                };
-                self.shared.settled.insert(job, all, is_final);
+                if is_final {
+                    let all = ResultPage {
+                        total,
+                        next: stored.results.len(),
+                        results: stored.results,
+                    };
+                    self.shared.settled.insert(job, all);
+                }
                 ReadOutcome::Page(page)
             }
             Ok(None) => ReadOutcome::NoSuchJob,
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -26,6 +26,8 @@
 use crate::jobs::book::ItemOutcome;
 use crate::jobs::book::ItemProgress;
 use crate::jobs::book::ItemState;
+use crate::jobs::book::JobBook;
+use crate::jobs::keeper::FINISHED;
 use crate::jobs::keeper::JobKeeper;
 use crate::places::PlaceHold;
 use crate::places::PlaceKey;
@@ -240,7 +242,7 @@
         let name = outcome_name(&outcome);
         let events = outcome_events(&outcome);
         let job = &order.spec.id;
-        let ended = |book: &mut crate::jobs::book::JobBook| {
+        let ended = |book: &mut JobBook| {
             book.ended(
                 job,
                 order.index,
@@ -297,7 +299,7 @@
                 let is_settled = self.with_book(|book| book.committed(&order, Instant::now()));
                 self.shared.listed.notify_waiters();
                 if is_settled {
-                    self.drop_job(&order.job, "finished");
+                    self.drop_job(&order.job, FINISHED);
                 }
             }
             // Another host wrote the segment, this write took effect after all, or the job ended.
@@ -321,7 +323,7 @@
             .with_book(|book| book.relist(job, stored.results, stored.segments, Instant::now()));
         self.shared.listed.notify_waiters();
         match (is_settled, open) {
-            (true, _) => self.drop_job(job, "finished"),
+            (true, _) => self.drop_job(job, FINISHED),
             (false, None) => self.drop_job(job, "ended"),
             (false, Some(open)) => match &open.owner {
                 Some((owner, _)) if *owner != self.shared.owner => self.drop_job(job, "lost"),
