--- a/cli/tests/test_platform_command.rs
+++ b/cli/tests/test_platform_command.rs
@@ -4,15 +4,8 @@
 use std::process::Command;
 use std::process::Output;
 
-const GOOD: &str = r#"
-node = "front-west-1"
-machineClass = "front"
-ip = "127.0.0.1"
-zone = "west"
-portRange = [7720, 7735]
-[provider]
-address = "127.0.0.1:8169"
-"#;
+/// Settings of a front without an address for callers.
+const GOOD: &str = include_str!("../../platform/tests/front.toml");
 
 fn run(arguments: &[&str], variables: &[(&str, &Path)]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_parsleywall"));
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -21,7 +21,7 @@
 use crate::jobs::owner::KnownOwner;
 use crate::jobs::owner::OwnerWatch;
 use crate::jobs::read::SettledJobs;
-use crate::jobs::run::RunningItems;
+use crate::jobs::running::RunningItems;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::store::JobOwner;
 use crate::jobs::store::JobStore;
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod read;
 mod run;
+mod running;
 mod spec;
 mod store;
 
--- /dev/null
+++ b/lib/src/jobs/running.rs
@@ -0,0 +1,95 @@
+//! Items that run on this host, and stopping them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::collections::HashMap;
+use crate::places::PlaceKey;
+
+struct RunningItem {
+    job: String,
+    /// Events that the item has.
+    events: Arc<AtomicU64>,
+    stop: CancellationToken,
+}
+
+/// Items that run here, by upstream.
+#[derive(Default)]
+pub(super) struct RunningItems {
+    items: Mutex<HashMap<PlaceKey, Vec<RunningItem>>>,
+}
+
+impl RunningItems {
+    pub(super) fn add(
+        &self,
+        place: PlaceKey,
+        job: &str,
+        events: Arc<AtomicU64>,
+    ) -> CancellationToken {
+        let stop = CancellationToken::new();
+        let item = RunningItem {
+            job: job.to_owned(),
+            events,
+            stop: stop.clone(),
+        };
+        self.lock().entry(place).or_default().push(item);
+        stop
+    }
+
+    pub(super) fn remove(&self, place: PlaceKey, stop: &CancellationToken) {
+        // Cancelling marks the item of this run; others keep their tokens.
+        stop.cancel();
+        let mut items = self.lock();
+        if let Some(at_place) = items.get_mut(&place) {
+            at_place.retain(|item| !item.stop.is_cancelled());
+            if at_place.is_empty() {
+                items.remove(&place);
+            }
+        }
+    }
+
+    /// Stops the `count` items at `place` with the fewest events: those near their end free
+    /// their places soon by themselves.
+    pub(super) fn park(&self, place: PlaceKey, count: usize) {
+        let mut items = self.lock();
+        let Some(at_place) = items.get_mut(&place) else {
+            return;
+        };
+        // Items that are stopped already still hold their places.
+        let stopping = at_place
+            .iter()
+            .filter(|item| item.stop.is_cancelled())
+            .count();
+        at_place.sort_by_key(|item| item.events.load(Ordering::Relaxed));
+        let running = at_place.iter().filter(|item| !item.stop.is_cancelled());
+        for item in running.take(count.saturating_sub(stopping)) {
+            item.stop.cancel();
+        }
+    }
+
+    pub(super) fn stop_job(&self, job: &str) {
+        for item in self
+            .lock()
+            .values()
+            .flatten()
+            .filter(|item| item.job == job)
+        {
+            item.stop.cancel();
+        }
+    }
+
+    pub(super) fn stop_all(&self) {
+        for item in self.lock().values().flatten() {
+            item.stop.cancel();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<PlaceKey, Vec<RunningItem>>> {
+        self.items.lock().expect("running items lock")
+    }
+}
