follow: after a failed watch the keys are listed

Cause: a watch that was cut was opened again as a watch. Opened while connections to the service were silent, it hung for its whole wait of 25 s unless another call timed out meanwhile, and hid each change of the manifest. Change: any failed watch is followed by a listing, which costs the same one call. Result: test_follow_lists_after_a_cut_watch fails before and passes.

--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -115,10 +115,10 @@
 
     fn failed(&mut self, err: KvError, take: &mut impl FnMut(FollowEvent)) {
         self.failures += 1;
+        // A listing answers as soon as the service is back, or fails soon; a watch that was opened
+        // while connections are silent would hang for its whole wait, and hide all changes.
+        self.revision = None;
         if self.failures == FAILURES_OF_OUTAGE {
-            // A listing answers as soon as the service is back; a watch would only answer with
-            // the next change.
-            self.revision = None;
             self.lost_since = Some(Instant::now());
             take(FollowEvent::Lost(err));
         }
--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -2,13 +2,22 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvChange;
+use parsleywall::edges::kv::KvChanges;
+use parsleywall::edges::kv::KvCommit;
+use parsleywall::edges::kv::KvEntry;
+use parsleywall::edges::kv::KvError;
+use parsleywall::edges::kv::KvPage;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::edges::kv::KvVersion;
+use parsleywall::edges::kv::LeaseId;
 use parsleywall::follow::FollowEvent;
 use parsleywall::follow::PrefixFollower;
 use parsleywall_standins::kv::KvMemory;
@@ -90,3 +99,88 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(follower.take(), ["regained", "listed 1"]);
 }
+
+/// A service whose first watch is cut, and whose later ones hang as on a silent connection.
+struct SilentWatches {
+    memory: Arc<KvMemory>,
+    watches: AtomicU64,
+}
+
+#[async_trait]
+impl KvStore for SilentWatches {
+    async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
+        self.memory.get(key).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<KvPage, KvError> {
+        self.memory.list(prefix, after, limit).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<KvVersion, KvError> {
+        self.memory.put(key, value, expect, lease).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
+        self.memory.delete(key, expect).await
+    }
+
+    async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
+        self.memory.commit(commit).await
+    }
+
+    async fn watch(
+        &self,
+        _prefix: &str,
+        _after: KvVersion,
+        wait: Duration,
+    ) -> Result<KvChanges, KvError> {
+        match self.watches.fetch_add(1, Ordering::Relaxed) {
+            0 => Err(KvError::Unavailable("cut".to_owned())),
+            _ => {
+                tokio::time::sleep(wait).await;
+                Err(KvError::Unknown("no answer in time".to_owned()))
+            }
+        }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        self.memory.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.memory.renew_lease(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.memory.revoke_lease(lease).await
+    }
+}
+
+/// What was written while a watch was cut is seen at once, even if the next watch hangs.
+#[tokio::test(start_paused = true)]
+async fn test_follow_lists_after_a_cut_watch() {
+    let kv = Arc::new(SilentWatches {
+        memory: KvMemory::new(),
+        watches: AtomicU64::new(0),
+    });
+    let value = Bytes::from_static(b"value");
+    let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+    let follower = PrefixFollower::new(kv.clone(), "a/");
+    let notes = seen.clone();
+    tokio::spawn(follower.run(move |event| notes.lock().unwrap().push(name(&event))));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    kv.put("a/1", value, Expect::Any, None).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(*seen.lock().unwrap(), ["listed 0", "listed 1"]);
+}
