jobs, registry, suspects: no second look, no unused call, one way to list

Cause: on reading the whole change: a read looked twice at the kept results of finished jobs, the registry had a call that nobody uses, and the suspects kept a paging loop of their own. Change: these go; suspects list with list_all. Behaviour stays as it is.

--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -120,9 +120,6 @@
         if let Some(page) = self.read_own(job, after, until).await {
             return ReadOutcome::Page(page);
         }
-        if let Some(page) = self.shared.settled.page(job, after) {
-            return ReadOutcome::Page(page);
-        }
         for _ in 0..2 {
             if let Some(host) = self.owner_of(job)
                 && let Some(page) = self.read_at(&host, job, after, until).await
@@ -144,7 +141,7 @@
         self.read_stored(job, after).await
     }
 
-    /// Results of a job that this host owns.
+    /// Results of a job that this host owns, or whose final results it keeps.
     pub(super) async fn read_own(
         &self,
         job: &str,
--- a/lib/src/registry/keeper.rs
+++ b/lib/src/registry/keeper.rs
@@ -100,12 +100,7 @@
         });
     }
 
-    /// Hosts of the fleet as last listed.
-    pub fn list(&self) -> HostList {
-        self.with_state(|state| state.list.clone())
-    }
-
-    /// Reads something of the list without a copy.
+    /// Reads something of the hosts as last listed.
     pub fn with_list<T>(&self, read: impl FnOnce(&HostList) -> T) -> T {
         self.with_state(|state| read(&state.list))
     }
--- a/lib/src/suspects/keeper.rs
+++ b/lib/src/suspects/keeper.rs
@@ -22,8 +22,10 @@
 use crate::decisions::DecisionRing;
 use crate::edges::engine::ModelEngine;
 use crate::edges::kv::Expect;
+use crate::edges::kv::Freshness;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
+use crate::edges::kv::list_all;
 use crate::ids::HostId;
 use crate::ids::RequestId;
 use crate::ids::UpstreamId;
@@ -53,7 +55,6 @@
 const HELD_RETRY: Duration = Duration::from_secs(1);
 const STORE_PAUSE: Duration = Duration::from_secs(2);
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
-const LIST_PAGE: usize = 1000;
 
 /// A conviction as the key-value service holds it, under its fingerprint.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -288,24 +289,12 @@
     }
 
     async fn learn_convictions(&self) -> Result<(), KvError> {
-        let mut known = HashSet::default();
-        let mut after: Option<String> = None;
-        loop {
-            let page = self
-                .parts
-                .kv
-                .list(CONVICTIONS_PREFIX, after.as_deref(), LIST_PAGE)
-                .await?;
-            let names = page
-                .entries
-                .iter()
-                .filter_map(|entry| entry.key.strip_prefix(CONVICTIONS_PREFIX));
-            known.extend(names.filter_map(Fingerprint::from_hex));
-            after = page.entries.last().map(|entry| entry.key.clone());
-            if !page.more || after.is_none() {
-                break;
-            }
-        }
+        let kv = self.parts.kv.as_ref();
+        let (entries, _) = list_all(kv, CONVICTIONS_PREFIX, Freshness::Current).await?;
+        let names = entries
+            .iter()
+            .filter_map(|entry| entry.key.strip_prefix(CONVICTIONS_PREFIX));
+        let known: HashSet<Fingerprint> = names.filter_map(Fingerprint::from_hex).collect();
         let mut book = self.lock();
         for fingerprint in known {
             book.note(&SuspectNews::Convicted { fingerprint }, Instant::now());
