suspects: a crashed engine gets no work, and late runs are no company

Change: a broken stream without a load report takes the upstream out of the choice of all hosts, and denies its queue, until the next report. Company is what was on the upstream when it broke; news carry how long a run lasted.

--- a/lib/src/admission/desk.rs
+++ b/lib/src/admission/desk.rs
@@ -255,7 +255,10 @@
             let view = self.parts.membership.view();
             let live = |host: &HostId| view.hosts.iter().any(|known| known.id == *host);
             for keeper in [&self.keeper, &self.fallback] {
-                keeper.tick(live, |engine| self.parts.table.is_leaving(engine));
+                let table = &self.parts.table;
+                keeper.tick(live, |engine| {
+                    table.is_leaving(engine) || table.is_down(engine)
+                });
                 keeper.note_reports(|engine| self.parts.table.take_report(engine));
             }
         }
--- a/lib/src/admission/keeper.rs
+++ b/lib/src/admission/keeper.rs
@@ -194,16 +194,16 @@
     }
 
     /// Drops what has expired, the tickets of hosts that are not `live`, and what waits for
-    /// engines that are `leaving`.
+    /// engines that are `closed`.
     pub(crate) fn tick(
         &self,
         live: impl Fn(&HostId) -> bool,
-        leaving: impl Fn(&UpstreamId) -> bool,
+        closed: impl Fn(&UpstreamId) -> bool,
     ) {
         let now = Instant::now();
         let mut gates = self.gates.lock().expect("gates lock");
         for (engine, slot) in gates.iter_mut() {
-            if leaving(engine) {
+            if closed(engine) {
                 let actions = slot.gate.close();
                 self.apply(slot, actions);
             }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -347,6 +347,7 @@
             host: settings.host.clone(),
             membership: membership.clone(),
             peers: peers.clone(),
+            upstreams: upstreams.clone(),
             kv: kv.clone(),
             engine: engine.clone(),
             counters: counters.clone(),
--- a/lib/src/suspects/book.rs
+++ b/lib/src/suspects/book.rs
@@ -12,6 +12,8 @@
 
 /// Time after which a suspect that was not seen again is forgotten.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
+/// News of another host arrives within this time, by which the start of a run is known.
+const NEWS_LAG: Duration = Duration::from_millis(50);
 /// Suspects that are remembered, at most; later ones run as usual.
 const MAX_SUSPECTS: usize = 10_000;
 
@@ -39,9 +41,21 @@
 #[derive(Clone, Debug)]
 struct SuspectCrash {
     upstream: UpstreamId,
+    /// When the run began that broke; late by the time that the news took.
+    started: Instant,
     at: Instant,
 }
 
+impl SuspectCrash {
+    fn new(upstream: &UpstreamId, ran: Duration, now: Instant) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            started: now.checked_sub(ran).unwrap_or(now),
+            at: now,
+        }
+    }
+}
+
 /// Suspects and convicted requests.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectBook {
@@ -74,11 +88,20 @@
             SuspectNews::Suspected {
                 fingerprint,
                 upstream,
-            } => self.suspect(*fingerprint, Some(upstream), false, now),
+                ran,
+            } => {
+                let crash = SuspectCrash::new(upstream, *ran, now);
+                self.suspect(*fingerprint, Some(crash), false, now)
+            }
             SuspectNews::Held {
                 fingerprint,
                 upstream,
-            } => self.suspect(*fingerprint, Some(upstream), true, now),
+                ran,
+            } => {
+                let crash = SuspectCrash::new(upstream, *ran, now);
+                self.suspect(*fingerprint, Some(crash), true, now)
+            }
+            SuspectNews::Down { .. } => false,
             SuspectNews::Released { fingerprint } => self.suspect(*fingerprint, None, false, now),
             SuspectNews::Cleared { fingerprint } => self.suspects.remove(fingerprint).is_some(),
             SuspectNews::Convicted { fingerprint } => {
@@ -93,17 +116,17 @@
         self.convicted = convicted;
     }
 
-    /// Whether another request than `fingerprint` ran on `upstream` when that broke, from `since`
-    /// to `until`.
+    /// Whether another request than `fingerprint` was on `upstream` at some time from `since` until
+    /// that broke at `broke`. One that was sent there only afterwards is no company.
     pub fn had_company(
         &self,
         fingerprint: Fingerprint,
         upstream: &UpstreamId,
         since: Instant,
-        until: Instant,
+        broke: Instant,
     ) -> bool {
         let broke_there = |crash: &SuspectCrash| {
-            crash.upstream == *upstream && (since..=until).contains(&crash.at)
+            crash.upstream == *upstream && crash.at >= since && crash.started <= broke + NEWS_LAG
         };
         self.suspects
             .iter()
@@ -119,7 +142,7 @@
     fn suspect(
         &mut self,
         fingerprint: Fingerprint,
-        upstream: Option<&UpstreamId>,
+        crash: Option<SuspectCrash>,
         held: bool,
         now: Instant,
     ) -> bool {
@@ -140,12 +163,11 @@
             });
         entry.since = now;
         entry.held = held;
-        if let Some(upstream) = upstream {
-            entry.crashes.retain(|crash| crash.upstream != *upstream);
-            entry.crashes.push(SuspectCrash {
-                upstream: upstream.clone(),
-                at: now,
-            });
+        if let Some(crash) = crash {
+            entry
+                .crashes
+                .retain(|known| known.upstream != crash.upstream);
+            entry.crashes.push(crash);
         }
         true
     }
--- a/lib/src/suspects/keeper.rs
+++ b/lib/src/suspects/keeper.rs
@@ -36,6 +36,7 @@
 use crate::suspects::book::SuspectVerdict;
 use crate::suspects::fingerprint::Fingerprint;
 use crate::suspects::message::SuspectNews;
+use crate::upstreams::UpstreamTable;
 
 /// Prefix of the keys of convictions in the key-value service.
 pub const CONVICTIONS_PREFIX: &str = "convictions/";
@@ -74,6 +75,8 @@
     pub membership: Arc<Membership>,
     /// Connections to them.
     pub peers: PeerLinks,
+    /// Upstreams, which are out of the choice once they are known to have crashed.
+    pub upstreams: Arc<UpstreamTable>,
     /// The key-value service.
     pub kv: Arc<dyn KvStore>,
     /// The engines.
@@ -152,13 +155,15 @@
     /// Takes note that the stream of `run` broke; returns whether the upstream seems to have
     /// crashed. A request that ran alone is judged in the background.
     pub(crate) async fn note_break(self: &Arc<Self>, run: SuspectRun) -> bool {
+        let broke = Instant::now();
         let fingerprint = run.fingerprint;
         let upstream = run.upstream.clone();
+        let ran = broke.duration_since(run.started);
         if run.alone {
-            let broke = Instant::now();
             let news = SuspectNews::Held {
                 fingerprint,
                 upstream,
+                ran,
             };
             self.spread(news).await;
             let keeper = self.clone();
@@ -175,6 +180,7 @@
         let news = SuspectNews::Suspected {
             fingerprint,
             upstream,
+            ran,
         };
         self.spread(news).await;
         true
@@ -191,6 +197,9 @@
 
     /// Takes in news of another host.
     pub(crate) fn note_news(&self, news: &SuspectNews) {
+        if let SuspectNews::Suspected { upstream, .. } | SuspectNews::Down { upstream } = news {
+            self.parts.upstreams.note_crash(upstream);
+        }
         if self.lock().note(news, Instant::now()) {
             self.changes.send_modify(|count| *count += 1);
         }
@@ -219,10 +228,9 @@
     async fn judge(self: Arc<Self>, run: SuspectRun, broke: Instant) {
         let fingerprint = run.fingerprint;
         let crashed = self.prove_crash(&run, broke).await;
-        let until = broke + REPORT_TIME;
         let company = self
             .lock()
-            .had_company(fingerprint, &run.upstream, run.started, until);
+            .had_company(fingerprint, &run.upstream, run.started, broke);
         let detail = match crashed {
             Some(true) if !company => return self.convict(&run).await,
             Some(true) => "others ran there too",
@@ -237,8 +245,14 @@
     async fn prove_crash(&self, run: &SuspectRun, broke: Instant) -> Option<bool> {
         let before = run.boot?;
         let mut answers_since = None;
+        let mut boot = self.boot(run.address).await;
+        if boot.is_none() {
+            // Work that waited for the end of this run must not go to a dead upstream.
+            let upstream = run.upstream.clone();
+            self.spread(SuspectNews::Down { upstream }).await;
+        }
         loop {
-            match self.boot(run.address).await {
+            match boot {
                 Some(boot) if boot != before => {
                     tokio::time::sleep_until(broke + REPORT_TIME).await;
                     return Some(true);
@@ -256,6 +270,7 @@
                 return None;
             }
             tokio::time::sleep(PROBE_INTERVAL).await;
+            boot = self.boot(run.address).await;
         }
     }
 
--- a/lib/src/suspects/message.rs
+++ b/lib/src/suspects/message.rs
@@ -1,5 +1,7 @@
 //! Messages between entry hosts about suspects.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -16,6 +18,8 @@
         fingerprint: Fingerprint,
         /// The upstream.
         upstream: UpstreamId,
+        /// Time for which the request had run there.
+        ran: Duration,
     },
     /// The upstream on which the request ran alone broke; whether it crashed is not known yet.
     Held {
@@ -23,6 +27,13 @@
         fingerprint: Fingerprint,
         /// The upstream.
         upstream: UpstreamId,
+        /// Time for which the request had run there.
+        ran: Duration,
+    },
+    /// The upstream does not answer for its load after a stream of it broke.
+    Down {
+        /// The upstream.
+        upstream: UpstreamId,
     },
     /// It is not proved that the request crashed an upstream; it stays a suspect.
     Released {
--- a/lib/src/upstreams/health.rs
+++ b/lib/src/upstreams/health.rs
@@ -79,6 +79,11 @@
         };
     }
 
+    /// Takes note of a crash: the upstream counts as dead until it reports its load again.
+    pub(crate) fn note_crash(&mut self) {
+        self.missed_reports = MAX_MISSED_REPORTS;
+    }
+
     /// Takes an ejected upstream back when its time is over.
     pub(crate) fn tick(&mut self, now: Instant) -> Option<HealthChange> {
         let over = self.ejected_until.is_some_and(|until| until <= now);
--- a/lib/src/upstreams/table.rs
+++ b/lib/src/upstreams/table.rs
@@ -168,6 +168,13 @@
         known.is_some_and(|known| known.upstream.listed == ListedState::Leaving)
     }
 
+    /// Whether the upstream `id` crashed or does not answer for its load.
+    pub(crate) fn is_down(&self, id: &UpstreamId) -> bool {
+        let arena = self.arena_lock();
+        let known = arena.slot_of(id);
+        known.is_some_and(|known| known.health.is_dead())
+    }
+
     /// Data centre of the upstream `id`.
     pub(crate) fn data_centre_of(&self, id: &UpstreamId) -> Option<DataCentre> {
         let arena = self.arena_lock();
@@ -217,6 +224,19 @@
         }
     }
 
+    /// Takes the upstream `id`, which seems to have crashed, out of the choice until it reports its
+    /// load again.
+    pub fn note_crash(&self, id: &UpstreamId) {
+        let mut arena = self.arena_lock();
+        let Some(known) = arena.slot_of_mut(id) else {
+            return;
+        };
+        known.health.note_crash();
+        known.upstream.load = None;
+        drop(arena);
+        self.rebuild();
+    }
+
     /// Reads the list and the load reports until `stop`.
     pub async fn run(&self, stop: CancellationToken) {
         tokio::select! {
--- a/lib/src/upstreams/tests.rs
+++ b/lib/src/upstreams/tests.rs
@@ -64,3 +64,15 @@
     }
     assert_eq!(times, [1, 2, 4, 8, 16, 30, 30]);
 }
+
+#[test]
+fn test_health_crash_counts_until_the_next_report() {
+    let mut health = UpstreamHealth::new();
+    assert!(!health.is_dead());
+    health.note_crash();
+    assert!(health.is_dead());
+    health.note_report(false);
+    assert!(health.is_dead());
+    health.note_report(true);
+    assert!(!health.is_dead());
+}
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -31,6 +31,8 @@
 
 const INNOCENT_TOKENS: u64 = 60;
 const INNOCENTS: usize = 12;
+/// Rounds of innocent requests while a poison is sent.
+const STEADY_ROUNDS: u32 = 20;
 const MAX_POLLS: u32 = 200;
 const POLL: Duration = Duration::from_millis(50);
 
@@ -182,6 +184,7 @@
     SuspectNews::Suspected {
         fingerprint: fingerprint(prompt),
         upstream: UpstreamId::new(upstream),
+        ran: Duration::ZERO,
     }
 }
 
@@ -213,6 +216,7 @@
     let held = SuspectNews::Held {
         fingerprint: deck,
         upstream: UpstreamId::new("engine-1"),
+        ran: Duration::ZERO,
     };
     book.note(&held, now);
     assert_eq!(book.verdict(deck, now), SuspectVerdict::Held);
@@ -239,21 +243,66 @@
 fn test_suspects_book_company_on_the_upstream() {
     let now = Instant::now();
     let engine = UpstreamId::new("engine-0");
-    let until = now + Duration::from_millis(500);
+    let broke = now + Duration::from_millis(500);
     let mut book = SuspectBook::new();
     book.note(&suspected("deck", "engine-0"), now);
     let deck = fingerprint("deck");
-    assert!(!book.had_company(deck, &engine, now, until));
+    assert!(!book.had_company(deck, &engine, now, broke));
     book.note(&suspected("rail", "engine-0"), now);
-    assert!(book.had_company(deck, &engine, now, until));
+    assert!(book.had_company(deck, &engine, now, broke));
     // A run that began after the crash had no company in it.
     let later = now + Duration::from_millis(1);
-    assert!(!book.had_company(deck, &engine, later, until));
+    assert!(!book.had_company(deck, &engine, later, broke));
     // Another that was to run alone too is company, whatever the gates believed.
     let held = SuspectNews::Held {
         fingerprint: fingerprint("rail"),
         upstream: engine.clone(),
+        ran: Duration::ZERO,
     };
     book.note(&held, later);
-    assert!(book.had_company(deck, &engine, later, until));
+    assert!(book.had_company(deck, &engine, later, broke));
+}
+
+#[test]
+fn test_suspects_book_company_came_after_the_crash() {
+    let started = Instant::now();
+    let engine = UpstreamId::new("engine-0");
+    let broke = started + Duration::from_millis(100);
+    let mut book = SuspectBook::new();
+    book.note(&suspected("deck", "engine-0"), broke);
+    let deck = fingerprint("deck");
+    // Sent to the upstream when it was down already, and broken there at once.
+    book.note(&suspected("rail", "engine-0"), broke + 3 * POLL);
+    assert!(!book.had_company(deck, &engine, started, broke));
+    // The news came late, but the run began before the crash.
+    let long = SuspectNews::Suspected {
+        fingerprint: fingerprint("beam"),
+        upstream: engine.clone(),
+        ran: 4 * POLL,
+    };
+    book.note(&long, broke + 3 * POLL);
+    assert!(book.had_company(deck, &engine, started, broke));
+}
+
+#[tokio::test]
+async fn test_suspects_poison_among_steady_requests_is_convicted() {
+    let fleet = SuspectFleet::start(3).await;
+    let body = poison();
+    let rounds = 0..STEADY_ROUNDS;
+    let steady = rounds.map(|round| {
+        let fleet = &fleet;
+        async move {
+            tokio::time::sleep(round * 2 * POLL).await;
+            fleet.ask_innocents().await
+        }
+    });
+    let (answers, (status, refusal)) = tokio::join!(join_all(steady), async {
+        tokio::time::sleep(4 * POLL).await;
+        fleet.ask(0, &body).await
+    });
+    for round in &answers {
+        check_innocents(round);
+    }
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{refusal}");
+    assert_eq!(fleet.crashes(), 2);
 }
