event_log, trace: a budget of lines, ejections, and all unserved requests

Test changed: the test of the stuck pipe now lets a millisecond pass per line, so that the queue and not the budget bounds it; the budget has its own test.

--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -23,13 +23,17 @@
     /// number of failed and slowest requests to list with their reasons
     #[argh(option)]
     worst: Option<usize>,
+    /// list all requests that were not served, with their reasons
+    #[argh(switch)]
+    unserved: bool,
 }
 
 impl TraceArgs {
     /// Prints the story or the list.
     pub(crate) fn run(self) -> ExitCode {
-        if self.files.is_empty() || (self.id.is_none() && self.worst.is_none()) {
-            eprintln!("error: give log files, and --id or --worst");
+        let asks = self.id.is_some() || self.worst.is_some() || self.unserved;
+        if self.files.is_empty() || !asks {
+            eprintln!("error: give log files, and --id, --worst or --unserved");
             return ExitCode::from(EXIT_USAGE);
         }
         let mut text = String::new();
@@ -47,8 +51,8 @@
         let mut out = std::io::stdout().lock();
         let found = match (&self.id, self.worst) {
             (Some(id), _) => print_story(&trace, id, &mut out),
-            (None, Some(count)) => print_worst(&trace, count, &mut out),
-            (None, None) => false,
+            (None, Some(count)) => print_requests(&trace.worst(count), &mut out),
+            (None, None) => print_unserved(&trace, &mut out),
         };
         match found {
             true => ExitCode::SUCCESS,
@@ -76,9 +80,18 @@
     true
 }
 
-fn print_worst(trace: &EventTrace, count: usize, out: &mut impl Write) -> bool {
-    let worst = trace.worst(count);
-    for request in &worst {
+/// Prints the unserved requests and how many of them have a reason.
+fn print_unserved(trace: &EventTrace, out: &mut impl Write) -> bool {
+    let unserved = trace.unserved();
+    print_requests(&unserved, out);
+    let explained = unserved.iter().filter(|request| request.reason.is_some());
+    let (explained, all) = (explained.count(), unserved.len());
+    let _ = writeln!(out, "{all} not served, {explained} of them with a reason");
+    true
+}
+
+fn print_requests(requests: &[WorstRequest], out: &mut impl Write) -> bool {
+    for request in requests {
         let total_ms = request.total_ms;
         let reason = request.reason.as_deref().unwrap_or("no fault was logged");
         let WorstRequest {
@@ -93,5 +106,5 @@
             break;
         }
     }
-    !worst.is_empty()
+    !requests.is_empty()
 }
--- a/cli/tests/test_platform_command.rs
+++ b/cli/tests/test_platform_command.rs
@@ -74,6 +74,11 @@
     ");
     let worst = run(&["trace", path, "--worst", "1"], &[]);
     insta::assert_snapshot!(text(&worst.stdout), @"r1                   lost                  121 ms  broken at u1: reset");
+    let unserved = run(&["trace", path, "--unserved"], &[]);
+    insta::assert_snapshot!(text(&unserved.stdout), @r"
+    r1                   lost                  121 ms  broken at u1: reset
+    1 not served, 1 of them with a reason
+    ");
     let unknown = run(&["trace", path, "--id", "r2"], &[]);
     assert!(!unknown.status.success());
     insta::assert_snapshot!(text(&unknown.stderr), @"error: the logs do not name it");
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -1,26 +1,11 @@
-//! Structured log of decisions: one line of JSON for each, written without ever blocking.
+//! Events of the structured log: one for each decision, with the inputs that decided.
 
-use std::io::Write;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-use std::sync::mpsc::Receiver;
-use std::sync::mpsc::SyncSender;
-use std::sync::mpsc::sync_channel;
+use std::collections::BTreeMap;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use serde::Serialize;
 
-use crate::metrics::FrontMetrics;
-
-/// Lines that may wait for the writer; further ones are dropped and counted.
-const MAX_WAITING_LINES: usize = 4_096;
-/// Bytes that the writer takes from the queue at once.
-const MAX_BATCH_BYTES: usize = 64 * 1024;
-/// Ordinary lines are dropped while more than this many wait, so that failures still fit.
-const ORDINARY_LINES: usize = MAX_WAITING_LINES / 2;
-
 /// A decision, or a change of what the host believes. `docs/OPERATIONS.md` lists all fields.
 #[derive(Clone, Debug, Serialize, strum::IntoStaticStr, strum::EnumIter)]
 #[serde(untagged)]
@@ -92,6 +77,22 @@
         /// The upstream.
         upstream: String,
     },
+    /// An upstream gets no requests for a while, after faults that this host's requests met.
+    UpstreamEjected {
+        /// The upstream.
+        upstream: String,
+        /// The last fault.
+        fault: String,
+        /// For how long.
+        pause_ms: u64,
+    },
+    /// An ejected upstream served a request well and gets its part again.
+    UpstreamReturned {
+        /// The upstream.
+        upstream: String,
+        /// Time since it was ejected first.
+        ejected_ms: u64,
+    },
     /// An entry of an upstream could not be read.
     EntryRejected {
         /// Key of the entry.
@@ -128,6 +129,14 @@
         places: u32,
         /// Last event that it goes on after.
         resume_after: Option<u64>,
+        /// Best upstream that was not chosen.
+        next_upstream: Option<String>,
+        /// Work ahead there.
+        next_ahead: Option<u32>,
+        /// Age of the oldest load report that was counted.
+        report_ms: Option<u64>,
+        /// Version of the configuration.
+        version: u64,
     },
     /// A sending ended without a usable answer.
     SendingFailed {
@@ -156,6 +165,10 @@
         first_ms: Option<u64>,
         /// Time from its arrival.
         total_ms: u64,
+        /// Upstream that had it last, unless it was served.
+        upstream: Option<String>,
+        /// For how long that upstream had sent nothing.
+        quiet_ms: Option<u64>,
     },
     /// A batch job was accepted, refused, taken over, ended or finished.
     Job {
@@ -168,6 +181,17 @@
         /// Items with a listed result.
         listed: usize,
     },
+    /// The service turned down a write about a job, as what it was based on is out of date.
+    WriteRejected {
+        /// The job.
+        job: String,
+        /// `claim` or `segment`.
+        write: String,
+        /// Number of the segment.
+        segment: Option<usize>,
+        /// Revision of the claim, or of the open job, that the write was based on.
+        based_on: u64,
+    },
     /// A batch item gave way to online work, or ended.
     Item {
         /// The item.
@@ -179,16 +203,18 @@
         /// Events that it has.
         events: u64,
     },
-    /// Lines that were dropped since the last one, because the reader is slow.
+    /// Lines that were dropped since the last one, as they were too many or their reader is slow.
     LinesDropped {
         /// Number of lines.
         lines: u64,
+        /// Number of lines of each event.
+        by_event: BTreeMap<&'static str, u64>,
     },
 }
 
 impl LogEvent {
     /// Whether the line is an ordinary success, which is dropped before others.
-    fn is_ordinary(&self) -> bool {
+    pub(crate) fn is_ordinary(&self) -> bool {
         match self {
             Self::RequestSent { resume_after, .. } => resume_after.is_none(),
             Self::RequestEnded { outcome, .. } => outcome == "served",
@@ -198,130 +224,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct Line<'a> {
-    time_ms: u64,
-    host: &'a str,
-    boot: u64,
-    event: &'static str,
-    #[serde(flatten)]
-    fields: &'a LogEvent,
-}
-
-/// Log of one process. Clones share it.
-#[derive(Clone)]
-pub struct EventLog {
-    shared: Arc<LogShared>,
-}
-
-struct LogShared {
-    host: String,
-    incarnation: u64,
-    lines: Option<SyncSender<String>>,
-    waiting: Arc<AtomicU64>,
-    dropped: AtomicU64,
-    metrics: FrontMetrics,
-}
-
-impl EventLog {
-    /// Returns a log of `host` that writes to `out` on a thread of its own.
-    pub fn new(host: String, incarnation: u64, out: impl Write + Send + 'static) -> Self {
-        let (lines, written) = sync_channel(MAX_WAITING_LINES);
-        let waiting = Arc::new(AtomicU64::new(0));
-        let counter = waiting.clone();
-        let writer = std::thread::Builder::new().name("event-log".to_owned());
-        let writer = writer.spawn(move || write_lines(&written, &counter, out));
-        Self::with_lines(host, incarnation, writer.ok().map(|_| lines), waiting)
-    }
-
-    /// Returns a log that drops everything.
-    pub fn disabled() -> Self {
-        Self::with_lines(String::new(), 0, None, Arc::default())
-    }
-
-    fn with_lines(
-        host: String,
-        incarnation: u64,
-        lines: Option<SyncSender<String>>,
-        waiting: Arc<AtomicU64>,
-    ) -> Self {
-        let shared = LogShared {
-            host,
-            incarnation,
-            lines,
-            waiting,
-            dropped: AtomicU64::new(0),
-            metrics: FrontMetrics::new(),
-        };
-        Self {
-            shared: Arc::new(shared),
-        }
-    }
-
-    /// Writes one line, or drops and counts it while too many wait.
-    pub fn write(&self, event: LogEvent) {
-        self.shared.metrics.note(&event);
-        let Some(lines) = &self.shared.lines else {
-            return;
-        };
-        let waiting = self.shared.waiting.load(Ordering::Relaxed) as usize;
-        if event.is_ordinary() && waiting >= ORDINARY_LINES {
-            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-        let dropped = self.shared.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 && !self.send(lines, &LogEvent::LinesDropped { lines: dropped }) {
-            self.shared.dropped.fetch_add(dropped, Ordering::Relaxed);
-        }
-        if !self.send(lines, &event) {
-            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    /// Metrics that follow from the log.
-    pub fn metrics(&self) -> &FrontMetrics {
-        &self.shared.metrics
-    }
-
-    /// Number of lines that were dropped and not yet reported.
-    pub fn dropped(&self) -> u64 {
-        self.shared.dropped.load(Ordering::Relaxed)
-    }
-
-    fn send(&self, lines: &SyncSender<String>, event: &LogEvent) -> bool {
-        let line = Line {
-            time_ms: unix_millis(),
-            host: &self.shared.host,
-            boot: self.shared.incarnation,
-            event: event.into(),
-            fields: event,
-        };
-        let text = serde_json::to_string(&line).expect("log lines serialize to JSON");
-        let sent = lines.try_send(text).is_ok();
-        if sent {
-            self.shared.waiting.fetch_add(1, Ordering::Relaxed);
-        }
-        sent
-    }
-}
-
-fn write_lines(lines: &Receiver<String>, waiting: &AtomicU64, mut out: impl Write) {
-    while let Ok(mut text) = lines.recv() {
-        waiting.fetch_sub(1, Ordering::Relaxed);
-        text.push('\n');
-        while text.len() < MAX_BATCH_BYTES
-            && let Ok(next) = lines.try_recv()
-        {
-            waiting.fetch_sub(1, Ordering::Relaxed);
-            text.push_str(&next);
-            text.push('\n');
-        }
-        // A reader that has gone away is no reason to stop serving.
-        let _ = out.write_all(text.as_bytes());
-        let _ = out.flush();
-    }
-}
-
 /// Milliseconds since 1970 by the host's clock.
 pub fn unix_millis() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -18,7 +18,7 @@
 
 use crate::counters::CounterSet;
 use crate::edges::kv::KvStore;
-use crate::events::EventLog;
+use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::http::server::OpenRequests;
 use crate::http::server::ServerStop;
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -12,7 +12,7 @@
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
 use crate::edges::kv::LeaseId;
-use crate::events::EventLog;
+use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::jobs::book::JobBook;
 use crate::jobs::message::JobCall;
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -8,6 +8,7 @@
 use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
+use crate::events::LogEvent;
 use crate::jobs::keeper::FINISHED;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::ItemCarry;
@@ -198,6 +199,14 @@
         {
             Ok(claim) => claim,
             Err(KvError::LeaseLost) => return self.shared.registry.lease_lost(lease),
+            Err(KvError::Conflict { .. }) => {
+                return self.shared.log.write(LogEvent::WriteRejected {
+                    job: job.id.clone(),
+                    write: "claim".to_owned(),
+                    segment: None,
+                    based_on: job.version.0,
+                });
+            }
             Err(_) => return,
         };
         self.load(&job.id, claim).await;
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -222,7 +222,16 @@
                 }
             }
             // Another host wrote the segment, this write took effect after all, or the job ended.
-            Err(KvError::Conflict { .. }) => self.reload(&order.job).await,
+            Err(KvError::Conflict { .. }) => {
+                let based_on = order.claim.owner.unwrap_or(order.claim.open);
+                self.shared.log.write(LogEvent::WriteRejected {
+                    job: order.job.clone(),
+                    write: "segment".to_owned(),
+                    segment: Some(order.number),
+                    based_on: based_on.0,
+                });
+                self.reload(&order.job).await;
+            }
             Err(_) => self.with_book(|book| book.commit_failed(&order.job, Instant::now())),
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod counters;
 pub mod decisions;
 pub mod edges;
+pub mod event_log;
 pub mod events;
 pub mod follow;
 pub mod front;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -26,6 +26,7 @@
     events: IntCounterVec,
     refusals: IntCounterVec,
     faults: IntCounterVec,
+    ejections: IntCounterVec,
     requests: IntCounterVec,
     items: IntCounterVec,
     jobs: IntCounterVec,
@@ -59,6 +60,11 @@
                 "Sendings without a usable answer, by fault; each may lead to another sending.",
                 &["fault"],
             ),
+            ejections: counter(
+                "ejections_total",
+                "Ejections of upstreams, by the last fault.",
+                &["fault"],
+            ),
             requests: counter(
                 "requests_total",
                 "Ended requests, by outcome.",
@@ -106,6 +112,7 @@
             &self.events,
             &self.refusals,
             &self.faults,
+            &self.ejections,
             &self.requests,
             &self.items,
             &self.jobs,
@@ -146,6 +153,9 @@
                     self.first.observe(*first_ms as f64 / 1_000.0);
                 }
             }
+            LogEvent::UpstreamEjected { fault, .. } => {
+                self.ejections.with_label_values(&[fault]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.items.with_label_values(&[outcome]).inc(),
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
             _ => {}
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -80,6 +80,19 @@
     pub ahead: u32,
     /// Places of the upstream.
     pub slots: u32,
+    /// The best upstream that was not picked.
+    pub next: Option<NextPlace>,
+    /// Age of the oldest load report of another host that was counted.
+    pub report_age: Option<Duration>,
+}
+
+/// The second choice for a request.
+#[derive(Clone, Debug)]
+pub struct NextPlace {
+    /// Identifier of the upstream.
+    pub id: UpstreamId,
+    /// Work at the upstream, of all hosts.
+    pub ahead: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -119,6 +132,14 @@
         }
     }
 
+    /// Work that a new piece of `class` would wait for or run beside.
+    fn ahead(&self, class: WorkClass) -> u32 {
+        match class {
+            WorkClass::Online => self.work().online,
+            WorkClass::Batch => self.work().total(),
+        }
+    }
+
     fn takes_requests(&self) -> bool {
         self.listed && self.entry.state == EntryState::Ready && self.entry.slots > 0
     }
@@ -275,13 +296,18 @@
         if self.peers.len() >= SAMPLED_FLEET {
             candidates.truncate(SAMPLE);
         }
-        let best = candidates.iter().min_by(|a, b| a.1.total_cmp(&b.1));
-        let key = best?.2;
+        candidates.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let key = candidates.first()?.2;
+        let next = candidates.get(1).map(|(_, _, key)| {
+            let upstream = &self.upstreams[key];
+            NextPlace {
+                id: upstream.entry.id.clone(),
+                ahead: upstream.ahead(class),
+            }
+        });
+        let oldest = self.peers.values().map(|peer| peer.heard).min();
         let upstream = self.upstreams.get_mut(&key)?;
-        let ahead = match class {
-            WorkClass::Online => upstream.work().online,
-            WorkClass::Batch => upstream.work().total(),
-        };
+        let ahead = upstream.ahead(class);
         *upstream.own.of(class) += 1;
         if class == WorkClass::Batch
             && let Some(starts) = self.starts.get_mut(service)
@@ -294,6 +320,8 @@
             address: upstream.entry.address,
             ahead,
             slots: upstream.entry.slots,
+            next,
+            report_age: oldest.map(|heard| now - heard),
         })
     }
 
@@ -321,18 +349,16 @@
         self.sweep(key);
     }
 
-    /// Notes what a request showed of its upstream.
-    pub fn fault(&mut self, key: PlaceKey, fault: UpstreamFault, now: Instant) {
-        if let Some(upstream) = self.upstreams.get_mut(&key) {
-            upstream.health.fault(fault, now);
-        }
+    /// Notes what a request showed of its upstream; returns for how long this ejects it, if it
+    /// does.
+    pub fn fault(&mut self, key: PlaceKey, fault: UpstreamFault, now: Instant) -> Option<Duration> {
+        self.upstreams.get_mut(&key)?.health.fault(fault, now)
     }
 
-    /// Notes that an upstream served a request well.
-    pub fn success(&mut self, key: PlaceKey) {
-        if let Some(upstream) = self.upstreams.get_mut(&key) {
-            upstream.health.success();
-        }
+    /// Notes that an upstream served a request well; returns for how long it was ejected, if it
+    /// was.
+    pub fn success(&mut self, key: PlaceKey, now: Instant) -> Option<Duration> {
+        self.upstreams.get_mut(&key)?.health.success(now)
     }
 
     /// Number of this host's batch items that give way at each upstream.
--- a/lib/src/places/health.rs
+++ b/lib/src/places/health.rs
@@ -39,6 +39,8 @@
 pub(crate) struct UpstreamHealth {
     paused_until: Option<Instant>,
     strikes: u32,
+    /// When the first of the strikes in a row came.
+    ejected_at: Option<Instant>,
     breaks: u32,
     last_break: Option<Instant>,
 }
@@ -64,41 +66,54 @@
         }
     }
 
-    /// Notes a fault.
-    pub(crate) fn fault(&mut self, fault: UpstreamFault, now: Instant) {
+    /// Notes a fault; returns for how long it ejects the upstream, if it does.
+    pub(crate) fn fault(&mut self, fault: UpstreamFault, now: Instant) -> Option<Duration> {
         match fault {
             UpstreamFault::Unreachable | UpstreamFault::Silent => self.strike(now),
             UpstreamFault::Broken | UpstreamFault::Failed => self.broke(now),
-            UpstreamFault::Full => self.pause(now + FULL_PAUSE),
-            UpstreamFault::Moved => self.pause(now + MOVED_PAUSE),
+            UpstreamFault::Full => {
+                self.pause(now + FULL_PAUSE);
+                None
+            }
+            UpstreamFault::Moved => {
+                self.pause(now + MOVED_PAUSE);
+                None
+            }
         }
     }
 
-    /// Notes that the upstream served a request well.
-    pub(crate) fn success(&mut self) {
+    /// Notes that the upstream served a request well; returns for how long it was ejected, if it
+    /// was.
+    pub(crate) fn success(&mut self, now: Instant) -> Option<Duration> {
         self.strikes = 0;
         self.breaks = 0;
         self.paused_until = None;
+        let ejected_at = self.ejected_at.take()?;
+        Some(now - ejected_at)
     }
 
-    fn strike(&mut self, now: Instant) {
+    fn strike(&mut self, now: Instant) -> Option<Duration> {
         // Requests that failed together are one fault.
         if self.standing(now) == Standing::Paused && self.strikes > 0 {
-            return;
+            return None;
         }
         let pause = FIRST_PAUSE * 2u32.pow(self.strikes.min(3));
+        let pause = pause.min(LONGEST_PAUSE);
         self.strikes += 1;
-        self.pause(now + pause.min(LONGEST_PAUSE));
+        self.ejected_at.get_or_insert(now);
+        self.pause(now + pause);
+        Some(pause)
     }
 
-    fn broke(&mut self, now: Instant) {
+    fn broke(&mut self, now: Instant) -> Option<Duration> {
         let recent = self
             .last_break
             .is_some_and(|last| now - last < BREAK_WINDOW);
         self.breaks = if recent { self.breaks + 1 } else { 1 };
         self.last_break = Some(now);
-        if self.breaks >= BREAKS_BEFORE_PAUSE {
-            self.strike(now);
+        match self.breaks >= BREAKS_BEFORE_PAUSE {
+            true => self.strike(now),
+            false => None,
         }
     }
 
--- a/lib/src/places/mod.rs
+++ b/lib/src/places/mod.rs
@@ -14,6 +14,7 @@
 mod spare;
 
 pub use book::EntryState;
+pub use book::NextPlace;
 pub use book::PlaceBook;
 pub use book::PlaceKey;
 pub use book::PlacePick;
--- a/lib/src/places/shared.rs
+++ b/lib/src/places/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -84,14 +85,14 @@
 }
 
 impl PlaceHold {
-    /// Notes a fault of the upstream.
-    pub fn fault(&self, fault: UpstreamFault) {
-        self.desk.book().fault(self.pick.key, fault, Instant::now());
+    /// Notes a fault of the upstream; returns for how long it is ejected, if it is.
+    pub fn fault(&self, fault: UpstreamFault) -> Option<Duration> {
+        self.desk.book().fault(self.pick.key, fault, Instant::now())
     }
 
-    /// Notes that the upstream served well.
-    pub fn success(&self) {
-        self.desk.book().success(self.pick.key);
+    /// Notes that the upstream served well; returns for how long it was ejected, if it was.
+    pub fn success(&self) -> Option<Duration> {
+        self.desk.book().success(self.pick.key, Instant::now())
     }
 }
 
--- a/lib/src/registry/keeper.rs
+++ b/lib/src/registry/keeper.rs
@@ -14,7 +14,7 @@
 use crate::edges::kv::KvStore;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::list_all;
-use crate::events::EventLog;
+use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::registry::entry::HostEntry;
 use crate::registry::entry::HostList;
--- a/lib/src/relay/desk.rs
+++ b/lib/src/relay/desk.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
-use crate::events::EventLog;
+use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::places::PlaceDesk;
 use crate::relay::admission::AdmissionVerdict;
@@ -32,6 +32,8 @@
 /// Shortest pause after which a stream goes on elsewhere.
 const LEAST_GAP_WAIT: Duration = Duration::from_millis(150);
 const DEFAULT_GAP: Duration = Duration::from_millis(500);
+/// Outcome of a request that had its whole answer.
+const SERVED: &str = "served";
 /// When a caller whose request found no upstream may come back.
 const UNPLACED_RETURN: Duration = Duration::from_millis(500);
 
@@ -100,22 +102,22 @@
         }
         let request = Arc::new(request);
         let policy = online_policy(&request.route);
-        let mut run = StreamRun::new(
+        let run = StreamRun::new(
             self.wire.clone(),
             self.places.clone(),
             self.log.clone(),
             request.clone(),
             policy,
         );
-        let mut end = RequestEnd::new(self.log.clone(), request.clone());
-        match run.start().await {
+        let mut relayed = RelayedRun::new(run, self.log.clone(), request.clone());
+        match relayed.run.start().await {
             Ok(Opened::Whole {
                 status,
                 headers,
                 body,
             }) => {
-                end.first();
-                end.finish("served", run.runs());
+                relayed.note_first();
+                relayed.finish(SERVED);
                 RelayAnswer::Whole {
                     status,
                     headers,
@@ -123,25 +125,25 @@
                 }
             }
             Ok(Opened::Stream { status, headers }) => {
-                end.first();
+                relayed.note_first();
                 RelayAnswer::Stream {
                     status,
                     headers,
-                    body: event_body(run, end),
+                    body: event_body(relayed),
                 }
             }
             Err(RelayFailure::NotRun) => {
                 let back = UNPLACED_RETURN.min(left / 3);
-                end.finish("refused", run.runs());
+                relayed.finish("refused");
                 self.log_refusal(&request, "no_upstream_took_it", load, back);
                 RelayAnswer::Refused { retry_after: back }
             }
             Err(RelayFailure::Lost) => {
-                end.finish("lost", run.runs());
+                relayed.finish("lost");
                 RelayAnswer::Lost
             }
             Err(RelayFailure::TimedOut) => {
-                end.finish("timed_out", run.runs());
+                relayed.finish("timed_out");
                 RelayAnswer::TimedOut
             }
         }
@@ -182,18 +184,14 @@
     }
 }
 
-/// The events of `run`, read as the caller takes them.
-fn event_body(
-    run: StreamRun,
-    end: RequestEnd,
-) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
-    let state = Some((run, end));
-    let events = stream::unfold(state, |state| async move {
-        let (mut run, mut end) = state?;
-        match run.next_step().await {
-            RunStep::Event(event) => Some((Ok(event.raw), Some((run, end)))),
+/// The events of a run, read as the caller takes them.
+fn event_body(relayed: RelayedRun) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
+    let events = stream::unfold(Some(relayed), |relayed| async move {
+        let mut relayed = relayed?;
+        match relayed.run.next_step().await {
+            RunStep::Event(event) => Some((Ok(event.raw), Some(relayed))),
             RunStep::End => {
-                end.finish("served", run.runs());
+                relayed.finish(SERVED);
                 None
             }
             RunStep::Failed(failure) => {
@@ -201,7 +199,7 @@
                     RelayFailure::TimedOut => "stream_timed_out",
                     RelayFailure::NotRun | RelayFailure::Lost => "stream_broken",
                 };
-                end.finish(outcome, run.runs());
+                relayed.finish(outcome);
                 Some((Err(std::io::Error::other(outcome)), None))
             }
         }
@@ -209,17 +207,19 @@
     events.boxed()
 }
 
-/// Writes one line when a request ends, also if its caller leaves.
-struct RequestEnd {
+/// A run that writes one line when it ends, also if its caller leaves.
+struct RelayedRun {
+    run: StreamRun,
     log: EventLog,
     request: Arc<RelayRequest>,
     first: Option<Instant>,
     written: bool,
 }
 
-impl RequestEnd {
-    fn new(log: EventLog, request: Arc<RelayRequest>) -> Self {
+impl RelayedRun {
+    fn new(run: StreamRun, log: EventLog, request: Arc<RelayRequest>) -> Self {
         Self {
+            run,
             log,
             request,
             first: None,
@@ -227,12 +227,15 @@
         }
     }
 
-    fn first(&mut self) {
+    fn note_first(&mut self) {
         self.first = Some(Instant::now());
     }
 
-    fn finish(&mut self, outcome: &str, runs: u32) {
+    fn finish(&mut self, outcome: &str) {
         self.written = true;
+        let state = self.run.state();
+        let unserved = (outcome != SERVED).then_some(state.upstream).flatten();
+        let quiet_ms = unserved.is_some().then_some(state.quiet.as_millis() as u64);
         let received = self.request.received;
         let first = self
             .first
@@ -240,17 +243,19 @@
         self.log.write(LogEvent::RequestEnded {
             request: self.request.id.to_string(),
             outcome: outcome.to_owned(),
-            runs,
+            runs: state.runs,
             first_ms: first,
             total_ms: received.elapsed().as_millis() as u64,
+            upstream: unserved.map(|upstream| upstream.to_string()),
+            quiet_ms,
         });
     }
 }
 
-impl Drop for RequestEnd {
+impl Drop for RelayedRun {
     fn drop(&mut self) {
         if !self.written {
-            self.finish("caller_left", 0);
+            self.finish("caller_left");
         }
     }
 }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -20,6 +20,7 @@
 pub use run::Opened;
 pub use run::RelayFailure;
 pub use run::RunPolicy;
+pub use run::RunState;
 pub use run::RunStep;
 pub use run::StreamRun;
 pub use wire::Executed;
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -10,8 +10,9 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
-use crate::events::EventLog;
+use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::ids::UpstreamId;
 use crate::places::PlaceDesk;
 use crate::places::PlaceHold;
 use crate::places::PlaceKey;
@@ -59,6 +60,17 @@
     TimedOut,
 }
 
+/// What became of a request so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunState {
+    /// Sendings that may have run.
+    pub runs: u32,
+    /// Upstream that had the request last.
+    pub upstream: Option<UpstreamId>,
+    /// Time since that upstream got it or sent a part of its answer.
+    pub quiet: Duration,
+}
+
 /// Answer of an upstream, as far as it is known when the caller gets its head.
 #[derive(Debug)]
 pub enum Opened {
@@ -125,6 +137,9 @@
     last_id: Option<u64>,
     avoid: Vec<PlaceKey>,
     placed: Option<PlaceHold>,
+    /// Upstream that had the request last, and when it was sent there or sent something.
+    upstream: Option<UpstreamId>,
+    heard: Instant,
     open: Option<OpenStream>,
     peeked: Option<RunStep>,
 }
@@ -150,6 +165,8 @@
             last_id,
             avoid: Vec::new(),
             placed: None,
+            upstream: None,
+            heard: Instant::now(),
             open: None,
             peeked: None,
         }
@@ -161,9 +178,13 @@
         self
     }
 
-    /// Sendings that may have run.
-    pub fn runs(&self) -> u32 {
-        self.runs
+    /// What became of the request so far.
+    pub fn state(&self) -> RunState {
+        RunState {
+            runs: self.runs,
+            upstream: self.upstream.clone(),
+            quiet: self.heard.elapsed(),
+        }
     }
 
     /// Sends the request until it has a whole answer or a first event.
@@ -240,7 +261,8 @@
                         self.open = Some(open_stream(hold, answer.body, sent));
                         return Ok(());
                     }
-                    self.note_fault(&hold, sent, UpstreamFault::Failed, answer.status.as_str());
+                    let cause = answer.status.as_str();
+                    self.note_fault(&hold, sent, UpstreamFault::Failed, cause, true);
                     if !self.may_run_again() {
                         return Err(RelayFailure::Lost);
                     }
@@ -283,7 +305,13 @@
             ahead: hold.pick.ahead,
             places: hold.pick.slots,
             resume_after: self.last_id,
+            next_upstream: hold.pick.next.as_ref().map(|next| next.id.to_string()),
+            next_ahead: hold.pick.next.as_ref().map(|next| next.ahead),
+            report_ms: hold.pick.report_age.map(|age| age.as_millis() as u64),
+            version: request.version,
         });
+        self.upstream = Some(hold.pick.id.clone());
+        self.heard = now;
         let order = SendOrder {
             budget,
             resume_after: self.last_id,
@@ -294,8 +322,8 @@
         match tokio::time::timeout(wait, answer).await {
             Ok(Ok(answer)) => self.judge_answer(hold, answer, now),
             Ok(Err(SendFault::NotSent(cause))) => {
-                self.log_fault(&hold, now, UpstreamFault::Unreachable, &cause, false);
-                hold.fault(UpstreamFault::Unreachable);
+                let fault = UpstreamFault::Unreachable;
+                self.note_fault(&hold, now, fault, &cause, false);
                 Sending::Again
             }
             Ok(Err(SendFault::Broken(cause))) => {
@@ -321,8 +349,7 @@
             Executed::Maybe => None,
         };
         if let Some(fault) = unrun {
-            self.log_fault(&hold, sent, fault, answer.status.as_str(), false);
-            hold.fault(fault);
+            self.note_fault(&hold, sent, fault, answer.status.as_str(), false);
             return Sending::Again;
         }
         if !answer.is_signed {
@@ -335,7 +362,8 @@
         }
         self.runs += 1;
         if answer.status.is_server_error() && self.may_run_again() {
-            self.note_fault(&hold, sent, UpstreamFault::Failed, answer.status.as_str());
+            let cause = answer.status.as_str();
+            self.note_fault(&hold, sent, UpstreamFault::Failed, cause, true);
             return Sending::Again;
         }
         Sending::Answer(Box::new((hold, answer)), sent)
@@ -350,7 +378,7 @@
         cause: &str,
     ) -> Sending {
         self.runs += 1;
-        self.note_fault(hold, sent, fault, cause);
+        self.note_fault(hold, sent, fault, cause, true);
         match self.may_run_again() {
             true => Sending::Again,
             false => Sending::Failed(RelayFailure::Lost),
@@ -395,7 +423,7 @@
             while let Some(event) = open.splitter.next_event() {
                 open.events += 1;
                 if open.events == 1 {
-                    open.hold.success();
+                    note_success(&self.log, &open.hold);
                 }
                 match sequence(self.last_id, event.id) {
                     Sequence::Next => {
@@ -433,6 +461,7 @@
                 }
             };
             open.heard = Instant::now();
+            self.heard = open.heard;
             match chunk {
                 Some(Ok(bytes)) => open.splitter.push(&bytes),
                 Some(Err(cause)) => return ReadOutcome::Fault(UpstreamFault::Broken, cause),
@@ -469,12 +498,12 @@
         match tokio::time::timeout_at(self.request.deadline, read).await {
             Ok(Ok(())) => {
                 if !answer.status.is_server_error() {
-                    hold.success();
+                    note_success(&self.log, &hold);
                 }
                 Ok(Some(whole.freeze()))
             }
             Ok(Err(cause)) => {
-                self.note_fault(&hold, sent, UpstreamFault::Broken, &cause);
+                self.note_fault(&hold, sent, UpstreamFault::Broken, &cause, true);
                 match self.may_run_again() {
                     true => Ok(None),
                     false => Err(RelayFailure::Lost),
@@ -486,16 +515,12 @@
 
     fn drop_stream(&mut self, fault: UpstreamFault, cause: &str) {
         if let Some(open) = self.open.take() {
-            self.note_fault(&open.hold, open.sent, fault, cause);
+            self.note_fault(&open.hold, open.sent, fault, cause, true);
         }
     }
 
-    fn note_fault(&self, hold: &PlaceHold, sent: Instant, fault: UpstreamFault, cause: &str) {
-        self.log_fault(hold, sent, fault, cause, true);
-        hold.fault(fault);
-    }
-
-    fn log_fault(
+    /// Logs a sending without a usable answer, and what it means for the upstream.
+    fn note_fault(
         &self,
         hold: &PlaceHold,
         sent: Instant,
@@ -511,6 +536,23 @@
             ran,
             after_ms: sent.elapsed().as_millis() as u64,
         });
+        if let Some(pause) = hold.fault(fault) {
+            self.log.write(LogEvent::UpstreamEjected {
+                upstream: hold.pick.id.to_string(),
+                fault: fault.to_string(),
+                pause_ms: pause.as_millis() as u64,
+            });
+        }
+    }
+}
+
+/// Notes that the upstream of `hold` served well.
+fn note_success(log: &EventLog, hold: &PlaceHold) {
+    if let Some(ejected) = hold.success() {
+        log.write(LogEvent::UpstreamReturned {
+            upstream: hold.pick.id.to_string(),
+            ejected_ms: ejected.as_millis() as u64,
+        });
     }
 }
 
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -4,10 +4,23 @@
 use serde_json::Value;
 
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 
 /// Events that all hosts log at about the same time, so that they show how clocks differ.
 const SHARED_EVENTS: [&str; 3] = ["config_changed", "upstream_listed", "upstream_gone"];
 
+/// Outcome of a request whose end no line tells.
+const NO_END: &str = "no_end";
+/// Events that change what a host believes of an upstream.
+const BELIEF_EVENTS: [&str; 4] = [
+    "upstream_listed",
+    "upstream_gone",
+    "upstream_ejected",
+    "upstream_returned",
+];
+/// Outcome of a request that had its whole answer.
+const SERVED: &str = "served";
+
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TraceLine {
@@ -76,10 +89,27 @@
     pub outcome: String,
     /// Time from its arrival to its end in milliseconds.
     pub total_ms: u64,
-    /// The last fault or refusal that was logged of it.
+    /// The last fault or refusal that was logged of it, or else what its upstream did last.
     pub reason: Option<String>,
 }
 
+impl WorstRequest {
+    fn new(request: &str, outcome: &str, total_ms: u64) -> Self {
+        Self {
+            request: request.to_owned(),
+            outcome: outcome.to_owned(),
+            total_ms,
+            reason: None,
+        }
+    }
+
+    /// Unserved requests come first, then the slowest.
+    fn order(&self) -> (bool, std::cmp::Reverse<u64>, &str) {
+        let is_served = self.outcome == SERVED;
+        (is_served, std::cmp::Reverse(self.total_ms), &self.request)
+    }
+}
+
 /// Lines of several hosts in causal order.
 #[derive(Clone, Debug, Default)]
 pub struct EventTrace {
@@ -108,7 +138,8 @@
         &self.lines
     }
 
-    /// Lines about `id`, and those about the upstreams that it reached, around its time.
+    /// Lines about `id`, those about the upstreams that it reached, around its time, and the next
+    /// start of a host whose process ended while it had the request.
     pub fn about(&self, id: &str) -> Vec<&TraceLine> {
         let own: Vec<&TraceLine> = self.lines.iter().filter(|line| line.is_about(id)).collect();
         let (Some(first), Some(last)) = (own.first(), own.last()) else {
@@ -119,12 +150,19 @@
             .iter()
             .filter_map(|line| line.text("upstream"))
             .collect();
+        let cut_off_by: Vec<&TraceLine> = last_lines(&own)
+            .into_iter()
+            .filter(|line| line.event == "request_sent")
+            .filter_map(|line| self.next_start(line))
+            .collect();
         let is_told = |line: &&TraceLine| {
-            let is_belief = line.event == "upstream_gone" || line.event == "upstream_listed";
+            let is_belief = BELIEF_EVENTS.contains(&line.event.as_str());
             let of_upstream = is_belief
                 && upstreams.iter().any(|upstream| line.is_about(upstream))
                 && own.iter().any(|own| own.host == line.host);
-            line.is_about(id) || (of_upstream && span.contains(&line.time_ms))
+            line.is_about(id)
+                || (of_upstream && span.contains(&line.time_ms))
+                || cut_off_by.iter().any(|start| std::ptr::eq(*start, *line))
         };
         self.lines.iter().filter(is_told).collect()
     }
@@ -132,77 +170,134 @@
     /// The `count` requests that ended worst: those without an answer first, then the slowest.
     /// Requests and items that ran when their host's process ended count as cut off.
     pub fn worst(&self, count: usize) -> Vec<WorstRequest> {
+        let mut ended = self.ended();
+        ended.retain(|request| request.outcome != NO_END);
+        ended.truncate(count);
+        ended
+    }
+
+    /// Requests that no host served, and items whose last run was cut off, with the reason of
+    /// each if the logs tell one. A refused request that came back and was served is none; one
+    /// whose end no line tells is one.
+    pub fn unserved(&self) -> Vec<WorstRequest> {
+        let ended = self.ended();
+        let served: HashSet<String> = ended
+            .iter()
+            .filter(|request| request.outcome == SERVED)
+            .map(|request| request.request.clone())
+            .collect();
+        let mut seen: HashSet<String> = HashSet::default();
+        let unserved = ended
+            .into_iter()
+            .filter(|request| !served.contains(&request.request));
+        unserved
+            .filter(|request| seen.insert(request.request.clone()))
+            .collect()
+    }
+
+    /// Ends of all requests and of cut-off items, the worst first.
+    fn ended(&self) -> Vec<WorstRequest> {
         let mut reasons: HashMap<&str, String> = HashMap::default();
-        let mut open: HashMap<&str, &TraceLine> = HashMap::default();
+        let mut open: HashMap<(&str, &str), &TraceLine> = HashMap::default();
+        let mut done: HashSet<&str> = HashSet::default();
         let mut ended = Vec::new();
         for line in &self.lines {
             // A run of an item bears the item's identifier.
             let Some(request) = line.text("request").or_else(|| line.text("item")) else {
                 continue;
             };
+            let run = (request, line.host.as_str());
             match line.event.as_str() {
                 "request_sent" => {
-                    open.insert(request, line);
+                    open.insert(run, line);
                 }
                 "item" => {
-                    open.remove(request);
+                    open.remove(&run);
+                    if line.text("outcome") == Some("done") {
+                        done.insert(request);
+                    }
                 }
                 "sending_failed" => {
-                    let fault = line.text("fault").unwrap_or_default();
-                    let cause = line.text("cause").unwrap_or_default();
-                    let upstream = line.text("upstream").unwrap_or_default();
-                    reasons.insert(request, format!("{fault} at {upstream}: {cause}"));
+                    reasons.insert(request, fault_reason(line));
                 }
                 "request_refused" => {
-                    let reason = line.text("reason").unwrap_or_default();
-                    let (online, places) = (line.number("online"), line.number("places"));
-                    let load = format!("{} at {} places", num(online), num(places));
-                    reasons.insert(request, format!("{reason}, {load}"));
-                    open.remove(request);
-                    ended.push((request, "refused", 0));
+                    reasons.insert(request, refusal_reason(line));
+                    open.remove(&run);
+                    ended.push(WorstRequest::new(request, "refused", 0));
                 }
                 "request_ended" if line.text("outcome") != Some("refused") => {
-                    open.remove(request);
+                    open.remove(&run);
                     let outcome = line.text("outcome").unwrap_or_default();
-                    ended.push((request, outcome, line.number("total_ms").unwrap_or(0)));
+                    let total_ms = line.number("total_ms").unwrap_or(0);
+                    if let Some(reason) = quiet_reason(line) {
+                        reasons.entry(request).or_insert(reason);
+                    }
+                    ended.push(WorstRequest::new(request, outcome, total_ms));
                 }
                 _ => {}
             }
         }
-        for (request, sent) in open {
-            if self.has_ended_after(sent) {
-                reasons.insert(request, format!("the process of {} ended", sent.host));
-                ended.push((request, "cut_off", 0));
+        // An item that was cut off here may have been done by another host.
+        open.retain(|(request, _), _| !done.contains(request));
+        for ((request, host), sent) in open {
+            let is_cut_off = self.has_ended_after(sent);
+            if is_cut_off {
+                reasons.insert(request, format!("the process of {host} ended"));
             }
+            let outcome = if is_cut_off { "cut_off" } else { NO_END };
+            ended.push(WorstRequest::new(request, outcome, 0));
         }
-        ended.sort_by_key(|(request, outcome, total)| {
-            (*outcome == "served", std::cmp::Reverse(*total), *request)
-        });
-        let worst = ended
-            .into_iter()
-            .take(count)
-            .map(|(request, outcome, total_ms)| {
-                let reason = reasons.get(request).cloned();
-                WorstRequest {
-                    request: request.to_owned(),
-                    outcome: outcome.to_owned(),
-                    total_ms,
-                    reason,
-                }
-            });
-        worst.collect()
+        for end in &mut ended {
+            end.reason = reasons.get(end.request.as_str()).cloned();
+        }
+        ended.sort_by(|a, b| a.order().cmp(&b.order()));
+        ended
     }
 }
 
 impl EventTrace {
     /// Whether the process that wrote `line` has ended: its host started again.
     fn has_ended_after(&self, line: &TraceLine) -> bool {
+        self.next_start(line).is_some()
+    }
+
+    /// The first start of the host of `line` after the process that wrote it.
+    fn next_start(&self, line: &TraceLine) -> Option<&TraceLine> {
         let boot = line.number("boot");
         let mut starts = self.lines.iter().filter(|start| start.event == "started");
-        starts.any(|start| start.host == line.host && start.number("boot") > boot)
+        starts.find(|start| start.host == line.host && start.number("boot") > boot)
     }
 }
 
+/// The last of `lines` of each host.
+fn last_lines<'a>(lines: &[&'a TraceLine]) -> Vec<&'a TraceLine> {
+    let mut last: HashMap<&str, &TraceLine> = HashMap::default();
+    for line in lines {
+        last.insert(&line.host, line);
+    }
+    last.into_values().collect()
+}
+
+fn fault_reason(line: &TraceLine) -> String {
+    let fault = line.text("fault").unwrap_or_default();
+    let cause = line.text("cause").unwrap_or_default();
+    let upstream = line.text("upstream").unwrap_or_default();
+    format!("{fault} at {upstream}: {cause}")
+}
+
+fn refusal_reason(line: &TraceLine) -> String {
+    let reason = line.text("reason").unwrap_or_default();
+    let (online, places) = (line.number("online"), line.number("places"));
+    format!("{reason}, {} at {} places", num(online), num(places))
+}
+
+/// Reason of a request that ended without a fault: what its upstream did last.
+fn quiet_reason(line: &TraceLine) -> Option<String> {
+    let upstream = line.text("upstream")?;
+    let quiet_ms = line.number("quiet_ms")?;
+    Some(format!("{upstream} had sent nothing for {quiet_ms} ms"))
+}
+
 fn num(number: Option<u64>) -> String {
     number.map_or_else(|| "?".to_owned(), |number| number.to_string())
 }
--- a/lib/tests/opaque/mod.rs
+++ b/lib/tests/opaque/mod.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use http::HeaderMap;
 use http::Method;
-use parsleywall::events::EventLog;
+use parsleywall::event_log::EventLog;
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::RequestId;
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -6,8 +6,9 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::Sender;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 
-use parsleywall::events::EventLog;
+use parsleywall::event_log::EventLog;
 use parsleywall::events::LogEvent;
 use parsleywall::trace::EventTrace;
 use serde_json::Value;
@@ -41,6 +42,8 @@
         runs: 1,
         first_ms: Some(80),
         total_ms: 700,
+        upstream: None,
+        quiet_ms: None,
     }
 }
 
@@ -55,8 +58,8 @@
     }
 }
 
-#[test]
-fn test_log_never_blocks_and_counts_what_it_drops() {
+#[tokio::test(start_paused = true)]
+async fn test_log_never_blocks_and_counts_what_it_drops() {
     let (go_on, stuck) = channel();
     let (done, flushed) = channel();
     let written: Arc<Mutex<Vec<u8>>> = Arc::default();
@@ -66,9 +69,11 @@
         done,
     };
     let log = EventLog::new("host-a".to_owned(), 7, pipe);
-    // Nobody reads: all calls return, and the ordinary lines are dropped first.
+    // Nobody reads: all calls return, and the ordinary lines are dropped first. At one line a
+    // millisecond only the queue bounds them.
     for number in 0..10_000 {
         log.write(served(number));
+        tokio::time::advance(Duration::from_millis(1)).await;
     }
     let dropped = log.dropped();
     assert!(dropped >= 5_000, "{dropped}");
@@ -95,6 +100,7 @@
         .find(|event| event["event"] == "lines_dropped")
         .unwrap();
     assert_eq!(dropped_line["lines"], dropped);
+    assert_eq!(dropped_line["by_event"]["request_ended"], dropped);
     assert!(
         events
             .iter()
@@ -109,6 +115,69 @@
     assert!(metrics.contains("parsleywall_refusals_total{reason=\"no_free_place\"} 1"));
 }
 
+/// A writer that hands each written piece on.
+struct Tee(Sender<Vec<u8>>);
+
+impl Write for Tee {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines written until one of `event`, that one included.
+fn read_until(written: &Receiver<Vec<u8>>, event: &str) -> Vec<Value> {
+    let mut events: Vec<Value> = Vec::new();
+    while !events.iter().any(|line| line["event"] == event) {
+        let text = String::from_utf8(written.recv().unwrap()).unwrap();
+        let lines = text.lines().map(|line| serde_json::from_str(line).unwrap());
+        events.extend(lines);
+    }
+    events
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_log_keeps_to_its_budget_and_failures_go_first() {
+    let (send, written) = channel();
+    let log = EventLog::new("host-a".to_owned(), 7, Tee(send));
+    // All at one instant: the burst, of which half is kept for failures.
+    for number in 0..1_500 {
+        log.write(served(number));
+    }
+    assert_eq!(log.dropped(), 500);
+    for number in 0..900 {
+        log.write(refused(number));
+    }
+    assert_eq!(log.dropped(), 0);
+    for number in 0..200 {
+        log.write(refused(number));
+    }
+    assert_eq!(log.dropped(), 100);
+    // A second brings a thousand lines, of which none is for successes yet.
+    tokio::time::advance(Duration::from_secs(1)).await;
+    log.write(served(0));
+    assert_eq!(log.dropped(), 101);
+    log.write(LogEvent::Stopped {
+        reason: "test".to_owned(),
+        cut_off: 0,
+    });
+    assert_eq!(log.dropped(), 0);
+    let events = read_until(&written, "stopped");
+    let reports: Vec<&Value> = events
+        .iter()
+        .filter(|event| event["event"] == "lines_dropped")
+        .collect();
+    assert_eq!(reports.len(), 2);
+    assert_eq!(reports[0]["by_event"]["request_ended"], 500);
+    assert_eq!(reports[1]["by_event"]["request_refused"], 100);
+    assert_eq!(reports[1]["by_event"]["request_ended"], 1);
+    assert_eq!(reports[1]["lines"], 101);
+}
+
 #[test]
 fn test_page_lists_all_events_and_fields() {
     let page = include_str!("../../docs/OPERATIONS.md");
@@ -206,3 +275,53 @@
         Some("no_free_place, 12 at 8 places")
     );
 }
+
+#[test]
+fn test_trace_explains_unserved_requests() {
+    let left = ",\"request\":\"r1\",\"outcome\":\"caller_left\",\"runs\":1,\"total_ms\":3000,\"upstream\":\"u1\",\"quiet_ms\":2400";
+    let refusal = ",\"request\":\"r2\",\"reason\":\"no_free_place\",\"places\":8,\"online\":12";
+    let served = ",\"request\":\"r2\",\"outcome\":\"served\",\"runs\":1,\"total_ms\":90";
+    let sent = ",\"request\":\"r3\",\"upstream\":\"u2\"";
+    let lines = [
+        line("host-a", 1_000, "request_ended", left),
+        line("host-a", 1_100, "request_refused", refusal),
+        line("host-b", 1_900, "request_ended", served),
+        line("host-b", 2_000, "request_sent", sent),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let unserved = trace.unserved();
+    let names: Vec<&str> = unserved
+        .iter()
+        .map(|request| request.request.as_str())
+        .collect();
+    assert_eq!(names, ["r1", "r3"]);
+    let quiet = "u1 had sent nothing for 2400 ms";
+    assert_eq!(unserved[0].reason.as_deref(), Some(quiet));
+    assert_eq!(unserved[1].outcome, "no_end");
+    assert_eq!(unserved[1].reason, None);
+}
+
+/// A host that starts again has cut off what it had, unless another host finished it.
+#[test]
+fn test_trace_names_the_end_of_a_process() {
+    let sent = |id: &str| format!(",\"request\":\"{id}\",\"upstream\":\"u1\"");
+    let done = ",\"item\":\"i1\",\"job\":\"j1\",\"outcome\":\"done\",\"events\":9";
+    let lines = [
+        line("host-a", 1_000, "request_sent", &sent("r1")),
+        line("host-a", 1_000, "request_sent", &sent("i1")),
+        line("host-a", 3_000, "started", "").replace("\"boot\":1", "\"boot\":2"),
+        line("host-b", 3_500, "request_sent", &sent("i1")),
+        line("host-b", 4_000, "item", done),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let events: Vec<&str> = trace
+        .about("r1")
+        .iter()
+        .map(|line| line.event.as_str())
+        .collect();
+    assert_eq!(events, ["request_sent", "started"]);
+    let unserved = trace.unserved();
+    assert_eq!(unserved.len(), 1);
+    assert_eq!(unserved[0].request, "r1");
+    assert_eq!(unserved[0].outcome, "cut_off");
+}
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -13,7 +13,7 @@
 use opaque::desk;
 use opaque::table;
 use parsleywall::clock::steady_unix_millis;
-use parsleywall::events::EventLog;
+use parsleywall::event_log::EventLog;
 use parsleywall::jobs::BodyOutcome;
 use parsleywall::jobs::EndOutcome;
 use parsleywall::jobs::JobCall;
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -202,7 +202,11 @@
     let start = Instant::now();
     let mut book = book(&["a"]);
     let pick = take(&mut book, WorkClass::Online, start).unwrap();
-    book.fault(pick.key, UpstreamFault::Unreachable, start);
+    let ejected = book.fault(pick.key, UpstreamFault::Unreachable, start);
+    assert_eq!(ejected, Some(Duration::from_millis(500)));
+    // Requests that failed with it are no further fault.
+    let again = book.fault(pick.key, UpstreamFault::Unreachable, start);
+    assert_eq!(again, None);
     book.release(pick.key, WorkClass::Online);
     assert!(take(&mut book, WorkClass::Online, start).is_none());
     let later = start + Duration::from_millis(600);
@@ -211,7 +215,8 @@
         take(&mut book, WorkClass::Online, later).is_none(),
         "one trial at a time"
     );
-    book.success(trial.key);
+    let ejected = book.success(trial.key, later);
+    assert_eq!(ejected, Some(Duration::from_millis(600)));
     assert!(take(&mut book, WorkClass::Online, later).is_some());
 }
 
