--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -84,6 +84,8 @@
     registry: HostRegistry,
     routes: watch::Sender<Arc<RouteTable>>,
     roster: Mutex<UpstreamRoster>,
+    /// Since when the configuration could not be followed.
+    config_lost: Mutex<Option<Instant>>,
     stop: CancellationToken,
     leaving: CancellationToken,
 }
@@ -134,6 +136,7 @@
             registry,
             routes,
             roster: Mutex::default(),
+            config_lost: Mutex::default(),
             stop: CancellationToken::new(),
             leaving: CancellationToken::new(),
         });
@@ -243,6 +246,15 @@
         self.routes.send_replace(Arc::new(table));
     }
 
+    /// Notes whether the service that holds the configuration answers.
+    pub fn config_in_touch(&self, in_touch: bool) {
+        let mut lost = self.config_lost.lock().expect("config touch lock");
+        *lost = match in_touch {
+            true => None,
+            false => lost.or(Some(Instant::now())),
+        };
+    }
+
     /// Takes in what an upstream says of itself.
     pub fn put_upstream(&self, entry: UpstreamEntry) {
         self.log.write(LogEvent::UpstreamListed {
@@ -307,6 +319,11 @@
             }
         }
         drop(book);
+        let (waiting, running) = self.jobs.item_counts();
+        metrics.note_items(waiting, running);
+        let lost = *self.config_lost.lock().expect("config touch lock");
+        let age = lost.map_or(Duration::ZERO, |since| since.elapsed());
+        metrics.note_config(table.version(), age);
         metrics.text()
     }
 
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -181,6 +181,14 @@
         self.with_book(|book| book.open_items())
     }
 
+    /// Number of items that wait, and of those that run.
+    pub fn item_counts(&self) -> (usize, usize) {
+        self.with_book(|book| {
+            let running = book.running_items();
+            (book.open_items() - running, running)
+        })
+    }
+
     /// Stores `spec` as a new job of this host. A job that is stored already is accepted again.
     pub async fn submit(&self, spec: JobSpec) -> SubmitOutcome {
         let size: usize = spec.items.iter().map(|item| item.body.len()).sum();
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
+use prometheus::Gauge;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
+use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
@@ -28,12 +30,15 @@
     faults: IntCounterVec,
     ejections: IntCounterVec,
     requests: IntCounterVec,
-    items: IntCounterVec,
+    item_runs: IntCounterVec,
     jobs: IntCounterVec,
     first: Histogram,
     total: Histogram,
     calls: HistogramVec,
     places: IntGaugeVec,
+    items: IntGaugeVec,
+    config_version: IntGauge,
+    config_age: Gauge,
 }
 
 impl FrontMetrics {
@@ -70,7 +75,7 @@
                 "Ended requests, by outcome.",
                 &["outcome"],
             ),
-            items: counter(
+            item_runs: counter(
                 "item_runs_total",
                 "Ended runs of items, by outcome.",
                 &["outcome"],
@@ -102,6 +107,21 @@
                 &["service", "kind"],
             )
             .expect("names of metrics are proper"),
+            items: IntGaugeVec::new(
+                Opts::new("parsleywall_items", "Items of this host's jobs."),
+                &["state"],
+            )
+            .expect("names of metrics are proper"),
+            config_version: IntGauge::new(
+                "parsleywall_config_version",
+                "Version of the configuration in force.",
+            )
+            .expect("names of metrics are proper"),
+            config_age: Gauge::new(
+                "parsleywall_config_age_seconds",
+                "Time since the configuration in force was last known to be the newest.",
+            )
+            .expect("names of metrics are proper"),
         };
         metrics.register();
         metrics
@@ -114,7 +134,7 @@
             &self.faults,
             &self.ejections,
             &self.requests,
-            &self.items,
+            &self.item_runs,
             &self.jobs,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
@@ -123,6 +143,9 @@
         all.push(Box::new(self.total.clone()));
         all.push(Box::new(self.calls.clone()));
         all.push(Box::new(self.places.clone()));
+        all.push(Box::new(self.items.clone()));
+        all.push(Box::new(self.config_version.clone()));
+        all.push(Box::new(self.config_age.clone()));
         for collector in all {
             self.registry
                 .register(collector)
@@ -156,7 +179,7 @@
             LogEvent::UpstreamEjected { fault, .. } => {
                 self.ejections.with_label_values(&[fault]).inc();
             }
-            LogEvent::Item { outcome, .. } => self.items.with_label_values(&[outcome]).inc(),
+            LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
             _ => {}
         }
@@ -174,6 +197,19 @@
         gauge.set(i64::from(count));
     }
 
+    /// Notes how many items of this host's jobs wait and run.
+    pub fn note_items(&self, waiting: usize, running: usize) {
+        for (state, count) in [("waiting", waiting), ("running", running)] {
+            self.items.with_label_values(&[state]).set(count as i64);
+        }
+    }
+
+    /// Notes the configuration in force, and for how long nothing was heard of newer ones.
+    pub fn note_config(&self, version: u64, age: Duration) {
+        self.config_version.set(version as i64);
+        self.config_age.set(age.as_secs_f64());
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let families = self.registry.gather();
