--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod body;
 pub mod client;
+pub mod pools;
 pub mod reply;
 pub mod server;
