places: a host of a large fleet draws from its own 20 upstreams

Cause: each of 49 hosts sent to all of 89 upstreams, so that a connection was idle for eight seconds on the mean and rarely used again.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -13,6 +13,7 @@
 use crate::ids::ServiceName;
 use crate::ids::UpstreamId;
 use crate::ids::WorkClass;
+use crate::membership::rendezvous_score;
 use crate::places::health::Standing;
 use crate::places::health::UpstreamFault;
 use crate::places::health::UpstreamHealth;
@@ -30,6 +31,9 @@
 /// close though reports are old: Mitzenmacher, "How useful is old information?", 2000.
 const SAMPLED_FLEET: usize = 12;
 const SAMPLE: usize = 4;
+/// Upstreams from which a host of such a fleet draws its samples: always the same ones while they
+/// take requests, so that connections to them are used again. Each host has its own subset.
+const SUBSET: usize = 20;
 /// Time within which hosts hear of one another's batch items.
 const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
@@ -118,6 +122,8 @@
 struct Upstream {
     entry: UpstreamEntry,
     tag: u32,
+    /// Place of the upstream in this host's order of upstreams; the greatest come first.
+    weight: u64,
     own: WorkCount,
     others: WorkCount,
     health: UpstreamHealth,
@@ -203,6 +209,7 @@
         self.keys.insert(entry.id.clone(), key);
         let upstream = Upstream {
             tag: upstream_tag(&entry.id),
+            weight: rendezvous_score(self.host.as_str(), entry.id.as_str()),
             entry,
             own: WorkCount::default(),
             others: WorkCount::default(),
@@ -287,18 +294,9 @@
         if class == WorkClass::Batch && !self.may_start(service, now) {
             return None;
         }
-        let mut candidates: Vec<(u32, f64, PlaceKey)> = self
-            .serving(service)
-            .filter(|(key, upstream)| !avoid.contains(key) && may_take(upstream, class, now))
-            .map(|(key, upstream)| (mixed(key, draw), self.score(upstream, class), key))
-            .collect();
-        candidates.sort_unstable_by_key(|(order, _, _)| *order);
-        if self.peers.len() >= SAMPLED_FLEET {
-            candidates.truncate(SAMPLE);
-        }
-        candidates.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let key = candidates.first()?.2;
-        let next = candidates.get(1).map(|(_, _, key)| {
+        let candidates = self.candidates(service, class, avoid, now, draw);
+        let key = *candidates.first()?;
+        let next = candidates.get(1).map(|key| {
             let upstream = &self.upstreams[key];
             NextPlace {
                 id: upstream.entry.id.clone(),
@@ -325,6 +323,32 @@
         })
     }
 
+    /// Upstreams among which a piece of work is placed, the best first.
+    fn candidates(
+        &self,
+        service: &ServiceName,
+        class: WorkClass,
+        avoid: &[PlaceKey],
+        now: Instant,
+        draw: u32,
+    ) -> Vec<PlaceKey> {
+        let mut candidates: Vec<(PlaceKey, &Upstream)> = self
+            .serving(service)
+            .filter(|(key, upstream)| !avoid.contains(key) && may_take(upstream, class, now))
+            .collect();
+        let is_sampled = self.peers.len() >= SAMPLED_FLEET;
+        if is_sampled {
+            candidates.sort_unstable_by_key(|(_, upstream)| std::cmp::Reverse(upstream.weight));
+            candidates.truncate(SUBSET);
+        }
+        candidates.sort_unstable_by_key(|(key, _)| mixed(*key, draw));
+        if is_sampled {
+            candidates.truncate(SAMPLE);
+        }
+        candidates.sort_by(|(_, a), (_, b)| self.score(a, class).total_cmp(&self.score(b, class)));
+        candidates.into_iter().map(|(key, _)| key).collect()
+    }
+
     /// Load after taking the work, in shares of the upstream's places; lower is better.
     fn score(&self, upstream: &Upstream, class: WorkClass) -> f64 {
         let work = upstream.work();
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -1,5 +1,7 @@
 //! Choosing upstreams: fullness, faults, batch work giving way, reports of other hosts.
 
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +19,7 @@
 use parsleywall::places::UpstreamLoad;
 use parsleywall::places::UpstreamRoster;
 use parsleywall::places::upstream_tag;
+use rand::SeedableRng;
 use tokio::time::Instant;
 
 const SLOTS: u32 = 4;
@@ -314,3 +317,114 @@
     let silence = later + Duration::from_secs(2);
     assert_eq!(book.pulse().usable("host-a", &hosts, silence), hosts);
 }
+
+/// Hosts of a large fleet, with the work that each has in hand.
+struct LargeFleet {
+    books: Vec<PlaceBook>,
+    ends: std::collections::VecDeque<Vec<(usize, PlacePick)>>,
+    number: u64,
+}
+
+impl LargeFleet {
+    const HOSTS: usize = 40;
+    const UPSTREAMS: usize = 60;
+    /// Ticks for which a request holds its place.
+    const HOLD: usize = 20;
+    const TICK: Duration = Duration::from_millis(30);
+
+    fn new() -> Self {
+        let books = (0..Self::HOSTS).map(|host| {
+            let name = HostId::new(format!("host-{host}"));
+            let mut book = PlaceBook::new(name, DataCentre::new("east"));
+            for upstream in 0..Self::UPSTREAMS {
+                book.put(entry(&format!("upstream-{upstream}")));
+            }
+            book
+        });
+        Self {
+            books: books.collect(),
+            ends: vec![Vec::new(); Self::HOLD].into(),
+            number: 0,
+        }
+    }
+
+    fn exchange_reports(&mut self, now: Instant) {
+        self.number += 1;
+        let reports: Vec<LoadReport> = self
+            .books
+            .iter()
+            .enumerate()
+            .map(|(host, book)| LoadReport {
+                host: format!("host-{host}"),
+                incarnation: 1,
+                number: self.number,
+                is_leaving: false,
+                loads: book.own_loads(),
+            })
+            .collect();
+        for book in &mut self.books {
+            for report in &reports {
+                book.hear(report.clone(), now);
+            }
+        }
+    }
+
+    /// Lets `arrivals` requests come and the oldest ones end.
+    fn tick(&mut self, arrivals: usize, now: Instant, rng: &mut impl rand::Rng) -> Vec<PlacePick> {
+        for (host, pick) in self.ends.pop_front().unwrap() {
+            self.books[host].release(pick.key, WorkClass::Online);
+        }
+        let mut taken = Vec::new();
+        for _ in 0..arrivals {
+            let host = rng.random_range(0..Self::HOSTS);
+            let (draw, book) = (rng.random(), &mut self.books[host]);
+            let pick = book.take(&service(), WorkClass::Online, &[], now, draw);
+            taken.push((host, pick.unwrap()));
+        }
+        self.ends.push_back(taken.clone());
+        taken.into_iter().map(|(_, pick)| pick).collect()
+    }
+
+    /// Work at each upstream, of all hosts.
+    fn work(&self) -> HashMap<u32, u32> {
+        let mut work: HashMap<u32, u32> = HashMap::default();
+        for load in self.books.iter().flat_map(PlaceBook::own_loads) {
+            *work.entry(load.0).or_default() += u32::from(load.1);
+        }
+        work
+    }
+}
+
+/// Three quarters of the places of a large fleet are taken, and reports are up to four ticks old:
+/// at most one request in ten may find its upstream full, though each host keeps to a few.
+#[tokio::test(start_paused = true)]
+async fn test_large_fleet_spreads_work_over_few_connections() {
+    let start = Instant::now();
+    let mut rng = rand::rngs::StdRng::seed_from_u64(7);
+    let mut fleet = LargeFleet::new();
+    let places = LargeFleet::UPSTREAMS as u32 * SLOTS;
+    let arrivals = places as usize * 3 / 4 / LargeFleet::HOLD;
+    let mut used: HashMap<usize, HashSet<String>> = HashMap::default();
+    let (mut full, mut all) = (0, 0);
+    for number in 0..120 {
+        let now = start + LargeFleet::TICK * number;
+        if number % 4 == 0 {
+            fleet.exchange_reports(now);
+        }
+        let picks = fleet.tick(arrivals, now, &mut rng);
+        all += picks.len();
+        let work = fleet.work();
+        let mut new: HashMap<u32, u32> = HashMap::default();
+        for pick in &picks {
+            *new.entry(upstream_tag(&pick.id)).or_default() += 1;
+        }
+        let waits = |(tag, new): (&u32, &u32)| work[tag].saturating_sub(SLOTS).min(*new);
+        full += new.iter().map(waits).sum::<u32>() as usize;
+        for (host, pick) in fleet.ends.back().unwrap() {
+            used.entry(*host).or_default().insert(pick.id.to_string());
+        }
+    }
+    let most = used.values().map(HashSet::len).max().unwrap();
+    assert!(full * 10 <= all, "{full} of {all} found no free place");
+    assert!(most <= 20, "a host used {most} upstreams");
+}
