--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -170,10 +170,11 @@
                     .collect()
             })
         };
-        let stop = self.stop.clone();
+        let (told, heard, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
+        let note_jobs = move |host: &str, jobs: &[String]| heard.note_new_jobs(host, jobs);
         tokio::spawn(async move {
             tokio::select! {
-                () = exchange.run(peers) => {}
+                () = exchange.run(peers, || told.new_jobs(), note_jobs) => {}
                 () = stop.cancelled() => {}
             }
         });
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -18,6 +18,7 @@
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
 use crate::jobs::message::PeerCaller;
+use crate::jobs::news::OwnerNews;
 use crate::jobs::owner::KnownOwner;
 use crate::jobs::owner::OwnerWatch;
 use crate::jobs::read::SettledJobs;
@@ -118,6 +119,7 @@
     pub(super) watch: Mutex<OwnerWatch>,
     /// Owners of other hosts' jobs, as far as known.
     pub(super) owners: Mutex<HashMap<String, KnownOwner>>,
+    pub(super) news: OwnerNews,
     pub(super) listed: Notify,
     pub(super) work: Notify,
     pub(super) is_leaving: CancellationToken,
@@ -150,6 +152,7 @@
             settled: SettledJobs::default(),
             watch: Mutex::default(),
             owners: Mutex::default(),
+            news: OwnerNews::default(),
             listed: Notify::new(),
             work: Notify::new(),
             is_leaving: CancellationToken::new(),
@@ -189,6 +192,18 @@
         })
     }
 
+    /// Jobs that this host has begun to own lately, for its load reports.
+    pub fn new_jobs(&self) -> Vec<String> {
+        self.shared.news.told()
+    }
+
+    /// Takes in that `host` has begun to own `jobs`.
+    pub fn note_new_jobs(&self, host: &str, jobs: &[String]) {
+        for job in jobs {
+            self.set_owner(job, Some(host.to_owned()));
+        }
+    }
+
     /// Stores `spec` as a new job of this host. A job that is stored already is accepted again.
     pub async fn submit(&self, spec: JobSpec) -> SubmitOutcome {
         let size: usize = spec.items.iter().map(|item| item.body.len()).sum();
@@ -204,6 +219,7 @@
             match created.await {
                 Ok(claim) => {
                     self.log_job(&spec.id, "accepted", spec.items.len(), 0);
+                    self.shared.news.add(&spec.id);
                     self.with_book(|book| book.insert(spec, claim, Vec::new(), 0));
                     self.shared.work.notify_one();
                     return SubmitOutcome::Accepted;
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 mod book;
 mod keeper;
 mod message;
+mod news;
 mod owner;
 mod pace;
 mod read;
--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -238,6 +238,7 @@
             return;
         };
         self.log_job(id, "taken_over", spec.items.len(), stored.results.len());
+        self.shared.news.add(id);
         self.set_owner(id, None);
         self.with_book(|book| {
             if !book.owns(id) {
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -8,7 +8,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::places::report::LoadReport;
-use crate::places::report::UpstreamLoad;
 use crate::places::shared::PlaceDesk;
 
 /// Time between two reports while the load changes, in a fleet of up to [`FAST_FLEET`] hosts.
@@ -24,7 +23,6 @@
     socket: UdpSocket,
     places: PlaceDesk,
     report: LoadReport,
-    sent: Vec<UpstreamLoad>,
     leaving: CancellationToken,
 }
 
@@ -44,18 +42,24 @@
             number: 0,
             is_leaving: false,
             loads: Vec::new(),
+            new_jobs: Vec::new(),
         };
         Self {
             socket,
             places,
             report,
-            sent: Vec::new(),
             leaving,
         }
     }
 
-    /// Exchanges reports with the hosts that `peers` returns, without end.
-    pub async fn run(mut self, peers: impl Fn() -> Vec<SocketAddr>) {
+    /// Exchanges reports with the hosts that `peers` returns, without end. Reports carry the jobs
+    /// that `new_jobs` returns; `note_jobs` takes the name of another host and its new jobs.
+    pub async fn run(
+        mut self,
+        peers: impl Fn() -> Vec<SocketAddr>,
+        new_jobs: impl Fn() -> Vec<String>,
+        note_jobs: impl Fn(&str, &[String]),
+    ) {
         let mut buffer = vec![0; MAX_REPORT_BYTES];
         let mut last_sent = Instant::now();
         let mut next = Instant::now();
@@ -65,6 +69,7 @@
                     if let Ok((length, _)) = received
                         && let Some(report) = LoadReport::decode(&buffer[..length])
                     {
+                        note_jobs(&report.host, &report.new_jobs);
                         self.places.book().hear(report, Instant::now());
                         self.places.wake();
                     }
@@ -74,11 +79,15 @@
                     let addresses = peers();
                     self.places.book().forget_silent(now);
                     let loads = self.places.book().own_loads();
-                    let is_news = loads != self.sent
+                    let jobs = new_jobs();
+                    let is_news = loads != self.report.loads
+                        || jobs != self.report.new_jobs
                         || self.leaving.is_cancelled() != self.report.is_leaving;
                     if is_news || now - last_sent >= QUIET_INTERVAL {
                         last_sent = now;
-                        self.send(loads, &addresses).await;
+                        self.report.loads = loads;
+                        self.report.new_jobs = jobs;
+                        self.send(&addresses).await;
                     }
                     let factor = (addresses.len() as u32 + 1).div_ceil(FAST_FLEET).max(1);
                     next = now + FAST_INTERVAL * factor;
@@ -87,11 +96,9 @@
         }
     }
 
-    async fn send(&mut self, loads: Vec<UpstreamLoad>, addresses: &[SocketAddr]) {
+    async fn send(&mut self, addresses: &[SocketAddr]) {
         self.report.number += 1;
         self.report.is_leaving = self.leaving.is_cancelled();
-        self.report.loads = loads.clone();
-        self.sent = loads;
         let bytes = self.report.encode();
         for address in addresses {
             // A report that is not sent is replaced by the next one.
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -35,6 +35,9 @@
     /// Work by upstream.
     #[serde(rename = "l")]
     pub loads: Vec<UpstreamLoad>,
+    /// Batch jobs that the host has begun to own lately.
+    #[serde(rename = "j", default)]
+    pub new_jobs: Vec<String>,
 }
 
 impl LoadReport {
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -611,3 +611,31 @@
     }
     assert_whole(&fleet.wire, &read_all(&host_b, "j1").await);
 }
+
+/// Load reports tell who owns a new job, before any scan shows it; later they no longer carry it.
+#[tokio::test(start_paused = true)]
+async fn test_new_owner_is_told_without_the_service() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    assert_eq!(
+        host_a.keeper.submit(job("j1", 4)).await,
+        SubmitOutcome::Accepted
+    );
+    let told = host_a.keeper.new_jobs();
+    assert_eq!(told, ["j1"]);
+    host_b.keeper.note_new_jobs("host-a", &told);
+    let reads = &fleet.kv.calls.reads;
+    let before = reads.load(Ordering::Relaxed);
+    read(&host_b, "j1", 0).await;
+    assert_eq!(
+        host_b.keeper.body("j1", "j1-3").await,
+        BodyOutcome::Body(Bytes::from_static(b"body of 3"))
+    );
+    assert_eq!(reads.load(Ordering::Relaxed), before);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(host_a.keeper.new_jobs().is_empty());
+    // Wrong news lead to the service, not to wrong results.
+    host_b.keeper.note_new_jobs("host-b", &told);
+    assert_eq!(read(&host_b, "j1", 0).await.total, 4);
+}
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -62,6 +62,7 @@
         number,
         is_leaving: false,
         loads: loads.collect(),
+        new_jobs: Vec::new(),
     }
 }
 
@@ -360,6 +361,7 @@
                 number: self.number,
                 is_leaving: false,
                 loads: book.own_loads(),
+                new_jobs: Vec::new(),
             })
             .collect();
         for book in &mut self.books {
