--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -39,6 +39,7 @@
 pub struct PrefixFollower {
     kv: Arc<dyn KvStore>,
     prefix: String,
+    gather: Duration,
     revision: Option<KvVersion>,
     failures: u32,
     lost_since: Option<Instant>,
@@ -50,12 +51,19 @@
         Self {
             kv,
             prefix: prefix.into(),
+            gather: GATHER_TIME,
             revision: None,
             failures: 0,
             lost_since: None,
         }
     }
 
+    /// Lets further changes gather for `gather` after one.
+    pub fn with_gather(mut self, gather: Duration) -> Self {
+        self.gather = gather;
+        self
+    }
+
     /// Reports all entries and every change to `take`, without end.
     pub async fn run(mut self, mut take: impl FnMut(FollowEvent)) {
         loop {
@@ -101,7 +109,7 @@
         }
         self.revision = Some(changes.revision.max(revision));
         if has_changed {
-            tokio::time::sleep(GATHER_TIME).await;
+            tokio::time::sleep(self.gather).await;
         }
         Ok(())
     }
