--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -27,6 +27,7 @@
 use crate::jobs::book::JobBook;
 use crate::jobs::keeper::FINISHED;
 use crate::jobs::keeper::JobKeeper;
+use crate::places::PlaceAsk;
 use crate::places::PlaceHold;
 use crate::relay::Opened;
 use crate::relay::RelayFailure;
@@ -91,12 +92,13 @@
             self.lose_route(&order, &table, now);
             return true;
         };
-        let Some(hold) = self
-            .shared
-            .relay
-            .places()
-            .take(&service, WorkClass::Batch, &[])
-        else {
+        let ask = PlaceAsk {
+            service: &service,
+            class: WorkClass::Batch,
+            avoid: &[],
+            may_try: true,
+        };
+        let Some(hold) = self.shared.relay.places().take(ask) else {
             return false;
         };
         self.with_book(|book| book.started(&job, order.index));
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -71,6 +71,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PlaceKey(u32);
 
+/// What is asked of the book for one piece of work.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceAsk<'a> {
+    /// Service that the work needs.
+    pub service: &'a ServiceName,
+    /// Its priority class.
+    pub class: WorkClass,
+    /// Upstreams that the work has already been sent to.
+    pub avoid: &'a [PlaceKey],
+    /// Whether the work may run again, so that it may show whether a faulty upstream serves again.
+    pub may_try: bool,
+}
+
 /// An upstream that was picked for a request.
 #[derive(Clone, Debug)]
 pub struct PlacePick {
@@ -281,20 +294,14 @@
     /// Takes a place for one piece of work, or returns `None` if no upstream may take it.
     ///
     /// An online request gets the upstream with the least work, even if all places there are
-    /// taken. A batch item gets a free one, and only while enough others stay free. `avoid` are
-    /// upstreams that the request has already been sent to; `draw` breaks ties.
-    pub fn take(
-        &mut self,
-        service: &ServiceName,
-        class: WorkClass,
-        avoid: &[PlaceKey],
-        now: Instant,
-        draw: u32,
-    ) -> Option<PlacePick> {
+    /// taken. A batch item gets a free one, and only while enough others stay free. Work that must
+    /// not run again gets an upstream on trial only if there is no other. `draw` breaks ties.
+    pub fn take(&mut self, ask: PlaceAsk<'_>, now: Instant, draw: u32) -> Option<PlacePick> {
+        let PlaceAsk { service, class, .. } = ask;
         if class == WorkClass::Batch && !self.may_start(service, now) {
             return None;
         }
-        let candidates = self.candidates(service, class, avoid, now, draw);
+        let candidates = self.candidates(ask, now, draw);
         let key = *candidates.first()?;
         let next = candidates.get(1).map(|key| {
             let upstream = &self.upstreams[key];
@@ -324,18 +331,16 @@
     }
 
     /// Upstreams among which a piece of work is placed, the best first.
-    fn candidates(
-        &self,
-        service: &ServiceName,
-        class: WorkClass,
-        avoid: &[PlaceKey],
-        now: Instant,
-        draw: u32,
-    ) -> Vec<PlaceKey> {
+    fn candidates(&self, ask: PlaceAsk<'_>, now: Instant, draw: u32) -> Vec<PlaceKey> {
+        let class = ask.class;
         let mut candidates: Vec<(PlaceKey, &Upstream)> = self
-            .serving(service)
-            .filter(|(key, upstream)| !avoid.contains(key) && may_take(upstream, class, now))
+            .serving(ask.service)
+            .filter(|(key, upstream)| !ask.avoid.contains(key) && may_take(upstream, class, now))
             .collect();
+        let is_good = |upstream: &Upstream| upstream.health.standing(now) == Standing::Good;
+        if !ask.may_try && candidates.iter().any(|(_, upstream)| is_good(upstream)) {
+            candidates.retain(|(_, upstream)| is_good(upstream));
+        }
         let is_sampled = self.peers.len() >= SAMPLED_FLEET;
         if is_sampled {
             candidates.sort_unstable_by_key(|(_, upstream)| std::cmp::Reverse(upstream.weight));
--- a/lib/src/places/mod.rs
+++ b/lib/src/places/mod.rs
@@ -15,6 +15,7 @@
 
 pub use book::EntryState;
 pub use book::NextPlace;
+pub use book::PlaceAsk;
 pub use book::PlaceBook;
 pub use book::PlaceKey;
 pub use book::PlacePick;
--- a/lib/src/places/shared.rs
+++ b/lib/src/places/shared.rs
@@ -8,10 +8,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::ids::ServiceName;
 use crate::ids::WorkClass;
+use crate::places::book::PlaceAsk;
 use crate::places::book::PlaceBook;
-use crate::places::book::PlaceKey;
 use crate::places::book::PlacePick;
 use crate::places::health::UpstreamFault;
 
@@ -54,16 +53,10 @@
     }
 
     /// Takes a place; it is given back when the hold is dropped.
-    pub fn take(
-        &self,
-        service: &ServiceName,
-        class: WorkClass,
-        avoid: &[PlaceKey],
-    ) -> Option<PlaceHold> {
+    pub fn take(&self, ask: PlaceAsk<'_>) -> Option<PlaceHold> {
         let draw = rand::random();
-        let pick = self
-            .book()
-            .take(service, class, avoid, Instant::now(), draw)?;
+        let pick = self.book().take(ask, Instant::now(), draw)?;
+        let class = ask.class;
         if class == WorkClass::Online {
             // Batch items may have to give way.
             self.wake();
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -13,6 +13,7 @@
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::ids::UpstreamId;
+use crate::places::PlaceAsk;
 use crate::places::PlaceDesk;
 use crate::places::PlaceHold;
 use crate::places::PlaceKey;
@@ -289,10 +290,13 @@
             return Sending::Failed(self.unplaced_failure());
         }
         let request = self.request.clone();
-        let hold = self
-            .placed
-            .take()
-            .or_else(|| self.desk.take(&request.service, request.class, &self.avoid));
+        let ask = PlaceAsk {
+            service: &request.service,
+            class: request.class,
+            avoid: &self.avoid,
+            may_try: self.policy.may_repeat,
+        };
+        let hold = self.placed.take().or_else(|| self.desk.take(ask));
         let Some(hold) = hold else {
             return Sending::Failed(self.unplaced_failure());
         };
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -28,6 +28,7 @@
 use parsleywall::jobs::ResultPage;
 use parsleywall::jobs::ResultState;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall::places::PlaceAsk;
 use parsleywall::registry::HostEntry;
 use parsleywall::registry::HostRegistry;
 use parsleywall::registry::HostState;
@@ -478,9 +479,13 @@
     };
     assert_eq!(running(), 10, "two of twelve places stay free");
     let service = ServiceName::new("desk");
-    let online: Vec<_> = (0..11)
-        .map(|_| host.relay.places().take(&service, WorkClass::Online, &[]))
-        .collect();
+    let ask = PlaceAsk {
+        service: &service,
+        class: WorkClass::Online,
+        avoid: &[],
+        may_try: true,
+    };
+    let online: Vec<_> = (0..11).map(|_| host.relay.places().take(ask)).collect();
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(
         running(),
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -12,6 +12,7 @@
 use parsleywall::ids::WorkClass;
 use parsleywall::places::EntryState;
 use parsleywall::places::LoadReport;
+use parsleywall::places::PlaceAsk;
 use parsleywall::places::PlaceBook;
 use parsleywall::places::PlacePick;
 use parsleywall::places::UpstreamEntry;
@@ -48,8 +49,18 @@
     book
 }
 
+fn ask(service: &ServiceName, class: WorkClass) -> PlaceAsk<'_> {
+    PlaceAsk {
+        service,
+        class,
+        avoid: &[],
+        may_try: true,
+    }
+}
+
 fn take(book: &mut PlaceBook, class: WorkClass, now: Instant) -> Option<PlacePick> {
-    book.take(&service(), class, &[], now, 0)
+    let service = service();
+    book.take(ask(&service, class), now, 0)
 }
 
 fn report(host: &str, number: u64, loads: &[(&str, u16, u16)]) -> LoadReport {
@@ -224,6 +235,35 @@
     assert!(take(&mut book, WorkClass::Online, later).is_some());
 }
 
+#[tokio::test(start_paused = true)]
+async fn test_trial_is_for_work_that_may_run_again() {
+    let start = Instant::now();
+    let mut book = book(&["a", "b"]);
+    let pick = take(&mut book, WorkClass::Online, start).unwrap();
+    book.fault(pick.key, UpstreamFault::Silent, start);
+    book.release(pick.key, WorkClass::Online);
+    let later = start + Duration::from_millis(600);
+    let service = service();
+    let once = PlaceAsk {
+        may_try: false,
+        ..ask(&service, WorkClass::Online)
+    };
+    for _ in 0..SLOTS {
+        let sound = book.take(once, later, 0).unwrap();
+        assert_ne!(sound.key, pick.key, "the other upstream is sound");
+    }
+    assert_eq!(
+        take(&mut book, WorkClass::Online, later).unwrap().key,
+        pick.key
+    );
+    // Without any sound upstream the trial is better than none.
+    let other = book.take(once, later, 0).unwrap();
+    book.fault(other.key, UpstreamFault::Silent, later);
+    book.release(pick.key, WorkClass::Online);
+    let last = book.take(once, later, 0).unwrap();
+    assert_eq!(last.key, pick.key);
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_broken_answers_pause_only_in_series() {
     let now = Instant::now();
@@ -380,7 +420,7 @@
         for _ in 0..arrivals {
             let host = rng.random_range(0..Self::HOSTS);
             let (draw, book) = (rng.random(), &mut self.books[host]);
-            let pick = book.take(&service(), WorkClass::Online, &[], now, draw);
+            let pick = book.take(ask(&service(), WorkClass::Online), now, draw);
             taken.push((host, pick.unwrap()));
         }
         self.ends.push_back(taken.clone());
