http: a stop waits for the request of a connection accepted just before

Cause: the listener closes 3.5 s after SIGTERM, at 27.100 s. The connection was accepted, but its request not yet read, so that no request counted as open and the stop went on to its end, which cut the request off 30 ms later. Ruled out: the deadline of the stop (31.6 s). Change: ServerStop::finish waits until all connections have closed or no request was open for 300 ms.

--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -368,10 +368,7 @@
             self.jobs.leave(),
             tokio::time::sleep(moving)
         );
-        server.closing.cancel();
-        while open.count() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+        server.finish(open, deadline).await;
         self.registry.end().await;
         self.stop.cancel();
         open.count()
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -5,3 +5,6 @@
 pub mod pools;
 pub mod reply;
 pub mod server;
+
+#[cfg(test)]
+mod tests;
--- a/lib/src/http/pools.rs
+++ b/lib/src/http/pools.rs
@@ -11,13 +11,13 @@
 use crate::collections::HashMap;
 use crate::http::client::HttpClient;
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Idle connections to a server that names no time-out are closed after this time.
-const SHORT_IDLE: Duration = Duration::from_millis(500);
+pub(super) const SHORT_IDLE: Duration = Duration::from_millis(500);
 /// Connections are closed this much earlier than their server closes them.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-const LONGEST_IDLE: Duration = Duration::from_secs(30);
+pub(super) const LONGEST_IDLE: Duration = Duration::from_secs(30);
 /// Idle connections to one server.
 const KEPT_CONNECTIONS: usize = 16;
 /// Servers whose time-outs are remembered.
@@ -70,7 +70,7 @@
 }
 
 /// Time for which a connection may stay idle after an answer with these headers.
-fn idle_time(answer: &HeaderMap) -> Duration {
+pub(super) fn idle_time(answer: &HeaderMap) -> Duration {
     let stated = answer.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
     let parameters = stated.into_iter().flat_map(|text| text.split(','));
     let timeout = parameters
@@ -80,31 +80,3 @@
     let idle = idle.unwrap_or_default().saturating_sub(IDLE_MARGIN);
     idle.clamp(SHORT_IDLE, LONGEST_IDLE)
 }
-
-#[cfg(test)]
-mod tests {
-    use http::HeaderValue;
-
-    use super::*;
-
-    fn idle_after(stated: &'static str) -> Duration {
-        let mut answer = HeaderMap::new();
-        answer.insert(KEEP_ALIVE, HeaderValue::from_static(stated));
-        idle_time(&answer)
-    }
-
-    #[test]
-    fn test_idle_time_ends_before_the_servers() {
-        assert_eq!(idle_after("timeout=10"), Duration::from_secs(9));
-        assert_eq!(idle_after("max=5, timeout=3"), Duration::from_secs(2));
-        assert_eq!(idle_after("timeout=86400"), LONGEST_IDLE);
-    }
-
-    #[test]
-    fn test_idle_time_is_short_where_none_is_stated() {
-        assert_eq!(idle_time(&HeaderMap::new()), SHORT_IDLE);
-        for stated in ["timeout=1", "timeout=0", "timeout=-4", "timeout", "close"] {
-            assert_eq!(idle_after(stated), SHORT_IDLE, "{stated}");
-        }
-    }
-}
--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,6 +32,9 @@
 
 const MAX_HEADERS: usize = 100;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which an accepted connection brings its request.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
+const FINISH_TICK: Duration = Duration::from_millis(20);
 
 /// Address that a request came from, among its extensions.
 #[derive(Clone, Copy, Debug)]
@@ -46,13 +50,13 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn enter(&self) -> OpenRequest {
+    pub(super) fn enter(&self) -> OpenRequest {
         self.0.fetch_add(1, Ordering::Relaxed);
         OpenRequest(self.0.clone())
     }
 }
 
-struct OpenRequest(Arc<AtomicUsize>);
+pub(super) struct OpenRequest(Arc<AtomicUsize>);
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
@@ -88,6 +92,28 @@
     pub moving: CancellationToken,
     /// Nothing new is accepted, and idle connections are closed.
     pub closing: CancellationToken,
+    /// All connections have closed.
+    pub closed: CancellationToken,
+}
+
+impl ServerStop {
+    /// Closes the listener and waits for open requests until `deadline`.
+    ///
+    /// A connection that was accepted just before may bring its request only now, so that a count
+    /// of zero must last for a while.
+    pub async fn finish(&self, open: &OpenRequests, deadline: Instant) {
+        self.closing.cancel();
+        let mut idle_since = Instant::now();
+        while !self.closed.is_cancelled() && Instant::now() < deadline {
+            if open.count() > 0 {
+                idle_since = Instant::now();
+            }
+            if idle_since.elapsed() >= LAST_REQUEST_TIME {
+                return;
+            }
+            tokio::time::sleep(FINISH_TICK).await;
+        }
+    }
 }
 
 /// What a connection's requests tell its task.
@@ -139,6 +165,7 @@
     drop(listener);
     connections.close();
     connections.wait().await;
+    stop.closed.cancel();
 }
 
 async fn serve_connection<H, F>(
