places: subsets grow until each upstream is in ten of them

Cause: thirteen hosts with subsets of 20 of 90 upstreams would leave some upstreams in none (computed: at 1,400 hosts before 10,000 upstreams 6 in 100). Change: the subset is at least ten times the upstreams by the hosts. The new test fails with 20 alone.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -33,7 +33,10 @@
 const SAMPLE: usize = 4;
 /// Upstreams from which a host of such a fleet draws its samples: always the same ones while they
 /// take requests, so that connections to them are used again. Each host has its own subset.
-const SUBSET: usize = 20;
+const LEAST_SUBSET: usize = 20;
+/// Hosts that have each upstream in their subset, on the mean; with fewer some upstreams would be
+/// in none.
+const SUBSETS_PER_UPSTREAM: usize = 10;
 /// Time within which hosts hear of one another's batch items.
 const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
@@ -344,7 +347,7 @@
         let is_sampled = self.peers.len() >= SAMPLED_FLEET;
         if is_sampled {
             candidates.sort_unstable_by_key(|(_, upstream)| std::cmp::Reverse(upstream.weight));
-            candidates.truncate(SUBSET);
+            candidates.truncate(subset_size(candidates.len(), self.peers.len() + 1));
         }
         candidates.sort_unstable_by_key(|(key, _)| mixed(*key, draw));
         if is_sampled {
@@ -526,6 +529,12 @@
     }
 }
 
+/// Upstreams of `count` from which each of `hosts` draws its samples.
+fn subset_size(count: usize, hosts: usize) -> usize {
+    let covering = (SUBSETS_PER_UPSTREAM * count).div_ceil(hosts);
+    covering.max(LEAST_SUBSET)
+}
+
 fn may_take(upstream: &Upstream, class: WorkClass, now: Instant) -> bool {
     match upstream.health.standing(now) {
         Standing::Paused => return false,
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -470,3 +470,29 @@
     assert!(full * 10 <= all, "{full} of {all} found no free place");
     assert!(most <= 20, "a host used {most} upstreams");
 }
+
+/// Thirteen hosts before ninety upstreams: a subset of twenty each would leave some in none.
+#[tokio::test(start_paused = true)]
+async fn test_subsets_leave_no_upstream_out() {
+    let now = Instant::now();
+    let mut used: HashSet<String> = HashSet::default();
+    for host in 0..13 {
+        let name = HostId::new(format!("host-{host}"));
+        let mut book = PlaceBook::new(name, DataCentre::new("east"));
+        for upstream in 0..90 {
+            book.put(entry(&format!("upstream-{upstream}")));
+        }
+        for other in (0..13).filter(|other| *other != host) {
+            book.hear(report(&format!("host-{other}"), 1, &[]), now);
+        }
+        for draw in 0..2_000 {
+            let service = service();
+            let pick = book
+                .take(ask(&service, WorkClass::Online), now, draw)
+                .unwrap();
+            book.release(pick.key, WorkClass::Online);
+            used.insert(pick.id.to_string());
+        }
+    }
+    assert_eq!(used.len(), 90);
+}
