suspects: news say how long ago a request was sent

Cause: found by reading. The news gave how long a request had run, but come up to 300 ms later where the probe of the load times out; the run then seemed to have begun after the crash, and would not have counted as company. Change: the time since the sending, taken when the news go out. test_suspects: 8 passed.

--- a/lib/src/suspects/book.rs
+++ b/lib/src/suspects/book.rs
@@ -47,10 +47,10 @@
 }
 
 impl SuspectCrash {
-    fn new(upstream: &UpstreamId, ran: Duration, now: Instant) -> Self {
+    fn new(upstream: &UpstreamId, sent_ago: Duration, now: Instant) -> Self {
         Self {
             upstream: upstream.clone(),
-            started: now.checked_sub(ran).unwrap_or(now),
+            started: now.checked_sub(sent_ago).unwrap_or(now),
             at: now,
         }
     }
@@ -88,17 +88,17 @@
             SuspectNews::Suspected {
                 fingerprint,
                 upstream,
-                ran,
+                sent_ago,
             } => {
-                let crash = SuspectCrash::new(upstream, *ran, now);
+                let crash = SuspectCrash::new(upstream, *sent_ago, now);
                 self.suspect(*fingerprint, Some(crash), false, now)
             }
             SuspectNews::Held {
                 fingerprint,
                 upstream,
-                ran,
+                sent_ago,
             } => {
-                let crash = SuspectCrash::new(upstream, *ran, now);
+                let crash = SuspectCrash::new(upstream, *sent_ago, now);
                 self.suspect(*fingerprint, Some(crash), true, now)
             }
             SuspectNews::Down { .. } => false,
--- a/lib/src/suspects/keeper.rs
+++ b/lib/src/suspects/keeper.rs
@@ -158,12 +158,11 @@
         let broke = Instant::now();
         let fingerprint = run.fingerprint;
         let upstream = run.upstream.clone();
-        let ran = broke.duration_since(run.started);
         if run.alone {
             let news = SuspectNews::Held {
                 fingerprint,
                 upstream,
-                ran,
+                sent_ago: run.started.elapsed(),
             };
             self.spread(news).await;
             let keeper = self.clone();
@@ -180,7 +179,7 @@
         let news = SuspectNews::Suspected {
             fingerprint,
             upstream,
-            ran,
+            sent_ago: run.started.elapsed(),
         };
         self.spread(news).await;
         true
--- a/lib/src/suspects/message.rs
+++ b/lib/src/suspects/message.rs
@@ -18,8 +18,8 @@
         fingerprint: Fingerprint,
         /// The upstream.
         upstream: UpstreamId,
-        /// Time for which the request had run there.
-        ran: Duration,
+        /// Time since the request was sent there, when the news was sent.
+        sent_ago: Duration,
     },
     /// The upstream on which the request ran alone broke; whether it crashed is not known yet.
     Held {
@@ -27,8 +27,8 @@
         fingerprint: Fingerprint,
         /// The upstream.
         upstream: UpstreamId,
-        /// Time for which the request had run there.
-        ran: Duration,
+        /// Time since the request was sent there, when the news was sent.
+        sent_ago: Duration,
     },
     /// The upstream does not answer for its load after a stream of it broke.
     Down {
--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -184,7 +184,7 @@
     SuspectNews::Suspected {
         fingerprint: fingerprint(prompt),
         upstream: UpstreamId::new(upstream),
-        ran: Duration::ZERO,
+        sent_ago: Duration::ZERO,
     }
 }
 
@@ -216,7 +216,7 @@
     let held = SuspectNews::Held {
         fingerprint: deck,
         upstream: UpstreamId::new("engine-1"),
-        ran: Duration::ZERO,
+        sent_ago: Duration::ZERO,
     };
     book.note(&held, now);
     assert_eq!(book.verdict(deck, now), SuspectVerdict::Held);
@@ -257,7 +257,7 @@
     let held = SuspectNews::Held {
         fingerprint: fingerprint("rail"),
         upstream: engine.clone(),
-        ran: Duration::ZERO,
+        sent_ago: Duration::ZERO,
     };
     book.note(&held, later);
     assert!(book.had_company(deck, &engine, later, broke));
@@ -274,11 +274,11 @@
     // Sent to the upstream when it was down already, and broken there at once.
     book.note(&suspected("rail", "engine-0"), broke + 3 * POLL);
     assert!(!book.had_company(deck, &engine, started, broke));
-    // The news came late, but the run began before the crash.
+    // The news came late, after a probe that timed out, but the run began before the crash.
     let long = SuspectNews::Suspected {
         fingerprint: fingerprint("beam"),
         upstream: engine.clone(),
-        ran: 4 * POLL,
+        sent_ago: 4 * POLL,
     };
     book.note(&long, broke + 3 * POLL);
     assert!(book.had_company(deck, &engine, started, broke));
