admission: online work that no other engine takes waits behind suspects

The queue of the crashed engine is denied and goes to the only other engine. That one is kept for the suspects, some thirty requests that broke in the crash and run alone one after the other, and its gate answered queue_full for all that time.

Ruled out: a busy machine (the same 503 in each of 20 runs on an idle one), and a queue that was really full (it was empty).

Change: such a gate denies with a reason of its own, reserved, and work goes elsewhere as before. Online work that nothing else takes is asked for there again and waits; between two suspects as many pieces run as the engine has places. Batch and online admission are two loops now.

Three new tests of the gate; the old one is as it was.

--- a/lib/src/admission/desk.rs
+++ b/lib/src/admission/desk.rs
@@ -144,35 +144,63 @@
     /// Online work is refused early if its answer would be late. Batch work waits until its
     /// deadline.
     pub async fn admit(self: &Arc<Self>, ask: AdmissionAsk) -> Result<AdmissionTicket, Refusal> {
+        match ask.class {
+            WorkClass::Online => self.admit_online(&ask).await,
+            WorkClass::Batch => self.admit_batch(&ask).await,
+        }
+    }
+
+    async fn admit_online(
+        self: &Arc<Self>,
+        ask: &AdmissionAsk,
+    ) -> Result<AdmissionTicket, Refusal> {
         let mut denied: Vec<UpstreamId> = Vec::new();
         let mut last = None;
-        loop {
-            if ask.deadline <= Instant::now() {
-                let message = "the deadline passed before the request was sent to an upstream";
-                return Err(Refusal::new(RefusalReason::DeadlinePassed, message));
-            }
-            let Some(target) = self.choose(&ask, &denied) else {
-                match (ask.class, last) {
-                    (WorkClass::Online, Some(refused)) => return Err(overloaded(&ask, &refused)),
-                    (WorkClass::Online, None) => return Err(no_upstream(&ask)),
-                    (WorkClass::Batch, _) => tokio::time::sleep(NO_UPSTREAM_RETRY).await,
-                }
-                continue;
+        let mut reserved = None;
+        while denied.len() < MAX_ONLINE_ASKS {
+            check_deadline(ask)?;
+            let Some(target) = self.choose(ask, &denied) else {
+                break;
             };
-            let refused = match self.ask_for(&ask, &target).await {
+            let refused = match self.ask_for(ask, &target, false).await {
                 Ok(ticket) => return Ok(ticket),
                 Err(refused) => refused,
             };
-            match ask.class {
-                WorkClass::Online => {
-                    denied.push(target.id.clone());
-                    if denied.len() >= MAX_ONLINE_ASKS || refused.denial == TicketDenial::Expired {
-                        return Err(overloaded(&ask, &refused));
-                    }
-                    last = Some(refused);
+            denied.push(target.id.clone());
+            last = Some(refused);
+            match refused.denial {
+                TicketDenial::Expired => return Err(overloaded(ask, &refused)),
+                TicketDenial::Reserved => {
+                    reserved.get_or_insert(target);
                 }
-                WorkClass::Batch if refused.denial == TicketDenial::Expired => {}
-                WorkClass::Batch => {
+                TicketDenial::QueueFull | TicketDenial::TooLate | TicketDenial::NotServing => {}
+            }
+        }
+        if let Some(target) = reserved {
+            // No other engine takes the work.
+            check_deadline(ask)?;
+            match self.ask_for(ask, &target, true).await {
+                Ok(ticket) => return Ok(ticket),
+                Err(refused) => last = Some(refused),
+            }
+        }
+        match last {
+            Some(refused) => Err(overloaded(ask, &refused)),
+            None => Err(no_upstream(ask)),
+        }
+    }
+
+    async fn admit_batch(self: &Arc<Self>, ask: &AdmissionAsk) -> Result<AdmissionTicket, Refusal> {
+        loop {
+            check_deadline(ask)?;
+            let Some(target) = self.choose(ask, &[]) else {
+                tokio::time::sleep(NO_UPSTREAM_RETRY).await;
+                continue;
+            };
+            match self.ask_for(ask, &target, false).await {
+                Ok(ticket) => return Ok(ticket),
+                Err(refused) if refused.denial == TicketDenial::Expired => {}
+                Err(_) => {
                     let jitter = rand::rng().random_range(1.0..3.0);
                     tokio::time::sleep(BATCH_PAUSE.mul_f64(jitter)).await;
                 }
@@ -397,11 +425,13 @@
         Some(targets[position].clone())
     }
 
-    /// Asks the admitting host of `target` for a ticket and waits in its queue.
+    /// Asks the admitting host of `target` for a ticket and waits in its queue; also `behind_alone`
+    /// work.
     async fn ask_for(
         self: &Arc<Self>,
         ask: &AdmissionAsk,
         target: &Upstream,
+        behind_alone: bool,
     ) -> Result<AdmissionTicket, DeniedAsk> {
         let id = TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let view = self.parts.membership.view();
@@ -417,6 +447,7 @@
             class: ask.class,
             tokens: ask.tokens,
             alone: ask.alone.is_some(),
+            behind_alone,
             remaining,
             patience: match ask.class {
                 WorkClass::Online => remaining,
@@ -721,6 +752,14 @@
     engines: Vec<UpstreamId>,
 }
 
+fn check_deadline(ask: &AdmissionAsk) -> Result<(), Refusal> {
+    if ask.deadline > Instant::now() {
+        return Ok(());
+    }
+    let message = "the deadline passed before the request was sent to an upstream";
+    Err(Refusal::new(RefusalReason::DeadlinePassed, message))
+}
+
 fn no_upstream(ask: &AdmissionAsk) -> Refusal {
     let message = format!("no upstream has model {:?} loaded", ask.model);
     Refusal::new(RefusalReason::NoUpstream, message).with_retry_after(NO_UPSTREAM_RETRY)
--- a/lib/src/admission/gate.rs
+++ b/lib/src/admission/gate.rs
@@ -66,6 +66,8 @@
     pub(crate) tokens: u64,
     /// Whether nothing else may run on the engine meanwhile.
     pub(crate) alone: bool,
+    /// Whether the work waits while the engine is kept for work that runs alone.
+    pub(crate) behind_alone: bool,
     /// When the answer is of no use any more.
     pub(crate) deadline: Instant,
     /// When the holder stops waiting.
@@ -105,6 +107,8 @@
     /// Pieces that wait for the engine to be empty.
     alone: VecDeque<WaitingPiece>,
     alone_running: Option<TicketKey>,
+    /// Online pieces that may start before the next piece that runs alone.
+    turns_before_alone: u32,
     online_running: u32,
     batch_running: u32,
     batch_yielding: u32,
@@ -125,6 +129,7 @@
             batch: FairQueue::default(),
             alone: VecDeque::new(),
             alone_running: None,
+            turns_before_alone: 0,
             online_running: 0,
             batch_running: 0,
             batch_yielding: 0,
@@ -314,17 +319,15 @@
             let full = self.alone.len() >= MAX_ALONE_QUEUE;
             return full.then_some(TicketDenial::QueueFull);
         }
-        if self.is_reserved() {
-            return Some(TicketDenial::QueueFull);
+        if self.is_reserved() && !ask.behind_alone {
+            return Some(TicketDenial::Reserved);
         }
         match ask.class {
             WorkClass::Batch => {
                 let full = self.batch.len() as u32 >= self.limit() * BATCH_QUEUE_FACTOR;
                 full.then_some(TicketDenial::QueueFull)
             }
-            WorkClass::Online if self.online_running < self.limit() && self.online.is_empty() => {
-                None
-            }
+            WorkClass::Online if self.starts_at_once() => None,
             WorkClass::Online => {
                 let wait = self.online_wait();
                 if self.is_online_queue_full(wait) {
@@ -340,6 +343,11 @@
         }
     }
 
+    /// Whether a new online piece would not wait.
+    fn starts_at_once(&self) -> bool {
+        self.online_running < self.limit() && self.online.is_empty() && !self.is_reserved()
+    }
+
     /// Whether the online queue takes no more, if a new piece would wait for `wait`.
     fn is_online_queue_full(&self, wait: Duration) -> bool {
         let length = self.online.len() as u32;
@@ -350,7 +358,13 @@
     /// Estimated wait of a new online piece.
     fn online_wait(&self) -> Duration {
         let ahead = self.online.len() as u32 + 1;
-        self.hold * ahead / self.limit()
+        let queue = self.hold * ahead / self.limit();
+        match self.is_reserved() {
+            // Each batch of online pieces waits for one piece that runs alone, and that for the
+            // batch before.
+            true => queue + 2 * self.hold * ahead.div_ceil(self.limit()),
+            false => queue,
+        }
     }
 
     /// A time that the estimate rarely exceeds.
@@ -376,9 +390,6 @@
 
     /// Empties the engine for the first piece that has to run alone, and then grants it.
     fn pump_alone(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
-        if self.alone_running.is_some() {
-            return;
-        }
         self.yield_batch(self.batch_running - self.batch_yielding, actions);
         if !self.running.is_empty() {
             return;
@@ -407,16 +418,13 @@
     }
 
     fn pump(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
-        if self.is_reserved() {
-            self.pump_alone(now, actions);
+        if self.alone_running.is_some() {
             return;
         }
-        while self.online_running < self.limit() {
-            let Some(piece) = self.online.pop() else {
-                break;
-            };
-            self.start_running(piece.key.clone(), WorkClass::Online, now);
-            actions.push(GateAction::Grant(piece.key));
+        self.pump_online(now, actions);
+        if !self.alone.is_empty() {
+            self.pump_alone(now, actions);
+            return;
         }
         // Work yields when the engine is full; new work starts only below the reserve. The gap
         // keeps single online requests from stopping and restarting batch work.
@@ -434,6 +442,23 @@
         }
     }
 
+    /// Grants online pieces while there are places; with work that is to run alone, no more than
+    /// have their turn before it.
+    fn pump_online(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
+        while self.online_running < self.limit() {
+            if !self.alone.is_empty() && self.turns_before_alone == 0 {
+                return;
+            }
+            let Some(piece) = self.online.pop() else {
+                self.turns_before_alone = 0;
+                return;
+            };
+            self.turns_before_alone = self.turns_before_alone.saturating_sub(1);
+            self.start_running(piece.key.clone(), WorkClass::Online, now);
+            actions.push(GateAction::Grant(piece.key));
+        }
+    }
+
     /// Tells the `count` batch pieces that began last to yield: they lose the least work.
     fn yield_batch(&mut self, count: u32, actions: &mut Vec<GateAction>) {
         if count == 0 {
@@ -478,6 +503,7 @@
         let piece = self.running.remove(key)?;
         if self.alone_running.as_ref() == Some(key) {
             self.alone_running = None;
+            self.turns_before_alone = self.limit().min(self.online.len() as u32);
         }
         match piece.class {
             WorkClass::Online => self.online_running -= 1,
--- a/lib/src/admission/keeper.rs
+++ b/lib/src/admission/keeper.rs
@@ -289,6 +289,7 @@
         class: ask.class,
         tokens: ask.tokens,
         alone: ask.alone,
+        behind_alone: ask.behind_alone,
         deadline: now + ask.remaining,
         patience: now + ask.patience,
     }
--- a/lib/src/admission/message.rs
+++ b/lib/src/admission/message.rs
@@ -30,6 +30,8 @@
     pub tokens: u64,
     /// Whether nothing else may run on the engine meanwhile.
     pub alone: bool,
+    /// Whether the work waits for an engine that is kept for work that runs alone.
+    pub behind_alone: bool,
     /// Time left until the answer is of no use any more.
     pub remaining: Duration,
     /// Time for which the holder waits in the queue at most.
@@ -114,6 +116,8 @@
 pub enum TicketDenial {
     /// The queue is as long as it may be.
     QueueFull,
+    /// The engine is kept for work that runs alone.
+    Reserved,
     /// The answer would come after its deadline.
     TooLate,
     /// The holder's patience or deadline ran out in the queue.
--- a/lib/src/admission/tests.rs
+++ b/lib/src/admission/tests.rs
@@ -42,6 +42,7 @@
 fn ask(ticket: u64, class: WorkClass, workspace: &str, now: Instant) -> GateAsk {
     GateAsk {
         alone: false,
+        behind_alone: false,
         key: key(ticket),
         workspace: WorkspaceName::new(workspace),
         class,
@@ -643,3 +644,77 @@
     let granted = vec![GateAction::Grant(last.key.clone())];
     assert_eq!(gate.offer(last, now), granted);
 }
+
+/// A suspect that runs, and the gate that is kept for it and a second one.
+fn gate_with_suspects(now: Instant) -> (EngineGate, Vec<GateAsk>) {
+    let mut gate = EngineGate::new(now);
+    let suspects: Vec<GateAsk> = (0..2)
+        .map(|ticket| GateAsk {
+            alone: true,
+            ..ask(ticket, WorkClass::Online, "desk", now)
+        })
+        .collect();
+    for suspect in &suspects {
+        gate.offer(suspect.clone(), now);
+    }
+    assert!(gate.is_running(&suspects[0].key));
+    (gate, suspects)
+}
+
+#[test]
+fn test_gate_online_without_another_engine_takes_turns_with_suspects() {
+    let now = Instant::now();
+    let (mut gate, suspects) = gate_with_suspects(now);
+    let limit = u64::from(gate.limit());
+    let waiting: Vec<GateAsk> = (10..10 + limit + 1)
+        .map(|ticket| GateAsk {
+            behind_alone: true,
+            ..ask(ticket, WorkClass::Online, "desk", now)
+        })
+        .collect();
+    for piece in &waiting {
+        assert_eq!(gate.offer(piece.clone(), now), Vec::new());
+    }
+    // The engine runs as many as it has places for, then the second suspect, then the last one.
+    let measure = TicketMeasure::new(TicketOutcome::Complete);
+    let first: Vec<u64> = (10..10 + limit).collect();
+    assert_eq!(
+        granted(&gate.release(&suspects[0].key, measure, now)),
+        first
+    );
+    for piece in &waiting[..first.len() - 1] {
+        assert_eq!(gate.release(&piece.key, measure, now), Vec::new());
+    }
+    let actions = gate.release(&waiting[first.len() - 1].key, measure, now);
+    assert_eq!(granted(&actions), [1], "the second suspect runs alone");
+    let actions = gate.release(&suspects[1].key, measure, now);
+    assert_eq!(granted(&actions), [10 + limit]);
+}
+
+#[test]
+fn test_gate_withdrawn_turns_do_not_keep_a_suspect_waiting() {
+    let now = Instant::now();
+    let (mut gate, suspects) = gate_with_suspects(now);
+    let piece = GateAsk {
+        behind_alone: true,
+        ..ask(10, WorkClass::Online, "desk", now)
+    };
+    gate.offer(piece.clone(), now);
+    gate.release(&piece.key, abandoned(), now);
+    let actions = gate.release(&suspects[0].key, abandoned(), now);
+    assert_eq!(granted(&actions), [1]);
+}
+
+#[test]
+fn test_gate_reserved_denies_what_would_be_late() {
+    let now = Instant::now();
+    let (mut gate, _) = gate_with_suspects(now);
+    let piece = GateAsk {
+        behind_alone: true,
+        deadline: now + Duration::from_millis(100),
+        ..ask(10, WorkClass::Online, "desk", now)
+    };
+    let actions = gate.offer(piece, now);
+    let late = matches!(actions[..], [GateAction::Deny(_, TicketDenial::TooLate, _)]);
+    assert!(late, "{actions:?}");
+}
