admission: a denial between two calls of its asker is not lost

An ask is answered `queued`, and the asker calls again to wait. If the gate denied it between the two calls, as when its engine crashes, the denial went to nobody, and the next call was told that the ask had expired. Online work was then refused in place of asking another engine.

Change: a denial that its asker did not hear is kept for the next call, as grants already were. test_keeper_denial_between_two_calls_is_not_lost failed before (Expired in place of NotServing).

--- a/lib/src/admission/keeper.rs
+++ b/lib/src/admission/keeper.rs
@@ -11,6 +11,7 @@
 use crate::admission::gate::EngineGate;
 use crate::admission::gate::GateAction;
 use crate::admission::gate::GateAsk;
+use crate::admission::gate::TICKET_TTL;
 use crate::admission::gate::TicketKey;
 use crate::admission::message::AdmissionReply;
 use crate::admission::message::EngineDigest;
@@ -37,6 +38,7 @@
     pub(crate) ticket: TicketId,
 }
 
+#[derive(Clone, Copy)]
 enum GateOutcome {
     Granted,
     Denied(TicketDenial, Duration),
@@ -45,6 +47,8 @@
 struct GateSlot {
     gate: EngineGate,
     waiting: HashMap<TicketKey, oneshot::Sender<GateOutcome>>,
+    /// Denials that came while their asker did not wait, and when.
+    unheard: HashMap<TicketKey, (GateOutcome, Instant)>,
     used: Instant,
 }
 
@@ -53,15 +57,29 @@
         Self {
             gate: EngineGate::new(now),
             waiting: HashMap::default(),
+            unheard: HashMap::default(),
             used: now,
         }
     }
 
-    /// Forgets askers whose piece left the queue without an answer.
-    fn forget_lost_askers(&mut self) {
+    /// Forgets askers whose piece left the queue without an answer, and old denials.
+    fn forget_lost_askers(&mut self, now: Instant) {
         if self.gate.queued() == 0 {
             self.waiting.clear();
         }
+        self.unheard
+            .retain(|_, (_, at)| now.duration_since(*at) < TICKET_TTL);
+    }
+
+    /// Tells the asker of `key` that it is denied, now or at its next call.
+    fn deny(&mut self, key: TicketKey, denial: TicketDenial, retry_after: Duration, now: Instant) {
+        let outcome = GateOutcome::Denied(denial, retry_after);
+        let Some(asker) = self.waiting.remove(&key) else {
+            return;
+        };
+        if asker.send(outcome).is_err() {
+            self.unheard.insert(key, (outcome, now));
+        }
     }
 }
 
@@ -129,7 +147,10 @@
                     *asker = outcome;
                     None
                 }
-                None => Some(GateOutcome::Denied(TicketDenial::Expired, Duration::ZERO)),
+                None => Some(match slot.unheard.remove(&key) {
+                    Some((outcome, _)) => outcome,
+                    None => GateOutcome::Denied(TicketDenial::Expired, Duration::ZERO),
+                }),
             }
         });
         let outcome = match settled {
@@ -153,6 +174,7 @@
         let key = TicketKey { holder, ticket };
         self.with_slot(engine, |slot, now| {
             slot.waiting.remove(&key);
+            slot.unheard.remove(&key);
             let actions = slot.gate.release(&key, measure, now);
             self.apply(slot, actions);
             slot.gate.digest()
@@ -210,7 +232,7 @@
             let (expired, actions) = slot.gate.tick(now, &live);
             self.counters.add(Event::TicketExpired, expired as u64);
             self.apply(slot, actions);
-            slot.forget_lost_askers();
+            slot.forget_lost_askers(now);
             if !slot.gate.is_idle() {
                 slot.used = now;
             }
@@ -245,7 +267,7 @@
         act(slot, now)
     }
 
-    /// Carries `actions` out. A grant whose asker does not wait is found by its next call.
+    /// Carries `actions` out. What an asker that does not wait is told is found by its next call.
     fn apply(&self, slot: &mut GateSlot, actions: Vec<GateAction>) {
         for action in actions {
             match action {
@@ -255,9 +277,7 @@
                     }
                 }
                 GateAction::Deny(key, denial, retry_after) => {
-                    if let Some(asker) = slot.waiting.remove(&key) {
-                        let _ = asker.send(GateOutcome::Denied(denial, retry_after));
-                    }
+                    slot.deny(key, denial, retry_after, Instant::now());
                 }
                 GateAction::Yield(key) => {
                     let _ = self.yields.send(YieldOrder {
--- a/lib/src/admission/tests.rs
+++ b/lib/src/admission/tests.rs
@@ -2,9 +2,11 @@
 
 mod oracle;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use proptest::prelude::*;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::admission::book::DigestBook;
@@ -14,14 +16,18 @@
 use crate::admission::gate::GateAsk;
 use crate::admission::gate::TICKET_TTL;
 use crate::admission::gate::TicketKey;
+use crate::admission::keeper::GateKeeper;
 use crate::admission::limit::ConcurrencyLimit;
+use crate::admission::message::AdmissionReply;
 use crate::admission::message::EngineDigest;
+use crate::admission::message::TicketAsk;
 use crate::admission::message::TicketDenial;
 use crate::admission::message::TicketId;
 use crate::admission::message::TicketMeasure;
 use crate::admission::message::TicketOutcome;
 use crate::admission::prefixes::PrefixMemory;
 use crate::admission::tests::oracle::NaiveGate;
+use crate::counters::CounterSet;
 use crate::edges::engine::CacheEvent;
 use crate::edges::engine::CacheEvents;
 use crate::edges::engine::LoadReport;
@@ -718,3 +724,35 @@
     let late = matches!(actions[..], [GateAction::Deny(_, TicketDenial::TooLate, _)]);
     assert!(late, "{actions:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_keeper_denial_between_two_calls_is_not_lost() {
+    let counters = Arc::new(CounterSet::default());
+    let (yields, _orders) = mpsc::unbounded_channel();
+    let keeper = GateKeeper::new(yields, counters);
+    let engine = UpstreamId::new("e");
+    let holder = HostId::new("a");
+    let ask = |ticket: u64, alone: bool| TicketAsk {
+        ticket: TicketId(ticket),
+        engine: engine.clone(),
+        workspace: WorkspaceName::new("w"),
+        class: WorkClass::Online,
+        tokens: 100,
+        alone,
+        behind_alone: true,
+        remaining: MINUTE,
+        patience: MINUTE,
+    };
+    let first = keeper.admit(holder.clone(), &ask(1, true), 1);
+    assert!(matches!(first, AdmissionReply::Granted(_)), "{first:?}");
+    let second = keeper.admit(holder.clone(), &ask(2, false), 1);
+    assert!(matches!(second, AdmissionReply::Queued(_)), "{second:?}");
+    // The engine crashes before the holder asks again.
+    keeper.tick(|_| true, |_| true);
+    let round = Duration::from_millis(500);
+    let answer = keeper.wait(holder, TicketId(2), &engine, round).await;
+    let AdmissionReply::Denied { denial, .. } = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(denial, TicketDenial::NotServing);
+}
