places, relay: a host that was frozen finds back to its upstreams

When it woke, the limits of all its requests had passed before what their upstreams had sent was read, and it ejected all six as silent. After their pauses they were on trial, which a request has to make; but admission counts places at sound upstreams only, found none and refused every request, and batch items start only beside sound upstreams. Its log: six upstream_ejected within 1 ms, then 137 request_refused with "places":0.

Ruled out: a lost listing of the workers' entries (no dependency_lost after it), leaked places (each request_sent has its end).

Change: while no upstream is sound, each one on trial offers one place, for online requests and for items.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -266,16 +266,27 @@
     }
 
     /// Places of `service` at upstreams that take requests, and the online work there.
+    ///
+    /// Without a sound upstream, each one that is on trial offers one place: a host whose own pause
+    /// or link made all of them seem faulty finds back by these requests.
     pub fn online_fill(&self, service: &ServiceName, now: Instant) -> (u32, u32) {
         let mut slots = 0;
         let mut online = 0;
+        let mut trials = 0;
         for (_, upstream) in self.serving(service) {
-            if upstream.health.standing(now) == Standing::Good {
-                slots += upstream.entry.slots;
-                online += upstream.work().online;
+            match upstream.health.standing(now) {
+                Standing::Good => {
+                    slots += upstream.entry.slots;
+                    online += upstream.work().online;
+                }
+                Standing::OnTrial if upstream.own.total() == 0 => trials += 1,
+                Standing::OnTrial | Standing::Paused => {}
             }
         }
-        (slots, online)
+        match slots {
+            0 => (trials, 0),
+            slots => (slots, online),
+        }
     }
 
     /// Online and batch work at the upstreams of `service`, of all hosts.
@@ -429,10 +440,15 @@
         fills.collect()
     }
 
-    /// Whether this host may start another batch item now.
+    /// Whether this host may start another batch item now. Without a sound upstream an item may
+    /// be the trial of one.
     fn may_start(&mut self, service: &ServiceName, now: Instant) -> bool {
         let hosts = self.peers.len() as u32 + 1;
-        let share = SparePlaces::of(&self.fills(service, now)).start_share(hosts);
+        let fills = self.fills(service, now);
+        if fills.is_empty() {
+            return true;
+        }
+        let share = SparePlaces::of(&fills).start_share(hosts);
         let starts = self.starts.entry(service.clone()).or_insert((now, share));
         if now - starts.0 >= START_WINDOW {
             *starts = (now, share);
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod desk;
 mod event;
+mod patience;
 mod request;
 mod run;
 mod wire;
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -20,6 +20,7 @@
 use crate::places::UpstreamFault;
 use crate::relay::event::EventSplitter;
 use crate::relay::event::StreamEvent;
+use crate::relay::patience::wait_until;
 use crate::relay::request::RelayRequest;
 use crate::relay::wire::Executed;
 use crate::relay::wire::SendFault;
@@ -323,7 +324,7 @@
         };
         let wait = self.head_wait(&hold).min(budget);
         let answer = self.wire.send(&hold.pick, &request, order);
-        match tokio::time::timeout(wait, answer).await {
+        match wait_until(now + wait, answer).await {
             Ok(Ok(answer)) => self.judge_answer(hold, answer, now),
             Ok(Err(SendFault::NotSent(cause))) => {
                 let fault = UpstreamFault::Unreachable;
@@ -456,7 +457,7 @@
                 deadline
             };
             let until = silent_at.min(deadline);
-            let chunk = match tokio::time::timeout_at(until, open.body.next()).await {
+            let chunk = match wait_until(until, open.body.next()).await {
                 Ok(chunk) => chunk,
                 Err(_) if Instant::now() >= deadline => return ReadOutcome::Deadline,
                 Err(_) => {
@@ -499,7 +500,7 @@
             }
             Ok(())
         };
-        match tokio::time::timeout_at(self.request.deadline, read).await {
+        match wait_until(self.request.deadline, read).await {
             Ok(Ok(())) => {
                 if !answer.status.is_server_error() {
                     note_success(&self.log, &hold);
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -235,6 +235,33 @@
     assert!(take(&mut book, WorkClass::Online, later).is_some());
 }
 
+#[tokio::test(start_paused = true)]
+async fn test_trial_without_sound_upstreams_offers_a_place() {
+    let start = Instant::now();
+    let service = service();
+    let mut book = book(&["a", "b"]);
+    let load = |book: &PlaceBook, now| book.online_fill(&service, now);
+    assert_eq!(load(&book, start), (2 * SLOTS, 0));
+    // The host itself was frozen, so that all upstreams seemed silent.
+    for _ in 0..2 {
+        let pick = take(&mut book, WorkClass::Online, start).unwrap();
+        book.fault(pick.key, UpstreamFault::Silent, start);
+        book.release(pick.key, WorkClass::Online);
+    }
+    assert_eq!(load(&book, start), (0, 0));
+    assert!(take(&mut book, WorkClass::Batch, start).is_none());
+    let later = start + Duration::from_millis(600);
+    assert_eq!(load(&book, later), (2, 0), "one trial at each");
+    let trial = take(&mut book, WorkClass::Online, later).unwrap();
+    assert_eq!(load(&book, later), (1, 0));
+    // A host with batch work only finds back as well.
+    let other = take(&mut book, WorkClass::Batch, later).unwrap();
+    assert_ne!(other.key, trial.key);
+    assert!(take(&mut book, WorkClass::Batch, later).is_none());
+    book.success(other.key, later);
+    assert_eq!(load(&book, later), (SLOTS, 0));
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_trial_is_for_work_that_may_run_again() {
     let start = Instant::now();
