--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,274 @@
+//! The processes under test, each behind a proxy to the store and one for its callers.
+
+use std::fs::OpenOptions;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
+use parsleywall_standins::kv::KvMemory;
+use parsleywall_standins::platform_store::serve_platform_store;
+use parsleywall_standins::server::StandinServer;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde_json::Value;
+use serde_json::json;
+use tokio::process::Child;
+use tokio::process::Command;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use crate::history::SoakHistory;
+use crate::proxy::LinkProxy;
+use crate::workers::WorkerPool;
+
+/// Host name of all routes.
+pub const HOST: &str = "desk.example";
+/// Time between SIGTERM and SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(8);
+/// Port of the directory.
+const DIRECTORY_PORT: u16 = 8164;
+const CALLER_PORT: u16 = 8161;
+const READY_PORT: u16 = 8167;
+/// Time that a process takes to start.
+const START_TIME: Duration = Duration::from_millis(200);
+const RESTART_TIME: Duration = Duration::from_millis(300);
+
+/// What a soak consists of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Number of front processes.
+    pub fronts: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Binary that runs `platform front`.
+    pub binary: PathBuf,
+    /// Folder for settings files and logs.
+    pub out: PathBuf,
+    /// Loopback network of this run: the second and third byte of its addresses.
+    pub network: [u8; 2],
+}
+
+impl FleetPlan {
+    fn ip(&self, number: usize) -> IpAddr {
+        let [second, third] = self.network;
+        IpAddr::from([127, second, third, number as u8 + 1])
+    }
+}
+
+/// One process under test. Dropping it kills the process.
+pub struct SoakProcess {
+    number: usize,
+    plan: FleetPlan,
+    child: Option<Child>,
+    started: Instant,
+}
+
+impl SoakProcess {
+    fn settings(&self) -> PathBuf {
+        self.plan.out.join(format!("front-{}.toml", self.number))
+    }
+
+    fn log(&self) -> PathBuf {
+        self.plan.out.join(format!("front-{}.log", self.number))
+    }
+
+    fn spawn(&mut self) -> std::io::Result<()> {
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.log())?;
+        let child = Command::new(&self.plan.binary)
+            .args(["platform", "front"])
+            .env("PARSLEYWALL_NODE_FILE", self.settings())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        self.started = Instant::now();
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(Child::id);
+        if let Some(pid) = pid.and_then(|pid| Pid::from_raw(pid as i32)) {
+            // The process may have ended meanwhile, which `exited` reports.
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process (SIGKILL) and starts it again.
+    pub async fn kill_and_restart(&mut self) -> std::io::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill().await?;
+        }
+        tokio::time::sleep(RESTART_TIME).await;
+        self.spawn()
+    }
+
+    /// Stops the process as planned (SIGTERM, and SIGKILL after the grace) and starts it again.
+    pub async fn stop_and_restart(&mut self) -> std::io::Result<()> {
+        self.signal(Signal::TERM);
+        if let Some(mut child) = self.child.take() {
+            let ended = tokio::time::timeout(GRACE, child.wait()).await;
+            if ended.is_err() {
+                child.kill().await?;
+            }
+        }
+        tokio::time::sleep(RESTART_TIME).await;
+        self.spawn()
+    }
+
+    /// Freezes the process for `time`.
+    pub async fn pause(&mut self, time: Duration) {
+        self.signal(Signal::STOP);
+        tokio::time::sleep(time).await;
+        self.signal(Signal::CONT);
+    }
+
+    /// Writes the settings file anew and says so (SIGHUP).
+    ///
+    /// A process that was only just started gets no signal: no program takes signals before it
+    /// runs, and it reads the file anyway.
+    pub async fn reload(&mut self) -> std::io::Result<()> {
+        tokio::time::sleep_until(self.started + START_TIME).await;
+        let text = std::fs::read_to_string(self.settings())?;
+        std::fs::write(self.settings(), format!("{text}# changed\n"))?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// How the process ended by itself, if it did.
+    pub fn exited(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+}
+
+/// All processes, stand-ins and proxies of a run. Dropping it ends every process.
+pub struct SoakFleet {
+    /// The platform's store.
+    pub kv: Arc<KvMemory>,
+    /// The processes by number.
+    pub fronts: Vec<Mutex<SoakProcess>>,
+    /// Proxies from each front to the store.
+    pub store_links: Vec<LinkProxy>,
+    /// Proxies from callers to each front.
+    pub caller_links: Vec<LinkProxy>,
+    /// The workers.
+    pub workers: Arc<WorkerPool>,
+    plan: FleetPlan,
+    _store: StandinServer,
+}
+
+impl SoakFleet {
+    /// Starts everything and writes the first manifest.
+    pub async fn start(plan: FleetPlan, history: &SoakHistory) -> std::io::Result<Self> {
+        std::fs::create_dir_all(&plan.out)?;
+        let kv = KvMemory::new();
+        let store = serve_platform_store(kv.clone()).await?;
+        let platform_ip = plan.ip(plan.fronts);
+        let pool = WorkerPool::start(platform_ip, kv.clone(), history.clone(), plan.workers);
+        let mut fleet = Self {
+            workers: pool.await?,
+            kv,
+            fronts: Vec::new(),
+            store_links: Vec::new(),
+            caller_links: Vec::new(),
+            plan,
+            _store: store,
+        };
+        fleet.put_manifest(1, &[]).await;
+        for number in 0..fleet.plan.fronts {
+            let ip = fleet.plan.ip(number);
+            let link = LinkProxy::start(platform_ip, fleet._store.address()).await?;
+            let callers = SocketAddr::new(ip, CALLER_PORT);
+            let caller_link = LinkProxy::start(platform_ip, callers).await?;
+            let mut process = SoakProcess {
+                number,
+                plan: fleet.plan.clone(),
+                child: None,
+                started: Instant::now(),
+            };
+            let _ = std::fs::remove_file(process.log());
+            std::fs::write(process.settings(), settings(number, ip, link.address()))?;
+            process.spawn()?;
+            fleet.store_links.push(link);
+            fleet.caller_links.push(caller_link);
+            fleet.fronts.push(Mutex::new(process));
+        }
+        Ok(fleet)
+    }
+
+    /// Writes version `version` of the manifest, with a route for each of `added`; returns whether
+    /// the store acknowledged it.
+    pub async fn put_manifest(&self, version: u64, added: &[String]) -> bool {
+        let text = manifest(version, added).to_string();
+        let put = self
+            .kv
+            .put("op/config", Bytes::from(text), Expect::Any, None);
+        put.await.is_ok()
+    }
+
+    /// Address at which front `number` answers where to connect.
+    pub fn directory(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.plan.ip(number), DIRECTORY_PORT)
+    }
+
+    /// Number of the front whose address for callers is `address`.
+    pub fn front_at(&self, address: &str) -> Option<usize> {
+        let address: SocketAddr = address.parse().ok()?;
+        (0..self.plan.fronts).find(|number| self.plan.ip(*number) == address.ip())
+    }
+
+    /// Folder with the logs.
+    pub fn out(&self) -> &Path {
+        &self.plan.out
+    }
+}
+
+fn settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
+    format!(
+        "node = \"front-{number}\"\nmachineClass = \"front\"\nip = \"{ip}\"\nzone = \"west\"\n\
+         portRange = [7720,7735]\n\
+         [listen]\nfront = \"{ip}:{CALLER_PORT}\"\nreadyAddr = \"{ip}:{READY_PORT}\"\n\
+         directory = \"{ip}:{DIRECTORY_PORT}\"\n\
+         [bounds]\ngraceS = {}\n[provider]\naddress = \"{store}\"\n",
+        GRACE.as_secs()
+    )
+}
+
+fn manifest(version: u64, added: &[String]) -> Value {
+    let route = |prefix: &str, kind: &str, resumable: bool| {
+        json!({
+            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": "desk",
+            "timeoutMs": 5000, "sloMs": 300, "priority": 0, "attempts": 3, "sticky": true,
+            "resumable": resumable, "gapSloMs": 300, "runSloMs": 18_000, "retentionS": 120
+        })
+    };
+    let mut routes = vec![
+        route("/ask/", "stream", true),
+        route("/once/", "non_idempotent", false),
+        route("/often/", "idempotent", false),
+        route("/lot/", "batch", false),
+    ];
+    routes.extend(
+        added
+            .iter()
+            .map(|prefix| route(prefix, "idempotent", false)),
+    );
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [{ "name": "desk", "healthPath": "/health", "maxConns": 400 }],
+        "limits": { "headerBytes": 16384, "bodyBytes": 200_000, "headerMs": 3000, "idleMs": 15_000 }
+    })
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,94 @@
+//! Entry point of the soak.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use soak::run::SoakPlan;
+use soak::run::run_soak;
+
+/// Plays randomized faults against real processes of the product. The exit status is 0 if no
+/// promise was broken.
+#[derive(FromArgs)]
+struct SoakArgs {
+    /// first seed; default: 1
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds, played one after the other; default: 1
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds for which faults begin; default: 25
+    #[argh(option, default = "25")]
+    seconds: u64,
+    /// number of front processes, at most 200; default: 5
+    #[argh(option, default = "5")]
+    fronts: usize,
+    /// number of workers; default: 6
+    #[argh(option, default = "6")]
+    workers: usize,
+    /// number of clients; default: 12
+    #[argh(option, default = "12")]
+    callers: usize,
+    /// folder for settings files and logs; default: target/soak
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    out: PathBuf,
+}
+
+fn main() -> ExitCode {
+    // The processes under test are started from this binary, so that they are of the same build.
+    if std::env::args().nth(1).as_deref() == Some("platform") {
+        return parsleywall_cli::run_from_env();
+    }
+    let args: SoakArgs = argh::from_env();
+    if args.fronts == 0 || args.fronts > 200 || args.workers == 0 || args.callers == 0 {
+        eprintln!("error: 1 to 200 fronts, and at least one worker and caller");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("error: the runtime could not start: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(play(&args)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all seeds; returns how many broke a promise.
+async fn play(args: &SoakArgs) -> std::io::Result<u64> {
+    let mut failed = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        let plan = SoakPlan {
+            seed,
+            time: Duration::from_secs(args.seconds),
+            fronts: args.fronts,
+            workers: args.workers,
+            callers: args.callers,
+            binary: std::env::current_exe()?,
+            out: args.out.join(format!("seed-{seed}")),
+            network: [100 + (std::process::id() % 100) as u8, (seed % 250) as u8],
+        };
+        let verdict = run_soak(&plan).await?;
+        failed += u64::from(!verdict.broken.is_empty());
+        println!(
+            "seed {seed}: {} broken, {} jobs, calls {:?}, faults {:?}",
+            verdict.broken.len(),
+            verdict.lots,
+            verdict.ends,
+            verdict.faults
+        );
+        for line in verdict.broken.iter().take(20) {
+            println!("  {line}");
+        }
+    }
+    println!("{} seeds, {failed} with a broken promise", args.seeds);
+    Ok(failed)
+}
