jobs, trace: one way to rank hosts, no wrapper of the next start

The order of claims used a score of its own beside membership's rendezvous score; has_ended_after only wrapped next_start.

--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
@@ -15,6 +14,7 @@
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
 use crate::jobs::store::OpenJobs;
+use crate::membership::rendezvous_score;
 use crate::registry::HostEntry;
 
 /// Jobs that one scan claims at most, so that a host that comes first does not take all.
@@ -167,11 +167,10 @@
 
     /// Place of this host in the order in which hosts claim `job`, from 0.
     fn rank(&self, job: &str) -> u32 {
-        let own = claim_weight(job, &self.shared.owner.host);
         let others = self.successors(job);
-        let before = others
-            .iter()
-            .filter(|entry| claim_weight(job, &entry.host) > own);
+        let own = rendezvous_score(&self.shared.owner.host, job);
+        let goes_before = |entry: &&HostEntry| rendezvous_score(&entry.host, job) > own;
+        let before = others.iter().filter(goes_before);
         before.count() as u32
     }
 
@@ -183,7 +182,7 @@
             let listed = entries.filter(|entry| list.is_listed(&entry.host));
             listed.filter(|entry| entry.host != *own).cloned().collect()
         });
-        hosts.sort_by_key(|entry| std::cmp::Reverse(claim_weight(job, &entry.host)));
+        hosts.sort_by_key(|entry| std::cmp::Reverse(rendezvous_score(&entry.host, job)));
         hosts
     }
 
@@ -300,8 +299,3 @@
         }
     }
 }
-
-/// Weight of `host` in the order of claims on `job`; the greatest claims first.
-fn claim_weight(job: &str, host: &str) -> u64 {
-    xxh3_64(format!("{job} {host}").as_bytes())
-}
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -240,7 +240,7 @@
         // An item that was cut off here may have been done by another host.
         open.retain(|(request, _), _| !done.contains(request));
         for ((request, host), sent) in open {
-            let is_cut_off = self.has_ended_after(sent);
+            let is_cut_off = self.next_start(sent).is_some();
             if is_cut_off {
                 reasons.insert(request, format!("the process of {host} ended"));
             }
@@ -256,12 +256,7 @@
 }
 
 impl EventTrace {
-    /// Whether the process that wrote `line` has ended: its host started again.
-    fn has_ended_after(&self, line: &TraceLine) -> bool {
-        self.next_start(line).is_some()
-    }
-
-    /// The first start of the host of `line` after the process that wrote it.
+    /// The first start of the host of `line` after the process that wrote it, which has then ended.
     fn next_start(&self, line: &TraceLine) -> Option<&TraceLine> {
         let boot = line.number("boot");
         let mut starts = self.lines.iter().filter(|start| start.event == "started");
