soak: clients that leave early, and a store that forgets its history

A stream in twenty has a client that closes its connection after 400 ms; workers note when each run ends.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -37,6 +37,9 @@
 const DIRECTORY_TIME: Duration = Duration::from_secs(1);
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 const MAX_ATTEMPTS: usize = 2;
+/// One stream in so many has a client that leaves early.
+const LEAVE_ONE_IN: u32 = 20;
+const LEAVE_AFTER: Duration = Duration::from_millis(400);
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..160;
 /// Connections are kept for further requests in so many of ten cases.
 const KEPT_OF_TEN: u32 = 7;
@@ -98,6 +101,11 @@
         let deadline = Instant::now() + TIME_LIMIT;
         for attempt in 0..MAX_ATTEMPTS {
             let id = format!("call-{}-{}-{attempt}", self.number, self.calls);
+            let leaves = kind == CallKind::Stream && self.rng.random_ratio(1, LEAVE_ONE_IN);
+            let id = match leaves {
+                true => format!("{id}-{}", content::LEAVE_SUFFIX),
+                false => id,
+            };
             let Some(connection) = self.connect(attempt > 0).await else {
                 return;
             };
@@ -194,8 +202,16 @@
             let response = connection.sender.send_request(request).await.ok()?;
             Some(judge(response, kind, id).await)
         };
-        let end = tokio::time::timeout_at(deadline, exchange).await;
-        let end = end.ok().flatten().unwrap_or(CallEnd::Broken);
+        let leaves = id.ends_with(content::LEAVE_SUFFIX);
+        let until = match leaves {
+            true => Instant::now() + LEAVE_AFTER,
+            false => deadline,
+        };
+        let end = match tokio::time::timeout_at(until, exchange).await {
+            Ok(end) => end.unwrap_or(CallEnd::Broken),
+            Err(_) if leaves => CallEnd::Left,
+            Err(_) => CallEnd::Broken,
+        };
         let keeps = self.rng.random_range(0..10) < KEPT_OF_TEN;
         if end == CallEnd::Served && keeps {
             self.kept = Some(connection);
@@ -206,7 +222,7 @@
 
 fn may_retry(kind: CallKind, end: &CallEnd) -> bool {
     match (kind, end) {
-        (_, CallEnd::Served | CallEnd::Mixed(_)) => false,
+        (_, CallEnd::Served | CallEnd::Mixed(_) | CallEnd::Left) => false,
         (_, CallEnd::Refused(_)) => true,
         (CallKind::Once, _) => false,
         (_, CallEnd::Failed(status)) => *status >= 500,
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -12,6 +12,7 @@
 use crate::history::RunRecord;
 use crate::lots::CANCEL_TIME;
 use crate::lots::LotRecord;
+use crate::workers::EVENT_TIME;
 
 /// Time without impairment after which hosts and the store count as in touch.
 const STABLE_TIME: Duration = Duration::from_secs(3);
@@ -24,6 +25,10 @@
 const TIME_LIMIT: Duration = Duration::from_secs(5);
 /// Time limits that workers get may be longer than the client's by this much.
 const BUDGET_SLACK_MS: u64 = 500;
+/// Time after which no work is done for a client that has left.
+const LEFT_TIME: Duration = Duration::from_millis(500);
+/// Runs that go on for clients that have left, at most.
+const MAX_LEFT: usize = 3;
 /// Requests that are denied by mistake, at most, and one in so many.
 const MAX_DENIED: usize = 5;
 const DENIED_ONE_IN: usize = 500;
@@ -42,6 +47,7 @@
     let runs = runs_by_id(&records.runs);
     check_calls(records, &runs, &mut broken);
     check_runs(records, lots, &mut broken);
+    check_left(records, &runs, &mut broken);
     check_leaves(records, &mut broken);
     check_lots(records, lots, &runs, &mut broken);
     check_recovery(&records.calls, recovered_from, &mut broken);
@@ -128,6 +134,35 @@
     }
 }
 
+/// Workers end the work of most clients that left soon after.
+fn check_left(records: &Records, runs: &BTreeMap<&str, Vec<&RunRecord>>, broken: &mut Vec<String>) {
+    let mut at_work = 0;
+    let mut all = 0;
+    for call in records
+        .calls
+        .iter()
+        .filter(|call| call.end == CallEnd::Left)
+    {
+        let limit = call.ended + LEFT_TIME;
+        if !is_calm(&records.faults, call.sent, limit) {
+            continue;
+        }
+        for run in runs.get(call.id.as_str()).into_iter().flatten() {
+            let events = content::event_count(&run.id) - run.after;
+            if run.at + EVENT_TIME * events as u32 <= limit {
+                continue;
+            }
+            all += 1;
+            at_work += usize::from(run.ended.is_none_or(|ended| ended > limit));
+        }
+    }
+    if at_work > MAX_LEFT && at_work * 4 > all {
+        broken.push(format!(
+            "GONE: {at_work} of {all} runs of clients that left"
+        ));
+    }
+}
+
 /// No request reaches a worker that leaves, later than the change is in force.
 fn check_leaves(records: &Records, broken: &mut Vec<String>) {
     for leave in &records.leaves {
@@ -188,7 +223,10 @@
 
 /// A quarter of the requests that were sent after the recovery time are served.
 fn check_recovery(calls: &[CallRecord], from: Duration, broken: &mut Vec<String>) {
-    let late: Vec<&CallRecord> = calls.iter().filter(|call| call.sent >= from).collect();
+    let late: Vec<&CallRecord> = calls
+        .iter()
+        .filter(|call| call.sent >= from && call.end != CallEnd::Left)
+        .collect();
     let served = late.iter().filter(|call| call.end == CallEnd::Served);
     let served = served.count();
     if late.is_empty() || served * 4 < late.len() {
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -8,6 +8,10 @@
 const ONLINE_EVENTS: u64 = 24;
 /// Events of batch items are below this.
 const ITEM_EVENTS: u64 = 60;
+/// Events of the answers to clients that leave early.
+const LONG_EVENTS: u64 = 250;
+/// End of the identifiers of requests whose client leaves early.
+pub const LEAVE_SUFFIX: &str = "leaves";
 /// One batch item in so many can never be done.
 const POISON_ONE_IN: u64 = 40;
 /// Start of the identifiers of batch items.
@@ -21,6 +25,9 @@
 /// Number of events of the whole answer to `id`.
 pub fn event_count(id: &str) -> u64 {
     let hash = xxh3_64(id.as_bytes());
+    if id.ends_with(LEAVE_SUFFIX) {
+        return LONG_EVENTS;
+    }
     match id.starts_with(ITEM_PREFIX) {
         true => MIN_EVENTS + hash % (ITEM_EVENTS - MIN_EVENTS),
         false => MIN_EVENTS + hash % (ONLINE_EVENTS - MIN_EVENTS),
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -31,6 +31,8 @@
     Failed(u16),
     /// The worker's own failure was passed on.
     WorkerFailed(u16),
+    /// The client closed its connection before the end.
+    Left,
     /// The connection ended, or nothing came within the time limit.
     Broken,
 }
@@ -65,6 +67,8 @@
     pub after: u64,
     /// When it began.
     pub at: Duration,
+    /// When the worker was done with it.
+    pub ended: Option<Duration>,
     /// Whether method, path and body were the client's.
     pub intact: bool,
     /// Time limit in milliseconds, if the request had one.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -123,6 +123,7 @@
                 tokio::time::sleep(length).await;
                 faults.lose_answers.store(0, Ordering::Relaxed);
             }
+            FaultKind::StoreForgets => fleet.kv.forget_history(),
             FaultKind::StoreSilent => {
                 harm(&fleet.store_links[target], LinkFault::Silent, length).await
             }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -37,6 +37,8 @@
     StoreSlow,
     /// Answers of the store are lost after their effect.
     StoreAnswersLost,
+    /// The store forgets its history.
+    StoreForgets,
     /// A front hears nothing of the store.
     StoreSilent,
     /// What a front sends to the store is held.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -169,6 +169,7 @@
             CallEnd::Refused(status) => format!("refused {status}"),
             CallEnd::Failed(status) => format!("failed {status}"),
             CallEnd::WorkerFailed(status) => format!("worker's {status}"),
+            CallEnd::Left => "left".to_owned(),
             CallEnd::Broken => "broken".to_owned(),
         };
         *verdict.ends.entry(name).or_default() += 1;
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -38,7 +38,8 @@
 use crate::proxy::LinkProxy;
 
 const SLOTS: u64 = 8;
-const EVENT_TIME: Duration = Duration::from_millis(8);
+/// Time between two events of a stream.
+pub const EVENT_TIME: Duration = Duration::from_millis(8);
 const ENTRY_TRIES: usize = 40;
 const ENTRY_RETRY: Duration = Duration::from_millis(250);
 const RESTART_TIME: Duration = Duration::from_millis(1500);
@@ -202,19 +203,42 @@
     format!("servers/{name}")
 }
 
-/// Counts a request as active until it is dropped.
-struct ActiveGuard(Arc<AtomicU64>);
+/// Counts a request as active until it is dropped, and notes its end then.
+struct ActiveGuard {
+    active: Arc<AtomicU64>,
+    history: SoakHistory,
+    run: Option<usize>,
+}
 
 impl ActiveGuard {
-    fn new(active: &Arc<AtomicU64>) -> Self {
-        active.fetch_add(1, Ordering::Relaxed);
-        Self(active.clone())
+    fn new(process: &WorkerProcess) -> Self {
+        process.active.fetch_add(1, Ordering::Relaxed);
+        Self {
+            active: process.active.clone(),
+            history: process.history.clone(),
+            run: None,
+        }
+    }
+
+    /// Adds `run` to the records.
+    fn begin(&mut self, run: RunRecord) {
+        let mut position = 0;
+        self.history.note(|records| {
+            position = records.runs.len();
+            records.runs.push(run);
+        });
+        self.run = Some(position);
     }
 }
 
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.active.fetch_sub(1, Ordering::Relaxed);
+        let now = self.history.now();
+        if let Some(run) = self.run {
+            self.history
+                .note(|records| records.runs[run].ended = Some(now));
+        }
     }
 }
 
@@ -235,7 +259,7 @@
             headers.insert("not-executed", HeaderValue::from_static("1"));
             return reply;
         }
-        let active = ActiveGuard::new(&self.active);
+        let mut active = ActiveGuard::new(self);
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         let body = read_body(request).await;
@@ -247,13 +271,14 @@
             worker: self.name.clone(),
             after,
             at: self.history.now(),
+            ended: None,
             intact: method == http::Method::POST
                 && path.ends_with(&id)
                 && body == content::body(&id).as_bytes(),
             budget_ms: text(&headers, "time-budget-ms").and_then(|ms| ms.parse().ok()),
             id: id.clone(),
         };
-        self.history.note(|records| records.runs.push(run));
+        active.begin(run);
         let taken = self.taken.fetch_add(1, Ordering::Relaxed);
         let fails = self.grey.load(Ordering::Relaxed) && taken.is_multiple_of(GREY_ONE_IN);
         let mut reply = match path.split('/').nth(1) {
--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -36,6 +36,7 @@
         worker: "w".to_owned(),
         after: 0,
         at: at(20.1),
+        ended: Some(at(20.9)),
         intact: true,
         budget_ms: Some(4_900),
     }
@@ -119,6 +120,23 @@
     }
 }
 
+#[test]
+fn test_check_work_for_clients_that_left() {
+    for (after, expected) in [(0.2, vec![]), (1.5, vec!["GONE"])] {
+        let (mut records, lots) = sound();
+        for number in 0..8 {
+            let id = format!("call-{number}-{}", content::LEAVE_SUFFIX);
+            let mut left = call(&id, CallKind::Stream, CallEnd::Left);
+            left.ended = at(20.2);
+            records.calls.push(left);
+            let mut at_work = run(&id);
+            at_work.ended = Some(at(20.2 + after));
+            records.runs.push(at_work);
+        }
+        assert_eq!(rules(&records, &lots), expected);
+    }
+}
+
 #[test]
 fn test_check_runs() {
     let (mut records, lots) = sound();
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -106,6 +106,15 @@
         self.with_state(|state| state.values.get(key).map(|stored| stored.value.clone()))
     }
 
+    /// Forgets all changes so far: watches that begin before now are answered as compacted.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().expect("store lock");
+        state.log.clear();
+        state.compacted = state.revision;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Bytes of all keys and values.
     pub fn stored_bytes(&self) -> u64 {
         let state = self.state.lock().expect("store lock");
