--- a/lib/src/admission/desk.rs
+++ b/lib/src/admission/desk.rs
@@ -425,8 +425,8 @@
         Some(targets[position].clone())
     }
 
-    /// Asks the admitting host of `target` for a ticket and waits in its queue; also `behind_alone`
-    /// work.
+    /// Asks the admitting host of `target` for a ticket and waits in its queue. With `behind_alone`
+    /// the work also waits while the engine is kept for work that runs alone.
     async fn ask_for(
         self: &Arc<Self>,
         ask: &AdmissionAsk,
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -33,7 +33,7 @@
 const MAX_DENIED: usize = 5;
 const DENIED_ONE_IN: usize = 500;
 
-/// Whether no unplanned fault was at work from [`STABLE_TIME`] before `from` until `to`.
+/// Whether no unplanned fault was at work from three seconds before `from` until `to`.
 pub fn is_calm(faults: &[FaultRecord], from: Duration, to: Duration) -> bool {
     let begin = from.saturating_sub(STABLE_TIME);
     !faults
