admission: engines that crashed or are reserved do not count as full

Online work asked three engines at most, and the dead one and the reserved one counted among them, so that the fourth was not asked; and the wait at a reserved gate was refused above 5 s, though nothing else took the work and its deadline was a minute away.

Change: three engines that are full or too late refuse the work, twelve asks in all bound the loop; a piece that waits behind suspects is refused only if it would miss its deadline.

--- a/lib/src/admission/desk.rs
+++ b/lib/src/admission/desk.rs
@@ -62,8 +62,10 @@
 const EVENTS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a host that did not answer is not asked.
 const SILENT_TTL: Duration = Duration::from_secs(1);
+/// Engines that are too full for online work before it is refused.
+const MAX_FULL_ENGINES: usize = 3;
 /// Engines that online work asks before it is refused.
-const MAX_ONLINE_ASKS: usize = 3;
+const MAX_ONLINE_ASKS: usize = 12;
 /// Time that batch work waits at one engine before it chooses again.
 const BATCH_PATIENCE: Duration = Duration::from_secs(1);
 const BATCH_PAUSE: Duration = Duration::from_millis(50);
@@ -157,7 +159,8 @@
         let mut denied: Vec<UpstreamId> = Vec::new();
         let mut last = None;
         let mut reserved = None;
-        while denied.len() < MAX_ONLINE_ASKS {
+        let mut full = 0;
+        while full < MAX_FULL_ENGINES && denied.len() < MAX_ONLINE_ASKS {
             check_deadline(ask)?;
             let Some(target) = self.choose(ask, &denied) else {
                 break;
@@ -173,7 +176,9 @@
                 TicketDenial::Reserved => {
                     reserved.get_or_insert(target);
                 }
-                TicketDenial::QueueFull | TicketDenial::TooLate | TicketDenial::NotServing => {}
+                TicketDenial::QueueFull | TicketDenial::TooLate => full += 1,
+                // Says nothing of the load elsewhere.
+                TicketDenial::NotServing => {}
             }
         }
         if let Some(target) = reserved {
--- a/lib/src/admission/gate.rs
+++ b/lib/src/admission/gate.rs
@@ -25,7 +25,7 @@
 
 /// Time after which a ticket that its holder did not renew is void.
 pub(crate) const TICKET_TTL: Duration = Duration::from_secs(2);
-/// Longest wait of online work that is accepted into the queue.
+/// Longest wait of online work that is accepted into the queue, where other engines may take it.
 const MAX_ONLINE_WAIT: Duration = Duration::from_secs(5);
 /// Online pieces that wait at most, in multiples of the limit, unless their wait is short.
 const ONLINE_QUEUE_FACTOR: u32 = 8;
@@ -332,7 +332,7 @@
                 let wait = self.online_wait();
                 if self.is_online_queue_full(wait) {
                     Some(TicketDenial::QueueFull)
-                } else if wait > MAX_ONLINE_WAIT
+                } else if (wait > MAX_ONLINE_WAIT && !ask.behind_alone)
                     || now + self.cautious(wait + self.hold) > ask.deadline
                 {
                     Some(TicketDenial::TooLate)
--- a/lib/src/admission/tests.rs
+++ b/lib/src/admission/tests.rs
@@ -756,3 +756,20 @@
     };
     assert_eq!(denial, TicketDenial::NotServing);
 }
+
+#[test]
+fn test_gate_behind_alone_waits_as_long_as_its_deadline_allows() {
+    let mut now = Instant::now();
+    let (mut gate, suspects) = gate_with_suspects(now);
+    // Work holds its place for several seconds.
+    now += MINUTE;
+    let measure = TicketMeasure::new(TicketOutcome::Complete);
+    gate.release(&suspects[0].key, measure, now);
+    assert!(gate.is_running(&suspects[1].key));
+    assert!(gate.digest().hold > Duration::from_secs(5));
+    let piece = GateAsk {
+        behind_alone: true,
+        ..ask(10, WorkClass::Online, "desk", now)
+    };
+    assert_eq!(gate.offer(piece, now), Vec::new(), "it waits");
+}
