--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -3,7 +3,6 @@
 use std::fs::OpenOptions;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -228,11 +227,6 @@
         let address: SocketAddr = address.parse().ok()?;
         (0..self.plan.fronts).find(|number| self.plan.ip(*number) == address.ip())
     }
-
-    /// Folder with the logs.
-    pub fn out(&self) -> &Path {
-        &self.plan.out
-    }
 }
 
 fn settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -82,8 +82,6 @@
     pub name: String,
     /// Whether it is planned work, which must not cut off requests.
     pub planned: bool,
-    /// Front that it concerned, if one.
-    pub front: Option<usize>,
     /// When it began.
     pub from: Duration,
     /// When it was over.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -84,7 +84,6 @@
             records.faults.push(FaultRecord {
                 name: fault.kind.to_string(),
                 planned: fault.kind.is_planned(),
-                front: fault.kind.is_at_front().then_some(fault.target),
                 from,
                 to: Duration::MAX,
             });
--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -46,7 +46,6 @@
     FaultRecord {
         name: "fault".to_owned(),
         planned,
-        front: None,
         from: at(19.0),
         to: at(19.5),
     }
