caps: a lender that does not answer is not taken for an empty one

By reading: a host that joined has no part for some four seconds and borrows each request's tokens; when the broker's or a lender's answer came after its time limit (400 and 250 ms), or a lender's own right was not confirmed, the fleet counted as short, and the caller was told that the workspace had used its allowance. Ruled out: real shortage (100,000 tokens a second; the test uses some 17,000 in all). Change: a shortage is known only if all asked lenders said so. Otherwise tokens are asked for again for a second, and then the refusal is cap_unconfirmed (503).

--- a/lib/src/batch/outcome.rs
+++ b/lib/src/batch/outcome.rs
@@ -87,6 +87,7 @@
             message: refusal.message.clone(),
         },
         RefusalReason::OverCap
+        | RefusalReason::CapUnconfirmed
         | RefusalReason::Overloaded
         | RefusalReason::NoUpstream
         | RefusalReason::DuplicateInProgress
--- a/lib/src/caps/keeper.rs
+++ b/lib/src/caps/keeper.rs
@@ -48,6 +48,11 @@
 /// Time in which the weight of past use falls to 1/e in reports.
 const USE_DECAY: Duration = Duration::from_secs(10);
 const STARTING_RETRY: Duration = Duration::from_secs(1);
+/// Time in which tokens are asked for again while hosts that may have some do not answer.
+const UNCONFIRMED_PATIENCE: Duration = Duration::from_secs(1);
+/// Pause before tokens are asked for again.
+const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(50);
+const UNCONFIRMED_RETRY: Duration = Duration::from_secs(1);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
 
 /// What a keeper needs of the rest of a host in a fleet.
@@ -118,6 +123,31 @@
     }
 }
 
+/// Why tokens could not be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shortage {
+    /// The fleet does not have them; they accrue in this time.
+    Known(Duration),
+    /// Hosts that may have them did not answer, or may not use their own parts now.
+    Unconfirmed,
+}
+
+/// What one lender's answer shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LenderAnswer {
+    /// What it can lend.
+    Told,
+    /// Nothing, as it did not answer or may not use its part now.
+    Silent,
+}
+
+/// Lenders of one round.
+struct RoundLenders {
+    asked: Vec<(HostId, SocketAddr)>,
+    /// Whether hosts were left out that did not answer a moment ago.
+    has_avoided: bool,
+}
+
 /// Round of loans that a broker collects for one allowance.
 #[derive(Debug, Default)]
 struct GatherRound {
@@ -205,13 +235,17 @@
         }
         let own = self.lock().reserve_some(&key, allowance, wanted, now);
         let mut reservation = self.reservation(key.clone(), own, Vec::new());
-        match self.borrow(fleet, &key, allowance, wanted - own).await {
+        match self
+            .borrow_patiently(fleet, &key, allowance, wanted - own)
+            .await
+        {
             Ok(parts) => {
                 reservation.borrowed = parts;
                 Ok(reservation)
             }
             Err(_) if self.is_starting() => Err(starting()),
-            Err(retry_after) => {
+            Err(Shortage::Unconfirmed) => Err(unconfirmed(&key)),
+            Err(Shortage::Known(retry_after)) => {
                 drop(reservation);
                 let mut shortages = self.shortages.lock().expect("shortages lock");
                 shortages.insert(key.clone(), (Instant::now(), wanted));
@@ -254,6 +288,25 @@
         (fresh && wanted >= *tokens).then(|| time_to_accrue(wanted, allowance))
     }
 
+    /// Borrows `tokens`, and asks again for a while if it is not known that the fleet is short.
+    async fn borrow_patiently(
+        self: &Arc<Self>,
+        fleet: &CapFleet,
+        key: &CapKey,
+        allowance: Allowance,
+        tokens: f64,
+    ) -> Result<Vec<LoanPart>, Shortage> {
+        let until = Instant::now() + UNCONFIRMED_PATIENCE;
+        loop {
+            let outcome = self.borrow(fleet, key, allowance, tokens).await;
+            let is_unconfirmed = outcome == Err(Shortage::Unconfirmed);
+            if !is_unconfirmed || Instant::now() >= until || self.is_starting() {
+                return outcome;
+            }
+            tokio::time::sleep(UNCONFIRMED_PAUSE).await;
+        }
+    }
+
     /// Gets `tokens` from the workspace's broker, or else from the other hosts directly.
     async fn borrow(
         self: &Arc<Self>,
@@ -261,7 +314,7 @@
         key: &CapKey,
         allowance: Allowance,
         tokens: f64,
-    ) -> Result<Vec<LoanPart>, Duration> {
+    ) -> Result<Vec<LoanPart>, Shortage> {
         let view = fleet.membership.view();
         let broker = view.owner_of(key.workspace.as_str());
         let Some(broker) = broker.filter(|host| host.id != fleet.host) else {
@@ -279,7 +332,8 @@
         match reply {
             // A grant that was delayed by a pause of this host may have expired.
             Ok(CapsReply::Granted(parts)) if asked.elapsed() <= GRANT_TIME => Ok(parts),
-            Ok(CapsReply::Short { retry_after }) => Err(retry_after),
+            Ok(CapsReply::Short { retry_after }) => Err(Shortage::Known(retry_after)),
+            Ok(CapsReply::Unconfirmed) => Err(Shortage::Unconfirmed),
             _ => {
                 fleet.counters.retry(RetryReason::PeerFailed);
                 self.gather(fleet, key, allowance, tokens).await
@@ -294,7 +348,7 @@
         key: &CapKey,
         allowance: Allowance,
         tokens: f64,
-    ) -> Result<Vec<LoanPart>, Duration> {
+    ) -> Result<Vec<LoanPart>, Shortage> {
         let round = self.round(key);
         // The lock is fair: asks are met in the order of their arrival.
         let mut round = round.lock().await;
@@ -307,17 +361,30 @@
             .is_none_or(|short| now.saturating_duration_since(short) >= SHORT_MEMORY);
         if rested {
             round.number += 1;
+            let mut is_known = !self.is_unconfirmed(now);
             let mut loans = self.pull(fleet, key, tokens, round.number);
-            while loans.recv().await.is_some() {
+            while let Some(answer) = loans.recv().await {
+                is_known &= answer == LenderAnswer::Told;
                 if let Some(parts) = self.grant(key, allowance, tokens) {
                     round.short_at = None;
                     return Ok(parts);
                 }
             }
+            if !is_known {
+                return Err(Shortage::Unconfirmed);
+            }
             round.short_at = Some(Instant::now());
         }
         let missing = tokens - self.lock().pooled(key, Instant::now());
-        Err(time_to_accrue(missing.max(0.0), allowance))
+        let wait = time_to_accrue(missing.max(0.0), allowance);
+        Err(Shortage::Known(wait))
+    }
+
+    /// Whether this host has a part that it may not use now.
+    fn is_unconfirmed(&self, now: Instant) -> bool {
+        let ledger = self.lock();
+        let right = ledger.right();
+        right.is_some_and(|right| right.entitled(now) > 0.0 && !right.is_valid(now))
     }
 
     fn round(&self, key: &CapKey) -> Arc<tokio::sync::Mutex<GatherRound>> {
@@ -345,16 +412,20 @@
         key: &CapKey,
         tokens: f64,
         round: usize,
-    ) -> mpsc::Receiver<()> {
+    ) -> mpsc::Receiver<LenderAnswer> {
         let (answered, answers) = mpsc::channel(LENDERS_PER_ROUND);
-        for (lender, address) in self.lenders(fleet, round) {
+        let lenders = self.lenders(fleet, round);
+        if lenders.has_avoided {
+            let _ = answered.try_send(LenderAnswer::Silent);
+        }
+        for (lender, address) in lenders.asked {
             let keeper = self.clone();
             let fleet = fleet.clone();
             let key = key.clone();
             let answered = answered.clone();
             tokio::spawn(async move {
-                keeper.pull_one(&fleet, key, tokens, lender, address).await;
-                let _ = answered.send(()).await;
+                let answer = keeper.pull_one(&fleet, key, tokens, lender, address).await;
+                let _ = answered.send(answer).await;
             });
         }
         answers
@@ -367,7 +438,7 @@
         tokens: f64,
         lender: HostId,
         address: SocketAddr,
-    ) {
+    ) -> LenderAnswer {
         let asked = Instant::now();
         let request = CapsRequest::Pull {
             key: key.clone(),
@@ -376,31 +447,36 @@
         match fleet.peers.call(address, request, PULL_TIMEOUT).await {
             Ok(CapsReply::Lent(Some(part))) => {
                 self.lock().pool(&key, part, asked);
+                LenderAnswer::Told
             }
-            Ok(_) => {}
+            Ok(CapsReply::Unconfirmed) => LenderAnswer::Silent,
+            Ok(_) => LenderAnswer::Told,
             Err(_) => {
                 fleet.counters.retry(RetryReason::PeerFailed);
                 let mut avoided = self.avoided.lock().expect("avoided hosts lock");
                 avoided.insert(lender, Instant::now() + AVOID_TIME);
+                LenderAnswer::Silent
             }
         }
     }
 
     /// Hosts to ask in this round; rounds go through all hosts in turn.
-    fn lenders(&self, fleet: &CapFleet, round: usize) -> Vec<(HostId, SocketAddr)> {
+    fn lenders(&self, fleet: &CapFleet, round: usize) -> RoundLenders {
         let now = Instant::now();
         let avoided = self.avoided.lock().expect("avoided hosts lock");
         let members = self.members();
-        let others: Vec<_> = members
-            .iter()
-            .filter(|host| host.id != fleet.host)
-            .filter(|host| avoided.get(&host.id).is_none_or(|until| *until <= now))
-            .collect();
+        let others = members.iter().filter(|host| host.id != fleet.host);
+        let (others, left_out): (Vec<_>, Vec<_>) =
+            others.partition(|host| avoided.get(&host.id).is_none_or(|until| *until <= now));
         let first = round * LENDERS_PER_ROUND % others.len().max(1);
         let turn = others.iter().cycle().skip(first).take(others.len());
-        turn.take(LENDERS_PER_ROUND)
-            .map(|host| (host.id.clone(), host.peer_address))
-            .collect()
+        let asked = turn.take(LENDERS_PER_ROUND);
+        RoundLenders {
+            asked: asked
+                .map(|host| (host.id.clone(), host.peer_address))
+                .collect(),
+            has_avoided: !left_out.is_empty(),
+        }
     }
 
     /// Hosts of the division: only they have anything to lend.
@@ -415,6 +491,7 @@
         let now = Instant::now();
         match request {
             CapsRequest::Ask { key, tokens } => self.answer_ask(key, tokens).await,
+            CapsRequest::Pull { .. } if self.is_unconfirmed(now) => CapsReply::Unconfirmed,
             CapsRequest::Pull { key, tokens } => {
                 let allowance = self.allowance(&key);
                 CapsReply::Lent(
@@ -447,7 +524,8 @@
                     .record(DecisionKind::Cap, &[key.workspace.as_str()], detail);
                 CapsReply::Granted(parts)
             }
-            Err(retry_after) => CapsReply::Short { retry_after },
+            Err(Shortage::Known(retry_after)) => CapsReply::Short { retry_after },
+            Err(Shortage::Unconfirmed) => CapsReply::Unconfirmed,
         }
     }
 
@@ -540,6 +618,14 @@
     Refusal::new(RefusalReason::Starting, message).with_retry_after(STARTING_RETRY)
 }
 
+fn unconfirmed(key: &CapKey) -> Refusal {
+    let message = format!(
+        "what is left of the {} allowance of workspace {:?} could not be learned",
+        key.class, key.workspace
+    );
+    Refusal::new(RefusalReason::CapUnconfirmed, message).with_retry_after(UNCONFIRMED_RETRY)
+}
+
 fn over_cap(key: &CapKey, retry_after: Duration) -> Refusal {
     let message = format!(
         "workspace {:?} has used its {} allowance",
--- a/lib/src/caps/message.rs
+++ b/lib/src/caps/message.rs
@@ -83,6 +83,8 @@
     },
     /// A loan, if there was anything to lend.
     Lent(Option<LoanPart>),
+    /// The called host, or one that it asked, could not tell what it may lend.
+    Unconfirmed,
     /// The settlements were taken in.
     Settled,
     /// What the called host knows.
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -50,6 +50,8 @@
     ModelNotAllowed,
     /// The workspace has used its allowance.
     OverCap,
+    /// What is left of the allowance could not be learned from the other hosts.
+    CapUnconfirmed,
     /// The queue is full, or the deadline would pass in it.
     Overloaded,
     /// The deadline passed.
--- a/lib/src/refusal.rs
+++ b/lib/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,6 +30,8 @@
     pub executed: Executed,
     /// When a new attempt may succeed, where waiting helps.
     pub retry_after: Option<Duration>,
+    /// Methods that the path takes, separated by commas, where the method was wrong.
+    pub allow: Option<&'static str>,
     /// Explanation for a person.
     pub message: String,
 }
@@ -40,10 +43,25 @@
             reason,
             executed: Executed::No,
             retry_after: None,
+            allow: None,
             message: message.into(),
         }
     }
 
+    /// Refuses a path that takes only the methods `allow`, or none where the path does not exist.
+    pub fn wrong_path(method: &Method, path: &str, allow: Option<&'static str>) -> Self {
+        match allow {
+            Some(_) => Self {
+                allow,
+                ..Self::new(
+                    RefusalReason::Method,
+                    format!("{path} does not take {method}"),
+                )
+            },
+            None => Self::new(RefusalReason::NotFound, format!("{path} does not exist")),
+        }
+    }
+
     /// Tells the caller to wait for `delay` before the next attempt.
     pub fn with_retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
@@ -77,6 +95,7 @@
             RefusalReason::Conflict => StatusCode::PRECONDITION_FAILED,
             RefusalReason::Overloaded
             | RefusalReason::NoUpstream
+            | RefusalReason::CapUnconfirmed
             | RefusalReason::StoreUnavailable
             | RefusalReason::Draining
             | RefusalReason::Starting => StatusCode::SERVICE_UNAVAILABLE,
