callers, admin: 405 with Allow for a wrong method, 404 for an unknown service

Cause: a known path with a wrong method was answered 404, and a service that no upstream lists 503 as if waiting could help. Change: paths know their methods; a service that is in no entry, while others are listed, does not exist. Measured: test_bad_input_wrong_paths_and_methods (8 cases).

--- a/lib/src/admin/mod.rs
+++ b/lib/src/admin/mod.rs
@@ -93,10 +93,13 @@
             }
             (&Method::GET, ["explain", subject]) => Ok(self.explain(subject).await),
             (&Method::GET, ["status"]) => Ok(self.status().await),
-            _ => Err(Refusal::new(
-                RefusalReason::NotFound,
-                format!("{path} does not exist"),
-            )),
+            (method, segments) => {
+                let allow = match segments {
+                    ["counters"] | ["explain", _] | ["status"] => Some("GET"),
+                    _ => None,
+                };
+                Err(Refusal::wrong_path(method, &path, allow))
+            }
         }
     }
 
--- a/lib/src/admin/terms.rs
+++ b/lib/src/admin/terms.rs
@@ -70,10 +70,16 @@
                 self.edit_object(request, |edit| ProposedChange::Workspace(name, edit))
                     .await
             }
-            (method, _) => {
+            (method, segments) => {
+                let allow = match segments {
+                    ["terms"] => Some("GET, PUT"),
+                    ["terms", "history" | "in-force"] => Some("GET"),
+                    ["terms", "rollback"] => Some("POST"),
+                    ["templates" | "workspaces", _] => Some("PUT, PATCH, DELETE"),
+                    _ => None,
+                };
                 let path = request.uri().path();
-                let message = format!("{method} {path} does not exist");
-                Err(Refusal::new(RefusalReason::NotFound, message))
+                Err(Refusal::wrong_path(method, path, allow))
             }
         }
     }
--- a/lib/src/callers/router.rs
+++ b/lib/src/callers/router.rs
@@ -126,13 +126,9 @@
                 self.cancel_batch(&request, id).await
             }
             (_, ["services", name, ..]) => self.call_service(request, name).await,
-            (_, ["v1", ..]) => {
-                let message = format!("{method} {path} does not exist");
-                Err(Refusal::new(RefusalReason::NotFound, message))
-            }
             _ => {
-                let message = format!("{path} does not exist");
-                Err(Refusal::new(RefusalReason::NotFound, message))
+                let allow = allowed_methods(segments);
+                Err(Refusal::wrong_path(&method, &path, allow))
             }
         }
     }
@@ -184,6 +180,24 @@
     }
 }
 
+/// Methods of a path; `None` if it does not exist.
+fn allowed_methods(segments: &[&str]) -> Option<&'static str> {
+    match segments {
+        ["v1", "chat", "completions"]
+        | ["v1", "completions"]
+        | ["v1", "files"]
+        | ["v1", "batches", _, "cancel"] => Some("POST"),
+        ["v1", "batches"] => Some("GET, POST"),
+        ["v1", "entries"]
+        | ["v1", "models"]
+        | ["v1", "files", _]
+        | ["v1", "files", _, "content"]
+        | ["v1", "batches", _]
+        | ["v1", "batches", _, "results"] => Some("GET"),
+        _ => None,
+    }
+}
+
 /// Whether a caller's text can serve as an identifier in paths and logs.
 fn is_request_id(text: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
--- a/lib/src/callers/services.rs
+++ b/lib/src/callers/services.rs
@@ -39,12 +39,22 @@
         name: &str,
     ) -> Result<Reply, Refusal> {
         let name = ServiceName::new(name);
-        let targets: Vec<Upstream> = self
+        let listed: Vec<Upstream> = self
             .upstreams
             .all()
             .into_iter()
             .map(|(_, upstream)| upstream)
-            .filter(|upstream| upstream.takes_work() && upstream.serves_service(&name))
+            .collect();
+        let (of_service, others): (Vec<Upstream>, Vec<Upstream>) = listed
+            .into_iter()
+            .partition(|upstream| upstream.serves_service(&name));
+        if of_service.is_empty() && !others.is_empty() {
+            let message = format!("service {name:?} does not exist");
+            return Err(Refusal::new(RefusalReason::NotFound, message));
+        }
+        let targets: Vec<Upstream> = of_service
+            .into_iter()
+            .filter(Upstream::takes_work)
             .collect();
         if targets.is_empty() {
             let message = format!("no upstream runs service {name:?}");
--- a/lib/src/http/reply.rs
+++ b/lib/src/http/reply.rs
@@ -46,5 +46,9 @@
             .headers_mut()
             .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if let Some(methods) = refusal.allow {
+        let methods = HeaderValue::from_static(methods);
+        reply.headers_mut().insert(header::ALLOW, methods);
+    }
     reply
 }
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -179,6 +179,51 @@
         .await;
 }
 
+#[tokio::test]
+async fn test_bad_input_wrong_paths_and_methods() {
+    let setup = InputSetup::start().await;
+    let cases = [
+        (MEMBER_KEY, Method::GET, CHAT_PATH, 405, Some("POST")),
+        (
+            MEMBER_KEY,
+            Method::DELETE,
+            "/v1/batches",
+            405,
+            Some("GET, POST"),
+        ),
+        (MEMBER_KEY, Method::PUT, "/v1/models", 405, Some("GET")),
+        (MEMBER_KEY, Method::GET, "/v1/nothing", 404, None),
+        (MEMBER_KEY, Method::GET, "/services/nothing/x", 404, None),
+        (
+            OPERATOR_KEY,
+            Method::POST,
+            "/admin/v1/status",
+            405,
+            Some("GET"),
+        ),
+        (
+            OPERATOR_KEY,
+            Method::POST,
+            "/admin/v1/terms",
+            405,
+            Some("GET, PUT"),
+        ),
+        (OPERATOR_KEY, Method::GET, "/admin/v1/nothing", 404, None),
+    ];
+    for (key, method, path, status, allow) in cases {
+        let request = http::Request::builder()
+            .method(&method)
+            .uri(format!("http://{}{path}", setup.host().address()))
+            .header("authorization", format!("Bearer {key}"))
+            .body(Full::new(Bytes::new()))
+            .unwrap();
+        let response = setup.client.send(request).await.unwrap();
+        assert_eq!(response.status().as_u16(), status, "{method} {path}");
+        let found = response.headers().get("allow");
+        assert_eq!(found.map(|value| value.to_str().unwrap()), allow, "{path}");
+    }
+}
+
 #[tokio::test]
 async fn test_bad_input_unknown_model() {
     let setup = InputSetup::start().await;
