places: an upstream that says in an answer that it leaves gets no more requests

Hosts knew it from the entry alone, so that an outage hid it. Change: a start of an upstream (tag and born) that said so in any answer of its own takes no requests, also if its entry lapses and comes back; load reports tell the others for three seconds. A new start begins clean.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -77,6 +77,13 @@
         /// The upstream.
         upstream: String,
     },
+    /// An upstream said in an answer that it leaves; it gets no more requests until it starts again.
+    UpstreamLeaves {
+        /// The upstream.
+        upstream: String,
+        /// The request that it answered.
+        request: String,
+    },
     /// An upstream gets no requests for a while, after faults that this host's requests met.
     UpstreamEjected {
         /// The upstream.
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -17,6 +17,8 @@
 use crate::places::health::Standing;
 use crate::places::health::UpstreamFault;
 use crate::places::health::UpstreamHealth;
+use crate::places::leaving::LeavingStarts;
+use crate::places::leaving::UpstreamStart;
 use crate::places::pulse::PeerPulse;
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
@@ -144,6 +146,8 @@
     others: WorkCount,
     health: UpstreamHealth,
     listed: bool,
+    /// Whether this start said that it leaves.
+    is_leaving: bool,
 }
 
 impl Upstream {
@@ -162,8 +166,15 @@
         }
     }
 
+    fn start(&self) -> UpstreamStart {
+        UpstreamStart(self.tag, self.entry.born)
+    }
+
     fn takes_requests(&self) -> bool {
-        self.listed && self.entry.state == EntryState::Ready && self.entry.slots > 0
+        self.listed
+            && !self.is_leaving
+            && self.entry.state == EntryState::Ready
+            && self.entry.slots > 0
     }
 }
 
@@ -185,6 +196,7 @@
     keys: HashMap<UpstreamId, PlaceKey>,
     peers: HashMap<String, PeerLoad>,
     pulse: PeerPulse,
+    leaving: LeavingStarts,
     /// Batch items that this host may still start in the window that began at the instant.
     starts: HashMap<ServiceName, (Instant, u32)>,
 }
@@ -200,6 +212,7 @@
             keys: HashMap::default(),
             peers: HashMap::default(),
             pulse: PeerPulse::default(),
+            leaving: LeavingStarts::default(),
             starts: HashMap::default(),
         }
     }
@@ -223,8 +236,10 @@
         let key = PlaceKey(self.next_key);
         self.next_key += 1;
         self.keys.insert(entry.id.clone(), key);
+        let tag = upstream_tag(&entry.id);
         let upstream = Upstream {
-            tag: upstream_tag(&entry.id),
+            tag,
+            is_leaving: self.leaving.contains(UpstreamStart(tag, entry.born)),
             weight: rendezvous_score(self.host.as_str(), entry.id.as_str()),
             entry,
             own: WorkCount::default(),
@@ -404,6 +419,33 @@
         self.upstreams.get_mut(&key)?.health.success(now)
     }
 
+    /// Notes that an upstream said that it leaves: it gets no more requests until it starts again.
+    /// Returns whether this is new.
+    pub fn leave(&mut self, key: PlaceKey, now: Instant) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(&key) else {
+            return false;
+        };
+        upstream.is_leaving = true;
+        self.leaving.note(upstream.start(), now)
+    }
+
+    /// Upstreams that said lately that they leave, for the load report.
+    pub fn leaving_news(&mut self, now: Instant) -> Vec<UpstreamStart> {
+        self.leaving.news(now)
+    }
+
+    fn hear_leaving(&mut self, starts: &[UpstreamStart]) {
+        for start in starts {
+            if !self.leaving.hear(*start) {
+                continue;
+            }
+            let mut all = self.upstreams.values_mut();
+            if let Some(upstream) = all.find(|upstream| upstream.start() == *start) {
+                upstream.is_leaving = true;
+            }
+        }
+    }
+
     /// Number of this host's batch items that give way at each upstream.
     ///
     /// The hosts with the most items go first, then the lesser names, so that hosts with the
@@ -501,6 +543,7 @@
             return;
         }
         self.pulse.note(&report.host, report.is_leaving, now);
+        self.hear_leaving(&report.leaving);
         let peer = PeerLoad {
             incarnation: report.incarnation,
             number: report.number,
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -43,6 +43,7 @@
             is_leaving: false,
             loads: Vec::new(),
             new_jobs: Vec::new(),
+            leaving: Vec::new(),
         };
         Self {
             socket,
@@ -79,14 +80,17 @@
                     let addresses = peers();
                     self.places.book().forget_silent(now);
                     let loads = self.places.book().own_loads();
+                    let leaving = self.places.book().leaving_news(now);
                     let jobs = new_jobs();
                     let is_news = loads != self.report.loads
                         || jobs != self.report.new_jobs
+                        || leaving != self.report.leaving
                         || self.leaving.is_cancelled() != self.report.is_leaving;
                     if is_news || now - last_sent >= QUIET_INTERVAL {
                         last_sent = now;
                         self.report.loads = loads;
                         self.report.new_jobs = jobs;
+                        self.report.leaving = leaving;
                         self.send(&addresses).await;
                     }
                     let factor = (addresses.len() as u32 + 1).div_ceil(FAST_FLEET).max(1);
--- a/lib/src/places/mod.rs
+++ b/lib/src/places/mod.rs
@@ -7,6 +7,7 @@
 mod book;
 mod exchange;
 mod health;
+mod leaving;
 mod pulse;
 mod report;
 mod roster;
@@ -22,6 +23,7 @@
 pub use book::UpstreamEntry;
 pub use exchange::LoadExchange;
 pub use health::UpstreamFault;
+pub use leaving::UpstreamStart;
 pub use pulse::PeerPulse;
 pub use report::LoadReport;
 pub use report::UpstreamLoad;
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::UpstreamId;
+use crate::places::leaving::UpstreamStart;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +39,9 @@
     /// Batch jobs that the host has begun to own lately.
     #[serde(rename = "j", default)]
     pub new_jobs: Vec<String>,
+    /// Upstreams that told the host lately that they leave.
+    #[serde(rename = "v", default)]
+    pub leaving: Vec<UpstreamStart>,
 }
 
 impl LoadReport {
--- a/lib/src/places/shared.rs
+++ b/lib/src/places/shared.rs
@@ -83,6 +83,11 @@
         self.desk.book().fault(self.pick.key, fault, Instant::now())
     }
 
+    /// Notes that the upstream said that it leaves; returns whether this is new.
+    pub fn leave(&self) -> bool {
+        self.desk.book().leave(self.pick.key, Instant::now())
+    }
+
     /// Notes that the upstream served well; returns for how long it was ejected, if it was.
     pub fn success(&self) -> Option<Duration> {
         self.desk.book().success(self.pick.key, Instant::now())
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -347,6 +347,12 @@
 
     /// An answer that may be used, or what becomes of the request without one.
     fn judge_answer(&mut self, hold: PlaceHold, answer: UpstreamAnswer, sent: Instant) -> Sending {
+        if answer.is_leaving && hold.leave() {
+            self.log.write(LogEvent::UpstreamLeaves {
+                upstream: hold.pick.id.to_string(),
+                request: self.request.id.to_string(),
+            });
+        }
         let unrun = match answer.executed {
             Executed::NoFull => Some(UpstreamFault::Full),
             Executed::NoMoved => Some(UpstreamFault::Moved),
--- a/lib/src/relay/wire.rs
+++ b/lib/src/relay/wire.rs
@@ -48,6 +48,8 @@
     pub executed: Executed,
     /// Whether the answer bears the upstream's signature.
     pub is_signed: bool,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
     /// Whether the body is a series of events.
     pub is_stream: bool,
     /// The body.
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -74,6 +74,7 @@
         is_leaving: false,
         loads: loads.collect(),
         new_jobs: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -429,6 +430,7 @@
                 is_leaving: false,
                 loads: book.own_loads(),
                 new_jobs: Vec::new(),
+                leaving: Vec::new(),
             })
             .collect();
         for book in &mut self.books {
@@ -523,3 +525,54 @@
     }
     assert_eq!(used.len(), 90);
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_leaving_upstream_gets_nothing_until_it_starts_again() {
+    let now = Instant::now();
+    let mut book = book(&["a"]);
+    let pick = take(&mut book, WorkClass::Online, now).unwrap();
+    assert!(book.leave(pick.key, now));
+    assert!(!book.leave(pick.key, now), "it is told once");
+    assert!(take(&mut book, WorkClass::Online, now).is_none());
+    // Its entry still says that it is ready, lapses, and comes back.
+    book.put(entry("a"));
+    assert!(take(&mut book, WorkClass::Online, now).is_none());
+    book.remove(&UpstreamId::new("a"));
+    book.put(entry("a"));
+    assert!(take(&mut book, WorkClass::Online, now).is_none());
+    assert_eq!(book.online_fill(&service(), now), (0, 0));
+    book.put(UpstreamEntry {
+        born: 2,
+        ..entry("a")
+    });
+    assert!(take(&mut book, WorkClass::Online, now).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_leaving_upstream_is_told_to_other_hosts_for_a_while() {
+    let now = Instant::now();
+    let mut teller = book(&["a", "b"]);
+    let mut hearer = book(&["a", "b"]);
+    let pick = take(&mut teller, WorkClass::Online, now).unwrap();
+    teller.leave(pick.key, now);
+    let news = teller.leaving_news(now);
+    assert_eq!(news.len(), 1);
+    let told = LoadReport {
+        leaving: news,
+        ..report("host-b", 1, &[])
+    };
+    hearer.hear(LoadReport::decode(&told.encode()).unwrap(), now);
+    for _ in 0..2 * SLOTS {
+        let other = take(&mut hearer, WorkClass::Online, now).unwrap();
+        assert_ne!(other.id, pick.id);
+    }
+    assert!(
+        hearer.leaving_news(now).is_empty(),
+        "hearsay is not passed on"
+    );
+    assert!(teller.leaving_news(now + Duration::from_secs(3)).is_empty());
+    assert_ne!(
+        take(&mut teller, WorkClass::Online, now).unwrap().id,
+        pick.id
+    );
+}
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -299,3 +299,18 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_upstream_that_says_it_leaves_gets_no_more_requests() {
+    let wire = upstreams();
+    let desk = first_does(&wire, OpaqueBehaviour::Leaves).await;
+    let answer = desk.relay(request("r1", route(ONE_RUN, 1))).await;
+    assert!(read_stream(answer).await.1, "its answer is delivered");
+    let refused = desk.relay(request("r2", route(RESUMABLE, 3))).await;
+    assert_eq!(answer_name(&refused), "refused");
+    second_comes(&desk);
+    let answer = desk.relay(request("r3", route(RESUMABLE, 3))).await;
+    assert!(read_stream(answer).await.1);
+    assert_eq!(wire.runs("r3")[0].upstream, "b");
+    assert_eq!(wire.sendings().len(), 2);
+}
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -35,6 +35,8 @@
     Full,
     /// Says that it is another upstream.
     Moved,
+    /// Runs them, and says that it leaves.
+    Leaves,
     /// Breaks off after this number of events.
     BreaksAfter(u64),
     /// Falls silent after this number of events.
@@ -208,6 +210,7 @@
                 headers: HeaderMap::new(),
                 executed,
                 is_signed,
+                is_leaving: false,
                 is_stream: false,
                 body: stream::empty().boxed(),
             })
@@ -235,6 +238,7 @@
                 headers: HeaderMap::new(),
                 executed: Executed::Maybe,
                 is_signed: true,
+                is_leaving: behaviour == OpaqueBehaviour::Leaves,
                 is_stream: true,
                 body: self.body(to, request, order, behaviour),
             }),
--- a/standins/src/platform_worker.rs
+++ b/standins/src/platform_worker.rs
@@ -37,6 +37,10 @@
     AnswersAnother,
     /// Answers without its signature.
     LeavesOutSeal,
+    /// Answers with a stream of events, and says that it leaves.
+    Leaves,
+    /// Says that it is full, and that it leaves.
+    LeavesFull,
     /// Answers that the request can never be done.
     Rejects,
 }
@@ -110,10 +114,13 @@
         let behaviour = *self.behaviour.lock().expect("behaviour lock");
         let mut reply = match behaviour {
             WorkerBehaviour::Streams
+            | WorkerBehaviour::Leaves
             | WorkerBehaviour::AnswersAnother
             | WorkerBehaviour::LeavesOutSeal => self.stream(&headers),
             WorkerBehaviour::Echoes => Response::new(Full::new(body).boxed_unsync()),
-            WorkerBehaviour::Sheds => empty(StatusCode::SERVICE_UNAVAILABLE),
+            WorkerBehaviour::Sheds | WorkerBehaviour::LeavesFull => {
+                empty(StatusCode::SERVICE_UNAVAILABLE)
+            }
             WorkerBehaviour::IsAnother => empty(StatusCode::MISDIRECTED_REQUEST),
             WorkerBehaviour::Rejects => empty(StatusCode::UNPROCESSABLE_ENTITY),
         };
@@ -121,8 +128,11 @@
         if let Some(id) = headers.get("attempt-id") {
             answered.insert("attempt-id", id.clone());
         }
+        if let WorkerBehaviour::Leaves | WorkerBehaviour::LeavesFull = behaviour {
+            answered.insert("server-leaving", http::HeaderValue::from_static("1"));
+        }
         match behaviour {
-            WorkerBehaviour::Sheds => {
+            WorkerBehaviour::Sheds | WorkerBehaviour::LeavesFull => {
                 answered.insert("not-executed", http::HeaderValue::from_static("1"));
             }
             WorkerBehaviour::LeavesOutSeal | WorkerBehaviour::IsAnother => {}
