--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -70,6 +70,8 @@
     pub callers: SocketAddr,
     /// Address for other hosts: calls over TCP, load reports over UDP.
     pub peers: SocketAddr,
+    /// Bytes of whole answers that it keeps at once.
+    pub answer_bytes: usize,
     /// Bounds of its batch work.
     pub jobs: JobPlan,
 }
@@ -104,7 +106,8 @@
             HostId::new(&plan.host),
             DataCentre::new(&plan.data_centre),
         ));
-        let relay = RelayDesk::new(wire, places.clone(), log.clone());
+        let relay =
+            RelayDesk::new(wire, places.clone(), log.clone()).with_answer_room(plan.answer_bytes);
         let entry = HostEntry {
             host: plan.host.clone(),
             incarnation: plan.incarnation,
--- a/lib/src/http/body.rs
+++ b/lib/src/http/body.rs
@@ -1,6 +1,5 @@
 //! Reading request bodies within bounds of size, time and memory.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,19 +9,18 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::counters::RefusalReason;
 use crate::refusal::Refusal;
+use crate::room::ByteRoom;
+use crate::room::RoomHold;
 
 /// Time for a whole body.
 const BODY_LIMIT: Duration = Duration::from_secs(120);
 /// Time between two parts of a body.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
-const BYTES_PER_KIB: usize = 1024;
 
 /// Why a body was not read to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,15 +68,14 @@
 #[derive(Clone, Debug)]
 pub struct BodyReader {
     limit: usize,
-    /// A permit for each KiB.
-    room: Arc<Semaphore>,
+    room: ByteRoom,
 }
 
 /// A body on its way, with the room that its parts take.
 struct BodyState {
     body: Incoming,
     size: usize,
-    held: Vec<OwnedSemaphorePermit>,
+    held: Vec<RoomHold>,
     deadline: Instant,
 }
 
@@ -87,7 +84,7 @@
     pub fn new(limit: usize, room: usize) -> Self {
         Self {
             limit,
-            room: Arc::new(Semaphore::new(room / BYTES_PER_KIB)),
+            room: ByteRoom::new(room),
         }
     }
 
@@ -98,7 +95,12 @@
 
     /// Reads a whole body.
     pub async fn read(&self, body: Incoming) -> Result<Bytes, BodyFault> {
-        let parts = self.parts(body);
+        self.read_until(body, Instant::now() + BODY_LIMIT).await
+    }
+
+    /// Reads a whole body that has to be there at `deadline`.
+    pub async fn read_until(&self, body: Incoming, deadline: Instant) -> Result<Bytes, BodyFault> {
+        let parts = self.parts_until(body, deadline);
         let collected = parts.try_fold(BytesMut::new(), |mut whole, part| async move {
             whole.extend_from_slice(&part);
             Ok(whole)
@@ -110,12 +112,20 @@
     pub(crate) fn parts(
         &self,
         body: Incoming,
+    ) -> impl Stream<Item = Result<Bytes, BodyFault>> + Send + use<> {
+        self.parts_until(body, Instant::now() + BODY_LIMIT)
+    }
+
+    fn parts_until(
+        &self,
+        body: Incoming,
+        deadline: Instant,
     ) -> impl Stream<Item = Result<Bytes, BodyFault>> + Send + use<> {
         let state = BodyState {
             body,
             size: 0,
             held: Vec::new(),
-            deadline: Instant::now() + BODY_LIMIT,
+            deadline,
         };
         let reader = self.clone();
         stream::try_unfold(state, move |mut state| {
@@ -142,9 +152,8 @@
             if state.size > self.limit {
                 return Err(BodyFault::TooLarge(self.limit));
             }
-            let kib = part.len().div_ceil(BYTES_PER_KIB) as u32;
-            let room = self.room.clone().try_acquire_many_owned(kib);
-            state.held.push(room.map_err(|_| BodyFault::NoRoom)?);
+            let hold = self.room.take(part.len()).ok_or(BodyFault::NoRoom)?;
+            state.held.push(hold);
             return Ok(Some(part));
         }
     }
--- a/lib/src/http/client.rs
+++ b/lib/src/http/client.rs
@@ -1,5 +1,8 @@
 //! Pooled HTTP client towards upstreams and the platform.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,15 +12,23 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use tokio::sync::Notify;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest head of an answer.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Interim answers (1xx) before an answer; more of them break it.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+/// Largest answer that is collected whole.
+const MAX_COLLECTED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call has no complete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,6 +81,7 @@
         connector.set_connect_timeout(Some(connect));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .pool_idle_timeout(idle)
             .pool_max_idle_per_host(kept)
             // A request is sent once: whether to repeat it is decided by its owner.
@@ -79,8 +91,16 @@
     }
 
     /// Sends `request` and returns the answer's head with its streaming body.
-    pub async fn send(&self, request: Request<B>) -> Result<Response<Incoming>, ClientError> {
-        self.client.request(request).await.map_err(|err| {
+    pub async fn send(&self, mut request: Request<B>) -> Result<Response<Incoming>, ClientError> {
+        let excess = watch_interim_answers(&mut request);
+        let answer = tokio::select! {
+            answer = self.client.request(request) => answer,
+            () = excess.notified() => {
+                let cause = "too many interim answers".to_owned();
+                return Err(ClientError::Broken(cause));
+            }
+        };
+        answer.map_err(|err| {
             let cause = error_chain(&err);
             match err.is_connect() {
                 true => ClientError::NotSent(cause),
@@ -90,33 +110,59 @@
     }
 }
 
+/// Notifies of more interim answers to `request` than there may be.
+fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let (count, notify) = (AtomicU32::new(0), excess.clone());
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+            notify.notify_one();
+        }
+    });
+    excess
+}
+
 impl HttpClient {
     /// Returns a client with an empty pool.
     pub fn new() -> Self {
         Self::with_any_body()
     }
 
-    /// Sends a JSON body and collects the whole answer.
+    /// Sends a JSON body and collects the whole answer, of at most 16 MiB.
     pub async fn call(
         &self,
         method: Method,
         url: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), ClientError> {
+        let response = self.begin_call(method, url, body).await?;
+        let status = response.status();
+        Ok((status, collect(response.into_body()).await?))
+    }
+
+    /// Sends a JSON body and returns the answer's head with its streaming body.
+    pub async fn begin_call(
+        &self,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, ClientError> {
         let request = Request::builder()
             .method(method)
             .uri(url)
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|err| ClientError::NotSent(err.to_string()))?;
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|err| ClientError::Broken(error_chain(&err)))?;
-        Ok((status, body.to_bytes()))
+        self.send(request).await
+    }
+}
+
+/// Collects a whole body of at most 16 MiB.
+pub async fn collect(body: Incoming) -> Result<Bytes, ClientError> {
+    let body = Limited::new(body, MAX_COLLECTED_BYTES).collect().await;
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) => Err(ClientError::Broken(error_chain(err.as_ref()))),
     }
 }
 
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod pools;
 pub mod reply;
 pub mod server;
+mod stall;
 
 #[cfg(test)]
 mod tests;
--- a/lib/src/http/server.rs
+++ b/lib/src/http/server.rs
@@ -29,6 +29,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::http::reply::Reply;
+use crate::http::stall::StallGuard;
 
 const MAX_HEADERS: usize = 100;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -71,6 +72,8 @@
     pub header_timeout: Duration,
     /// Largest head in bytes.
     pub header_bytes: usize,
+    /// Longest time for which a caller may read nothing of an answer.
+    pub write_timeout: Duration,
     /// Whether HTTP/2 is served beside HTTP/1.
     pub http2: bool,
 }
@@ -80,6 +83,7 @@
         Self {
             header_timeout: Duration::from_secs(10),
             header_bytes: 400 * 1024,
+            write_timeout: Duration::from_secs(30),
             http2: true,
         }
     }
@@ -199,7 +203,8 @@
         }
     });
     let builder = builder(plan);
-    let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+    let stream = TokioIo::new(StallGuard::new(stream, plan.write_timeout));
+    let connection = builder.serve_connection_with_upgrades(stream, service);
     let mut connection = pin!(connection);
     let mut told = false;
     loop {
--- /dev/null
+++ b/lib/src/http/stall.rs
@@ -0,0 +1,100 @@
+//! A connection that breaks when the other side reads nothing for too long.
+
+use std::io::Error;
+use std::io::ErrorKind;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+/// Fails a write that makes no progress for a limit of time, so that what waits behind it ends.
+pub(super) struct StallGuard {
+    stream: TcpStream,
+    limit: Duration,
+    /// Set while a write waits.
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallGuard {
+    /// Returns a guard of `stream` whose writes may wait for `limit`.
+    pub(super) fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self {
+            stream,
+            limit,
+            stalled: None,
+        }
+    }
+
+    fn guard<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<Result<T, Error>>,
+    ) -> Poll<Result<T, Error>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let until = Instant::now() + self.limit;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
+        ready!(stalled.as_mut().poll(context));
+        Poll::Ready(Err(Error::new(
+            ErrorKind::TimedOut,
+            "the other side does not read",
+        )))
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize, Error>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.guard(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[std::io::IoSlice<'_>],
+    ) -> Poll<Result<usize, Error>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.guard(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<(), Error>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/lib/src/http/tests.rs
+++ b/lib/src/http/tests.rs
@@ -1,9 +1,18 @@
-//! Tests of kept connections and of the last requests at a stop.
+//! Tests of kept connections, of the last requests at a stop and of callers that do not read.
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::stream;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::http::pools::KEEP_ALIVE;
@@ -11,7 +20,9 @@
 use crate::http::pools::SHORT_IDLE;
 use crate::http::pools::idle_time;
 use crate::http::server::OpenRequests;
+use crate::http::server::ServerPlan;
 use crate::http::server::ServerStop;
+use crate::http::server::serve;
 
 const GRACE: Duration = Duration::from_secs(5);
 
@@ -66,3 +77,35 @@
     stop.finish(&open, closed + GRACE).await;
     assert_eq!(closed.elapsed(), Duration::ZERO);
 }
+
+/// A caller that asks and never reads holds the answer only for the write time-out.
+#[tokio::test]
+async fn test_answer_ends_when_its_caller_reads_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let plan = ServerPlan {
+        write_timeout: Duration::from_millis(100),
+        ..ServerPlan::default()
+    };
+    let (stop, open) = (ServerStop::default(), OpenRequests::default());
+    let serving = serve(
+        listener,
+        move || plan,
+        stop,
+        open.clone(),
+        |_| async {
+            let part = || Ok(Frame::data(Bytes::from_static(&[b'x'; 4096])));
+            let endless = stream::repeat_with(part);
+            Response::new(StreamBody::new(endless).boxed_unsync())
+        },
+    );
+    tokio::spawn(serving);
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    caller.readable().await.unwrap();
+    assert_eq!(open.count(), 1);
+    while open.count() > 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/lib/src/jobs/run.rs
+++ b/lib/src/jobs/run.rs
@@ -27,6 +27,7 @@
 use crate::jobs::book::JobBook;
 use crate::jobs::keeper::FINISHED;
 use crate::jobs::keeper::JobKeeper;
+use crate::jobs::store::SEGMENT_BYTES;
 use crate::places::PlaceAsk;
 use crate::places::PlaceHold;
 use crate::relay::Opened;
@@ -48,6 +49,8 @@
 /// Shortest time between two looks.
 const LEAST_TICK: Duration = Duration::from_millis(5);
 const COMMIT_TICK: Duration = Duration::from_millis(50);
+/// Largest output of an item; a longer one could not be listed.
+const MAX_OUTPUT_BYTES: usize = SEGMENT_BYTES / 2;
 /// Longer than any wait for other items to finish.
 const LIST_NOW: Duration = Duration::from_secs(10);
 
@@ -144,14 +147,8 @@
     ) {
         let place = hold.pick.key;
         let request = item_request(&order, route, service, version);
-        let run = StreamRun::new(
-            self.shared.relay.wire().clone(),
-            self.shared.relay.places().clone(),
-            self.shared.log.clone(),
-            Arc::new(request),
-            item_policy(),
-        )
-        .with_place(hold);
+        let run = StreamRun::new(self.shared.relay.clone(), Arc::new(request), item_policy())
+            .with_place(hold);
         let began = Instant::now();
         let before = order.progress.events;
         let outcome = follow(run, order.progress, &events, &stop).await;
@@ -289,6 +286,10 @@
         match step {
             RunStep::Event(event) => {
                 progress.push(event.id, &event.data());
+                if progress.text.len() > MAX_OUTPUT_BYTES {
+                    // It can't be the item's output, so that another run begins anew.
+                    return ItemOutcome::Broken(ItemProgress::default());
+                }
                 events.store(progress.events, Ordering::Relaxed);
             }
             RunStep::End => return ItemOutcome::Done(progress),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod refusal;
 pub mod registry;
 pub mod relay;
+mod room;
 pub mod routes;
 pub mod settings;
 pub mod suspects;
--- a/lib/src/peers/links.rs
+++ b/lib/src/peers/links.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio_tungstenite::WebSocketStream;
-use tokio_tungstenite::client_async;
+use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
 
@@ -24,6 +24,7 @@
 use crate::peers::message::PeerMessage;
 use crate::peers::message::decode;
 use crate::peers::message::encode;
+use crate::peers::message::socket_bounds;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -154,7 +155,7 @@
     let proof = auth::prove(&shared.secret, key);
     let proof = proof.parse().expect("proofs are ASCII");
     request.headers_mut().insert(auth::PROOF_HEADER, proof);
-    let (mut socket, _) = client_async(request, stream)
+    let (mut socket, _) = client_async_with_config(request, stream, Some(socket_bounds()))
         .await
         .map_err(|err| err.to_string())?;
     let hello = PeerFrame::Hello {
--- a/lib/src/peers/message.rs
+++ b/lib/src/peers/message.rs
@@ -4,9 +4,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::ids::HostId;
 
+/// Largest message between hosts.
+const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Bounds of a connection between hosts.
+pub(super) fn socket_bounds() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// A call that a slice defines.
 pub trait PeerMessage: Serialize + DeserializeOwned + Send + 'static {
     /// Name of the call, unique among all slices.
--- a/lib/src/peers/server.rs
+++ b/lib/src/peers/server.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_tungstenite::accept_hdr_async;
+use tokio_tungstenite::accept_hdr_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::handshake::server::ErrorResponse;
 use tokio_tungstenite::tungstenite::handshake::server::Request;
@@ -20,6 +20,7 @@
 use crate::peers::auth;
 use crate::peers::handlers::PeerHandlers;
 use crate::peers::message::PeerFrame;
+use crate::peers::message::socket_bounds;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection on which nothing arrives for this long is closed.
@@ -75,9 +76,8 @@
     handlers: PeerHandlers,
 ) {
     #[allow(clippy::result_large_err)] // The callback's signature is tungstenite's.
-    let handshake = accept_hdr_async(stream, |request: &Request, response: Response| {
-        check_proof(&secret, request, response)
-    });
+    let check = |request: &Request, response: Response| check_proof(&secret, request, response);
+    let handshake = accept_hdr_async_with_config(stream, check, Some(socket_bounds()));
     let Ok(Ok(socket)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         counters.event(Event::PeerMessageRejected);
         return;
--- a/lib/src/relay/desk.rs
+++ b/lib/src/relay/desk.rs
@@ -24,6 +24,7 @@
 use crate::relay::run::RunStep;
 use crate::relay::run::StreamRun;
 use crate::relay::wire::UpstreamWire;
+use crate::room::ByteRoom;
 use crate::routes::Route;
 use crate::routes::RouteKind;
 
@@ -32,6 +33,8 @@
 /// Shortest pause after which a stream goes on elsewhere.
 const LEAST_GAP_WAIT: Duration = Duration::from_millis(150);
 const DEFAULT_GAP: Duration = Duration::from_millis(500);
+/// Bytes of whole answers that are kept at once, where nothing else is said.
+const ANSWER_ROOM_BYTES: usize = 64 * 1024 * 1024;
 /// Outcome of a request that had its whole answer.
 const SERVED: &str = "served";
 /// When a caller whose request found no upstream may come back.
@@ -74,12 +77,24 @@
     wire: Arc<dyn UpstreamWire>,
     places: PlaceDesk,
     log: EventLog,
+    answers: ByteRoom,
 }
 
 impl RelayDesk {
     /// Returns a desk that places requests by `places` and sends them through `wire`.
     pub fn new(wire: Arc<dyn UpstreamWire>, places: PlaceDesk, log: EventLog) -> Self {
-        Self { wire, places, log }
+        Self {
+            wire,
+            places,
+            log,
+            answers: ByteRoom::new(ANSWER_ROOM_BYTES),
+        }
+    }
+
+    /// Lets whole answers take `bytes` together.
+    pub fn with_answer_room(mut self, bytes: usize) -> Self {
+        self.answers = ByteRoom::new(bytes);
+        self
     }
 
     /// The edge towards upstreams.
@@ -92,6 +107,16 @@
         &self.places
     }
 
+    /// Room for whole answers.
+    pub(crate) fn answers(&self) -> &ByteRoom {
+        &self.answers
+    }
+
+    /// Where decisions are logged.
+    pub(crate) fn log(&self) -> &EventLog {
+        &self.log
+    }
+
     /// Relays `request` and returns its answer, or a stream that goes on as it is read.
     pub async fn relay(&self, request: RelayRequest) -> RelayAnswer {
         let load = self.load(&request);
@@ -102,13 +127,7 @@
         }
         let request = Arc::new(request);
         let policy = online_policy(&request.route);
-        let run = StreamRun::new(
-            self.wire.clone(),
-            self.places.clone(),
-            self.log.clone(),
-            request.clone(),
-            policy,
-        );
+        let run = StreamRun::new(self.clone(), request.clone(), policy);
         let mut relayed = RelayedRun::new(run, self.log.clone(), request.clone());
         match relayed.run.start().await {
             Ok(Opened::Whole {
--- a/lib/src/relay/event.rs
+++ b/lib/src/relay/event.rs
@@ -3,9 +3,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Largest event; a body with a larger one is treated as broken.
-const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
-
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -16,6 +13,11 @@
 }
 
 impl StreamEvent {
+    /// Whether the event carries anything, unlike a comment.
+    pub fn is_news(&self) -> bool {
+        self.id.is_some() || lines(&self.raw).any(|line| field(line, b"data").is_some())
+    }
+
     /// Text of all data lines, joined by line feeds.
     pub fn data(&self) -> Vec<u8> {
         let mut data = Vec::new();
@@ -53,16 +55,16 @@
         Some(StreamEvent { raw, id })
     }
 
+    /// Bytes that make up no whole event yet.
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether bytes of an unfinished event are left.
     pub fn has_rest(&self) -> bool {
         self.buffer.iter().any(|byte| !byte.is_ascii_whitespace())
     }
 
-    /// Whether the unfinished event is larger than any proper one.
-    pub fn is_overlong(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
-    }
-
     fn find_end(&mut self) -> Option<usize> {
         let mut at = self.searched;
         while let Some(offset) = self.buffer[at..].iter().position(|byte| *byte == b'\n') {
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -14,10 +14,10 @@
 use crate::events::LogEvent;
 use crate::ids::UpstreamId;
 use crate::places::PlaceAsk;
-use crate::places::PlaceDesk;
 use crate::places::PlaceHold;
 use crate::places::PlaceKey;
 use crate::places::UpstreamFault;
+use crate::relay::desk::RelayDesk;
 use crate::relay::event::EventSplitter;
 use crate::relay::event::StreamEvent;
 use crate::relay::patience::wait_until;
@@ -27,10 +27,13 @@
 use crate::relay::wire::SendOrder;
 use crate::relay::wire::UpstreamAnswer;
 use crate::relay::wire::UpstreamBody;
-use crate::relay::wire::UpstreamWire;
 
 /// Largest whole answer that is kept in memory.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Bytes that a stream may bring without an event that goes on; beyond that it is broken.
+const MAX_IDLE_BYTES: usize = 256 * 1024;
+/// Room that a whole answer takes at a time.
+const ANSWER_STEP_BYTES: usize = 64 * 1024;
 /// Upstreams that may turn a request down unrun before it is refused.
 const MAX_UNRUN_SENDINGS: u32 = 6;
 
@@ -110,7 +113,10 @@
     body: UpstreamBody,
     splitter: EventSplitter,
     sent: Instant,
-    heard: Instant,
+    /// When the last event came that goes on after the one before it.
+    advanced: Instant,
+    /// Bytes since then.
+    idle_bytes: usize,
     events: u64,
 }
 
@@ -129,9 +135,7 @@
 
 /// One request on its way. Dropping it ends the work of its upstream.
 pub struct StreamRun {
-    wire: Arc<dyn UpstreamWire>,
-    desk: PlaceDesk,
-    log: EventLog,
+    relay: RelayDesk,
     request: Arc<RelayRequest>,
     policy: RunPolicy,
     sendings: u32,
@@ -148,18 +152,10 @@
 
 impl StreamRun {
     /// Returns a run of `request` that has not been sent.
-    pub fn new(
-        wire: Arc<dyn UpstreamWire>,
-        desk: PlaceDesk,
-        log: EventLog,
-        request: Arc<RelayRequest>,
-        policy: RunPolicy,
-    ) -> Self {
+    pub fn new(relay: RelayDesk, request: Arc<RelayRequest>, policy: RunPolicy) -> Self {
         let last_id = request.resume_after;
         Self {
-            wire,
-            desk,
-            log,
+            relay,
             request,
             policy,
             sendings: 0,
@@ -297,13 +293,13 @@
             avoid: &self.avoid,
             may_try: self.policy.may_repeat,
         };
-        let hold = self.placed.take().or_else(|| self.desk.take(ask));
+        let hold = self.placed.take().or_else(|| self.relay.places().take(ask));
         let Some(hold) = hold else {
             return Sending::Failed(self.unplaced_failure());
         };
         self.sendings += 1;
         self.avoid.push(hold.pick.key);
-        self.log.write(LogEvent::RequestSent {
+        self.relay.log().write(LogEvent::RequestSent {
             request: request.id.to_string(),
             upstream: hold.pick.id.to_string(),
             sending: self.sendings,
@@ -323,7 +319,7 @@
             reuse: self.policy.may_repeat && self.runs == 0,
         };
         let wait = self.head_wait(&hold).min(budget);
-        let answer = self.wire.send(&hold.pick, &request, order);
+        let answer = self.relay.wire().send(&hold.pick, &request, order);
         match wait_until(now + wait, answer).await {
             Ok(Ok(answer)) => self.judge_answer(hold, answer, now),
             Ok(Err(SendFault::NotSent(cause))) => {
@@ -348,7 +344,7 @@
     /// An answer that may be used, or what becomes of the request without one.
     fn judge_answer(&mut self, hold: PlaceHold, answer: UpstreamAnswer, sent: Instant) -> Sending {
         if answer.is_leaving && hold.leave() {
-            self.log.write(LogEvent::UpstreamLeaves {
+            self.relay.log().write(LogEvent::UpstreamLeaves {
                 upstream: hold.pick.id.to_string(),
                 request: self.request.id.to_string(),
             });
@@ -432,13 +428,12 @@
         };
         loop {
             while let Some(event) = open.splitter.next_event() {
-                open.events += 1;
-                if open.events == 1 {
-                    note_success(&self.log, &open.hold);
-                }
                 match sequence(self.last_id, event.id) {
                     Sequence::Next => {
                         self.last_id = event.id.or(self.last_id);
+                        if event.is_news() {
+                            open.advance(self.relay.log());
+                        }
                         return ReadOutcome::Event(event);
                     }
                     Sequence::Repeated => {}
@@ -448,8 +443,8 @@
                     }
                 }
             }
-            if open.splitter.is_overlong() {
-                let cause = "an event is too large".to_owned();
+            if open.idle_bytes > MAX_IDLE_BYTES {
+                let cause = "too many bytes without an event that goes on".to_owned();
                 return ReadOutcome::Fault(UpstreamFault::Broken, cause);
             }
             let wait = match (open.events, open.hold.pick.ahead < open.hold.pick.slots) {
@@ -458,7 +453,7 @@
                 _ => policy.gap_wait,
             };
             let silent_at = if is_watched {
-                open.heard + wait
+                open.advanced + wait
             } else {
                 deadline
             };
@@ -471,10 +466,12 @@
                     return ReadOutcome::Fault(UpstreamFault::Silent, cause);
                 }
             };
-            open.heard = Instant::now();
-            self.heard = open.heard;
+            self.heard = Instant::now();
             match chunk {
-                Some(Ok(bytes)) => open.splitter.push(&bytes),
+                Some(Ok(bytes)) => {
+                    open.idle_bytes += bytes.len();
+                    open.splitter.push(&bytes);
+                }
                 Some(Err(cause)) => return ReadOutcome::Fault(UpstreamFault::Broken, cause),
                 None if open.splitter.has_rest() => {
                     let cause = "the stream ended within an event".to_owned();
@@ -497,19 +494,25 @@
     ) -> Result<Option<Bytes>, RelayFailure> {
         let mut body = answer.body;
         let mut whole = BytesMut::new();
+        let mut held = Vec::new();
+        let room = self.relay.answers();
         let read = async {
             while let Some(part) = body.next().await {
                 whole.extend_from_slice(&part?);
                 if whole.len() > MAX_ANSWER_BYTES {
                     return Err("the answer is too large".to_owned());
                 }
+                while held.len() * ANSWER_STEP_BYTES < whole.len() {
+                    let hold = room.take(ANSWER_STEP_BYTES);
+                    held.push(hold.ok_or("there is no room for the answer")?);
+                }
             }
             Ok(())
         };
         match wait_until(self.request.deadline, read).await {
             Ok(Ok(())) => {
                 if !answer.status.is_server_error() {
-                    note_success(&self.log, &hold);
+                    note_success(self.relay.log(), &hold);
                 }
                 Ok(Some(whole.freeze()))
             }
@@ -539,7 +542,7 @@
         cause: &str,
         ran: bool,
     ) {
-        self.log.write(LogEvent::SendingFailed {
+        self.relay.log().write(LogEvent::SendingFailed {
             request: self.request.id.to_string(),
             upstream: hold.pick.id.to_string(),
             fault: fault.to_string(),
@@ -548,7 +551,7 @@
             after_ms: sent.elapsed().as_millis() as u64,
         });
         if let Some(pause) = hold.fault(fault) {
-            self.log.write(LogEvent::UpstreamEjected {
+            self.relay.log().write(LogEvent::UpstreamEjected {
                 upstream: hold.pick.id.to_string(),
                 fault: fault.to_string(),
                 pause_ms: pause.as_millis() as u64,
@@ -567,13 +570,26 @@
     }
 }
 
+impl OpenStream {
+    /// Notes an event that goes on after the one before it.
+    fn advance(&mut self, log: &EventLog) {
+        self.events += 1;
+        if self.events == 1 {
+            note_success(log, &self.hold);
+        }
+        self.advanced = Instant::now();
+        self.idle_bytes = self.splitter.pending();
+    }
+}
+
 fn open_stream(hold: PlaceHold, body: UpstreamBody, sent: Instant) -> OpenStream {
     OpenStream {
         hold,
         body,
         splitter: EventSplitter::default(),
         sent,
-        heard: Instant::now(),
+        advanced: Instant::now(),
+        idle_bytes: 0,
         events: 0,
     }
 }
