--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -36,6 +36,7 @@
 use crate::peers::PeerServer;
 use crate::places::EntryState;
 use crate::places::LoadExchange;
+use crate::places::PeerAddresses;
 use crate::places::PlaceBook;
 use crate::places::PlaceDesk;
 use crate::places::UpstreamEntry;
@@ -161,18 +162,8 @@
             self.plan.incarnation,
             self.leaving.clone(),
         );
-        let registry = self.registry.clone();
-        let own = self.plan.peers;
-        let peers = move || {
-            registry.with_list(|list| {
-                let entries = list.entries().into_iter();
-                let takes_callers = entries.filter(|entry| entry.callers.is_some());
-                takes_callers
-                    .map(|entry| entry.peers)
-                    .filter(|peer| *peer != own)
-                    .collect()
-            })
-        };
+        let host = self.clone();
+        let peers = move || host.peer_addresses();
         let (told, heard, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
         let note_jobs = move |host: &str, jobs: &[String]| heard.note_new_jobs(host, jobs);
         tokio::spawn(async move {
@@ -191,6 +182,25 @@
         tokio::spawn(async move { host.sweep_roster().await });
     }
 
+    /// Addresses of the other hosts; brings their ring up to date.
+    fn peer_addresses(&self) -> PeerAddresses {
+        let mut book = self.places.book();
+        self.registry.with_list(|list| {
+            let entries = list.entries().into_iter();
+            let others: Vec<&HostEntry> = entries
+                .filter(|entry| entry.callers.is_some() && entry.host != self.plan.host)
+                .collect();
+            book.set_hosts(others.iter().map(|entry| entry.host.as_str()));
+            let neighbours = book.neighbours();
+            let is_near = |entry: &&&HostEntry| neighbours.contains(&entry.host);
+            let near = others.iter().filter(is_near);
+            PeerAddresses {
+                neighbours: near.map(|entry| entry.peers).collect(),
+                all: others.iter().map(|entry| entry.peers).collect(),
+            }
+        })
+    }
+
     async fn serve_peers(
         &self,
         listener: TcpListener,
@@ -338,12 +348,11 @@
 
     /// Addresses that callers should use.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
-        let own = self.plan.host.as_str();
         let book = self.places.book();
         let mut addresses = self.registry.with_list(|list| {
             let ready = list.caller_entries();
             let hosts: Vec<&str> = ready.iter().map(|entry| entry.host.as_str()).collect();
-            let usable = book.pulse().usable(own, &hosts, Instant::now());
+            let usable = book.usable_hosts(&hosts, Instant::now());
             let usable = ready
                 .iter()
                 .filter(|entry| usable.contains(&entry.host.as_str()));
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -1,5 +1,6 @@
 //! Book of upstreams and of the work that all hosts run at them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,32 +14,30 @@
 use crate::ids::ServiceName;
 use crate::ids::UpstreamId;
 use crate::ids::WorkClass;
-use crate::membership::rendezvous_score;
 use crate::places::health::Standing;
 use crate::places::health::UpstreamFault;
 use crate::places::health::UpstreamHealth;
 use crate::places::leaving::LeavingStarts;
 use crate::places::leaving::UpstreamStart;
+use crate::places::peers::PeerLoads;
+use crate::places::peers::WorkCount;
 use crate::places::pulse::PeerPulse;
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
 use crate::places::report::upstream_tag;
+use crate::places::ring::HostRing;
+use crate::places::ring::outward;
+use crate::places::ring::overlap_reach;
+use crate::places::ring::sure_reach;
+use crate::places::ring::window_size;
 use crate::places::spare::SparePlaces;
 use crate::places::spare::UpstreamFill;
 
-/// Work of a host that has not reported for this long is forgotten.
-const REPORT_LIFE: Duration = Duration::from_millis(1_000);
-/// In fleets with more hosts than this, each request chooses among a sample of the upstreams, as
+/// With reports of more hosts than this, each request chooses among a sample of the upstreams, as
 /// all hosts would choose the same ones from the same reports. Loads of sampled choices stay
 /// close though reports are old: Mitzenmacher, "How useful is old information?", 2000.
-const SAMPLED_FLEET: usize = 12;
+const SAMPLED_PEERS: usize = 12;
 const SAMPLE: usize = 4;
-/// Upstreams from which a host of such a fleet draws its samples: always the same ones while they
-/// take requests, so that connections to them are used again. Each host has its own subset.
-const LEAST_SUBSET: usize = 20;
-/// Hosts that have each upstream in their subset, on the mean; with fewer some upstreams would be
-/// in none.
-const SUBSETS_PER_UPSTREAM: usize = 10;
 /// Time within which hosts hear of one another's batch items.
 const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
@@ -117,33 +116,11 @@
     pub ahead: u32,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct WorkCount {
-    online: u32,
-    batch: u32,
-}
-
-impl WorkCount {
-    fn of(&mut self, class: WorkClass) -> &mut u32 {
-        match class {
-            WorkClass::Online => &mut self.online,
-            WorkClass::Batch => &mut self.batch,
-        }
-    }
-
-    fn total(self) -> u32 {
-        self.online + self.batch
-    }
-}
-
 #[derive(Debug)]
 struct Upstream {
     entry: UpstreamEntry,
     tag: u32,
-    /// Place of the upstream in this host's order of upstreams; the greatest come first.
-    weight: u64,
     own: WorkCount,
-    others: WorkCount,
     health: UpstreamHealth,
     listed: bool,
     /// Whether this start said that it leaves.
@@ -151,18 +128,17 @@
 }
 
 impl Upstream {
-    fn work(&self) -> WorkCount {
-        WorkCount {
-            online: self.own.online + self.others.online,
-            batch: self.own.batch + self.others.batch,
-        }
+    /// Work of all hosts; `peers` is that of the others.
+    fn work(&self, peers: &PeerLoads) -> WorkCount {
+        self.own.plus(peers.at(self.tag))
     }
 
     /// Work that a new piece of `class` would wait for or run beside.
-    fn ahead(&self, class: WorkClass) -> u32 {
+    fn ahead(&self, class: WorkClass, peers: &PeerLoads) -> u32 {
+        let work = self.work(peers);
         match class {
-            WorkClass::Online => self.work().online,
-            WorkClass::Batch => self.work().total(),
+            WorkClass::Online => work.online,
+            WorkClass::Batch => work.total(),
         }
     }
 
@@ -178,14 +154,6 @@
     }
 }
 
-#[derive(Debug)]
-struct PeerLoad {
-    incarnation: u64,
-    number: u64,
-    heard: Instant,
-    loads: Vec<UpstreamLoad>,
-}
-
 /// Upstreams of all services, with the work at each.
 #[derive(Debug)]
 pub struct PlaceBook {
@@ -194,7 +162,14 @@
     next_key: u32,
     upstreams: HashMap<PlaceKey, Upstream>,
     keys: HashMap<UpstreamId, PlaceKey>,
-    peers: HashMap<String, PeerLoad>,
+    /// Upstreams of each service that take requests, in the order of their tags.
+    serving: HashMap<ServiceName, Vec<(u32, PlaceKey)>>,
+    /// Upstreams at which this host runs something.
+    busy: BTreeSet<PlaceKey>,
+    ring: HostRing,
+    /// Place of this host on the ring.
+    place: f64,
+    peers: PeerLoads,
     pulse: PeerPulse,
     leaving: LeavingStarts,
     /// Batch items that this host may still start in the window that began at the instant.
@@ -210,7 +185,11 @@
             next_key: 0,
             upstreams: HashMap::default(),
             keys: HashMap::default(),
-            peers: HashMap::default(),
+            serving: HashMap::default(),
+            busy: BTreeSet::new(),
+            ring: HostRing::default(),
+            place: 0.0,
+            peers: PeerLoads::default(),
             pulse: PeerPulse::default(),
             leaving: LeavingStarts::default(),
             starts: HashMap::default(),
@@ -229,7 +208,7 @@
             if !restarted {
                 upstream.entry = entry;
                 upstream.listed = true;
-                return;
+                return self.file(*key);
             }
             self.remove(&entry.id);
         }
@@ -240,15 +219,65 @@
         let upstream = Upstream {
             tag,
             is_leaving: self.leaving.contains(UpstreamStart(tag, entry.born)),
-            weight: rendezvous_score(self.host.as_str(), entry.id.as_str()),
             entry,
             own: WorkCount::default(),
-            others: WorkCount::default(),
             health: UpstreamHealth::default(),
             listed: true,
         };
         self.upstreams.insert(key, upstream);
-        self.recount();
+        self.file(key);
+    }
+
+    /// Files an upstream under its service if it takes requests, and takes it out if not.
+    fn file(&mut self, key: PlaceKey) {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return;
+        };
+        let place = (upstream.tag, key);
+        let serving = self
+            .serving
+            .entry(upstream.entry.service.clone())
+            .or_default();
+        match (serving.binary_search(&place), upstream.takes_requests()) {
+            (Err(at), true) => serving.insert(at, place),
+            (Ok(at), false) => {
+                serving.remove(at);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the names of the hosts that share the upstreams. This host is always one of them.
+    pub fn set_hosts<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        let own = self.host.clone();
+        let names = names.into_iter().filter(|name| *name != own.as_str());
+        let names: Vec<&str> = names.collect();
+        self.ring = HostRing::new(names.into_iter().chain([own.as_str()]));
+        self.place = self.ring.place(own.as_str());
+    }
+
+    /// Hosts that exchange load reports with this one.
+    pub fn neighbours(&self) -> HashSet<String> {
+        let near = self
+            .ring
+            .near(self.host.as_str(), self.reach(overlap_reach));
+        near.map(str::to_owned).collect()
+    }
+
+    /// The largest reach that any service has.
+    fn reach(&self, of: impl Fn(usize, usize) -> f64) -> f64 {
+        let hosts = self.ring.len();
+        let reaches = self.serving.values().map(|all| of(all.len(), hosts));
+        reaches.fold(0.0, f64::max)
+    }
+
+    /// Those of `hosts` that callers should use: all but hosts that leave, and neighbours that have
+    /// fallen silent.
+    pub fn usable_hosts<'a>(&self, hosts: &[&'a str], now: Instant) -> Vec<&'a str> {
+        let reach = self.reach(sure_reach);
+        let own = self.host.as_str();
+        let reports = |host: &str| self.ring.is_near(own, host, reach);
+        self.pulse.usable(own, hosts, reports, now)
     }
 
     /// Forgets an upstream. Its running requests keep their places until they end.
@@ -259,6 +288,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&key) {
             upstream.listed = false;
         }
+        self.file(key);
         self.sweep(key);
     }
 
@@ -277,10 +307,10 @@
 
     /// Number of upstreams of `service` that take requests.
     pub fn ready_count(&self, service: &ServiceName) -> usize {
-        self.serving(service).count()
+        self.serving.get(service).map_or(0, Vec::len)
     }
 
-    /// Places of `service` at upstreams that take requests, and the online work there.
+    /// Places of `service` at upstreams that this host uses, and the online work there.
     ///
     /// Without a sound upstream, each one that is on trial offers one place: a host whose own pause
     /// or link made all of them seem faulty finds back by these requests.
@@ -288,11 +318,11 @@
         let mut slots = 0;
         let mut online = 0;
         let mut trials = 0;
-        for (_, upstream) in self.serving(service) {
-            match upstream.health.standing(now) {
+        for (_, upstream) in self.window(service, |up| standing(up, now) != Standing::Paused) {
+            match standing(upstream, now) {
                 Standing::Good => {
                     slots += upstream.entry.slots;
-                    online += upstream.work().online;
+                    online += upstream.work(&self.peers).online;
                 }
                 Standing::OnTrial if upstream.own.total() == 0 => trials += 1,
                 Standing::OnTrial | Standing::Paused => {}
@@ -304,20 +334,30 @@
         }
     }
 
-    /// Online and batch work at the upstreams of `service`, of all hosts.
+    /// Online and batch work at the upstreams of `service` that this host uses, of all hosts.
     pub fn work_of(&self, service: &ServiceName) -> (u32, u32) {
-        let mut sum = WorkCount::default();
-        for (_, upstream) in self.serving(service) {
-            sum.online += upstream.work().online;
-            sum.batch += upstream.work().batch;
-        }
+        let works = self
+            .window(service, |_| true)
+            .map(|(_, upstream)| upstream.work(&self.peers));
+        let sum = works.fold(WorkCount::default(), WorkCount::plus);
         (sum.online, sum.batch)
     }
 
-    fn serving(&self, service: &ServiceName) -> impl Iterator<Item = (PlaceKey, &Upstream)> {
-        let all = self.upstreams.iter();
-        all.filter(move |(_, up)| up.takes_requests() && up.entry.service == *service)
-            .map(|(key, up)| (*key, up))
+    /// The upstreams of `service` that this host uses, among those that fulfil `condition`.
+    ///
+    /// Where many do not, as they are faulty, the window reaches farther.
+    fn window(
+        &self,
+        service: &ServiceName,
+        condition: impl Fn(&Upstream) -> bool,
+    ) -> impl Iterator<Item = (PlaceKey, &Upstream)> {
+        let serving = self.serving.get(service).map_or(&[][..], Vec::as_slice);
+        let size = window_size(serving.len(), self.ring.len());
+        outward(self.place, serving.len())
+            .map(|index| serving[index].1)
+            .map(|key| (key, &self.upstreams[&key]))
+            .filter(move |(_, upstream)| condition(upstream))
+            .take(size)
     }
 
     /// Takes a place for one piece of work, or returns `None` if no upstream may take it.
@@ -336,13 +376,14 @@
             let upstream = &self.upstreams[key];
             NextPlace {
                 id: upstream.entry.id.clone(),
-                ahead: upstream.ahead(class),
+                ahead: upstream.ahead(class, &self.peers),
             }
         });
-        let oldest = self.peers.values().map(|peer| peer.heard).min();
+        let oldest = self.peers.oldest();
         let upstream = self.upstreams.get_mut(&key)?;
-        let ahead = upstream.ahead(class);
+        let ahead = upstream.ahead(class, &self.peers);
         *upstream.own.of(class) += 1;
+        self.busy.insert(key);
         if class == WorkClass::Batch
             && let Some(starts) = self.starts.get_mut(service)
         {
@@ -362,30 +403,38 @@
     /// Upstreams among which a piece of work is placed, the best first.
     fn candidates(&self, ask: PlaceAsk<'_>, now: Instant, draw: u32) -> Vec<PlaceKey> {
         let class = ask.class;
+        let may_try = |upstream: &Upstream| match standing(upstream, now) {
+            Standing::Good => true,
+            Standing::OnTrial => upstream.own.total() == 0,
+            Standing::Paused => false,
+        };
         let mut candidates: Vec<(PlaceKey, &Upstream)> = self
-            .serving(ask.service)
-            .filter(|(key, upstream)| !ask.avoid.contains(key) && may_take(upstream, class, now))
+            .window(ask.service, may_try)
+            .filter(|(key, upstream)| !ask.avoid.contains(key) && self.has_room(upstream, class))
             .collect();
-        let is_good = |upstream: &Upstream| upstream.health.standing(now) == Standing::Good;
+        let is_good = |upstream: &Upstream| standing(upstream, now) == Standing::Good;
         if !ask.may_try && candidates.iter().any(|(_, upstream)| is_good(upstream)) {
             candidates.retain(|(_, upstream)| is_good(upstream));
         }
-        let is_sampled = self.peers.len() >= SAMPLED_FLEET;
-        if is_sampled {
-            candidates.sort_unstable_by_key(|(_, upstream)| std::cmp::Reverse(upstream.weight));
-            candidates.truncate(subset_size(candidates.len(), self.peers.len() + 1));
-        }
         candidates.sort_unstable_by_key(|(key, _)| mixed(*key, draw));
-        if is_sampled {
+        if self.peers.len() >= SAMPLED_PEERS {
             candidates.truncate(SAMPLE);
         }
         candidates.sort_by(|(_, a), (_, b)| self.score(a, class).total_cmp(&self.score(b, class)));
         candidates.into_iter().map(|(key, _)| key).collect()
     }
 
+    /// Batch items wait for a free place; online requests may wait at their upstream.
+    fn has_room(&self, upstream: &Upstream, class: WorkClass) -> bool {
+        match class {
+            WorkClass::Online => true,
+            WorkClass::Batch => upstream.work(&self.peers).total() < upstream.entry.slots,
+        }
+    }
+
     /// Load after taking the work, in shares of the upstream's places; lower is better.
     fn score(&self, upstream: &Upstream, class: WorkClass) -> f64 {
-        let work = upstream.work();
+        let work = upstream.work(&self.peers);
         let slots = f64::from(upstream.entry.slots);
         let near = upstream.entry.data_centre == self.data_centre;
         let bonus = if near { NEAR_BONUS } else { 0.0 };
@@ -403,6 +452,9 @@
         if let Some(upstream) = self.upstreams.get_mut(&key) {
             let count = upstream.own.of(class);
             *count = count.saturating_sub(1);
+            if upstream.own.total() == 0 {
+                self.busy.remove(&key);
+            }
         }
         self.sweep(key);
     }
@@ -426,7 +478,9 @@
             return false;
         };
         upstream.is_leaving = true;
-        self.leaving.note(upstream.start(), now)
+        let start = upstream.start();
+        self.file(key);
+        self.leaving.note(start, now)
     }
 
     /// Upstreams that said lately that they leave, for the load report.
@@ -439,9 +493,11 @@
             if !self.leaving.hear(*start) {
                 continue;
             }
-            let mut all = self.upstreams.values_mut();
-            if let Some(upstream) = all.find(|upstream| upstream.start() == *start) {
+            let mut all = self.upstreams.iter_mut();
+            if let Some((key, upstream)) = all.find(|(_, upstream)| upstream.start() == *start) {
                 upstream.is_leaving = true;
+                let key = *key;
+                self.file(key);
             }
         }
     }
@@ -451,13 +507,12 @@
     /// The hosts with the most items go first, then the lesser names, so that hosts with the
     /// same reports agree.
     pub fn give_way(&self, now: Instant) -> Vec<(PlaceKey, u32)> {
-        let services: HashSet<&ServiceName> = self
-            .upstreams
-            .values()
-            .map(|up| &up.entry.service)
-            .collect();
+        let mut own = self.busy.iter().map(|key| self.upstreams[key].own.batch);
+        if own.all(|count| count == 0) {
+            return Vec::new();
+        }
         let mut parks = Vec::new();
-        for service in services {
+        for service in self.serving.keys() {
             let fills = self.fills(service, now);
             for (key, count) in SparePlaces::of(&fills).parks(&fills) {
                 let own = self.own_share(&self.upstreams[&key], count);
@@ -470,14 +525,16 @@
     }
 
     fn fills(&self, service: &ServiceName, now: Instant) -> Vec<UpstreamFill> {
-        let serving = self.serving(service);
-        let good = serving.filter(|(_, up)| up.health.standing(now) == Standing::Good);
-        let fills = good.map(|(key, upstream)| UpstreamFill {
-            key,
-            tag: upstream.tag,
-            slots: upstream.entry.slots,
-            online: upstream.work().online,
-            batch: upstream.work().batch,
+        let good = self.window(service, |up| standing(up, now) == Standing::Good);
+        let fills = good.map(|(key, upstream)| {
+            let work = upstream.work(&self.peers);
+            UpstreamFill {
+                key,
+                tag: upstream.tag,
+                slots: upstream.entry.slots,
+                online: work.online,
+                batch: work.batch,
+            }
         });
         fills.collect()
     }
@@ -500,12 +557,7 @@
 
     fn own_share(&self, upstream: &Upstream, over: u32) -> u32 {
         let mut holders: Vec<(u32, &str)> = vec![(upstream.own.batch, self.host.as_str())];
-        for (name, peer) in &self.peers {
-            let at_upstream = peer.loads.iter().find(|load| load.0 == upstream.tag);
-            if let Some(load) = at_upstream.filter(|load| load.2 > 0) {
-                holders.push((u32::from(load.2), name));
-            }
-        }
+        holders.extend(self.peers.batch_holders(upstream.tag));
         let mut own = 0;
         for _ in 0..over {
             let most = holders
@@ -522,7 +574,7 @@
 
     /// What this host runs, for its load report.
     pub fn own_loads(&self) -> Vec<UpstreamLoad> {
-        let working = self.upstreams.values().filter(|up| up.own.total() > 0);
+        let working = self.busy.iter().map(|key| &self.upstreams[key]);
         let mut loads: Vec<UpstreamLoad> = working
             .map(|up| UpstreamLoad(up.tag, up.own.online as u16, up.own.batch as u16))
             .collect();
@@ -530,54 +582,25 @@
         loads
     }
 
-    /// Takes in another host's report, unless a newer one is known.
-    pub fn hear(&mut self, report: LoadReport, now: Instant) {
-        if report.host == self.host.as_str() {
-            return;
-        }
-        let known = self.peers.get(&report.host);
-        let is_old = known.is_some_and(|peer| {
-            (peer.incarnation, peer.number) >= (report.incarnation, report.number)
-        });
-        if is_old {
-            return;
+    /// Takes in another host's report, unless a newer one is known. Returns whether the work at
+    /// any upstream has changed.
+    pub fn hear(&mut self, report: LoadReport, now: Instant) -> bool {
+        if report.host == self.host.as_str() || self.peers.is_old(&report) {
+            return false;
         }
         self.pulse.note(&report.host, report.is_leaving, now);
         self.hear_leaving(&report.leaving);
-        let peer = PeerLoad {
-            incarnation: report.incarnation,
-            number: report.number,
-            heard: now,
-            loads: report.loads,
-        };
-        self.peers.insert(report.host, peer);
-        self.recount();
+        self.peers.take(report, now)
     }
 
-    /// Which other hosts are alive.
-    pub fn pulse(&self) -> &PeerPulse {
-        &self.pulse
+    /// Takes in that another host lives, and whether it leaves.
+    pub fn hear_host(&mut self, host: &str, is_leaving: bool, now: Instant) {
+        self.pulse.note(host, is_leaving, now);
     }
 
     /// Forgets the work of hosts that have fallen silent.
     pub fn forget_silent(&mut self, now: Instant) {
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| now - peer.heard < REPORT_LIFE);
-        if self.peers.len() != before {
-            self.recount();
-        }
-    }
-
-    fn recount(&mut self) {
-        let mut others: HashMap<u32, WorkCount> = HashMap::default();
-        for load in self.peers.values().flat_map(|peer| &peer.loads) {
-            let count = others.entry(load.0).or_default();
-            count.online += u32::from(load.1);
-            count.batch += u32::from(load.2);
-        }
-        for upstream in self.upstreams.values_mut() {
-            upstream.others = others.get(&upstream.tag).copied().unwrap_or_default();
-        }
+        self.peers.forget_silent(now);
     }
 
     fn sweep(&mut self, key: PlaceKey) {
@@ -588,22 +611,8 @@
     }
 }
 
-/// Upstreams of `count` from which each of `hosts` draws its samples.
-fn subset_size(count: usize, hosts: usize) -> usize {
-    let covering = (SUBSETS_PER_UPSTREAM * count).div_ceil(hosts);
-    covering.max(LEAST_SUBSET)
-}
-
-fn may_take(upstream: &Upstream, class: WorkClass, now: Instant) -> bool {
-    match upstream.health.standing(now) {
-        Standing::Paused => return false,
-        Standing::OnTrial if upstream.own.total() > 0 => return false,
-        Standing::OnTrial | Standing::Good => {}
-    }
-    match class {
-        WorkClass::Online => true,
-        WorkClass::Batch => upstream.work().total() < upstream.entry.slots,
-    }
+fn standing(upstream: &Upstream, now: Instant) -> Standing {
+    upstream.health.standing(now)
 }
 
 /// Position of an upstream in a random order that `draw` picks.
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -1,4 +1,4 @@
-//! Sending load reports to the other hosts, and taking in theirs.
+//! Sending load reports to the neighbours and news to all hosts, and taking in theirs.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,23 +7,43 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::places::report::HostDatagram;
+use crate::places::report::HostNews;
 use crate::places::report::LoadReport;
 use crate::places::shared::PlaceDesk;
 
-/// Time between two reports while the load changes, in a fleet of up to [`FAST_FLEET`] hosts.
+/// Time between two reports while the load changes, with up to [`FAST_NEIGHBOURS`] neighbours.
 const FAST_INTERVAL: Duration = Duration::from_millis(30);
-/// Hosts that can report at the fast interval; larger fleets report more slowly.
-const FAST_FLEET: u32 = 24;
+/// Neighbours that can report at the fast interval; more of them report more slowly.
+const FAST_NEIGHBOURS: u32 = 24;
 /// Time between two reports while nothing changes.
 const QUIET_INTERVAL: Duration = Duration::from_millis(300);
-const MAX_REPORT_BYTES: usize = 16 * 1024;
+/// Time between two looks at which hosts are neighbours.
+const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which the same news are told again, as datagrams may be lost.
+const NEWS_REPEAT: Duration = Duration::from_millis(350);
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// Exchanges load reports of one host.
+/// Addresses of the other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct PeerAddresses {
+    /// Hosts that share upstreams with this one.
+    pub neighbours: Vec<SocketAddr>,
+    /// All other hosts, neighbours included.
+    pub all: Vec<SocketAddr>,
+}
+
+/// Exchanges load reports and news of one host.
 pub struct LoadExchange {
     socket: UdpSocket,
     places: PlaceDesk,
     report: LoadReport,
+    news: HostNews,
     leaving: CancellationToken,
+    peers: PeerAddresses,
+    peers_known: Option<Instant>,
+    reported: Instant,
+    told: Option<Instant>,
 }
 
 impl LoadExchange {
@@ -36,74 +56,131 @@
         incarnation: u64,
         leaving: CancellationToken,
     ) -> Self {
+        let news = HostNews {
+            host: host.clone(),
+            is_leaving: false,
+            new_jobs: Vec::new(),
+        };
         let report = LoadReport {
             host,
             incarnation,
             number: 0,
             is_leaving: false,
             loads: Vec::new(),
-            new_jobs: Vec::new(),
             leaving: Vec::new(),
         };
         Self {
             socket,
             places,
             report,
+            news,
             leaving,
+            peers: PeerAddresses::default(),
+            peers_known: None,
+            reported: Instant::now(),
+            told: None,
         }
     }
 
-    /// Exchanges reports with the hosts that `peers` returns, without end. Reports carry the jobs
+    /// Exchanges datagrams with the hosts that `peers` returns, without end. News name the jobs
     /// that `new_jobs` returns; `note_jobs` takes the name of another host and its new jobs.
     pub async fn run(
         mut self,
-        peers: impl Fn() -> Vec<SocketAddr>,
+        peers: impl Fn() -> PeerAddresses,
         new_jobs: impl Fn() -> Vec<String>,
         note_jobs: impl Fn(&str, &[String]),
     ) {
-        let mut buffer = vec![0; MAX_REPORT_BYTES];
-        let mut last_sent = Instant::now();
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next = Instant::now();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
-                    if let Ok((length, _)) = received
-                        && let Some(report) = LoadReport::decode(&buffer[..length])
-                    {
-                        note_jobs(&report.host, &report.new_jobs);
-                        self.places.book().hear(report, Instant::now());
-                        self.places.wake();
+                    if let Ok((length, _)) = received {
+                        self.take(&buffer[..length], &note_jobs);
                     }
                 }
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
-                    let addresses = peers();
-                    self.places.book().forget_silent(now);
-                    let loads = self.places.book().own_loads();
-                    let leaving = self.places.book().leaving_news(now);
-                    let jobs = new_jobs();
-                    let is_news = loads != self.report.loads
-                        || jobs != self.report.new_jobs
-                        || leaving != self.report.leaving
-                        || self.leaving.is_cancelled() != self.report.is_leaving;
-                    if is_news || now - last_sent >= QUIET_INTERVAL {
-                        last_sent = now;
-                        self.report.loads = loads;
-                        self.report.new_jobs = jobs;
-                        self.report.leaving = leaving;
-                        self.send(&addresses).await;
-                    }
-                    let factor = (addresses.len() as u32 + 1).div_ceil(FAST_FLEET).max(1);
-                    next = now + FAST_INTERVAL * factor;
+                    self.find_peers(now, &peers);
+                    self.report_load(now).await;
+                    self.tell_news(now, new_jobs()).await;
+                    let neighbours = self.peers.neighbours.len() as u32;
+                    next = now + FAST_INTERVAL * (neighbours + 1).div_ceil(FAST_NEIGHBOURS);
+                }
+            }
+        }
+    }
+
+    fn take(&self, bytes: &[u8], note_jobs: &impl Fn(&str, &[String])) {
+        let now = Instant::now();
+        match HostDatagram::decode(bytes) {
+            Some(HostDatagram::Load(report)) => {
+                let has_changed = self.places.book().hear(report, now);
+                if has_changed {
+                    self.places.wake();
                 }
             }
+            Some(HostDatagram::News(news)) => {
+                note_jobs(&news.host, &news.new_jobs);
+                let mut book = self.places.book();
+                book.hear_host(&news.host, news.is_leaving, now);
+            }
+            None => {}
+        }
+    }
+
+    fn find_peers(&mut self, now: Instant, peers: &impl Fn() -> PeerAddresses) {
+        let is_known = |at: Instant| now - at < NEIGHBOUR_INTERVAL;
+        if !self.peers_known.is_some_and(is_known) {
+            self.peers = peers();
+            self.peers_known = Some(now);
         }
     }
 
-    async fn send(&mut self, addresses: &[SocketAddr]) {
+    /// Reports the load to the neighbours if it has changed, or from time to time.
+    async fn report_load(&mut self, now: Instant) {
+        let (loads, leaving) = {
+            let mut book = self.places.book();
+            book.forget_silent(now);
+            (book.own_loads(), book.leaving_news(now))
+        };
+        let is_leaving = self.leaving.is_cancelled();
+        let is_news = loads != self.report.loads
+            || leaving != self.report.leaving
+            || is_leaving != self.report.is_leaving;
+        if !is_news && now - self.reported < QUIET_INTERVAL {
+            return;
+        }
+        self.reported = now;
+        self.report.loads = loads;
+        self.report.leaving = leaving;
+        self.report.is_leaving = is_leaving;
         self.report.number += 1;
-        self.report.is_leaving = self.leaving.is_cancelled();
-        let bytes = self.report.encode();
+        let report = HostDatagram::Load(self.report.clone());
+        self.send(&report, &self.peers.neighbours).await;
+    }
+
+    /// Tells all hosts what is new, and again for as long as it is.
+    async fn tell_news(&mut self, now: Instant, new_jobs: Vec<String>) {
+        let is_leaving = self.leaving.is_cancelled();
+        if new_jobs.is_empty() && !is_leaving {
+            self.news.new_jobs.clear();
+            return;
+        }
+        let is_known = new_jobs.iter().all(|job| self.news.new_jobs.contains(job))
+            && is_leaving == self.news.is_leaving;
+        if is_known && self.told.is_some_and(|at| now - at < NEWS_REPEAT) {
+            return;
+        }
+        self.told = Some(now);
+        self.news.new_jobs = new_jobs;
+        self.news.is_leaving = is_leaving;
+        let news = HostDatagram::News(self.news.clone());
+        self.send(&news, &self.peers.all).await;
+    }
+
+    async fn send(&self, datagram: &HostDatagram, addresses: &[SocketAddr]) {
+        let bytes = datagram.encode();
         for address in addresses {
             // A report that is not sent is replaced by the next one.
             let _ = self.socket.send_to(&bytes, address).await;
--- /dev/null
+++ b/lib/src/places/peers.rs
@@ -0,0 +1,150 @@
+//! Work that other hosts run at upstreams, as their load reports tell.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::collections::HashMap;
+use crate::ids::WorkClass;
+use crate::places::report::LoadReport;
+use crate::places::report::UpstreamLoad;
+
+/// Work of a host that has not reported for this long is forgotten.
+const REPORT_LIFE: Duration = Duration::from_millis(1_000);
+
+/// Pieces of work at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct WorkCount {
+    pub(crate) online: u32,
+    pub(crate) batch: u32,
+}
+
+impl WorkCount {
+    pub(crate) fn of(&mut self, class: WorkClass) -> &mut u32 {
+        match class {
+            WorkClass::Online => &mut self.online,
+            WorkClass::Batch => &mut self.batch,
+        }
+    }
+
+    pub(crate) fn total(self) -> u32 {
+        self.online + self.batch
+    }
+
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            online: self.online + other.online,
+            batch: self.batch + other.batch,
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            online: self.online.saturating_sub(other.online),
+            batch: self.batch.saturating_sub(other.batch),
+        }
+    }
+}
+
+impl From<&UpstreamLoad> for WorkCount {
+    fn from(load: &UpstreamLoad) -> Self {
+        Self {
+            online: u32::from(load.1),
+            batch: u32::from(load.2),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct PeerLoad {
+    incarnation: u64,
+    number: u64,
+    heard: Instant,
+    loads: Vec<UpstreamLoad>,
+}
+
+/// Work of all other hosts that report to this one.
+///
+/// Guarantees that the sums by upstream equal what the last reports say, at a cost that follows the
+/// size of one report.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLoads {
+    peers: HashMap<String, PeerLoad>,
+    /// Sums by tag of the upstream; upstreams without work are left out.
+    sums: HashMap<u32, WorkCount>,
+}
+
+impl PeerLoads {
+    /// Number of hosts that have reported lately.
+    pub(crate) fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Work at the upstream with `tag`.
+    pub(crate) fn at(&self, tag: u32) -> WorkCount {
+        self.sums.get(&tag).copied().unwrap_or_default()
+    }
+
+    /// When the host was heard whose report is the oldest.
+    pub(crate) fn oldest(&self) -> Option<Instant> {
+        self.peers.values().map(|peer| peer.heard).min()
+    }
+
+    /// Hosts with batch items at the upstream with `tag`, and the numbers of these.
+    pub(crate) fn batch_holders(&self, tag: u32) -> impl Iterator<Item = (u32, &str)> {
+        self.peers.iter().filter_map(move |(name, peer)| {
+            let load = peer.loads.iter().find(|load| load.0 == tag)?;
+            (load.2 > 0).then_some((u32::from(load.2), name.as_str()))
+        })
+    }
+
+    /// Whether a report is older than the one that is known of its host.
+    pub(crate) fn is_old(&self, report: &LoadReport) -> bool {
+        self.peers.get(&report.host).is_some_and(|known| {
+            (known.incarnation, known.number) >= (report.incarnation, report.number)
+        })
+    }
+
+    /// Takes in a report that is not old. Returns whether it changes any work.
+    pub(crate) fn take(&mut self, report: LoadReport, now: Instant) -> bool {
+        for load in &report.loads {
+            let sum = self.sums.entry(load.0).or_default();
+            *sum = sum.plus(load.into());
+        }
+        let peer = PeerLoad {
+            incarnation: report.incarnation,
+            number: report.number,
+            heard: now,
+            loads: report.loads,
+        };
+        let loads = peer.loads.clone();
+        let before = self.peers.insert(report.host, peer);
+        let before = before.map_or_else(Vec::new, |peer| peer.loads);
+        self.take_off(&before);
+        before != loads
+    }
+
+    /// Forgets the work of hosts that have fallen silent.
+    pub(crate) fn forget_silent(&mut self, now: Instant) {
+        let is_silent = |peer: &PeerLoad| now - peer.heard >= REPORT_LIFE;
+        let mut gone = Vec::new();
+        self.peers.retain(|_, peer| {
+            if is_silent(peer) {
+                gone.append(&mut peer.loads);
+            }
+            !is_silent(peer)
+        });
+        self.take_off(&gone);
+    }
+
+    fn take_off(&mut self, loads: &[UpstreamLoad]) {
+        for load in loads {
+            if let Some(sum) = self.sums.get_mut(&load.0) {
+                *sum = sum.minus(load.into());
+                if sum.total() == 0 {
+                    self.sums.remove(&load.0);
+                }
+            }
+        }
+    }
+}
--- a/lib/src/places/pulse.rs
+++ b/lib/src/places/pulse.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 
 /// A host that has not reported for this long counts as silent; reports come every 300 ms.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -33,16 +34,32 @@
 
     /// Those of `hosts` that callers should use.
     ///
-    /// A host that is silent or leaving is left out, though its entry in the registry may last
-    /// for seconds. If no other host is heard at all, this host may be the one that is cut off,
-    /// and the registry is taken as it is.
-    pub fn usable<'a>(&self, own: &str, hosts: &[&'a str], now: Instant) -> Vec<&'a str> {
-        let is_alive = |host: &str| {
-            let heard = self.heard.get(host);
-            heard.is_some_and(|heard| now - heard.at < SILENCE && !heard.is_leaving)
+    /// A host that is leaving, or silent though it `reports` to this one, is left out, though its
+    /// entry in the registry may last for seconds. If none of those is heard, this host may be the
+    /// one that is cut off, and the registry is taken as it is.
+    pub fn usable<'a>(
+        &self,
+        own: &str,
+        hosts: &[&'a str],
+        reports: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Vec<&'a str> {
+        let heard = |host: &str| {
+            self.heard
+                .get(host)
+                .filter(|heard| now - heard.at < SILENCE)
         };
-        let others_alive = hosts.iter().any(|host| *host != own && is_alive(host));
-        let usable = |host: &&&'a str| **host == own || !others_alive || is_alive(host);
-        hosts.iter().filter(usable).copied().collect()
+        let reporting: HashSet<&str> = hosts
+            .iter()
+            .copied()
+            .filter(|host| *host != own && reports(host))
+            .collect();
+        let hears_any = reporting.iter().any(|host| heard(host).is_some());
+        let is_usable = |host: &str| match heard(host) {
+            Some(heard) => !heard.is_leaving,
+            None => !hears_any || !reporting.contains(host),
+        };
+        let usable = hosts.iter().filter(|host| **host == own || is_usable(host));
+        usable.copied().collect()
     }
 }
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -1,4 +1,4 @@
-//! Load reports that entry hosts send one another.
+//! Load reports and news that entry hosts send one another.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,23 +36,45 @@
     /// Work by upstream.
     #[serde(rename = "l")]
     pub loads: Vec<UpstreamLoad>,
-    /// Batch jobs that the host has begun to own lately.
-    #[serde(rename = "j", default)]
-    pub new_jobs: Vec<String>,
     /// Upstreams that told the host lately that they leave.
     #[serde(rename = "v", default)]
     pub leaving: Vec<UpstreamStart>,
 }
 
-impl LoadReport {
-    /// Encodes the report as CBOR.
+/// What a host tells all others, as any of them may be asked for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostNews {
+    /// Name of the host.
+    #[serde(rename = "h")]
+    pub host: String,
+    /// Whether the host is about to stop.
+    #[serde(rename = "q")]
+    pub is_leaving: bool,
+    /// Batch jobs that the host has begun to own lately.
+    #[serde(rename = "j")]
+    pub new_jobs: Vec<String>,
+}
+
+/// A datagram between hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostDatagram {
+    /// To the neighbours.
+    #[serde(rename = "l")]
+    Load(LoadReport),
+    /// To all.
+    #[serde(rename = "n")]
+    News(HostNews),
+}
+
+impl HostDatagram {
+    /// Encodes the datagram as CBOR.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
-        ciborium::into_writer(self, &mut bytes).expect("reports serialize to CBOR");
+        ciborium::into_writer(self, &mut bytes).expect("datagrams serialize to CBOR");
         bytes
     }
 
-    /// Decodes a report; `None` if it is malformed.
+    /// Decodes a datagram; `None` if it is malformed.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         ciborium::from_reader(bytes).ok()
     }
--- /dev/null
+++ b/lib/src/places/ring.rs
@@ -0,0 +1,125 @@
+//! Which part of the upstreams a host uses, and which other hosts have to know its load.
+//!
+//! Hosts and upstreams lie on two rings, each in the order of the hashes of their names and evenly
+//! spaced. A host uses a window of upstreams, those nearest to its own place; hosts whose windows
+//! may overlap are neighbours and exchange load reports. Guarantees that each upstream is in the
+//! windows of about as many hosts as any other, that neighbourhood is mutual for hosts that know
+//! the same hosts, and that neither windows nor neighbours grow with the fleet while hosts and
+//! upstreams grow together. A host that comes or goes moves the windows of the others by a
+//! fraction of an upstream.
+//!
+//! The scheme is the deterministic aperture of Finagle, Twitter's RPC library.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Smallest window, in upstreams.
+const LEAST_WINDOW: usize = 12;
+/// Hosts that have each upstream in their windows, at least.
+const HOSTS_PER_UPSTREAM: usize = 10;
+/// Hosts beyond the overlap of windows that count as neighbours, as hosts may know different
+/// hosts for some seconds.
+const SLACK_HOSTS: f64 = 2.0;
+
+/// Hosts of the fleet, evenly spaced on a ring of length 1.
+#[derive(Clone, Debug, Default)]
+pub struct HostRing {
+    /// Hashes and names, in this order.
+    hosts: Vec<(u64, String)>,
+}
+
+impl HostRing {
+    /// Returns a ring of the hosts with these names.
+    pub fn new<'a>(names: impl IntoIterator<Item = &'a str>) -> Self {
+        let hashed = names.into_iter().map(|name| (hash(name), name.to_owned()));
+        let mut hosts: Vec<(u64, String)> = hashed.collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        Self { hosts }
+    }
+
+    /// Number of hosts.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether the ring has no host.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Place of `host` between 0 and 1. One that is not in the ring has the place that it would
+    /// get.
+    pub fn place(&self, host: &str) -> f64 {
+        let hash = hash(host);
+        let rank = self
+            .hosts
+            .partition_point(|(other, name)| (*other, name.as_str()) < (hash, host));
+        (rank as f64 + 0.5) / self.len().max(1) as f64
+    }
+
+    /// Hosts within `reach` of `host`, without itself.
+    pub fn near<'a>(&'a self, host: &'a str, reach: f64) -> impl Iterator<Item = &'a str> {
+        let place = self.place(host);
+        let count = self.len() as f64;
+        self.hosts
+            .iter()
+            .enumerate()
+            .filter(move |(rank, _)| distance((*rank as f64 + 0.5) / count, place) <= reach)
+            .map(|(_, (_, name))| name.as_str())
+            .filter(move |name| *name != host)
+    }
+
+    /// Whether two hosts are within `reach` of each other.
+    pub fn is_near(&self, one: &str, other: &str, reach: f64) -> bool {
+        distance(self.place(one), self.place(other)) <= reach
+    }
+}
+
+/// Upstreams that each of `hosts` hosts uses, of `upstreams` upstreams.
+pub fn window_size(upstreams: usize, hosts: usize) -> usize {
+    let covering = (HOSTS_PER_UPSTREAM * upstreams).div_ceil(hosts.max(1));
+    covering.max(LEAST_WINDOW).min(upstreams)
+}
+
+/// Distance up to which the windows of two hosts may overlap.
+pub fn overlap_reach(upstreams: usize, hosts: usize) -> f64 {
+    let window = window_size(upstreams, hosts);
+    match window == upstreams {
+        // Every host uses all.
+        true => 1.0,
+        false => window as f64 / upstreams as f64 + SLACK_HOSTS / hosts.max(1) as f64,
+    }
+}
+
+/// Distance within which a host surely reports to another one that knows about the same hosts.
+pub fn sure_reach(upstreams: usize, hosts: usize) -> f64 {
+    match window_size(upstreams, hosts) == upstreams {
+        true => 1.0,
+        false => overlap_reach(upstreams, hosts) - 2.0 * SLACK_HOSTS / hosts.max(1) as f64,
+    }
+}
+
+/// Indices below `count` of evenly spaced items on a ring, the one nearest to `place` first.
+pub fn outward(place: f64, count: usize) -> impl Iterator<Item = usize> {
+    let at = place * count as f64;
+    let first = at.floor();
+    let prefers_next = at - first >= 0.5;
+    (0..count).map(move |step| {
+        let away = step.div_ceil(2);
+        let is_next = (step % 2 == 1) == prefers_next;
+        let first = first as usize % count;
+        match is_next {
+            true => (first + away) % count,
+            false => (first + count - away) % count,
+        }
+    })
+}
+
+fn distance(one: f64, other: f64) -> f64 {
+    let apart = (one - other).abs();
+    apart.min(1.0 - apart)
+}
+
+fn hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -11,6 +11,8 @@
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
 use parsleywall::places::EntryState;
+use parsleywall::places::HostDatagram;
+use parsleywall::places::HostRing;
 use parsleywall::places::LoadReport;
 use parsleywall::places::PlaceAsk;
 use parsleywall::places::PlaceBook;
@@ -19,7 +21,11 @@
 use parsleywall::places::UpstreamFault;
 use parsleywall::places::UpstreamLoad;
 use parsleywall::places::UpstreamRoster;
+use parsleywall::places::outward;
+use parsleywall::places::overlap_reach;
 use parsleywall::places::upstream_tag;
+use parsleywall::places::window_size;
+use proptest::prelude::*;
 use rand::SeedableRng;
 use tokio::time::Instant;
 
@@ -73,7 +79,6 @@
         number,
         is_leaving: false,
         loads: loads.collect(),
-        new_jobs: Vec::new(),
         leaving: Vec::new(),
     }
 }
@@ -368,8 +373,9 @@
 #[tokio::test(start_paused = true)]
 async fn test_pulse_leaves_out_silent_and_leaving_hosts() {
     let start = Instant::now();
-    let mut book = book(&[]);
+    let mut book = book(&["a"]);
     let hosts = ["host-a", "host-b", "host-c", "host-d"];
+    book.set_hosts(hosts);
     for host in &hosts[1..] {
         book.hear(report(host, 1, &[]), start);
     }
@@ -378,40 +384,52 @@
     let mut leaving = report("host-c", 2, &[]);
     leaving.is_leaving = true;
     book.hear(leaving, later);
-    assert_eq!(
-        book.pulse().usable("host-a", &hosts, later),
-        ["host-a", "host-b"]
-    );
+    assert_eq!(book.usable_hosts(&hosts, later), ["host-a", "host-b"]);
     // A host that hears nobody may be the one that is cut off.
     let silence = later + Duration::from_secs(2);
-    assert_eq!(book.pulse().usable("host-a", &hosts, silence), hosts);
+    assert_eq!(book.usable_hosts(&hosts, silence), hosts);
 }
 
 /// Hosts of a large fleet, with the work that each has in hand.
 struct LargeFleet {
     books: Vec<PlaceBook>,
+    /// Hosts that get the reports of each host.
+    neighbours: Vec<Vec<usize>>,
+    upstreams: usize,
     ends: std::collections::VecDeque<Vec<(usize, PlacePick)>>,
     number: u64,
 }
 
 impl LargeFleet {
-    const HOSTS: usize = 40;
-    const UPSTREAMS: usize = 60;
     /// Ticks for which a request holds its place.
     const HOLD: usize = 20;
     const TICK: Duration = Duration::from_millis(30);
 
-    fn new() -> Self {
-        let books = (0..Self::HOSTS).map(|host| {
-            let name = HostId::new(format!("host-{host}"));
-            let mut book = PlaceBook::new(name, DataCentre::new("east"));
-            for upstream in 0..Self::UPSTREAMS {
-                book.put(entry(&format!("upstream-{upstream}")));
-            }
+    fn new(hosts: usize, upstreams: usize) -> Self {
+        let names: Vec<String> = (0..hosts).map(|host| format!("host-{host}")).collect();
+        let entries: Vec<UpstreamEntry> = (0..upstreams)
+            .map(|upstream| entry(&format!("upstream-{upstream}")))
+            .collect();
+        let books = names.iter().map(|name| {
+            let mut book = PlaceBook::new(HostId::new(name), DataCentre::new("east"));
+            entries.iter().for_each(|entry| book.put(entry.clone()));
+            book.set_hosts(names.iter().map(String::as_str));
             book
         });
+        let books: Vec<PlaceBook> = books.collect();
+        let numbers: HashMap<&str, usize> = names
+            .iter()
+            .enumerate()
+            .map(|(number, name)| (name.as_str(), number))
+            .collect();
+        let neighbours = books.iter().map(|book| {
+            let near = book.neighbours();
+            near.iter().map(|name| numbers[name.as_str()]).collect()
+        });
         Self {
-            books: books.collect(),
+            neighbours: neighbours.collect(),
+            books,
+            upstreams,
             ends: vec![Vec::new(); Self::HOLD].into(),
             number: 0,
         }
@@ -419,23 +437,17 @@
 
     fn exchange_reports(&mut self, now: Instant) {
         self.number += 1;
-        let reports: Vec<LoadReport> = self
-            .books
-            .iter()
-            .enumerate()
-            .map(|(host, book)| LoadReport {
+        for host in 0..self.books.len() {
+            let report = LoadReport {
                 host: format!("host-{host}"),
                 incarnation: 1,
                 number: self.number,
                 is_leaving: false,
-                loads: book.own_loads(),
-                new_jobs: Vec::new(),
+                loads: self.books[host].own_loads(),
                 leaving: Vec::new(),
-            })
-            .collect();
-        for book in &mut self.books {
-            for report in &reports {
-                book.hear(report.clone(), now);
+            };
+            for neighbour in &self.neighbours[host] {
+                self.books[*neighbour].hear(report.clone(), now);
             }
         }
     }
@@ -447,7 +459,7 @@
         }
         let mut taken = Vec::new();
         for _ in 0..arrivals {
-            let host = rng.random_range(0..Self::HOSTS);
+            let host = rng.random_range(0..self.books.len());
             let (draw, book) = (rng.random(), &mut self.books[host]);
             let pick = book.take(ask(&service(), WorkClass::Online), now, draw);
             taken.push((host, pick.unwrap()));
@@ -466,18 +478,28 @@
     }
 }
 
-/// Three quarters of the places of a large fleet are taken, and reports are up to four ticks old:
-/// at most one request in ten may find its upstream full, though each host keeps to a few.
-#[tokio::test(start_paused = true)]
-async fn test_large_fleet_spreads_work_over_few_connections() {
+/// What a load showed.
+#[derive(Debug)]
+struct LargeFleetOutcome {
+    all: usize,
+    /// Requests that found no free place at their upstream.
+    full: usize,
+    /// Upstreams that one host used, at most.
+    most_upstreams: usize,
+    /// Hosts that one host reports to, at most.
+    most_neighbours: usize,
+}
+
+/// Plays a load on three quarters of the places; reports are up to four ticks old.
+fn play_large_fleet(hosts: usize, upstreams: usize, ticks: u32) -> LargeFleetOutcome {
     let start = Instant::now();
     let mut rng = rand::rngs::StdRng::seed_from_u64(7);
-    let mut fleet = LargeFleet::new();
-    let places = LargeFleet::UPSTREAMS as u32 * SLOTS;
+    let mut fleet = LargeFleet::new(hosts, upstreams);
+    let places = fleet.upstreams as u32 * SLOTS;
     let arrivals = places as usize * 3 / 4 / LargeFleet::HOLD;
     let mut used: HashMap<usize, HashSet<String>> = HashMap::default();
     let (mut full, mut all) = (0, 0);
-    for number in 0..120 {
+    for number in 0..ticks {
         let now = start + LargeFleet::TICK * number;
         if number % 4 == 0 {
             fleet.exchange_reports(now);
@@ -495,9 +517,26 @@
             used.entry(*host).or_default().insert(pick.id.to_string());
         }
     }
-    let most = used.values().map(HashSet::len).max().unwrap();
-    assert!(full * 10 <= all, "{full} of {all} found no free place");
-    assert!(most <= 20, "a host used {most} upstreams");
+    let neighbours = fleet.neighbours.iter().map(Vec::len);
+    LargeFleetOutcome {
+        all,
+        full,
+        most_upstreams: used.values().map(HashSet::len).max().unwrap(),
+        most_neighbours: neighbours.max().unwrap(),
+    }
+}
+
+/// At most one request in ten may find its upstream full, where one that knew all loads exactly
+/// would find none full; each host keeps to a few upstreams and tells a few hosts.
+#[tokio::test(start_paused = true)]
+async fn test_large_fleet_spreads_work_over_few_connections() {
+    for (hosts, upstreams, ticks) in [(40, 60, 120), (165, 99, 80), (700, 420, 30)] {
+        let outcome = play_large_fleet(hosts, upstreams, ticks);
+        let size = format!("{hosts} hosts: {outcome:?}");
+        assert!(outcome.full * 10 <= outcome.all, "{size}");
+        assert!(outcome.most_upstreams <= 20, "{size}");
+        assert!(outcome.most_neighbours <= 48, "{size}");
+    }
 }
 
 /// Thirteen hosts before ninety upstreams: a subset of twenty each would leave some in none.
@@ -511,6 +550,8 @@
         for upstream in 0..90 {
             book.put(entry(&format!("upstream-{upstream}")));
         }
+        let hosts: Vec<String> = (0..13).map(|host| format!("host-{host}")).collect();
+        book.set_hosts(hosts.iter().map(String::as_str));
         for other in (0..13).filter(|other| *other != host) {
             book.hear(report(&format!("host-{other}"), 1, &[]), now);
         }
@@ -561,7 +602,12 @@
         leaving: news,
         ..report("host-b", 1, &[])
     };
-    hearer.hear(LoadReport::decode(&told.encode()).unwrap(), now);
+    let bytes = HostDatagram::Load(told.clone()).encode();
+    assert_eq!(
+        HostDatagram::decode(&bytes),
+        Some(HostDatagram::Load(told.clone()))
+    );
+    hearer.hear(told, now);
     for _ in 0..2 * SLOTS {
         let other = take(&mut hearer, WorkClass::Online, now).unwrap();
         assert_ne!(other.id, pick.id);
@@ -576,3 +622,101 @@
         pick.id
     );
 }
+
+fn names(hosts: &[u16]) -> Vec<String> {
+    hosts.iter().map(|host| format!("host-{host}")).collect()
+}
+
+fn ring(names: &[String]) -> HostRing {
+    HostRing::new(names.iter().map(String::as_str))
+}
+
+/// Indices of the upstreams that `host` uses.
+fn window(ring: &HostRing, host: &str, upstreams: usize) -> Vec<usize> {
+    let size = window_size(upstreams, ring.len());
+    outward(ring.place(host), upstreams).take(size).collect()
+}
+
+proptest! {
+    #[test]
+    fn test_ring_windows_cover_all_upstreams_evenly(
+        hosts in prop::collection::btree_set(any::<u16>(), 1..300),
+        upstreams in 1usize..400,
+    ) {
+        let names = names(&hosts.into_iter().collect::<Vec<_>>());
+        let ring = ring(&names);
+        let mut users = vec![0; upstreams];
+        for name in &names {
+            let window = window(&ring, name, upstreams);
+            prop_assert_eq!(window.iter().collect::<HashSet<_>>().len(), window.len());
+            window.into_iter().for_each(|index| users[index] += 1);
+        }
+        let (least, most) = (users.iter().min().unwrap(), users.iter().max().unwrap());
+        prop_assert!(*least >= 1);
+        // Both rings are evenly spaced, so that only the ends of windows differ.
+        let spacing = names.len().div_ceil(upstreams) + 1;
+        prop_assert!(most - least <= spacing, "{} to {}", least, most);
+    }
+
+    #[test]
+    fn test_ring_hosts_that_share_an_upstream_are_neighbours(
+        hosts in prop::collection::btree_set(any::<u16>(), 2..150),
+        gone in 0usize..2,
+        upstreams in 1usize..200,
+    ) {
+        let all = names(&hosts.into_iter().collect::<Vec<_>>());
+        // Some hosts know already that others are gone.
+        let fewer = &all[gone.min(all.len() - 1)..];
+        let (one_view, other_view) = (ring(&all), ring(fewer));
+        for one in fewer {
+            let reach = overlap_reach(upstreams, one_view.len());
+            let told: HashSet<&str> = one_view.near(one, reach).collect();
+            let used: HashSet<usize> = window(&one_view, one, upstreams).into_iter().collect();
+            for other in fewer.iter().filter(|other| *other != one) {
+                let others = window(&other_view, other, upstreams);
+                let shares = others.iter().any(|index| used.contains(index));
+                prop_assert!(!shares || told.contains(other.as_str()), "{} {}", one, other);
+            }
+        }
+    }
+
+    #[test]
+    fn test_ring_neighbours_do_not_grow_with_the_fleet(scale in 1usize..40) {
+        let (hosts, upstreams) = (35 * scale, 50 * scale);
+        let names: Vec<String> = (0..hosts).map(|host| format!("host-{host}")).collect();
+        let ring = ring(&names);
+        let reach = overlap_reach(upstreams, hosts);
+        prop_assert!(ring.near("host-0", reach).count() <= 26);
+        prop_assert!(window_size(upstreams, hosts) <= 15);
+    }
+}
+
+#[test]
+fn test_ring_outward_takes_the_nearest_first() {
+    assert_eq!(outward(0.5, 4).collect::<Vec<_>>(), [2, 1, 3, 0]);
+    assert_eq!(outward(0.45, 4).collect::<Vec<_>>(), [1, 2, 0, 3]);
+    assert_eq!(outward(0.0, 3).collect::<Vec<_>>(), [0, 2, 1]);
+    assert_eq!(outward(0.99, 3).collect::<Vec<_>>(), [2, 0, 1]);
+    assert_eq!(outward(0.3, 0).count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_peer_loads_sum_what_the_last_reports_say() {
+    let now = Instant::now();
+    let mut book = book(&["a", "b"]);
+    assert!(book.hear(report("host-b", 1, &[("a", 2, 1)]), now));
+    assert!(book.hear(report("host-c", 1, &[("a", 1, 0), ("b", 0, 1)]), now));
+    assert_eq!(book.work_of(&service()), (3, 2));
+    assert!(
+        !book.hear(report("host-b", 2, &[("a", 2, 1)]), now),
+        "nothing changes"
+    );
+    assert!(
+        !book.hear(report("host-b", 1, &[]), now),
+        "an older one is ignored"
+    );
+    assert!(book.hear(report("host-b", 3, &[("b", 1, 0)]), now));
+    assert_eq!(book.work_of(&service()), (2, 1));
+    book.forget_silent(now + Duration::from_secs(1));
+    assert_eq!(book.work_of(&service()), (0, 0));
+}
