places: an upstream that leaves is known though its entry came back meanwhile

Cause: found by a property test of the book: an answer that says that its upstream leaves, to a request sent before the entry lapsed and came back, marked only the record of before. Change: the start is marked where it is listed now.

--- a/lib/src/jobs/owner.rs
+++ b/lib/src/jobs/owner.rs
@@ -1,6 +1,7 @@
 //! Ownership of jobs: claiming those without an owner, and noticing lost ones.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -19,6 +20,13 @@
 
 /// Jobs that one scan claims at most, so that a host that comes first does not take all.
 const MAX_CLAIMS: usize = 8;
+/// Hosts of a large fleet that look for jobs without an owner; the others only look from time to
+/// time.
+const SCANNERS: usize = 12;
+/// Scans of those that the other hosts leave out.
+const SELDOM: u32 = 4;
+/// Key that draws the hosts that look.
+const SCAN_KEY: &str = "scan";
 /// Hosts that may claim a job in the same scan; the first of them gets it.
 const CLAIMERS_PER_SCAN: u32 = 3;
 
@@ -59,6 +67,13 @@
     }
 }
 
+/// Place of the host `own` among `others` in the order that `key` draws.
+fn rank_among<'a>(own: &str, others: impl Iterator<Item = &'a HostEntry>, key: &str) -> u32 {
+    let score = rendezvous_score(own, key);
+    let before = others.filter(|entry| rendezvous_score(&entry.host, key) > score);
+    before.count() as u32
+}
+
 impl JobKeeper {
     /// Looks at all open jobs again and again.
     pub(super) async fn run_scans(&self) {
@@ -69,7 +84,18 @@
             if let Ok(open) = self.shared.store.open_jobs().await {
                 self.take_scan(&open).await;
             }
-            tokio::time::sleep(self.shared.plan.scan_interval).await;
+            tokio::time::sleep(self.scan_interval()).await;
+        }
+    }
+
+    /// Hosts that own jobs look at each interval, as a lost one has to be noticed, and so do some
+    /// others, for jobs that nobody owns.
+    fn scan_interval(&self) -> Duration {
+        let interval = self.shared.plan.scan_interval;
+        let owns_any = self.with_book(|book| !book.claims().is_empty());
+        match owns_any || self.rank(SCAN_KEY) < SCANNERS as u32 {
+            true => interval,
+            false => interval * SELDOM,
         }
     }
 
@@ -109,7 +135,7 @@
             let is_mine = self.with_book(|book| book.owns(&job.id));
             let seen = counts.get(&job.id).copied().unwrap_or(0);
             // The owner itself claims again first; then the other hosts, one after the other.
-            if is_mine || seen > 1 + self.rank(&job.id) / CLAIMERS_PER_SCAN {
+            if is_mine || seen > 1 + self.claim_rank(&job.id) / CLAIMERS_PER_SCAN {
                 claims.push(job);
             }
         }
@@ -165,13 +191,22 @@
         }
     }
 
-    /// Place of this host in the order in which hosts claim `job`, from 0.
-    fn rank(&self, job: &str) -> u32 {
-        let others = self.successors(job);
-        let own = rendezvous_score(&self.shared.owner.host, job);
-        let goes_before = |entry: &&HostEntry| rendezvous_score(&entry.host, job) > own;
-        let before = others.iter().filter(goes_before);
-        before.count() as u32
+    /// Place of this host among all hosts in the order that `key` draws, from 0.
+    fn rank(&self, key: &str) -> u32 {
+        let own = &self.shared.owner.host;
+        rank_among(own, self.successors(key).iter(), key)
+    }
+
+    /// Place of this host in the order in which hosts claim `job`, from 0. The hosts that look at
+    /// each interval come first.
+    fn claim_rank(&self, job: &str) -> u32 {
+        let own = &self.shared.owner.host;
+        let others = self.successors(SCAN_KEY);
+        let scanners = SCANNERS.min(others.len());
+        match rank_among(own, others.iter(), SCAN_KEY) < SCANNERS as u32 {
+            true => rank_among(own, others.iter().take(scanners), job),
+            false => scanners as u32 + rank_among(own, others.iter().skip(scanners), job),
+        }
     }
 
     /// The other hosts that may own `job`, in the order in which they claim it.
--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -22,6 +22,7 @@
 use crate::places::peers::PeerLoads;
 use crate::places::peers::WorkCount;
 use crate::places::pulse::PeerPulse;
+use crate::places::report::HostNews;
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
 use crate::places::report::upstream_tag;
@@ -474,15 +475,26 @@
     /// Notes that an upstream said that it leaves: it gets no more requests until it starts again.
     /// Returns whether this is new.
     pub fn leave(&mut self, key: PlaceKey, now: Instant) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(&key) else {
+        let Some(upstream) = self.upstreams.get(&key) else {
             return false;
         };
-        upstream.is_leaving = true;
-        let start = upstream.start();
-        self.file(key);
+        let (id, start) = (upstream.entry.id.clone(), upstream.start());
+        // The entry may have lapsed and come back since the request was sent.
+        if let Some(listed) = self.keys.get(&id) {
+            self.mark_leaving(*listed, start);
+        }
         self.leaving.note(start, now)
     }
 
+    fn mark_leaving(&mut self, key: PlaceKey, start: UpstreamStart) {
+        if let Some(upstream) = self.upstreams.get_mut(&key)
+            && upstream.start() == start
+        {
+            upstream.is_leaving = true;
+            self.file(key);
+        }
+    }
+
     /// Upstreams that said lately that they leave, for the load report.
     pub fn leaving_news(&mut self, now: Instant) -> Vec<UpstreamStart> {
         self.leaving.news(now)
@@ -493,11 +505,9 @@
             if !self.leaving.hear(*start) {
                 continue;
             }
-            let mut all = self.upstreams.iter_mut();
-            if let Some((key, upstream)) = all.find(|(_, upstream)| upstream.start() == *start) {
-                upstream.is_leaving = true;
-                let key = *key;
-                self.file(key);
+            let mut listed = self.keys.values();
+            if let Some(key) = listed.find(|key| self.upstreams[key].start() == *start) {
+                self.mark_leaving(*key, *start);
             }
         }
     }
@@ -593,9 +603,36 @@
         self.peers.take(report, now)
     }
 
-    /// Takes in that another host lives, and whether it leaves.
-    pub fn hear_host(&mut self, host: &str, is_leaving: bool, now: Instant) {
-        self.pulse.note(host, is_leaving, now);
+    /// Takes in what another host tells all.
+    pub fn hear_news(&mut self, news: &HostNews, now: Instant) {
+        self.pulse.note(&news.host, news.is_leaving, now);
+        for host in news
+            .silent
+            .iter()
+            .filter(|host| **host != self.host.as_str())
+        {
+            self.pulse.note_silent(host, now);
+        }
+    }
+
+    /// Neighbours that have fallen silent lately and of which this host has to tell all others:
+    /// it is the next one on the ring that lives. A host that hears few of its neighbours may be
+    /// cut off itself, and tells nothing.
+    pub fn silent_neighbours(&self, now: Instant) -> Vec<String> {
+        let own = self.host.as_str();
+        let near: Vec<&str> = self.ring.near(own, self.reach(sure_reach)).collect();
+        let heard = near
+            .iter()
+            .filter(|host| self.pulse.hears(host, now))
+            .count();
+        if heard * 2 < near.len() {
+            return Vec::new();
+        }
+        let lives = |host: &str| host == own || self.pulse.hears(host, now);
+        let silent = near.into_iter().filter(|host| {
+            self.pulse.fell_silent(host, now) && self.ring.next_after(host, lives) == Some(own)
+        });
+        silent.map(str::to_owned).collect()
     }
 
     /// Forgets the work of hosts that have fallen silent.
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -60,6 +60,7 @@
             host: host.clone(),
             is_leaving: false,
             new_jobs: Vec::new(),
+            silent: Vec::new(),
         };
         let report = LoadReport {
             host,
@@ -122,8 +123,7 @@
             }
             Some(HostDatagram::News(news)) => {
                 note_jobs(&news.host, &news.new_jobs);
-                let mut book = self.places.book();
-                book.hear_host(&news.host, news.is_leaving, now);
+                self.places.book().hear_news(&news, now);
             }
             None => {}
         }
@@ -163,18 +163,19 @@
     /// Tells all hosts what is new, and again for as long as it is.
     async fn tell_news(&mut self, now: Instant, new_jobs: Vec<String>) {
         let is_leaving = self.leaving.is_cancelled();
-        if new_jobs.is_empty() && !is_leaving {
-            self.news.new_jobs.clear();
-            return;
-        }
-        let is_known = new_jobs.iter().all(|job| self.news.new_jobs.contains(job))
-            && is_leaving == self.news.is_leaving;
-        if is_known && self.told.is_some_and(|at| now - at < NEWS_REPEAT) {
+        let silent = self.places.book().silent_neighbours(now);
+        let is_known = is_leaving == self.news.is_leaving
+            && new_jobs.iter().all(|job| self.news.new_jobs.contains(job))
+            && silent.iter().all(|host| self.news.silent.contains(host));
+        self.news.is_leaving = is_leaving;
+        self.news.new_jobs = new_jobs;
+        self.news.silent = silent;
+        let is_empty = self.news.new_jobs.is_empty() && self.news.silent.is_empty();
+        let is_told = is_known && self.told.is_some_and(|at| now - at < NEWS_REPEAT);
+        if (is_empty && !is_leaving) || is_told {
             return;
         }
         self.told = Some(now);
-        self.news.new_jobs = new_jobs;
-        self.news.is_leaving = is_leaving;
         let news = HostDatagram::News(self.news.clone());
         self.send(&news, &self.peers.all).await;
     }
--- a/lib/src/places/pulse.rs
+++ b/lib/src/places/pulse.rs
@@ -16,10 +16,23 @@
     is_leaving: bool,
 }
 
+impl Heard {
+    fn is_fresh(self, now: Instant) -> bool {
+        now - self.at < SILENCE
+    }
+}
+
+/// Time for which a host stays left out that another host calls silent.
+const HEARSAY_TIME: Duration = Duration::from_secs(4);
+/// Time after a host fell silent in which others are told.
+const TELL_TIME: Duration = Duration::from_millis(1_200);
+
 /// When each other host was last heard.
 #[derive(Debug, Default)]
 pub struct PeerPulse {
     heard: HashMap<String, Heard>,
+    /// Hosts that another host calls silent, and since when.
+    said_silent: HashMap<String, Instant>,
 }
 
 impl PeerPulse {
@@ -30,12 +43,39 @@
             is_leaving,
         };
         self.heard.insert(host.to_owned(), heard);
+        self.said_silent.remove(host);
+    }
+
+    /// Notes that another host no longer hears its neighbour `host`.
+    pub(crate) fn note_silent(&mut self, host: &str, now: Instant) {
+        self.said_silent
+            .retain(|_, since| now - *since < HEARSAY_TIME);
+        let is_heard = self
+            .heard
+            .get(host)
+            .is_some_and(|heard| heard.is_fresh(now));
+        if !is_heard {
+            self.said_silent.insert(host.to_owned(), now);
+        }
+    }
+
+    /// Whether `host` was heard a moment ago.
+    pub(crate) fn hears(&self, host: &str, now: Instant) -> bool {
+        self.heard
+            .get(host)
+            .is_some_and(|heard| heard.is_fresh(now))
+    }
+
+    /// Whether `host` has fallen silent so lately that others are to be told.
+    pub(crate) fn fell_silent(&self, host: &str, now: Instant) -> bool {
+        let silence = self.heard.get(host).map(|heard| now - heard.at);
+        silence.is_some_and(|silence| (SILENCE..SILENCE + TELL_TIME).contains(&silence))
     }
 
     /// Those of `hosts` that callers should use.
     ///
-    /// A host that is leaving, or silent though it `reports` to this one, is left out, though its
-    /// entry in the registry may last for seconds. If none of those is heard, this host may be the
+    /// A host that is leaving, or silent though it `reports` to this one, or silent to a neighbour of
+    /// its own, is left out, though its entry in the registry may last for seconds. If none of those is heard, this host may be the
     /// one that is cut off, and the registry is taken as it is.
     pub fn usable<'a>(
         &self,
@@ -44,10 +84,10 @@
         reports: impl Fn(&str) -> bool,
         now: Instant,
     ) -> Vec<&'a str> {
-        let heard = |host: &str| {
-            self.heard
-                .get(host)
-                .filter(|heard| now - heard.at < SILENCE)
+        let heard = |host: &str| self.heard.get(host).filter(|heard| heard.is_fresh(now));
+        let is_said_silent = |host: &str| {
+            let since = self.said_silent.get(host);
+            since.is_some_and(|since| now - *since < HEARSAY_TIME)
         };
         let reporting: HashSet<&str> = hosts
             .iter()
@@ -57,7 +97,8 @@
         let hears_any = reporting.iter().any(|host| heard(host).is_some());
         let is_usable = |host: &str| match heard(host) {
             Some(heard) => !heard.is_leaving,
-            None => !hears_any || !reporting.contains(host),
+            None if !hears_any => true,
+            None => !reporting.contains(host) && !is_said_silent(host),
         };
         let usable = hosts.iter().filter(|host| **host == own || is_usable(host));
         usable.copied().collect()
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -53,6 +53,9 @@
     /// Batch jobs that the host has begun to own lately.
     #[serde(rename = "j")]
     pub new_jobs: Vec<String>,
+    /// Neighbours of the host that have fallen silent lately.
+    #[serde(rename = "s", default)]
+    pub silent: Vec<String>,
 }
 
 /// A datagram between hosts.
--- a/lib/src/places/ring.rs
+++ b/lib/src/places/ring.rs
@@ -69,6 +69,24 @@
             .filter(move |name| *name != host)
     }
 
+    /// The host that comes next after `host` among those that fulfil `condition`.
+    pub fn next_after<'a>(
+        &'a self,
+        host: &str,
+        condition: impl Fn(&str) -> bool,
+    ) -> Option<&'a str> {
+        let key = (hash(host), host);
+        let after = self
+            .hosts
+            .partition_point(|(other, name)| (*other, name.as_str()) <= key);
+        let (before, behind) = self.hosts.split_at(after);
+        let in_order = behind.iter().chain(before);
+        let names = in_order.map(|(_, name)| name.as_str());
+        names
+            .filter(|name| *name != host)
+            .find(|name| condition(name))
+    }
+
     /// Whether two hosts are within `reach` of each other.
     pub fn is_near(&self, one: &str, other: &str, reach: f64) -> bool {
         distance(self.place(one), self.place(other)) <= reach
--- a/lib/src/registry/entry.rs
+++ b/lib/src/registry/entry.rs
@@ -89,6 +89,16 @@
         self.hosts.get(host).map(|known| &known.entry)
     }
 
+    /// Number of hosts.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
     /// All hosts, in the order of their names.
     pub fn entries(&self) -> Vec<&HostEntry> {
         let mut entries: Vec<&HostEntry> = self.hosts.values().map(|known| &known.entry).collect();
--- a/lib/src/registry/keeper.rs
+++ b/lib/src/registry/keeper.rs
@@ -19,8 +19,13 @@
 use crate::registry::entry::HostEntry;
 use crate::registry::entry::HostList;
 use crate::registry::entry::HostState;
+use crate::registry::pace::shared_interval;
+use crate::registry::pace::spread;
 
 const HOSTS_PREFIX: &str = "hosts/";
+/// Listings a second that all hosts together make, until the interval is the longest.
+const LISTINGS_PER_SECOND: f64 = 40.0;
+const LONGEST_LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -29,7 +34,7 @@
 pub struct RegistryPlan {
     /// Life of the host's lease; renewed after a third of it.
     pub lease_ttl: Duration,
-    /// Time between two listings.
+    /// Time between two listings in a small fleet.
     pub list_interval: Duration,
 }
 
@@ -212,7 +217,11 @@
                     self.with_state(|state| state.is_written = false);
                 }
             }
-            tokio::time::sleep(self.shared.plan.list_interval).await;
+            let hosts = self.with_list(HostList::len);
+            let least = self.shared.plan.list_interval;
+            let interval =
+                shared_interval(least, LONGEST_LIST_INTERVAL, hosts, LISTINGS_PER_SECOND);
+            tokio::time::sleep(spread(interval)).await;
         }
     }
 
--- a/lib/src/registry/mod.rs
+++ b/lib/src/registry/mod.rs
@@ -5,6 +5,7 @@
 
 mod entry;
 mod keeper;
+mod pace;
 mod secret;
 
 pub use entry::HostEntry;
--- /dev/null
+++ b/lib/src/registry/pace.rs
@@ -0,0 +1,57 @@
+//! How often a host of a large fleet makes calls that every host makes.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// Part of an interval by which it is drawn shorter or longer, so that hosts that started together
+/// do not call together for long.
+const SPREAD: f64 = 0.15;
+
+/// Interval between two calls of one host: `least`, or as long as keeps `hosts` hosts at `rate`
+/// calls a second together, but at most `most`.
+pub(crate) fn shared_interval(
+    least: Duration,
+    most: Duration,
+    hosts: usize,
+    rate: f64,
+) -> Duration {
+    let fair = Duration::from_secs_f64(hosts as f64 / rate);
+    fair.clamp(least, most)
+}
+
+/// `interval`, a little shorter or longer.
+pub(crate) fn spread(interval: Duration) -> Duration {
+    interval.mul_f64(rand::rng().random_range(1.0 - SPREAD..1.0 + SPREAD))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LEAST: Duration = Duration::from_secs(1);
+    const MOST: Duration = Duration::from_secs(5);
+
+    #[test]
+    fn test_shared_interval_keeps_the_rate_of_the_fleet() {
+        for (hosts, seconds) in [
+            (0, 1.0),
+            (8, 1.0),
+            (40, 1.0),
+            (100, 2.5),
+            (165, 4.125),
+            (1_400, 5.0),
+        ] {
+            let interval = shared_interval(LEAST, MOST, hosts, 40.0);
+            assert_eq!(interval.as_secs_f64(), seconds, "{hosts}");
+        }
+    }
+
+    #[test]
+    fn test_spread_stays_near_the_interval() {
+        for _ in 0..100 {
+            let drawn = spread(MOST).as_secs_f64();
+            assert!((4.25..5.75).contains(&drawn), "{drawn}");
+        }
+    }
+}
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -39,6 +39,7 @@
 use parsleywall_standins::opaque::OpaqueBehaviour;
 use parsleywall_standins::opaque::OpaqueUpstreams;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 const EVENTS: u64 = 50;
@@ -325,6 +326,36 @@
     assert_whole(&fleet.wire, &page);
 }
 
+/// In a fleet of more hosts than look for such jobs, these take the jobs of several lost hosts
+/// over as soon as in a small one, and the others make few calls.
+#[tokio::test(start_paused = true)]
+async fn test_jobs_of_dead_hosts_are_taken_over_in_a_large_fleet() {
+    let mut fleet = JobFleet::new();
+    let mut hosts = Vec::new();
+    for number in 0..40 {
+        hosts.push(fleet.host(&format!("host-{number}")).await);
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for (number, host) in hosts.iter().take(4).enumerate() {
+        let outcome = host.keeper.submit(job(&format!("j{number}"), 4)).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+        host.kill();
+    }
+    let reads = || fleet.kv.calls.reads.load(Ordering::Relaxed);
+    let before = reads();
+    let lost = Instant::now();
+    for number in 0..4 {
+        let id = format!("j{number}");
+        assert_whole(&fleet.wire, &read_all(&hosts[20], &id).await);
+    }
+    // Leases end after 3.6 s; two looks 1.5 s apart, two turns of claims and the run follow.
+    let most = Duration::from_millis(3_600 + 5 * 1_500 + 1_100);
+    assert!(lost.elapsed() <= most, "after {:?}", lost.elapsed());
+    // Looks of all 36 hosts, each of up to two calls, would alone be 48 a second.
+    let each_second = (reads() - before) as f64 / lost.elapsed().as_secs_f64();
+    assert!(each_second <= 75.0, "{each_second} reads a second");
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_job_of_a_restarted_host_goes_on_at_once() {
     let mut fleet = JobFleet::new();
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -12,6 +12,7 @@
 use parsleywall::ids::WorkClass;
 use parsleywall::places::EntryState;
 use parsleywall::places::HostDatagram;
+use parsleywall::places::HostNews;
 use parsleywall::places::HostRing;
 use parsleywall::places::LoadReport;
 use parsleywall::places::PlaceAsk;
@@ -720,3 +721,194 @@
     book.forget_silent(now + Duration::from_secs(1));
     assert_eq!(book.work_of(&service()), (0, 0));
 }
+
+/// Hosts of a ring that hear of each other's reports, with one that falls silent.
+#[tokio::test(start_paused = true)]
+async fn test_silent_host_is_told_to_all_by_one() {
+    let start = Instant::now();
+    let later = start + Duration::from_millis(1_600);
+    let names: Vec<String> = (0..40).map(|host| format!("host-{host}")).collect();
+    let mut books: Vec<PlaceBook> = names
+        .iter()
+        .map(|name| {
+            let mut book = PlaceBook::new(HostId::new(name), DataCentre::new("east"));
+            (0..80).for_each(|number| book.put(entry(&format!("upstream-{number}"))));
+            book.set_hosts(names.iter().map(String::as_str));
+            book
+        })
+        .collect();
+    for (number, at) in [(1, start), (2, later)] {
+        for name in names
+            .iter()
+            .filter(|name| number == 1 || **name != "host-7")
+        {
+            for book in books
+                .iter_mut()
+                .filter(|book| book.neighbours().contains(name))
+            {
+                book.hear(report(name, number, &[]), at);
+            }
+        }
+    }
+    let tellers: Vec<usize> = (0..40)
+        .filter(|host| *host != 7 && !books[*host].silent_neighbours(later).is_empty())
+        .collect();
+    assert_eq!(tellers.len(), 1);
+    let news = HostNews {
+        host: names[tellers[0]].clone(),
+        is_leaving: false,
+        new_jobs: Vec::new(),
+        silent: books[tellers[0]].silent_neighbours(later),
+    };
+    assert_eq!(news.silent, ["host-7"]);
+    let hosts: Vec<&str> = names.iter().map(String::as_str).collect();
+    for book in &mut books {
+        book.hear_news(&news, later);
+    }
+    for (host, book) in books.iter().enumerate().filter(|(host, _)| *host != 7) {
+        let usable = book.usable_hosts(&hosts, later);
+        assert!(!usable.contains(&"host-7"), "host-{host} still names it");
+        assert!(usable.len() >= 38, "host-{host} names {}", usable.len());
+    }
+    // The silent host itself hears nobody, and takes the registry as it is.
+    assert!(books[7].silent_neighbours(later).is_empty());
+    // It is named again once it tells something itself.
+    let back = HostNews {
+        host: "host-7".to_owned(),
+        silent: Vec::new(),
+        ..news
+    };
+    for book in &mut books {
+        book.hear_news(&back, later);
+        assert!(book.usable_hosts(&hosts, later).contains(&"host-7"));
+    }
+}
+
+/// One change of a book.
+#[derive(Clone, Debug)]
+enum BookStep {
+    Put {
+        upstream: u8,
+        born: u64,
+        drains: bool,
+    },
+    Remove(u8),
+    Take(bool),
+    Release(usize),
+    Leave(usize),
+    Fault(usize),
+    Hear {
+        host: u8,
+        upstream: u8,
+        online: u16,
+    },
+    Hosts(u8),
+    Wait(u16),
+}
+
+fn book_step() -> impl Strategy<Value = BookStep> {
+    let upstream = 0..6u8;
+    prop_oneof![
+        (upstream.clone(), 1..3u64, any::<bool>()).prop_map(|(upstream, born, drains)| {
+            BookStep::Put {
+                upstream,
+                born,
+                drains,
+            }
+        }),
+        upstream.clone().prop_map(BookStep::Remove),
+        any::<bool>().prop_map(BookStep::Take),
+        any::<usize>().prop_map(BookStep::Release),
+        any::<usize>().prop_map(BookStep::Leave),
+        any::<usize>().prop_map(BookStep::Fault),
+        (0..4u8, upstream, 0..5u16).prop_map(|(host, upstream, online)| {
+            BookStep::Hear {
+                host,
+                upstream,
+                online,
+            }
+        }),
+        (0..40u8).prop_map(BookStep::Hosts),
+        (0..3_000u16).prop_map(BookStep::Wait),
+    ]
+}
+
+proptest! {
+    /// Only upstreams that are listed, ready and have not said that they leave get work, and each
+    /// place that was taken is in the load report until it is given back.
+    #[test]
+    fn test_book_holds_through_any_changes(steps in prop::collection::vec(book_step(), 1..120)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        let _context = runtime.enter();
+        let mut now = Instant::now();
+        let mut book = book(&[]);
+        let mut ready: HashMap<String, u64> = HashMap::default();
+        let mut left: HashSet<(String, u64)> = HashSet::default();
+        let mut held: Vec<(PlacePick, WorkClass, u64)> = Vec::new();
+        for (number, step) in steps.into_iter().enumerate() {
+            match step {
+                BookStep::Put { upstream, born: start, drains } => {
+                    let name = format!("u{upstream}");
+                    let state = if drains { EntryState::Draining } else { EntryState::Ready };
+                    book.put(UpstreamEntry { born: start, state, ..entry(&name) });
+                    match drains {
+                        true => ready.remove(&name),
+                        false => ready.insert(name, start),
+                    };
+                }
+                BookStep::Remove(upstream) => {
+                    let name = format!("u{upstream}");
+                    book.remove(&UpstreamId::new(&name));
+                    ready.remove(&name);
+                }
+                BookStep::Take(online) => {
+                    let class = if online { WorkClass::Online } else { WorkClass::Batch };
+                    if let Some(pick) = take(&mut book, class, now) {
+                        let name = pick.id.to_string();
+                        let start = ready.get(&name).copied();
+                        prop_assert!(start.is_some(), "{} takes no requests", name);
+                        prop_assert!(!left.contains(&(name, start.unwrap())));
+                        held.push((pick, class, start.unwrap()));
+                    }
+                }
+                BookStep::Release(index) if !held.is_empty() => {
+                    let (pick, class, _) = held.remove(index % held.len());
+                    book.release(pick.key, class);
+                }
+                BookStep::Leave(index) if !held.is_empty() => {
+                    let (pick, _, start) = &held[index % held.len()];
+                    book.leave(pick.key, now);
+                    left.insert((pick.id.to_string(), *start));
+                }
+                BookStep::Fault(index) if !held.is_empty() => {
+                    let key = held[index % held.len()].0.key;
+                    book.fault(key, UpstreamFault::Silent, now);
+                }
+                BookStep::Hear { host, upstream, online } => {
+                    let name = format!("u{upstream}");
+                    let loads = [(name.as_str(), online, 0)];
+                    book.hear(report(&format!("host-{host}"), number as u64, &loads), now);
+                }
+                BookStep::Hosts(count) => {
+                    let names: Vec<String> = (0..count).map(|host| format!("host-{host}")).collect();
+                    book.set_hosts(names.iter().map(String::as_str));
+                }
+                BookStep::Wait(millis) => {
+                    now += Duration::from_millis(millis.into());
+                    book.forget_silent(now);
+                }
+                BookStep::Release(_) | BookStep::Leave(_) | BookStep::Fault(_) => {}
+            }
+            let takes = ready.iter().filter(|(name, start)| !left.contains(&((*name).clone(), **start)));
+            prop_assert_eq!(book.ready_count(&service()), takes.count());
+            let told: u32 = book.own_loads().iter().map(|load| u32::from(load.1 + load.2)).sum();
+            prop_assert_eq!(told as usize, held.len());
+            book.give_way(now);
+            book.online_fill(&service(), now);
+        }
+    }
+}
