--- a/lib/src/jobs/book.rs
+++ b/lib/src/jobs/book.rs
@@ -20,7 +20,7 @@
 /// Bytes of results in one page for a caller, after encoding.
 const PAGE_BYTES: usize = 700 * 1024;
 /// Time for which finished items wait for others, so that one write lists several.
-const GATHER_TIME: Duration = Duration::from_millis(2_500);
+const GATHER_TIME: Duration = Duration::from_millis(1_200);
 /// The same while the job is nearly due.
 const SHORT_GATHER_TIME: Duration = Duration::from_millis(100);
 /// A job with less time left than this is nearly due.
