places: an upstream that is slow but lively is not ejected at once; new hosts hold items back

Change: load reports say which upstreams sent something in the last 150 ms. Silence at one that sent anything to anyone since the request was sent is slow, not silent: three in a row eject it, as broken answers do. A host of a fleet starts no items in its first 700 ms.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -39,6 +39,11 @@
 /// close though reports are old: Mitzenmacher, "How useful is old information?", 2000.
 const SAMPLED_PEERS: usize = 12;
 const SAMPLE: usize = 4;
+/// An upstream that sent a part of an answer within this time is reported as lively.
+const LIVELY_TIME: Duration = Duration::from_millis(150);
+/// Time after its start in which a host of a fleet leaves places to online work, as it knows the
+/// work of few others.
+const UNHEARD_TIME: Duration = Duration::from_millis(700);
 /// Time within which hosts hear of one another's batch items.
 const START_WINDOW: Duration = Duration::from_millis(40);
 /// Advantage of an upstream in the host's own data centre, in places.
@@ -123,6 +128,8 @@
     tag: u32,
     own: WorkCount,
     health: UpstreamHealth,
+    /// When it last sent this host a part of an answer.
+    lively_at: Option<Instant>,
     listed: bool,
     /// Whether this start said that it leaves.
     is_leaving: bool,
@@ -173,6 +180,8 @@
     peers: PeerLoads,
     pulse: PeerPulse,
     leaving: LeavingStarts,
+    /// When this host first had a batch item to start.
+    first_start: Option<Instant>,
     /// Batch items that this host may still start in the window that began at the instant.
     starts: HashMap<ServiceName, (Instant, u32)>,
 }
@@ -193,6 +202,7 @@
             peers: PeerLoads::default(),
             pulse: PeerPulse::default(),
             leaving: LeavingStarts::default(),
+            first_start: None,
             starts: HashMap::default(),
         }
     }
@@ -223,6 +233,7 @@
             entry,
             own: WorkCount::default(),
             health: UpstreamHealth::default(),
+            lively_at: None,
             listed: true,
         };
         self.upstreams.insert(key, upstream);
@@ -466,6 +477,26 @@
         self.upstreams.get_mut(&key)?.health.fault(fault, now)
     }
 
+    /// Notes that an upstream sent a part of an answer.
+    pub fn note_life(&mut self, key: PlaceKey, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(&key) {
+            upstream.lively_at = Some(now);
+        }
+    }
+
+    /// What it means that an upstream has sent a request nothing since `since`: it may have gone
+    /// dark, or be full while it goes on with the requests of this host or others.
+    pub fn silence(&self, key: PlaceKey, since: Instant) -> UpstreamFault {
+        let lively = self.upstreams.get(&key).is_some_and(|upstream| {
+            let times = [upstream.lively_at, self.peers.lively_at(upstream.tag)];
+            times.into_iter().flatten().any(|at| at > since)
+        });
+        match lively {
+            true => UpstreamFault::Slow,
+            false => UpstreamFault::Silent,
+        }
+    }
+
     /// Notes that an upstream served a request well; returns for how long it was ejected, if it
     /// was.
     pub fn success(&mut self, key: PlaceKey, now: Instant) -> Option<Duration> {
@@ -552,6 +583,10 @@
     /// Whether this host may start another batch item now. Without a sound upstream an item may
     /// be the trial of one.
     fn may_start(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let asked = *self.first_start.get_or_insert(now);
+        if self.ring.len() > 1 && now - asked < UNHEARD_TIME {
+            return false;
+        }
         let hosts = self.peers.len() as u32 + 1;
         let fills = self.fills(service, now);
         if fills.is_empty() {
@@ -583,10 +618,13 @@
     }
 
     /// What this host runs, for its load report.
-    pub fn own_loads(&self) -> Vec<UpstreamLoad> {
+    pub fn own_loads(&self, now: Instant) -> Vec<UpstreamLoad> {
         let working = self.busy.iter().map(|key| &self.upstreams[key]);
         let mut loads: Vec<UpstreamLoad> = working
-            .map(|up| UpstreamLoad(up.tag, up.own.online as u16, up.own.batch as u16))
+            .map(|up| {
+                let is_lively = up.lively_at.is_some_and(|at| now - at < LIVELY_TIME);
+                UpstreamLoad(up.tag, up.own.online as u16, up.own.batch as u16, is_lively)
+            })
             .collect();
         loads.sort_by_key(|load| load.0);
         loads
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -10,6 +10,7 @@
 use crate::places::report::HostDatagram;
 use crate::places::report::HostNews;
 use crate::places::report::LoadReport;
+use crate::places::report::UpstreamLoad;
 use crate::places::shared::PlaceDesk;
 
 /// Time between two reports while the load changes, with up to [`FAST_NEIGHBOURS`] neighbours.
@@ -142,10 +143,13 @@
         let (loads, leaving) = {
             let mut book = self.places.book();
             book.forget_silent(now);
-            (book.own_loads(), book.leaving_news(now))
+            (book.own_loads(now), book.leaving_news(now))
         };
         let is_leaving = self.leaving.is_cancelled();
-        let is_news = loads != self.report.loads
+        let known = &self.report.loads;
+        let is_same = |(one, other): (&UpstreamLoad, &UpstreamLoad)| one.is_same_work(other);
+        let is_news = loads.len() != known.len()
+            || !loads.iter().zip(known).all(is_same)
             || leaving != self.report.leaving
             || is_leaving != self.report.is_leaving;
         if !is_news && now - self.reported < QUIET_INTERVAL {
--- a/lib/src/places/health.rs
+++ b/lib/src/places/health.rs
@@ -11,9 +11,9 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after another upstream answered at the address.
 const MOVED_PAUSE: Duration = Duration::from_secs(2);
-/// Broken answers within this time count as faults in a row.
+/// Broken and slow answers within this time count as faults in a row.
 const BREAK_WINDOW: Duration = Duration::from_secs(2);
-/// Broken answers in a row before the upstream pauses.
+/// Broken and slow answers in a row before the upstream pauses.
 const BREAKS_BEFORE_PAUSE: u32 = 3;
 
 /// What went wrong at an upstream.
@@ -22,8 +22,10 @@
 pub enum UpstreamFault {
     /// No connection could be opened.
     Unreachable,
-    /// A running request produced nothing for too long.
+    /// A running request produced nothing for too long, nor did any other one there.
     Silent,
+    /// A running request produced nothing for too long, while others there went on.
+    Slow,
     /// An answer broke off or was not the answer to the request.
     Broken,
     /// The upstream refused the request as full, and did not run it.
@@ -70,7 +72,7 @@
     pub(crate) fn fault(&mut self, fault: UpstreamFault, now: Instant) -> Option<Duration> {
         match fault {
             UpstreamFault::Unreachable | UpstreamFault::Silent => self.strike(now),
-            UpstreamFault::Broken | UpstreamFault::Failed => self.broke(now),
+            UpstreamFault::Broken | UpstreamFault::Failed | UpstreamFault::Slow => self.broke(now),
             UpstreamFault::Full => {
                 self.pause(now + FULL_PAUSE);
                 None
--- a/lib/src/places/peers.rs
+++ b/lib/src/places/peers.rs
@@ -72,6 +72,8 @@
     peers: HashMap<String, PeerLoad>,
     /// Sums by tag of the upstream; upstreams without work are left out.
     sums: HashMap<u32, WorkCount>,
+    /// When a report last said that the upstream with this tag sends answers.
+    lively: HashMap<u32, Instant>,
 }
 
 impl PeerLoads {
@@ -85,6 +87,11 @@
         self.sums.get(&tag).copied().unwrap_or_default()
     }
 
+    /// When the upstream with `tag` last sent another host a part of an answer, as reports tell.
+    pub(crate) fn lively_at(&self, tag: u32) -> Option<Instant> {
+        self.lively.get(&tag).copied()
+    }
+
     /// When the host was heard whose report is the oldest.
     pub(crate) fn oldest(&self) -> Option<Instant> {
         self.peers.values().map(|peer| peer.heard).min()
@@ -110,6 +117,9 @@
         for load in &report.loads {
             let sum = self.sums.entry(load.0).or_default();
             *sum = sum.plus(load.into());
+            if load.3 {
+                self.lively.insert(load.0, now);
+            }
         }
         let peer = PeerLoad {
             incarnation: report.incarnation,
@@ -121,7 +131,11 @@
         let before = self.peers.insert(report.host, peer);
         let before = before.map_or_else(Vec::new, |peer| peer.loads);
         self.take_off(&before);
-        before != loads
+        before.len() != loads.len()
+            || before
+                .iter()
+                .zip(&loads)
+                .any(|(one, other)| !one.is_same_work(other))
     }
 
     /// Forgets the work of hosts that have fallen silent.
@@ -135,6 +149,7 @@
             !is_silent(peer)
         });
         self.take_off(&gone);
+        self.lively.retain(|_, at| now - *at < REPORT_LIFE);
     }
 
     fn take_off(&mut self, loads: &[UpstreamLoad]) {
--- a/lib/src/places/report.rs
+++ b/lib/src/places/report.rs
@@ -16,8 +16,17 @@
     pub u16,
     /// Batch items.
     pub u16,
+    /// Whether the upstream sent the host a part of an answer a moment ago.
+    pub bool,
 );
 
+impl UpstreamLoad {
+    /// Whether both tell of the same work.
+    pub fn is_same_work(&self, other: &Self) -> bool {
+        (self.0, self.1, self.2) == (other.0, other.1, other.2)
+    }
+}
+
 /// What one host runs at all upstreams; upstreams at which it runs nothing are left out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/lib/src/places/shared.rs
+++ b/lib/src/places/shared.rs
@@ -83,6 +83,16 @@
         self.desk.book().fault(self.pick.key, fault, Instant::now())
     }
 
+    /// Notes that the upstream sent a part of an answer.
+    pub fn note_life(&self) {
+        self.desk.book().note_life(self.pick.key, Instant::now());
+    }
+
+    /// What it means that the upstream has sent a request nothing since `since`.
+    pub fn silence(&self, since: Instant) -> UpstreamFault {
+        self.desk.book().silence(self.pick.key, since)
+    }
+
     /// Notes that the upstream said that it leaves; returns whether this is new.
     pub fn leave(&self) -> bool {
         self.desk.book().leave(self.pick.key, Instant::now())
--- a/lib/src/relay/run.rs
+++ b/lib/src/relay/run.rs
@@ -32,6 +32,8 @@
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Bytes that a stream may bring without an event that goes on; beyond that it is broken.
 const MAX_IDLE_BYTES: usize = 256 * 1024;
+/// Time between two notes that an upstream sends parts of an answer.
+const LIFE_INTERVAL: Duration = Duration::from_millis(50);
 /// Room that a whole answer takes at a time.
 const ANSWER_STEP_BYTES: usize = 64 * 1024;
 /// Upstreams that may turn a request down unrun before it is refused.
@@ -117,6 +119,8 @@
     advanced: Instant,
     /// Bytes since then.
     idle_bytes: usize,
+    /// When it was last noted that the upstream sends.
+    life_noted: Option<Instant>,
     events: u64,
 }
 
@@ -332,7 +336,8 @@
             }
             Err(_) => {
                 let over = self.request.deadline <= Instant::now();
-                let outcome = self.lost(&hold, now, UpstreamFault::Silent, "no answer in time");
+                let fault = hold.silence(now);
+                let outcome = self.lost(&hold, now, fault, "no answer in time");
                 if over {
                     return Sending::Failed(RelayFailure::TimedOut);
                 }
@@ -529,6 +534,10 @@
 
     fn drop_stream(&mut self, fault: UpstreamFault, cause: &str) {
         if let Some(open) = self.open.take() {
+            let fault = match fault {
+                UpstreamFault::Silent => open.hold.silence(open.advanced),
+                fault => fault,
+            };
             self.note_fault(&open.hold, open.sent, fault, cause, true);
         }
     }
@@ -579,6 +588,11 @@
         }
         self.advanced = Instant::now();
         self.idle_bytes = self.splitter.pending();
+        let is_due = |noted: Instant| self.advanced - noted >= LIFE_INTERVAL;
+        if self.life_noted.is_none_or(is_due) {
+            self.life_noted = Some(self.advanced);
+            self.hold.note_life();
+        }
     }
 }
 
@@ -590,6 +604,7 @@
         sent,
         advanced: Instant::now(),
         idle_bytes: 0,
+        life_noted: None,
         events: 0,
     }
 }
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -72,7 +72,12 @@
 
 fn report(host: &str, number: u64, loads: &[(&str, u16, u16)]) -> LoadReport {
     let loads = loads.iter().map(|(upstream, online, batch)| {
-        UpstreamLoad(upstream_tag(&UpstreamId::new(upstream)), *online, *batch)
+        UpstreamLoad(
+            upstream_tag(&UpstreamId::new(upstream)),
+            *online,
+            *batch,
+            false,
+        )
     });
     LoadReport {
         host: host.to_owned(),
@@ -444,7 +449,7 @@
                 incarnation: 1,
                 number: self.number,
                 is_leaving: false,
-                loads: self.books[host].own_loads(),
+                loads: self.books[host].own_loads(now),
                 leaving: Vec::new(),
             };
             for neighbour in &self.neighbours[host] {
@@ -472,7 +477,11 @@
     /// Work at each upstream, of all hosts.
     fn work(&self) -> HashMap<u32, u32> {
         let mut work: HashMap<u32, u32> = HashMap::default();
-        for load in self.books.iter().flat_map(PlaceBook::own_loads) {
+        for load in self
+            .books
+            .iter()
+            .flat_map(|book| book.own_loads(Instant::now()))
+        {
             *work.entry(load.0).or_default() += u32::from(load.1);
         }
         work
@@ -905,10 +914,56 @@
             }
             let takes = ready.iter().filter(|(name, start)| !left.contains(&((*name).clone(), **start)));
             prop_assert_eq!(book.ready_count(&service()), takes.count());
-            let told: u32 = book.own_loads().iter().map(|load| u32::from(load.1 + load.2)).sum();
+            let told: u32 = book.own_loads(now).iter().map(|load| u32::from(load.1 + load.2)).sum();
             prop_assert_eq!(told as usize, held.len());
             book.give_way(now);
             book.online_fill(&service(), now);
         }
     }
 }
+
+/// Silence ejects an upstream at once only if nobody hears of it.
+#[tokio::test(start_paused = true)]
+async fn test_silence_of_an_upstream_that_serves_others_is_no_ejection() {
+    let start = Instant::now();
+    let late = start + Duration::from_millis(180);
+    let mut book = book(&["a"]);
+    let pick = take(&mut book, WorkClass::Online, start).unwrap();
+    let told = |number, lively| {
+        let mut report = report("host-b", number, &[("a", 3, 1)]);
+        report.loads[0].3 = lively;
+        report
+    };
+    book.hear(told(1, true), start - Duration::from_millis(1));
+    assert_eq!(
+        book.silence(pick.key, start),
+        UpstreamFault::Silent,
+        "that was before"
+    );
+    book.hear(told(2, false), start + Duration::from_millis(60));
+    assert_eq!(book.silence(pick.key, start), UpstreamFault::Silent);
+    let has_changed = book.hear(told(3, true), start + Duration::from_millis(90));
+    assert!(!has_changed, "the work is the same");
+    assert_eq!(book.silence(pick.key, start), UpstreamFault::Slow);
+    assert_eq!(book.fault(pick.key, UpstreamFault::Slow, late), None);
+    assert_eq!(book.fault(pick.key, UpstreamFault::Slow, late), None);
+    let third = book.fault(pick.key, UpstreamFault::Slow, late);
+    assert!(third.is_some(), "three in a row are a fault");
+    // What this host sees itself counts as well, and is told to others for a moment.
+    book.note_life(pick.key, late);
+    assert_eq!(book.silence(pick.key, start), UpstreamFault::Slow);
+    assert!(book.own_loads(late)[0].3);
+    assert!(!book.own_loads(late + Duration::from_millis(200))[0].3);
+}
+
+/// All hosts of a fleet come back at once, each with items to run and without reports.
+#[tokio::test(start_paused = true)]
+async fn test_batch_waits_until_a_new_host_has_heard_from_others() {
+    let start = Instant::now();
+    let mut book = book(&["a", "b", "c"]);
+    book.set_hosts(["host-a", "host-b"]);
+    assert!(take(&mut book, WorkClass::Batch, start).is_none());
+    assert!(take(&mut book, WorkClass::Online, start).is_some());
+    let later = start + Duration::from_millis(700);
+    assert!(take(&mut book, WorkClass::Batch, later).is_some());
+}
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -194,7 +194,7 @@
     assert_eq!(wire.running("a"), 1);
     drop(answer);
     assert_eq!(wire.running("a"), 0);
-    assert!(desk.places().book().own_loads().is_empty());
+    assert!(desk.places().book().own_loads(Instant::now()).is_empty());
 }
 
 /// Load of a peak: twice the places' worth of requests at once, for a while.
