places: work outside the window is told to the users of its upstream

Change: a host with work at an upstream outside its window tells the hosts whose windows hold it; who is to be told is found each 100 ms, and at each look while no other host is known. Measured: test_work_outside_the_window_is_told_to_its_users.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -268,12 +268,29 @@
         self.place = self.ring.place(own.as_str());
     }
 
-    /// Hosts that exchange load reports with this one.
+    /// Hosts that have to hear of this host's load: those whose windows may overlap its own, and
+    /// those that use an upstream at which it runs something, as it may have come from elsewhere.
     pub fn neighbours(&self) -> HashSet<String> {
-        let near = self
-            .ring
-            .near(self.host.as_str(), self.reach(overlap_reach));
-        near.map(str::to_owned).collect()
+        let own = self.host.as_str();
+        let near = self.ring.near(own, self.reach(overlap_reach));
+        let users = self.busy.iter().flat_map(|key| self.users(*key));
+        let neighbours = near.chain(users.filter(|host| *host != own));
+        neighbours.map(str::to_owned).collect()
+    }
+
+    /// Hosts in whose windows an upstream is.
+    fn users(&self, key: PlaceKey) -> impl Iterator<Item = &str> {
+        let upstream = &self.upstreams[&key];
+        let serving = self.serving.get(&upstream.entry.service);
+        let found = serving.and_then(|all| {
+            let index = all.binary_search(&(upstream.tag, key)).ok()?;
+            Some((index, all.len()))
+        });
+        found.into_iter().flat_map(|(index, count)| {
+            let place = (index as f64 + 0.5) / count as f64;
+            let reach = overlap_reach(count, self.ring.len()) / 2.0;
+            self.ring.near_place(place, reach)
+        })
     }
 
     /// The largest reach that any service has.
--- a/lib/src/places/exchange.rs
+++ b/lib/src/places/exchange.rs
@@ -20,7 +20,7 @@
 /// Time between two reports while nothing changes.
 const QUIET_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two looks at which hosts are neighbours.
-const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(250);
+const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which the same news are told again, as datagrams may be lost.
 const NEWS_REPEAT: Duration = Duration::from_millis(350);
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -132,7 +132,8 @@
 
     fn find_peers(&mut self, now: Instant, peers: &impl Fn() -> PeerAddresses) {
         let is_known = |at: Instant| now - at < NEIGHBOUR_INTERVAL;
-        if !self.peers_known.is_some_and(is_known) {
+        // A host that has just started knows none at first.
+        if self.peers.all.is_empty() || !self.peers_known.is_some_and(is_known) {
             self.peers = peers();
             self.peers_known = Some(now);
         }
--- a/lib/src/places/ring.rs
+++ b/lib/src/places/ring.rs
@@ -59,14 +59,17 @@
 
     /// Hosts within `reach` of `host`, without itself.
     pub fn near<'a>(&'a self, host: &'a str, reach: f64) -> impl Iterator<Item = &'a str> {
-        let place = self.place(host);
+        let near = self.near_place(self.place(host), reach);
+        near.filter(move |name| *name != host)
+    }
+
+    /// Hosts within `reach` of `place`.
+    pub fn near_place(&self, place: f64, reach: f64) -> impl Iterator<Item = &str> {
         let count = self.len() as f64;
-        self.hosts
-            .iter()
-            .enumerate()
+        let ranked = self.hosts.iter().enumerate();
+        ranked
             .filter(move |(rank, _)| distance((*rank as f64 + 0.5) / count, place) <= reach)
             .map(|(_, (_, name))| name.as_str())
-            .filter(move |name| *name != host)
     }
 
     /// The host that comes next after `host` among those that fulfil `condition`.
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -967,3 +967,41 @@
     let later = start + Duration::from_millis(700);
     assert!(take(&mut book, WorkClass::Batch, later).is_some());
 }
+
+/// A host that took upstreams anywhere before it knew the others tells those that use them.
+#[tokio::test(start_paused = true)]
+async fn test_work_outside_the_window_is_told_to_its_users() {
+    let now = Instant::now();
+    let upstreams: Vec<String> = (0..90).map(|number| format!("upstream-{number}")).collect();
+    let names: Vec<String> = (0..60).map(|host| format!("host-{host}")).collect();
+    let make = |host: &str| {
+        let mut book = PlaceBook::new(HostId::new(host), DataCentre::new("east"));
+        upstreams.iter().for_each(|name| book.put(entry(name)));
+        book
+    };
+    let mut early = make("host-0");
+    let picks: Vec<PlacePick> = (0..40)
+        .map(|draw| {
+            early
+                .take(ask(&service(), WorkClass::Online), now, draw)
+                .unwrap()
+        })
+        .collect();
+    early.set_hosts(names.iter().map(String::as_str));
+    let told = early.neighbours();
+    for name in &names[1..] {
+        let mut book = make(name);
+        book.set_hosts(names.iter().map(String::as_str));
+        let used: HashSet<String> = (0..400)
+            .filter_map(|draw| book.take(ask(&service(), WorkClass::Online), now, draw))
+            .map(|pick| pick.id.to_string())
+            .collect();
+        let shares = picks.iter().any(|pick| used.contains(pick.id.as_str()));
+        assert!(!shares || told.contains(name), "{name} is not told");
+    }
+    // Once that work has ended, the neighbours alone are told.
+    for pick in &picks {
+        early.release(pick.key, WorkClass::Online);
+    }
+    assert!(early.neighbours().len() < told.len());
+}
