--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -296,8 +296,8 @@
     /// The largest reach that any service has.
     fn reach(&self, of: impl Fn(usize, usize) -> f64) -> f64 {
         let hosts = self.ring.len();
-        let reaches = self.serving.values().map(|all| of(all.len(), hosts));
-        reaches.fold(0.0, f64::max)
+        let services = self.serving.values().filter(|all| !all.is_empty());
+        services.map(|all| of(all.len(), hosts)).fold(0.0, f64::max)
     }
 
     /// Those of `hosts` that callers should use: all but hosts that leave, and neighbours that have
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -1005,3 +1005,21 @@
     }
     assert!(early.neighbours().len() < told.len());
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_service_without_upstreams_makes_no_neighbours() {
+    let names: Vec<String> = (0..60).map(|host| format!("host-{host}")).collect();
+    let mut book = book(&[]);
+    (0..90).for_each(|number| book.put(entry(&format!("upstream-{number}"))));
+    book.set_hosts(names.iter().map(String::as_str));
+    let before = book.neighbours();
+    assert!(before.len() < 30, "{}", before.len());
+    let id = UpstreamId::new("of-another");
+    book.put(UpstreamEntry {
+        id: id.clone(),
+        service: ServiceName::new("another"),
+        ..entry("of-another")
+    });
+    book.remove(&id);
+    assert_eq!(book.neighbours(), before);
+}
