--- a/lib/src/places/pulse.rs
+++ b/lib/src/places/pulse.rs
@@ -9,6 +9,10 @@
 
 /// A host that has not reported for this long counts as silent; reports come every 300 ms.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time for which a host stays left out that another host calls silent.
+const HEARSAY_TIME: Duration = Duration::from_secs(4);
+/// Time after a host fell silent in which others are told.
+const TELL_TIME: Duration = Duration::from_millis(1_200);
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -22,11 +26,6 @@
     }
 }
 
-/// Time for which a host stays left out that another host calls silent.
-const HEARSAY_TIME: Duration = Duration::from_secs(4);
-/// Time after a host fell silent in which others are told.
-const TELL_TIME: Duration = Duration::from_millis(1_200);
-
 /// When each other host was last heard.
 #[derive(Debug, Default)]
 pub struct PeerPulse {
@@ -75,8 +74,8 @@
     /// Those of `hosts` that callers should use.
     ///
     /// A host that is leaving, or silent though it `reports` to this one, or silent to a neighbour of
-    /// its own, is left out, though its entry in the registry may last for seconds. If none of those is heard, this host may be the
-    /// one that is cut off, and the registry is taken as it is.
+    /// its own, is left out, though its entry in the registry may last for seconds. If no host that
+    /// `reports` is heard, this one may be cut off, and the registry is taken as it is.
     pub fn usable<'a>(
         &self,
         own: &str,
