places: the other hosts have a module of their own

Cause: the book of upstreams had a second job, the hosts on the ring and their lives; and the ring was built anew from all names ten times a second, though hosts come and go far more seldom. Change: NeighbourWatch holds name, ring, place and pulse; the ring is built anew only if its hosts differ. Behaviour stays.

--- a/lib/src/places/book.rs
+++ b/lib/src/places/book.rs
@@ -19,14 +19,13 @@
 use crate::places::health::UpstreamHealth;
 use crate::places::leaving::LeavingStarts;
 use crate::places::leaving::UpstreamStart;
+use crate::places::neighbours::NeighbourWatch;
 use crate::places::peers::PeerLoads;
 use crate::places::peers::WorkCount;
-use crate::places::pulse::PeerPulse;
 use crate::places::report::HostNews;
 use crate::places::report::LoadReport;
 use crate::places::report::UpstreamLoad;
 use crate::places::report::upstream_tag;
-use crate::places::ring::HostRing;
 use crate::places::ring::outward;
 use crate::places::ring::overlap_reach;
 use crate::places::ring::sure_reach;
@@ -165,7 +164,6 @@
 /// Upstreams of all services, with the work at each.
 #[derive(Debug)]
 pub struct PlaceBook {
-    host: HostId,
     data_centre: DataCentre,
     next_key: u32,
     upstreams: HashMap<PlaceKey, Upstream>,
@@ -174,11 +172,8 @@
     serving: HashMap<ServiceName, Vec<(u32, PlaceKey)>>,
     /// Upstreams at which this host runs something.
     busy: BTreeSet<PlaceKey>,
-    ring: HostRing,
-    /// Place of this host on the ring.
-    place: f64,
+    watch: NeighbourWatch,
     peers: PeerLoads,
-    pulse: PeerPulse,
     leaving: LeavingStarts,
     /// When this host first had a batch item to start.
     first_start: Option<Instant>,
@@ -190,17 +185,14 @@
     /// Returns an empty book of `host`.
     pub fn new(host: HostId, data_centre: DataCentre) -> Self {
         Self {
-            host,
             data_centre,
             next_key: 0,
             upstreams: HashMap::default(),
             keys: HashMap::default(),
             serving: HashMap::default(),
             busy: BTreeSet::new(),
-            ring: HostRing::default(),
-            place: 0.0,
+            watch: NeighbourWatch::new(host),
             peers: PeerLoads::default(),
-            pulse: PeerPulse::default(),
             leaving: LeavingStarts::default(),
             first_start: None,
             starts: HashMap::default(),
@@ -261,24 +253,18 @@
 
     /// Takes in the names of the hosts that share the upstreams. This host is always one of them.
     pub fn set_hosts<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
-        let own = self.host.clone();
-        let names = names.into_iter().filter(|name| *name != own.as_str());
-        let names: Vec<&str> = names.collect();
-        self.ring = HostRing::new(names.into_iter().chain([own.as_str()]));
-        self.place = self.ring.place(own.as_str());
+        self.watch.set_hosts(names);
     }
 
     /// Hosts that have to hear of this host's load: those whose windows may overlap its own, and
     /// those that use an upstream at which it runs something, as it may have come from elsewhere.
     pub fn neighbours(&self) -> HashSet<String> {
-        let own = self.host.as_str();
-        let near = self.ring.near(own, self.reach(overlap_reach));
+        let near = self.watch.near(self.reach(overlap_reach));
         let users = self.busy.iter().flat_map(|key| self.users(*key));
-        let neighbours = near.chain(users.filter(|host| *host != own));
-        neighbours.map(str::to_owned).collect()
+        near.chain(users).map(str::to_owned).collect()
     }
 
-    /// Hosts in whose windows an upstream is.
+    /// Other hosts in whose windows an upstream is.
     fn users(&self, key: PlaceKey) -> impl Iterator<Item = &str> {
         let upstream = &self.upstreams[&key];
         let serving = self.serving.get(&upstream.entry.service);
@@ -288,14 +274,14 @@
         });
         found.into_iter().flat_map(|(index, count)| {
             let place = (index as f64 + 0.5) / count as f64;
-            let reach = overlap_reach(count, self.ring.len()) / 2.0;
-            self.ring.near_place(place, reach)
+            let reach = overlap_reach(count, self.watch.hosts()) / 2.0;
+            self.watch.near_place(place, reach)
         })
     }
 
     /// The largest reach that any service has.
     fn reach(&self, of: impl Fn(usize, usize) -> f64) -> f64 {
-        let hosts = self.ring.len();
+        let hosts = self.watch.hosts();
         let services = self.serving.values().filter(|all| !all.is_empty());
         services.map(|all| of(all.len(), hosts)).fold(0.0, f64::max)
     }
@@ -303,10 +289,7 @@
     /// Those of `hosts` that callers should use: all but hosts that leave, and neighbours that have
     /// fallen silent.
     pub fn usable_hosts<'a>(&self, hosts: &[&'a str], now: Instant) -> Vec<&'a str> {
-        let reach = self.reach(sure_reach);
-        let own = self.host.as_str();
-        let reports = |host: &str| self.ring.is_near(own, host, reach);
-        self.pulse.usable(own, hosts, reports, now)
+        self.watch.usable(hosts, self.reach(sure_reach), now)
     }
 
     /// Forgets an upstream. Its running requests keep their places until they end.
@@ -381,8 +364,8 @@
         condition: impl Fn(&Upstream) -> bool,
     ) -> impl Iterator<Item = (PlaceKey, &Upstream)> {
         let serving = self.serving.get(service).map_or(&[][..], Vec::as_slice);
-        let size = window_size(serving.len(), self.ring.len());
-        outward(self.place, serving.len())
+        let size = window_size(serving.len(), self.watch.hosts());
+        outward(self.watch.place(), serving.len())
             .map(|index| serving[index].1)
             .map(|key| (key, &self.upstreams[&key]))
             .filter(move |(_, upstream)| condition(upstream))
@@ -601,7 +584,7 @@
     /// be the trial of one.
     fn may_start(&mut self, service: &ServiceName, now: Instant) -> bool {
         let asked = *self.first_start.get_or_insert(now);
-        if self.ring.len() > 1 && now - asked < UNHEARD_TIME {
+        if self.watch.hosts() > 1 && now - asked < UNHEARD_TIME {
             return false;
         }
         let hosts = self.peers.len() as u32 + 1;
@@ -618,7 +601,7 @@
     }
 
     fn own_share(&self, upstream: &Upstream, over: u32) -> u32 {
-        let mut holders: Vec<(u32, &str)> = vec![(upstream.own.batch, self.host.as_str())];
+        let mut holders: Vec<(u32, &str)> = vec![(upstream.own.batch, self.watch.own())];
         holders.extend(self.peers.batch_holders(upstream.tag));
         let mut own = 0;
         for _ in 0..over {
@@ -629,7 +612,7 @@
                 break;
             };
             most.0 -= 1;
-            own += u32::from(most.1 == self.host.as_str());
+            own += u32::from(most.1 == self.watch.own());
         }
         own
     }
@@ -650,44 +633,22 @@
     /// Takes in another host's report, unless a newer one is known. Returns whether the work at
     /// any upstream has changed.
     pub fn hear(&mut self, report: LoadReport, now: Instant) -> bool {
-        if report.host == self.host.as_str() || self.peers.is_old(&report) {
+        if report.host == self.watch.own() || self.peers.is_old(&report) {
             return false;
         }
-        self.pulse.note(&report.host, report.is_leaving, now);
+        self.watch.hear(&report.host, report.is_leaving, now);
         self.hear_leaving(&report.leaving);
         self.peers.take(report, now)
     }
 
     /// Takes in what another host tells all.
     pub fn hear_news(&mut self, news: &HostNews, now: Instant) {
-        self.pulse.note(&news.host, news.is_leaving, now);
-        for host in news
-            .silent
-            .iter()
-            .filter(|host| **host != self.host.as_str())
-        {
-            self.pulse.note_silent(host, now);
-        }
+        self.watch.hear_news(news, now);
     }
 
-    /// Neighbours that have fallen silent lately and of which this host has to tell all others:
-    /// it is the next one on the ring that lives. A host that hears few of its neighbours may be
-    /// cut off itself, and tells nothing.
+    /// Neighbours that have fallen silent lately and of which this host has to tell all others.
     pub fn silent_neighbours(&self, now: Instant) -> Vec<String> {
-        let own = self.host.as_str();
-        let near: Vec<&str> = self.ring.near(own, self.reach(sure_reach)).collect();
-        let heard = near
-            .iter()
-            .filter(|host| self.pulse.hears(host, now))
-            .count();
-        if heard * 2 < near.len() {
-            return Vec::new();
-        }
-        let lives = |host: &str| host == own || self.pulse.hears(host, now);
-        let silent = near.into_iter().filter(|host| {
-            self.pulse.fell_silent(host, now) && self.ring.next_after(host, lives) == Some(own)
-        });
-        silent.map(str::to_owned).collect()
+        self.watch.silent(self.reach(sure_reach), now)
     }
 
     /// Forgets the work of hosts that have fallen silent.
--- a/lib/src/places/pulse.rs
+++ b/lib/src/places/pulse.rs
@@ -22,7 +22,7 @@
 
 /// When each other host was last heard.
 #[derive(Debug, Default)]
-pub struct PeerPulse {
+pub(crate) struct PeerPulse {
     heard: HashMap<String, Heard>,
     /// Hosts that another host calls silent, and since when.
     said_silent: HashMap<String, Instant>,
@@ -70,7 +70,7 @@
     /// A host that is leaving, or silent though it `reports` to this one, or silent to a neighbour of
     /// its own, is left out, though its entry in the registry may last for seconds. If no host that
     /// `reports` is heard, this one may be cut off, and the registry is taken as it is.
-    pub fn usable<'a>(
+    pub(crate) fn usable<'a>(
         &self,
         own: &str,
         hosts: &[&'a str],
--- a/lib/src/places/ring.rs
+++ b/lib/src/places/ring.rs
@@ -47,6 +47,17 @@
         self.hosts.is_empty()
     }
 
+    /// Whether the ring is of just these hosts, each named once.
+    pub(crate) fn is_of(&self, names: &[&str]) -> bool {
+        let is_here = |name: &&str| {
+            let place = |(hash, other): &(u64, String)| {
+                (*hash, other.as_str()).cmp(&(self::hash(name), name))
+            };
+            self.hosts.binary_search_by(place).is_ok()
+        };
+        names.len() == self.len() && names.iter().all(is_here)
+    }
+
     /// Place of `host` between 0 and 1. One that is not in the ring has the place that it would
     /// get.
     pub fn place(&self, host: &str) -> f64 {
