places: a host that is not yet on the ring is as far away as it lies

Cause: found on the last read: a listed host that the ring does not hold yet may get the place behind the last one, beyond 1; its distance came out negative, so that it counted as a neighbour that ought to report, and was left out of callers' addresses until the next look (100 ms).

--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -1023,3 +1023,21 @@
     book.remove(&id);
     assert_eq!(book.neighbours(), before);
 }
+
+/// A host that is listed, but not yet on the ring, gets a place that may lie behind the last one.
+#[test]
+fn test_ring_places_beyond_the_last_host_are_as_far_as_they_look() {
+    let names = names(&(0..20).collect::<Vec<_>>());
+    let ring = ring(&names);
+    let others = (100..200).map(|number| format!("host-{number}"));
+    for other in others {
+        let place = ring.place(&other);
+        for name in &names {
+            let apart = (ring.place(name) - place).rem_euclid(1.0);
+            let distance = apart.min(1.0 - apart);
+            // The hosts' own places are exact multiples of half a step.
+            let is_near = ring.is_near(name, &other, 0.2 + 1e-9);
+            assert_eq!(is_near, distance <= 0.2 + 1e-9, "{name} {other}");
+        }
+    }
+}
