balancer: start waiting batch items by urgency over all hosts

Cause: after an outage the backlog is spread unevenly, and each host started its own items with an equal share of the free slots.

Change: load reports list a host's waiting items by urgency. A host starts an item only if more slots are spare than items elsewhere come before it; windows that overlap in part count in part. This replaces the equal shares. A host reports no items that it can't start: none while it reaches no upstream, and none in the first 500 ms after its start.

--- a/lib/src/balancer/capacity.rs
+++ b/lib/src/balancer/capacity.rs
@@ -57,13 +57,9 @@
         }
     }
 
-    /// Number of items that one of `hosts` hosts may start before it gets the next reports of the
-    /// others.
-    pub(crate) fn start_quota(self, hosts: u32) -> u32 {
-        match self.free.saturating_sub(self.start_above) {
-            0 => 0,
-            spare => (spare / hosts.max(1)).max(1),
-        }
+    /// Number of items that may start, on all hosts together.
+    pub(crate) fn spare(self) -> u32 {
+        self.free.saturating_sub(self.start_above)
     }
 
     /// Number of items to preempt at each upstream, of all hosts together.
--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -13,6 +13,7 @@
 use crate::balancer::report::HostDatagram;
 use crate::balancer::report::HostLoadReport;
 use crate::balancer::report::is_same_work;
+use crate::balancer::waiting::is_same_backlog;
 
 /// Interval of load reports while the load changes, with fewer than [`FAST_NEIGHBOURS`] neighbours.
 const FAST_INTERVAL: Duration = Duration::from_millis(30);
@@ -73,6 +74,7 @@
             is_leaving: false,
             loads: Vec::new(),
             leaving: Vec::new(),
+            waiting: Vec::new(),
         };
         Self {
             socket,
@@ -147,14 +149,19 @@
     /// Sends a load report to the neighbours if the load has changed or [`IDLE_INTERVAL`] has
     /// passed.
     async fn report_load(&mut self, now: Instant) {
-        let (loads, leaving) = {
+        let (loads, leaving, waiting) = {
             let mut state = self.balancer.state();
             state.expire_reports(now);
-            (state.own_loads(now), state.recent_leaving(now))
+            (
+                state.own_loads(now),
+                state.recent_leaving(now),
+                state.own_waiting(now),
+            )
         };
         let is_leaving = self.leaving.is_cancelled();
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
+            || !is_same_backlog(&waiting, &self.report.waiting)
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -162,6 +169,7 @@
         self.reported_at = now;
         self.report.loads = loads;
         self.report.leaving = leaving;
+        self.report.waiting = waiting;
         self.report.is_leaving = is_leaving;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod report;
 mod ring;
 mod state;
+mod waiting;
 
 pub use backoff::UpstreamFault;
 pub use exchange::LoadExchange;
@@ -41,3 +42,5 @@
 pub use state::UpstreamChoice;
 pub use state::UpstreamEntry;
 pub use state::UpstreamState;
+pub use waiting::ItemUrgency;
+pub use waiting::WaitingItems;
--- a/lib/src/balancer/neighbours.rs
+++ b/lib/src/balancer/neighbours.rs
@@ -58,6 +58,11 @@
         self.position = self.ring.position(own);
     }
 
+    /// Distance of `host` from this one on the ring.
+    pub(crate) fn distance(&self, host: &str) -> f64 {
+        self.ring.distance(self.own(), host)
+    }
+
     /// The other hosts within `reach` of this one.
     pub(crate) fn near(&self, reach: f64) -> impl Iterator<Item = &str> {
         self.ring.near(self.own(), reach)
--- a/lib/src/balancer/peer_loads.rs
+++ b/lib/src/balancer/peer_loads.rs
@@ -7,6 +7,8 @@
 use crate::balancer::report::HostLoadReport;
 use crate::balancer::report::UpstreamLoad;
 use crate::balancer::report::is_same_work;
+use crate::balancer::waiting::ItemUrgency;
+use crate::balancer::waiting::WaitingItems;
 use crate::collections::HashMap;
 use crate::ids::WorkClass;
 
@@ -62,6 +64,7 @@
     sequence: u64,
     received_at: Instant,
     loads: Vec<UpstreamLoad>,
+    waiting: Vec<WaitingItems>,
 }
 
 /// Work of all other hosts that report to this one.
@@ -107,6 +110,32 @@
         })
     }
 
+    /// Number of items of the service with `tag` that wait at other hosts and come before an item
+    /// of `urgency` at the host `own`: the more urgent ones, and equal ones at hosts with a lower
+    /// name. `weight` is the share of a host's items that competes for the upstreams of `own`.
+    pub(crate) fn items_before(
+        &self,
+        tag: u32,
+        urgency: ItemUrgency,
+        own: &str,
+        weight: impl Fn(&str) -> f64,
+        now: Instant,
+    ) -> u32 {
+        let items = self.peers.iter().map(|(host, peer)| {
+            let age = now - peer.received_at;
+            let groups = peer.waiting.iter();
+            let is_first = host.as_str() < own;
+            let count: u32 = groups
+                .map(|group| group.before(tag, urgency, age, is_first))
+                .sum();
+            match count {
+                0 => 0.0,
+                count => f64::from(count) * weight(host),
+            }
+        });
+        items.sum::<f64>().round() as u32
+    }
+
     /// Whether the last known report of the same host is as new as `report`, or newer. Datagrams
     /// may be duplicated or reordered.
     pub(crate) fn is_stale(&self, report: &HostLoadReport) -> bool {
@@ -133,6 +162,7 @@
             sequence: report.sequence,
             received_at: now,
             loads: report.loads,
+            waiting: report.waiting,
         };
         self.peers.insert(report.host, peer);
         has_changed
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::balancer::leaving::UpstreamIncarnation;
+use crate::balancer::waiting::WaitingItems;
 use crate::ids::UpstreamId;
 
 /// Work of one host at one upstream.
@@ -49,6 +50,9 @@
     /// Upstreams that recently announced their shutdown to the host.
     #[serde(rename = "v", default)]
     pub leaving: Vec<UpstreamIncarnation>,
+    /// Batch items that wait at the host for a slot, the most urgent first.
+    #[serde(rename = "w", default)]
+    pub waiting: Vec<WaitingItems>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/balancer/ring.rs
+++ b/lib/src/balancer/ring.rs
@@ -105,7 +105,12 @@
 
     /// Whether the distance of two hosts on the ring is at most `reach`.
     pub fn is_near(&self, one: &str, other: &str, reach: f64) -> bool {
-        distance(self.position(one), self.position(other)) <= reach
+        self.distance(one, other) <= reach
+    }
+
+    /// Distance of two hosts on the ring, at most 0.5.
+    pub(crate) fn distance(&self, one: &str, other: &str) -> f64 {
+        distance(self.position(one), self.position(other))
     }
 }
 
@@ -126,6 +131,15 @@
     }
 }
 
+/// Share of a host's window that is also in the window of a host at `distance` on the ring.
+pub(crate) fn window_overlap(distance: f64, upstreams: usize, hosts: usize) -> f64 {
+    let window = window_size(upstreams, hosts);
+    match window == upstreams {
+        true => 1.0,
+        false => (1.0 - distance * upstreams as f64 / window as f64).max(0.0),
+    }
+}
+
 /// Distance of two hosts on the ring within which both report to each other even if they know
 /// slightly different hosts.
 pub fn certain_neighbour_reach(upstreams: usize, hosts: usize) -> f64 {
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -27,7 +27,12 @@
 use crate::balancer::ring::certain_neighbour_reach;
 use crate::balancer::ring::indices_by_distance;
 use crate::balancer::ring::neighbour_reach;
+use crate::balancer::ring::window_overlap;
 use crate::balancer::ring::window_size;
+use crate::balancer::waiting::ItemUrgency;
+use crate::balancer::waiting::MAX_REPORTED_GROUPS;
+use crate::balancer::waiting::WaitingItems;
+use crate::balancer::waiting::service_tag;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::ids::DataCentre;
@@ -51,9 +56,9 @@
 /// Until load reports arrive, it knows the work of few other hosts and would take slots that online
 /// requests need.
 const BATCH_START_DELAY: Duration = Duration::from_millis(700);
-/// Period of the quota of batch items that a host may start; within it, load reports tell the hosts
-/// of one another's items.
-const START_QUOTA_PERIOD: Duration = Duration::from_millis(40);
+/// Time before the end of [`BATCH_START_DELAY`] from which a host reports its waiting items, so that
+/// hosts that start together know one another's items when they begin.
+const WAITING_REPORT_LEAD: Duration = Duration::from_millis(200);
 /// Slots by which an upstream in the host's own data centre counts as less loaded.
 const LOCAL_SLOT_BONUS: f64 = 0.5;
 
@@ -103,6 +108,8 @@
     /// Whether the work may run more than once, so that it can probe an upstream that was ejected
     /// for a fault.
     pub may_probe: bool,
+    /// Urgency of a batch item; `None` for an online request.
+    pub urgency: Option<ItemUrgency>,
 }
 
 /// An upstream that was chosen for one piece of work, with the loads that led to the choice.
@@ -195,9 +202,8 @@
     leaving: LeavingIncarnations,
     /// When this host first tried to start a batch item.
     first_start_attempt: Option<Instant>,
-    /// For each service, the start of the current [`START_QUOTA_PERIOD`] and the number of batch
-    /// items that this host may still start in it.
-    start_quotas: HashMap<ServiceName, (Instant, u32)>,
+    /// Batch items that wait at this host, the most urgent first.
+    own_waiting: Vec<WaitingItems>,
 }
 
 impl BalancerState {
@@ -214,7 +220,7 @@
             peer_loads: PeerLoads::default(),
             leaving: LeavingIncarnations::default(),
             first_start_attempt: None,
-            start_quotas: HashMap::default(),
+            own_waiting: Vec::new(),
         }
     }
 
@@ -429,8 +435,8 @@
         now: Instant,
         draw: u32,
     ) -> Option<UpstreamChoice> {
-        let SlotRequest { service, class, .. } = request;
-        if class == WorkClass::Batch && !self.may_start_item(service, now) {
+        let class = request.class;
+        if class == WorkClass::Batch && !self.may_start_item(request, now) {
             return None;
         }
         let candidates = self.candidates(request, now, draw);
@@ -447,11 +453,6 @@
         let ahead = upstream.ahead(class, &self.peer_loads);
         *upstream.own_work.count_mut(class) += 1;
         self.busy.insert(key);
-        if class == WorkClass::Batch
-            && let Some(quota) = self.start_quotas.get_mut(service)
-        {
-            quota.1 = quota.1.saturating_sub(1);
-        }
         Some(UpstreamChoice {
             key,
             id: upstream.entry.id.clone(),
@@ -653,28 +654,71 @@
         usages.collect()
     }
 
-    /// Whether this host may start another batch item now.
+    /// Whether this host may start a batch item now: whether there is a spare slot for it beside
+    /// those that the more urgent items of other hosts will take.
     ///
     /// If no upstream is healthy, it may: the item may then serve as the probe of an ejected one.
-    fn may_start_item(&mut self, service: &ServiceName, now: Instant) -> bool {
+    fn may_start_item(&mut self, request: SlotRequest<'_>, now: Instant) -> bool {
+        let SlotRequest {
+            service, urgency, ..
+        } = request;
         let first_attempt = *self.first_start_attempt.get_or_insert(now);
         if self.tracker.hosts() > 1 && now - first_attempt < BATCH_START_DELAY {
             return false;
         }
-        let hosts = self.peer_loads.len() as u32 + 1;
         let usages = self.slot_usages(service, now);
         if usages.is_empty() {
             return true;
         }
-        let share = SpareCapacity::new(&usages).start_quota(hosts);
-        let quota = self
-            .start_quotas
-            .entry(service.clone())
-            .or_insert((now, share));
-        if now - quota.0 >= START_QUOTA_PERIOD {
-            *quota = (now, share);
+        let spare = SpareCapacity::new(&usages).spare();
+        spare > self.items_before(service, urgency, now)
+    }
+
+    /// Number of items that wait at other hosts for the upstreams in this host's window and come
+    /// before an item of `urgency` at this host.
+    fn items_before(
+        &self,
+        service: &ServiceName,
+        urgency: Option<ItemUrgency>,
+        now: Instant,
+    ) -> u32 {
+        let Some(urgency) = urgency else {
+            return 0;
+        };
+        let (upstreams, hosts) = (self.ready_count(service), self.tracker.hosts());
+        let weight = |host: &str| window_overlap(self.tracker.distance(host), upstreams, hosts);
+        let own = self.tracker.own();
+        self.peer_loads
+            .items_before(service_tag(service), urgency, own, weight, now)
+    }
+
+    /// Replaces the batch items that wait at this host, the most urgent first.
+    pub fn set_waiting(&mut self, waiting: Vec<WaitingItems>) {
+        self.own_waiting = waiting;
+    }
+
+    /// Waiting items of this host for its load report. Items that this host can't start soon, as it
+    /// reaches no upstream or has just started, are left out so that other hosts don't wait for
+    /// them.
+    pub fn own_waiting(&self, now: Instant) -> Vec<WaitingItems> {
+        let starts_soon = self
+            .first_start_attempt
+            .is_some_and(|at| now - at >= BATCH_START_DELAY - WAITING_REPORT_LEAD);
+        if !starts_soon {
+            return Vec::new();
         }
-        share > 0 && quota.1 > 0
+        let reachable: Vec<u32> = self
+            .serving
+            .keys()
+            .filter(|service| !self.slot_usages(service, now).is_empty())
+            .map(service_tag)
+            .collect();
+        let waiting = self.own_waiting.iter();
+        waiting
+            .filter(|items| reachable.contains(&items.0))
+            .take(MAX_REPORTED_GROUPS)
+            .copied()
+            .collect()
     }
 
     fn own_preemptions(&self, upstream: &UpstreamRecord, count: u32) -> u32 {
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -15,6 +15,7 @@
 
 use crate::balancer::SlotPermit;
 use crate::balancer::SlotRequest;
+use crate::balancer::WaitingItems;
 use crate::clock::steady_unix_millis;
 use crate::edges::kv::KvError;
 use crate::events::LogEvent;
@@ -70,6 +71,7 @@
             let slots_changed = balancer.slots_changed();
             self.preempt_items();
             while !self.shared.is_leaving.is_cancelled() && self.dispatch_next() {}
+            self.publish_waiting();
             let interval = match self.open_item_count() {
                 0 => DISPATCH_INTERVAL * 10,
                 _ => DISPATCH_INTERVAL,
@@ -83,6 +85,19 @@
         }
     }
 
+    /// Passes the waiting items to the load balancer, which reports them to other hosts.
+    fn publish_waiting(&self) {
+        let groups = self.with_table(|table| table.waiting(Instant::now(), steady_unix_millis()));
+        let route_table = self.shared.routes.borrow().clone();
+        let waiting = groups.into_iter().filter_map(|group| {
+            let item = &group.spec.items[group.index];
+            let (_, service) = item_route(&route_table, &group.spec.host, &item.target)?;
+            Some(WaitingItems::new(&service, group.urgency, group.count))
+        });
+        let waiting = waiting.collect();
+        self.shared.relay.balancer().state().set_waiting(waiting);
+    }
+
     fn preempt_items(&self) {
         let excess_counts = self
             .shared
@@ -116,6 +131,7 @@
             class: WorkClass::Batch,
             excluded: &[],
             may_probe: true,
+            urgency: Some(dispatch.urgency),
         };
         let Some(permit) = self.shared.relay.balancer().acquire(slot_request) else {
             return false;
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use crate::balancer::ItemUrgency;
 use crate::collections::HashMap;
 use crate::edges::kv::LeaseId;
 use crate::jobs::estimator::DurationEstimator;
@@ -139,6 +140,17 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) index: usize,
     pub(crate) progress: ItemProgress,
+    pub(crate) urgency: ItemUrgency,
+}
+
+/// Waiting items of one job that are equally urgent.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingGroup {
+    pub(crate) spec: Arc<JobSpec>,
+    /// Index of one of the items.
+    pub(crate) index: usize,
+    pub(crate) urgency: ItemUrgency,
+    pub(crate) count: usize,
 }
 
 /// Results to write as one segment, based on the claim that was held when they were collected.
@@ -276,13 +288,12 @@
         let mut best: Option<(DispatchPriority, &OwnedJob)> = None;
         for job in self.jobs.values().filter(|job| !job.is_ending) {
             for (index, owned_item) in job.owned_items.iter().enumerate() {
-                let is_backing_off = owned_item.not_before.is_some_and(|at| now < at);
-                if owned_item.state != ItemState::Waiting || is_backing_off {
+                if !owned_item.is_ready(now) {
                     continue;
                 }
-                let ends_ms = now_ms + self.estimator.remaining_ms(owned_item.progress.events);
+                let urgency = self.urgency(job, owned_item.progress.events, now_ms);
                 let priority = DispatchPriority {
-                    is_late: ends_ms > job.spec.due_ms,
+                    is_late: urgency.is_late,
                     due_ms: job.spec.due_ms,
                     reversed_events: u64::MAX - owned_item.progress.events,
                     index,
@@ -293,13 +304,51 @@
             }
         }
         let (DispatchPriority { index, .. }, job) = best?;
+        let progress = job.owned_items[index].progress.clone();
         Some(ItemDispatch {
             spec: job.spec.clone(),
             index,
-            progress: job.owned_items[index].progress.clone(),
+            urgency: self.urgency(job, progress.events, now_ms),
+            progress,
         })
     }
 
+    fn urgency(&self, job: &OwnedJob, events: u64, now_ms: u64) -> ItemUrgency {
+        let slack_ms = job.spec.due_ms.saturating_sub(now_ms);
+        ItemUrgency {
+            is_late: slack_ms < self.estimator.remaining_ms(events),
+            slack: Duration::from_millis(slack_ms),
+        }
+    }
+
+    /// The items that are ready to be dispatched, by job and urgency, the most urgent first.
+    pub(crate) fn waiting(&self, now: Instant, now_ms: u64) -> Vec<WaitingGroup> {
+        let mut groups: Vec<WaitingGroup> = Vec::new();
+        for job in self.jobs.values().filter(|job| !job.is_ending) {
+            let first_of_job = groups.len();
+            for (index, owned_item) in job.owned_items.iter().enumerate() {
+                if !owned_item.is_ready(now) {
+                    continue;
+                }
+                let urgency = self.urgency(job, owned_item.progress.events, now_ms);
+                let known = groups[first_of_job..]
+                    .iter_mut()
+                    .find(|group| group.urgency == urgency);
+                match known {
+                    Some(group) => group.count += 1,
+                    None => groups.push(WaitingGroup {
+                        spec: job.spec.clone(),
+                        index,
+                        urgency,
+                        count: 1,
+                    }),
+                }
+            }
+        }
+        groups.sort_by_key(|group| group.urgency);
+        groups
+    }
+
     /// Marks an item as running.
     pub(crate) fn mark_running(&mut self, job: &str, index: usize) {
         if let Some(owned_item) = self.owned_item(job, index) {
@@ -496,6 +545,11 @@
 }
 
 impl OwnedItem {
+    /// Whether the item waits and its backoff is over.
+    fn is_ready(&self, now: Instant) -> bool {
+        self.state == ItemState::Waiting && self.not_before.is_none_or(|at| now >= at)
+    }
+
     fn requeue(&mut self, progress: ItemProgress, now: Instant) {
         // A run that made progress shows that the item can run, so the backoff starts over.
         if progress.events > self.progress.events {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -311,6 +311,7 @@
             class: request.class,
             excluded: &self.excluded,
             may_probe: self.policy.is_retryable,
+            urgency: None,
         };
         let permit = self
             .reserved
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -12,12 +12,14 @@
 use parsleywall::balancer::HostDatagram;
 use parsleywall::balancer::HostLoadReport;
 use parsleywall::balancer::HostRing;
+use parsleywall::balancer::ItemUrgency;
 use parsleywall::balancer::SlotRequest;
 use parsleywall::balancer::UpstreamChoice;
 use parsleywall::balancer::UpstreamEntry;
 use parsleywall::balancer::UpstreamFault;
 use parsleywall::balancer::UpstreamLoad;
 use parsleywall::balancer::UpstreamState;
+use parsleywall::balancer::WaitingItems;
 use parsleywall::balancer::indices_by_distance;
 use parsleywall::balancer::neighbour_reach;
 use parsleywall::balancer::upstream_tag;
@@ -63,6 +65,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        urgency: None,
     }
 }
 
@@ -87,6 +90,7 @@
         is_leaving: false,
         loads: loads.collect(),
         leaving: Vec::new(),
+        waiting: Vec::new(),
     }
 }
 
@@ -224,18 +228,35 @@
 /// all filling them with items.
 #[tokio::test(start_paused = true)]
 async fn test_batch_starts_are_shared_among_hosts() {
-    let start = Instant::now();
-    let mut balancer = balancer(&["a", "b", "c"]);
-    for host in ["host-b", "host-c"] {
-        balancer.apply_report(report(host, 1, &[]), start);
-    }
-    let mut started = 0;
-    while acquire(&mut balancer, WorkClass::Batch, start).is_some() {
-        started += 1;
+    let now = Instant::now();
+    let service = service();
+    let urgency = |slack| ItemUrgency {
+        is_late: false,
+        slack: Duration::from_secs(slack),
+    };
+    let names = ["host-a", "host-b", "host-c"];
+    let waiting = [(5, 3), (4, 4), (6, 20)].map(|(slack, count)| (urgency(slack), count));
+    let mut started = Vec::new();
+    for (own, (own_urgency, own_count)) in names.iter().zip(waiting) {
+        let mut balancer = BalancerState::new(HostId::new(own), DataCentre::new("east"));
+        for name in ["a", "b", "c"] {
+            balancer.put(entry(name));
+        }
+        for (other, (urgency, count)) in names.iter().zip(waiting) {
+            let reported = HostLoadReport {
+                waiting: vec![WaitingItems::new(&service, urgency, count)],
+                ..report(other, 1, &[])
+            };
+            balancer.apply_report(reported, now);
+        }
+        let item = SlotRequest {
+            urgency: Some(own_urgency),
+            ..request(&service, WorkClass::Batch)
+        };
+        let starts = (0..own_count).take_while(|_| balancer.acquire(item, now, 0).is_some());
+        started.push(starts.count());
     }
-    assert!((3..=4).contains(&started), "{started} of 10 spare slots");
-    let next = start + Duration::from_millis(40);
-    assert!(acquire(&mut balancer, WorkClass::Batch, next).is_some());
+    assert_eq!(started, [3, 4, 3], "of 10 spare slots, by urgency");
 }
 
 #[tokio::test(start_paused = true)]
@@ -473,6 +494,7 @@
                 is_leaving: false,
                 loads: self.balancers[host].own_loads(now),
                 leaving: Vec::new(),
+                waiting: Vec::new(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -588,6 +588,7 @@
         class: WorkClass::Online,
         excluded: &[],
         may_probe: true,
+        urgency: None,
     };
     let online: Vec<_> = (0..11)
         .map(|_| host.relay.balancer().acquire(slot_request))
