balancer: batch items may use nearly all free slots

Cause: items started only while a tenth of the slots was free and were stopped when fewer than 4 in 100 were.

Change: items start while more than 4 in 100 slots are free, and are stopped only where an upstream has more work than slots. An online request that finds all slots taken waits until an item there has stopped, a small part of its objective.

--- a/lib/src/balancer/capacity.rs
+++ b/lib/src/balancer/capacity.rs
@@ -1,26 +1,21 @@
 //! Spare capacity of a service for batch items, over all upstreams in a host's window.
 //!
 //! Designed for an online load that swings by a factor of five within seconds, with more batch work
-//! queued than fits between the peaks. With one slot kept free at each upstream, every online
-//! request preempted an item, which started again in less than a second: 1,752 preemptions for 444
-//! items, half of them before the item produced an event. Therefore the free slots of all upstreams
-//! count together, as an online request goes to any upstream that has one, and items start only
-//! well above the number of free slots below which they are preempted.
+//! queued than fits between the peaks. The free slots of all upstreams count together, as an online
+//! request goes to any upstream that has one. Items may take all of them: an online request at a
+//! full upstream waits only until an item there is preempted, which takes a small part of its
+//! latency objective. Items start only while several slots are free, so that an item that has
+//! started is not preempted by the next request.
 
 use crate::balancer::state::BalancerKey;
 
-/// Fraction of the slots that is kept free for further online requests; with fewer free slots,
-/// batch items are preempted.
-const MIN_FREE_FRACTION: f64 = 0.04;
 /// Fraction of the slots above which free slots are used for new batch items.
-const START_FREE_FRACTION: f64 = 0.10;
+const START_FREE_FRACTION: f64 = 0.04;
 
 /// Slots of one upstream and the work of all hosts there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SlotUsage {
     pub(crate) key: BalancerKey,
-    /// Tag of the upstream, the same on all hosts.
-    pub(crate) tag: u32,
     pub(crate) slots: u32,
     pub(crate) online: u32,
     pub(crate) batch: u32,
@@ -30,72 +25,30 @@
     fn total(self) -> u32 {
         self.online + self.batch
     }
-}
-
-/// Number of free slots of a service, with the numbers below which items are preempted (`min_free`)
-/// and above which they start (`start_above`).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct SpareCapacity {
-    free: u32,
-    min_free: u32,
-    start_above: u32,
-}
 
-impl SpareCapacity {
-    /// Computes the spare capacity of upstreams with these slots and work.
-    pub(crate) fn new(usages: &[SlotUsage]) -> Self {
-        let slots: u32 = usages.iter().map(|usage| usage.slots).sum();
-        let free = usages
-            .iter()
-            .map(|usage| usage.slots.saturating_sub(usage.total()));
-        let share = |fraction: f64| (f64::from(slots) * fraction).ceil() as u32;
-        let min_free = share(MIN_FREE_FRACTION).max(1);
-        Self {
-            free: free.sum(),
-            min_free,
-            start_above: share(START_FREE_FRACTION).max(min_free + 1),
-        }
+    fn free(self) -> u32 {
+        self.slots.saturating_sub(self.total())
     }
 
-    /// Number of items that may start, on all hosts together.
-    pub(crate) fn spare(self) -> u32 {
-        self.free.saturating_sub(self.start_above)
+    /// Number of items beyond the slots.
+    fn surplus(self) -> u32 {
+        self.total().saturating_sub(self.slots).min(self.batch)
     }
+}
+
+/// Number of items that may start at upstreams with these slots and work, on all hosts together.
+pub(crate) fn spare_slots(usages: &[SlotUsage]) -> u32 {
+    let slots: u32 = usages.iter().map(|usage| usage.slots).sum();
+    let free: u32 = usages.iter().map(|usage| usage.free()).sum();
+    free.saturating_sub((f64::from(slots) * START_FREE_FRACTION).ceil() as u32)
+}
 
-    /// Number of items to preempt at each upstream, of all hosts together.
-    ///
-    /// Where an upstream has more work than slots, its surplus is preempted. If fewer than the
-    /// minimum number of slots are free, one item for each missing slot is preempted as well, at
-    /// the upstreams with the most work; hosts with the same fills agree. Nothing is preempted
-    /// while there is no online work.
-    pub(crate) fn preemptions(self, usages: &[SlotUsage]) -> Vec<(BalancerKey, u32)> {
-        if usages.iter().all(|usage| usage.online == 0) {
-            return Vec::new();
-        }
-        let mut preemptions: Vec<(SlotUsage, u32)> = usages
-            .iter()
-            .map(|usage| {
-                (
-                    *usage,
-                    usage.total().saturating_sub(usage.slots).min(usage.batch),
-                )
-            })
-            .collect();
-        for _ in self.free..self.min_free {
-            let fullest = preemptions
-                .iter_mut()
-                .filter(|(usage, preempted)| *preempted < usage.batch)
-                .max_by_key(|(usage, preempted)| (usage.total() - *preempted, usage.tag));
-            match fullest {
-                Some((_, preempted)) => *preempted += 1,
-                None => break,
-            }
-        }
-        let preemptions = preemptions
-            .into_iter()
-            .filter(|(_, preempted)| *preempted > 0);
-        preemptions
-            .map(|(usage, preempted)| (usage.key, preempted))
-            .collect()
+/// Number of items to preempt at each upstream, of all hosts together: those beyond its slots.
+/// Nothing is preempted while there is no online work.
+pub(crate) fn preemptions(usages: &[SlotUsage]) -> Vec<(BalancerKey, u32)> {
+    if usages.iter().all(|usage| usage.online == 0) {
+        return Vec::new();
     }
+    let surplus = usages.iter().map(|usage| (usage.key, usage.surplus()));
+    surplus.filter(|(_, count)| *count > 0).collect()
 }
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -14,7 +14,8 @@
 use crate::balancer::backoff::UpstreamAvailability;
 use crate::balancer::backoff::UpstreamFault;
 use crate::balancer::capacity::SlotUsage;
-use crate::balancer::capacity::SpareCapacity;
+use crate::balancer::capacity::preemptions;
+use crate::balancer::capacity::spare_slots;
 use crate::balancer::leaving::LeavingIncarnations;
 use crate::balancer::leaving::UpstreamIncarnation;
 use crate::balancer::neighbours::NeighbourTracker;
@@ -627,7 +628,7 @@
         let mut preempted = Vec::new();
         for service in self.serving.keys() {
             let usages = self.slot_usages(service, now);
-            for (key, count) in SpareCapacity::new(&usages).preemptions(&usages) {
+            for (key, count) in preemptions(&usages) {
                 let own = self.own_preemptions(&self.upstreams[&key], count);
                 if own > 0 {
                     preempted.push((key, own));
@@ -645,7 +646,6 @@
             let work = upstream.work(&self.peer_loads);
             SlotUsage {
                 key,
-                tag: upstream.tag,
                 slots: upstream.entry.slots,
                 online: work.online,
                 batch: work.batch,
@@ -670,8 +670,7 @@
         if usages.is_empty() {
             return true;
         }
-        let spare = SpareCapacity::new(&usages).spare();
-        spare > self.items_before(service, urgency, now)
+        spare_slots(&usages) > self.items_before(service, urgency, now)
     }
 
     /// Number of items that wait at other hosts for the upstreams in this host's window and come
