balancer: leave silent hosts out until their entries vanish

Its entry may be listed for 12 s: 3.6 s of lease, up to 5.75 s between two listings, 2.5 s of grace.

Change: excluded for 12 s, unless it is heard. A host broadcasts that it is there once it knows others and after a gap in its reports, so that a restarted one is not left out as long.

Both tests failed before (the host is usable again 10 s after the announcement; 0 broadcasts).

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -26,6 +26,11 @@
 const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an unchanged broadcast is repeated, as datagrams may be lost.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(350);
+/// Time for which a host broadcasts that it is there, once it knows other hosts and after a gap in its
+/// reports for which others may have announced it as silent.
+const PRESENCE_TIME: Duration = Duration::from_secs(1);
+/// Shortest gap between two reports after which the host broadcasts that it is there.
+const MIN_REPORT_GAP: Duration = Duration::from_secs(1);
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Addresses of the other hosts, by what they receive.
@@ -48,6 +53,8 @@
     peers_read_at: Instant,
     reported_at: Instant,
     announced_at: Option<Instant>,
+    /// When the current run of uninterrupted reports to other hosts began; `None` before it knew any.
+    present_since: Option<Instant>,
 }
 
 impl LoadExchange {
@@ -86,6 +93,7 @@
             peers_read_at: Instant::now(),
             reported_at: Instant::now(),
             announced_at: None,
+            present_since: None,
         }
     }
 
@@ -141,8 +149,12 @@
         // A host that has just started knows no other host, and looks again at every step until it
         // does.
         if self.peers.all.is_empty() || now - self.peers_read_at >= NEIGHBOUR_INTERVAL {
+            let was_alone = self.peers.all.is_empty();
             self.peers = peers();
             self.peers_read_at = now;
+            if was_alone && !self.peers.all.is_empty() {
+                self.present_since = Some(now);
+            }
         }
     }
 
@@ -166,6 +178,9 @@
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
         }
+        if now - self.reported_at >= MIN_REPORT_GAP {
+            self.present_since = Some(now);
+        }
         self.reported_at = now;
         self.report.loads = loads;
         self.report.leaving = leaving;
@@ -178,7 +193,7 @@
 
     /// Broadcasts the jobs that this host acquired, its silent neighbours and whether it is leaving:
     /// to all hosts at each change, and every [`ANNOUNCEMENT_INTERVAL`] while there is something to
-    /// announce.
+    /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago.
     async fn announce(&mut self, now: Instant, acquired_jobs: Vec<String>) {
         let is_leaving = self.leaving.is_cancelled();
         let silent_hosts = self.balancer.state().silent_neighbours(now);
@@ -198,7 +213,10 @@
             && self
                 .announced_at
                 .is_some_and(|at| now - at < ANNOUNCEMENT_INTERVAL);
-        if (is_empty && !is_leaving) || is_repeated {
+        let is_new = self
+            .present_since
+            .is_some_and(|since| now - since < PRESENCE_TIME);
+        if (is_empty && !is_leaving && !is_new) || is_repeated {
             return;
         }
         self.announced_at = Some(now);
--- a/lib/src/balancer/liveness.rs
+++ b/lib/src/balancer/liveness.rs
@@ -9,8 +9,10 @@
 
 /// Time without a report after which a host counts as silent. Hosts report at least every 300 ms.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time for which a host stays excluded after another host announced that it is silent.
-const EXCLUSION_TIME: Duration = Duration::from_secs(4);
+/// Time for which a host stays excluded after another host announced that it is silent, unless it is
+/// heard again. Its entry may be listed for as long: until its lease lapses, the listing is read
+/// again, and the grace for vanished entries has passed.
+const EXCLUSION_TIME: Duration = Duration::from_secs(12);
 /// Time after a host became silent within which its silence is announced to the other hosts.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(1_200);
 
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -13,6 +13,9 @@
 use parsleywall::balancer::HostLoadReport;
 use parsleywall::balancer::HostRing;
 use parsleywall::balancer::ItemUrgency;
+use parsleywall::balancer::LoadBalancer;
+use parsleywall::balancer::LoadExchange;
+use parsleywall::balancer::PeerAddresses;
 use parsleywall::balancer::SlotRequest;
 use parsleywall::balancer::UpstreamChoice;
 use parsleywall::balancer::UpstreamEntry;
@@ -31,7 +34,9 @@
 use parsleywall::ids::WorkClass;
 use proptest::prelude::*;
 use rand::SeedableRng;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 const SLOTS: u32 = 4;
 
@@ -855,6 +860,16 @@
     }
     // The silent host hears no neighbour itself, and so announces none.
     assert!(balancers[7].silent_neighbours(later).is_empty());
+    // Its entry may be listed until its lease of 3.6 s lapses, the listing is read again, at most
+    // 5.75 s later, and the grace of 2.5 s has passed.
+    let vanished = start + Duration::from_millis(3_600 + 5_750 + 2_500);
+    for balancer in balancers.iter_mut().take(6) {
+        let heard = (0..40).filter(|host| *host != 7);
+        for host in heard {
+            balancer.apply_report(report(&names[host], 3, &[]), vanished);
+        }
+        assert!(!balancer.usable_hosts(&hosts, vanished).contains(&"host-7"));
+    }
     // It is usable again once it broadcasts something itself.
     let back = HostAnnouncement {
         host: "host-7".to_owned(),
@@ -867,6 +882,32 @@
     }
 }
 
+/// A host that starts must broadcast that it is there: hosts that don't get its reports may have it
+/// excluded as silent since its earlier process ended.
+#[tokio::test(start_paused = true)]
+async fn test_new_host_broadcasts_its_presence() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = receiver.local_addr().unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let balancer = LoadBalancer::new(balancer(&["a"]));
+    let leaving = CancellationToken::new();
+    let exchange = LoadExchange::new(socket, balancer, "host-a".to_owned(), 1, leaving);
+    let peers = move || PeerAddresses {
+        neighbours: vec![address],
+        all: vec![address],
+    };
+    let running = tokio::spawn(exchange.run(peers, Vec::new, |_: &str, _: &[String]| {}));
+    let mut buffer = [0; 1024];
+    let mut announced = 0;
+    for _ in 0..8 {
+        let length = receiver.recv(&mut buffer).await.unwrap();
+        let datagram = HostDatagram::decode(&buffer[..length]);
+        announced += usize::from(matches!(datagram, Some(HostDatagram::Announcement(_))));
+    }
+    assert!((2..=4).contains(&announced), "{announced} broadcasts");
+    running.abort();
+}
+
 /// One change of a [`BalancerState`] or of the time.
 #[derive(Clone, Debug)]
 enum BalancerStep {
