--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -703,7 +703,7 @@
         let starts_soon = self
             .first_start_attempt
             .is_some_and(|at| now - at >= BATCH_START_DELAY - WAITING_REPORT_LEAD);
-        if !starts_soon {
+        if !starts_soon || self.own_waiting.is_empty() {
             return Vec::new();
         }
         let reachable: Vec<u32> = self
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -214,13 +214,13 @@
     /// Counts one request that was refused for `reason`.
     pub fn refusal(&self, reason: RefusalReason) {
         self.refusals[reason as usize].fetch_add(1, Ordering::Relaxed);
-        self.send(|| format!("refusal.{reason}"));
+        self.send(1, || format!("refusal.{reason}"));
     }
 
     /// Counts one retry that was made for `reason`.
     pub fn retry(&self, reason: RetryReason) {
         self.retries[reason as usize].fetch_add(1, Ordering::Relaxed);
-        self.send(|| format!("retry.{reason}"));
+        self.send(1, || format!("retry.{reason}"));
     }
 
     /// Counts one occurrence of `event`.
@@ -228,10 +228,10 @@
         self.add(event, 1);
     }
 
-    /// Counts `count` occurrences of `event`; statsd is told of one only.
+    /// Counts `count` occurrences of `event`.
     pub fn add(&self, event: CounterEvent, count: u64) {
         self.events[event as usize].fetch_add(count, Ordering::Relaxed);
-        self.send(|| format!("event.{event}"));
+        self.send(count, || format!("event.{event}"));
     }
 
     /// Returns how often `event` was counted since the start.
@@ -260,10 +260,10 @@
         refusals.chain(retries).chain(events).collect()
     }
 
-    fn send(&self, name: impl FnOnce() -> String) {
+    fn send(&self, count: u64, name: impl FnOnce() -> String) {
         if let Some(client) = &self.statsd {
             // Metrics are best effort: an update that finds the send queue full is dropped.
-            let _ = client.count(&name(), 1);
+            let _ = client.count(&name(), count);
         }
     }
 }
