--- a/lib/src/balancer/waiting.rs
+++ b/lib/src/balancer/waiting.rs
@@ -29,7 +29,7 @@
 /// Items of one service that wait at one host and are equally urgent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingItems(
-    /// Tag of the service, see [`service_tag`].
+    /// Hash of the service's name.
     pub u32,
     /// Whether the items can't finish by their due time any more.
     pub bool,
