--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -21,7 +21,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Link from one host to a key-value service. While it is cut, calls have no effect and fail with
-/// an unknown outcome after [`CALL_TIMEOUT`].
+/// an unknown outcome after 1.5 s.
 pub struct KvLink {
     store: Arc<dyn KvStore>,
     is_cut: AtomicBool,
