jobs: a leaving host reports no waiting items

It starts none, so that other hosts would hold back theirs for up to the time of the hand-over. Found by reading; the new test failed before.

--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -85,9 +85,13 @@
         }
     }
 
-    /// Passes the waiting items to the load balancer, which reports them to other hosts.
+    /// Passes the waiting items to the load balancer, which reports them to other hosts. A leaving
+    /// host starts no items and so reports none.
     fn publish_waiting(&self) {
-        let groups = self.with_table(|table| table.waiting(Instant::now(), steady_unix_millis()));
+        let groups = match self.shared.is_leaving.is_cancelled() {
+            true => Vec::new(),
+            false => self.with_table(|table| table.waiting(Instant::now(), steady_unix_millis())),
+        };
         let route_table = self.shared.routes.borrow().clone();
         let waiting = groups.into_iter().filter_map(|group| {
             let item = &group.spec.items[group.index];
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -473,6 +473,28 @@
     assert_complete(&fleet.transport, &read_all(&host_b, "j2").await);
 }
 
+/// A leaving host starts no items, so that other hosts must not hold theirs back for them.
+#[tokio::test(start_paused = true)]
+async fn test_leaving_host_reports_no_waiting_items() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    assert_eq!(
+        host.keeper.submit(job("j1", 40)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let waiting = || host.relay.balancer().state().own_waiting(Instant::now());
+    assert!(!waiting().is_empty());
+    // The hand-over takes until the key-value service has answered.
+    fleet.kv.faults.delay_ms.store(2_000, Ordering::Relaxed);
+    let keeper = host.keeper.clone();
+    let leaving = tokio::spawn(async move { keeper.leave().await });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert!(!leaving.is_finished());
+    assert_eq!(waiting(), []);
+    leaving.await.unwrap();
+}
+
 /// The owner key vanishes repeatedly, so that another host may claim the job while the first still
 /// runs it. Each result must be committed once and keep its position.
 #[tokio::test(start_paused = true)]
