jobs: overdue items are late without an estimate of durations

Cause: under the order over all hosts, lateness was judged by the time left, which is zero after the due time, and the estimate, which is zero until a host has completed an item. After a restart overdue items so went before all others, on all hosts. Found by reading the change; the new test failed before. The rule is that of the code before: late if the estimated end is after the due time.

--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -315,8 +315,9 @@
 
     fn urgency(&self, job: &OwnedJob, events: u64, now_ms: u64) -> ItemUrgency {
         let slack_ms = job.spec.due_ms.saturating_sub(now_ms);
+        let ends_ms = now_ms + self.estimator.remaining_ms(events);
         ItemUrgency {
-            is_late: slack_ms < self.estimator.remaining_ms(events),
+            is_late: ends_ms > job.spec.due_ms,
             slack: Duration::from_millis(slack_ms),
         }
     }
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -473,6 +473,23 @@
     assert_complete(&fleet.transport, &read_all(&host_b, "j2").await);
 }
 
+/// Before a host has completed any item it can't estimate how long items take. An item whose due time
+/// has passed is late all the same, and must not be reported as the most urgent one.
+#[tokio::test(start_paused = true)]
+async fn test_overdue_items_are_late_without_an_estimate() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    for (id, due_ms) in [("j1", 100), ("j2", 9_000)] {
+        let mut spec = job(id, 40);
+        spec.due_ms = spec.submitted_ms + due_ms;
+        assert_eq!(host.keeper.submit(spec).await, SubmitOutcome::Accepted);
+    }
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let groups = host.relay.balancer().state().own_waiting(Instant::now());
+    let are_late: Vec<bool> = groups.iter().map(|group| group.1).collect();
+    assert_eq!(are_late, [false, true]);
+}
+
 /// A leaving host starts no items, so that other hosts must not hold theirs back for them.
 #[tokio::test(start_paused = true)]
 async fn test_leaving_host_reports_no_waiting_items() {
