events: name broken requests by a digest that all copies share

A request that crashes upstreams comes as many copies, each with an identifier of its own, so that the log could not tell whether one request or several crashed them. A line about an answer that broke off has the digest of the request and the last event that was received.

No change in behaviour.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -162,6 +162,11 @@
         ran: bool,
         /// Time in milliseconds since the attempt began.
         after_ms: u64,
+        /// Number of the last event that was received of the answer; absent if none was.
+        last_event: Option<u64>,
+        /// Digest of the request, which is equal for all copies of it; only if the answer broke off
+        /// after the upstream may have run the request.
+        digest: Option<String>,
     },
     /// The handling of a request has ended.
     RequestEnded {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -585,6 +585,7 @@
         cause: &str,
         ran: bool,
     ) {
+        let broke_off = ran && fault == UpstreamFault::Broken;
         self.relay.log().write(LogEvent::SendingFailed {
             request: self.request.id.to_string(),
             upstream: permit.choice.id.to_string(),
@@ -592,6 +593,8 @@
             cause: cause.to_owned(),
             ran,
             after_ms: sent.elapsed().as_millis() as u64,
+            last_event: self.last_event_id,
+            digest: broke_off.then(|| self.request.fingerprint().to_hex()),
         });
         if let Some(pause) = permit.note_fault(fault) {
             self.relay.log().write(LogEvent::UpstreamEjected {
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -11,6 +11,7 @@
 use crate::ids::ServiceName;
 use crate::ids::WorkClass;
 use crate::routes::Route;
+use crate::suspects::Fingerprint;
 
 /// A completely read request with the route that was selected for it.
 #[derive(Clone, Debug)]
@@ -40,3 +41,12 @@
     /// Id of the last event that the caller has received; `None` for a stream from its start.
     pub resume_after: Option<u64>,
 }
+
+impl RelayRequest {
+    /// Digest of what the request asks of an upstream; equal for all copies of the request, which
+    /// have identifiers of their own.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let (method, target) = (self.method.as_str(), &self.target);
+        Fingerprint::opaque(&self.route.host, method, target, &self.body)
+    }
+}
--- a/lib/src/suspects/fingerprint.rs
+++ b/lib/src/suspects/fingerprint.rs
@@ -30,6 +30,21 @@
                 hash.update([0]);
             }
         }
+        Self::from_hash(hash)
+    }
+
+    /// Computes the digest of a request whose body is not interpreted.
+    pub fn opaque(host: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [host.as_bytes(), method.as_bytes(), target.as_bytes()] {
+            hash.update(part);
+            hash.update([0]);
+        }
+        hash.update(body);
+        Self::from_hash(hash)
+    }
+
+    fn from_hash(hash: Sha256) -> Self {
         let digest = hash.finalize();
         let mut bytes = [0; 16];
         bytes.copy_from_slice(&digest[..16]);
