--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -20,8 +20,12 @@
 use parsleywall::relay::UpstreamAnswer;
 use parsleywall::relay::UpstreamBody;
 use parsleywall::relay::UpstreamTransport;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Time from a crash of an upstream until it accepts connections again.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+
 /// How an upstream handles the requests that it gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OpaqueBehaviour {
@@ -68,20 +72,35 @@
     pub at: Instant,
 }
 
+/// Crash of an upstream, as the stand-in remembers it.
+#[derive(Clone, Copy, Debug)]
+struct CrashState {
+    count: u64,
+    back_at: Instant,
+}
+
 #[derive(Default)]
 struct UpstreamState {
     behaviours: HashMap<String, OpaqueBehaviour>,
+    /// Bodies of the requests that crash the upstreams that run them.
+    deadly_bodies: Vec<Bytes>,
+    crashes: HashMap<String, CrashState>,
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
     most_running: HashMap<String, usize>,
 }
 
-/// A set of upstreams that answer every request with the same number of events.
+/// A set of upstreams that answer every request with the same number of events. Clones share their
+/// state.
+#[derive(Clone)]
 pub struct OpaqueUpstreams {
     events: u64,
     first: Duration,
     gap: Duration,
+    restart: Duration,
     state: Arc<Mutex<UpstreamState>>,
+    /// Changes with each crash.
+    crashed: watch::Sender<u64>,
 }
 
 impl OpaqueUpstreams {
@@ -92,10 +111,39 @@
             events,
             first,
             gap,
+            restart: RESTART_TIME,
             state: Arc::default(),
+            crashed: watch::Sender::new(0),
         })
     }
 
+    /// Lets requests with `body` crash each upstream that begins to run them.
+    pub fn set_deadly(&self, body: &Bytes) {
+        self.lock().deadly_bodies.push(body.clone());
+    }
+
+    /// Lets all requests succeed again.
+    pub fn clear_deadly(&self) {
+        self.lock().deadly_bodies.clear();
+    }
+
+    /// Crashes `upstream`: all its connections break, and it refuses new ones until it has
+    /// restarted.
+    pub fn crash(&self, upstream: &str) {
+        let mut state = self.lock();
+        let count = state.crash_count(upstream) + 1;
+        let back_at = Instant::now() + self.restart;
+        let crash = CrashState { count, back_at };
+        state.crashes.insert(upstream.to_owned(), crash);
+        drop(state);
+        self.crashed.send_modify(|count| *count += 1);
+    }
+
+    /// Number of crashes of all upstreams so far.
+    pub fn crashes(&self) -> u64 {
+        self.lock().crashes.values().map(|crash| crash.count).sum()
+    }
+
     /// Sets how `upstream` handles requests from now on.
     pub fn set(&self, upstream: &str, behaviour: OpaqueBehaviour) {
         self.lock()
@@ -145,8 +193,7 @@
     ) -> OpaqueBehaviour {
         let upstream = to.id.to_string();
         let mut state = self.lock();
-        let behaviour = state.behaviours.get(&upstream).copied();
-        let behaviour = behaviour.unwrap_or(OpaqueBehaviour::Serves);
+        let behaviour = state.behaviour(&upstream);
         let ran = !matches!(
             behaviour,
             OpaqueBehaviour::Unreachable | OpaqueBehaviour::Full | OpaqueBehaviour::Moved
@@ -172,16 +219,28 @@
         let guard = ExecutionGuard::new(self.state.clone(), to.id.to_string());
         let begin = options.resume_after.unwrap_or(0) + 1;
         let (last, first, gap) = (self.events, self.first, self.gap);
+        let is_deadly = self.lock().deadly_bodies.contains(&request.body);
         let request = request.id.to_string();
+        let watcher = CrashWatcher::new(self, to.id.as_str());
         let events = stream::unfold((begin, guard), move |(id, guard)| {
             let request = request.clone();
+            let watcher = watcher.clone();
             async move {
                 if id > last {
                     return None;
                 }
                 let sent = id - begin;
-                tokio::time::sleep(if sent == 0 { first } else { gap }).await;
+                let pause = if sent == 0 { first } else { gap };
+                let crashed = tokio::select! {
+                    () = watcher.crashed() => true,
+                    () = tokio::time::sleep(pause) => false,
+                };
                 let part = match behaviour {
+                    _ if crashed || watcher.is_down() => Err("connection reset".to_owned()),
+                    _ if is_deadly => {
+                        watcher.crash();
+                        Err("connection reset".to_owned())
+                    }
                     OpaqueBehaviour::BreaksAfter(count) if sent >= count => {
                         Err("connection reset".to_owned())
                     }
@@ -200,6 +259,60 @@
     }
 }
 
+impl UpstreamState {
+    fn crash_count(&self, upstream: &str) -> u64 {
+        self.crashes.get(upstream).map_or(0, |crash| crash.count)
+    }
+
+    fn is_down(&self, upstream: &str) -> bool {
+        let crash = self.crashes.get(upstream);
+        crash.is_some_and(|crash| Instant::now() < crash.back_at)
+    }
+
+    fn behaviour(&self, upstream: &str) -> OpaqueBehaviour {
+        if self.is_down(upstream) {
+            return OpaqueBehaviour::Unreachable;
+        }
+        let behaviour = self.behaviours.get(upstream).copied();
+        behaviour.unwrap_or(OpaqueBehaviour::Serves)
+    }
+}
+
+/// Tells a running request whether its upstream has crashed since it began.
+#[derive(Clone)]
+struct CrashWatcher {
+    upstreams: OpaqueUpstreams,
+    upstream: String,
+    count_before: u64,
+}
+
+impl CrashWatcher {
+    fn new(upstreams: &OpaqueUpstreams, upstream: &str) -> Self {
+        Self {
+            upstreams: upstreams.clone(),
+            upstream: upstream.to_owned(),
+            count_before: upstreams.lock().crash_count(upstream),
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.upstreams.lock().crash_count(&self.upstream) != self.count_before
+    }
+
+    async fn crashed(&self) {
+        let mut changes = self.upstreams.crashed.subscribe();
+        while !self.is_down() {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    fn crash(&self) {
+        self.upstreams.crash(&self.upstream);
+    }
+}
+
 #[async_trait]
 impl UpstreamTransport for OpaqueUpstreams {
     async fn send(
