--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -14,6 +14,10 @@
 use crate::balancer::report::HostLoadReport;
 use crate::balancer::report::is_same_work;
 use crate::balancer::waiting::is_same_backlog;
+use crate::collections::HashMap;
+use crate::event_log::EventLog;
+use crate::suspects::CrashKeeper;
+use crate::suspects::CrashNews;
 
 /// Interval of load reports while the load changes, with fewer than [`FAST_NEIGHBOURS`] neighbours.
 const FAST_INTERVAL: Duration = Duration::from_millis(30);
@@ -32,6 +36,12 @@
 /// Shortest gap between two reports after which the host broadcasts that it is there.
 const MIN_REPORT_GAP: Duration = Duration::from_secs(1);
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Shortest interval between two messages with this host's convictions to the same host.
+const CONVICTIONS_INTERVAL: Duration = Duration::from_millis(300);
+/// Bytes that a host may send at once in news of crashes to all hosts.
+const NEWS_BURST_BYTES: f64 = 512.0 * 1024.0;
+/// Bytes a second that a host may send in news of crashes on the mean.
+const NEWS_BYTES_PER_SECOND: f64 = 8.0 * 1024.0;
 
 /// Addresses of the other hosts, by what they receive.
 #[derive(Clone, Debug, Default)]
@@ -55,6 +65,38 @@
     announced_at: Option<Instant>,
     /// When the current run of uninterrupted reports to other hosts began; `None` before it knew any.
     present_since: Option<Instant>,
+    crashes: CrashKeeper,
+    /// When other hosts, by name, were last sent the convictions.
+    convictions_sent: HashMap<String, Instant>,
+    news_budget: NewsBudget,
+}
+
+/// Bytes that may be sent in news of crashes. A message may overdraw it; the next one waits until
+/// it is refilled.
+#[derive(Debug)]
+struct NewsBudget {
+    bytes: f64,
+    refilled_at: Instant,
+}
+
+impl NewsBudget {
+    fn new(now: Instant) -> Self {
+        Self {
+            bytes: NEWS_BURST_BYTES,
+            refilled_at: now,
+        }
+    }
+
+    fn is_spent(&mut self, now: Instant) -> bool {
+        let refill = (now - self.refilled_at).as_secs_f64() * NEWS_BYTES_PER_SECOND;
+        self.bytes = (self.bytes + refill).min(NEWS_BURST_BYTES);
+        self.refilled_at = now;
+        self.bytes <= 0.0
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        self.bytes -= bytes as f64;
+    }
 }
 
 impl LoadExchange {
@@ -74,6 +116,7 @@
             acquired_jobs: Vec::new(),
             silent_hosts: Vec::new(),
         };
+        let crashes = CrashKeeper::new(&host, EventLog::disabled());
         let report = HostLoadReport {
             host,
             incarnation,
@@ -82,6 +125,7 @@
             loads: Vec::new(),
             leaving: Vec::new(),
             waiting: Vec::new(),
+            convictions: 0,
         };
         Self {
             socket,
@@ -94,9 +138,18 @@
             reported_at: Instant::now(),
             announced_at: None,
             present_since: None,
+            crashes,
+            convictions_sent: HashMap::default(),
+            news_budget: NewsBudget::new(Instant::now()),
         }
     }
 
+    /// Also exchanges what `crashes` knows of crashes of upstreams.
+    pub fn with_crashes(mut self, crashes: CrashKeeper) -> Self {
+        self.crashes = crashes;
+        self
+    }
+
     /// Exchanges datagrams with the hosts that `peers` returns, until the future is dropped.
     ///
     /// Broadcasts announce the jobs that `acquired_jobs` returns. For each broadcast received,
@@ -109,18 +162,21 @@
     ) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next = Instant::now();
+        let crashes = self.crashes.clone();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
-                    if let Ok((length, _)) = received {
-                        self.receive(&buffer[..length], &note_jobs);
+                    if let Ok((length, sender)) = received {
+                        self.receive(&buffer[..length], sender, &note_jobs).await;
                     }
                 }
+                () = crashes.news_added() => self.send_news(Instant::now()).await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
                     self.refresh_peers(now, &peers);
                     self.report_load(now).await;
                     self.announce(now, acquired_jobs()).await;
+                    self.send_news(now).await;
                     let neighbours = self.peers.neighbours.len() as u32;
                     next = now + FAST_INTERVAL * (neighbours + 1).div_ceil(FAST_NEIGHBOURS);
                 }
@@ -128,10 +184,16 @@
         }
     }
 
-    fn receive(&self, bytes: &[u8], note_jobs: &impl Fn(&str, &[String])) {
+    async fn receive(
+        &mut self,
+        bytes: &[u8],
+        sender: SocketAddr,
+        note_jobs: &impl Fn(&str, &[String]),
+    ) {
         let now = Instant::now();
         match HostDatagram::decode(bytes) {
             Some(HostDatagram::Load(report)) => {
+                self.send_convictions(&report, sender, now).await;
                 let has_changed = self.balancer.state().apply_report(report, now);
                 if has_changed {
                     self.balancer.notify_waiters();
@@ -141,10 +203,45 @@
                 note_jobs(&announcement.host, &announcement.acquired_jobs);
                 self.balancer.state().apply_announcement(&announcement, now);
             }
+            Some(HostDatagram::Crashes(news)) => self.apply_news(news),
             None => {}
         }
     }
 
+    fn apply_news(&self, news: CrashNews) {
+        let upstreams = self.balancer.state().upstream_count();
+        self.crashes.apply(news, upstreams);
+    }
+
+    /// Sends this host's convictions to the host that sent `report`, if that knows others.
+    async fn send_convictions(&mut self, report: &HostLoadReport, to: SocketAddr, now: Instant) {
+        if report.convictions == self.crashes.digest() {
+            return;
+        }
+        let sent_at = self.convictions_sent.get(&report.host);
+        if sent_at.is_some_and(|at| now - *at < CONVICTIONS_INTERVAL) {
+            return;
+        }
+        if let Some(news) = self.crashes.convictions_notice() {
+            self.convictions_sent
+                .retain(|_, at| now - *at < CONVICTIONS_INTERVAL);
+            self.convictions_sent.insert(report.host.clone(), now);
+            self.send(&HostDatagram::Crashes(news), &[to]).await;
+        }
+    }
+
+    /// Broadcasts what this host has found out about crashes.
+    async fn send_news(&mut self, now: Instant) {
+        if self.news_budget.is_spent(now) {
+            return;
+        }
+        if let Some(news) = self.crashes.take_news() {
+            let news = HostDatagram::Crashes(news);
+            let sent = self.send(&news, &self.peers.all).await;
+            self.news_budget.spend(sent);
+        }
+    }
+
     fn refresh_peers(&mut self, now: Instant, peers: &impl Fn() -> PeerAddresses) {
         // A host that has just started knows no other host, and looks again at every step until it
         // does.
@@ -171,9 +268,11 @@
             )
         };
         let is_leaving = self.leaving.is_cancelled();
+        let convictions = self.crashes.digest();
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
             || !is_same_backlog(&waiting, &self.report.waiting)
+            || convictions != self.report.convictions
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -186,6 +285,7 @@
         self.report.leaving = leaving;
         self.report.waiting = waiting;
         self.report.is_leaving = is_leaving;
+        self.report.convictions = convictions;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
         self.send(&report, &self.peers.neighbours).await;
@@ -224,11 +324,13 @@
         self.send(&announcement, &self.peers.all).await;
     }
 
-    async fn send(&self, datagram: &HostDatagram, addresses: &[SocketAddr]) {
+    /// Returns the number of bytes sent.
+    async fn send(&self, datagram: &HostDatagram, addresses: &[SocketAddr]) -> usize {
         let bytes = datagram.encode();
         for address in addresses {
             // A failed send is not retried: the next report or repeated broadcast replaces it.
             let _ = self.socket.send_to(&bytes, address).await;
         }
+        bytes.len() * addresses.len()
     }
 }
--- a/lib/src/balancer/leaving.rs
+++ b/lib/src/balancer/leaving.rs
@@ -6,26 +6,16 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::collections::HashSet;
+use crate::ids::UpstreamIncarnation;
 
 /// Number of incarnations that are remembered; the oldest ones are evicted beyond that.
 const MAX_INCARNATIONS: usize = 4_096;
 /// Time for which load reports tell other hosts of an incarnation that announced its shutdown.
 const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
 
-/// One incarnation of an upstream: the process from a start to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct UpstreamIncarnation(
-    /// Tag of the upstream, see [`upstream_tag`](crate::balancer::upstream_tag).
-    pub u32,
-    /// Start time of the process, in milliseconds since the Unix epoch.
-    pub u64,
-);
-
 /// Incarnations of upstreams that announced their shutdown, to this host or to another one.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingIncarnations {
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -23,7 +23,6 @@
 pub use exchange::PeerAddresses;
 pub use handle::LoadBalancer;
 pub use handle::SlotPermit;
-pub use leaving::UpstreamIncarnation;
 pub use reconciler::EntryReconciler;
 pub use report::HostAnnouncement;
 pub use report::HostDatagram;
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -4,9 +4,10 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::balancer::leaving::UpstreamIncarnation;
 use crate::balancer::waiting::WaitingItems;
 use crate::ids::UpstreamId;
+use crate::ids::UpstreamIncarnation;
+use crate::suspects::CrashNews;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +54,9 @@
     /// Batch items that wait at the host for a slot, the most urgent first.
     #[serde(rename = "w", default)]
     pub waiting: Vec<WaitingItems>,
+    /// Digest of the convictions that the host knows; 0 without any.
+    #[serde(rename = "c", default)]
+    pub convictions: u64,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
@@ -82,6 +86,9 @@
     /// Broadcast of the sender to all hosts.
     #[serde(rename = "n")]
     Announcement(HostAnnouncement),
+    /// Crashes of upstreams, for all hosts or for one that lacks convictions.
+    #[serde(rename = "k")]
+    Crashes(CrashNews),
 }
 
 impl HostDatagram {
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -17,7 +17,6 @@
 use crate::balancer::capacity::preemptions;
 use crate::balancer::capacity::spare_slots;
 use crate::balancer::leaving::LeavingIncarnations;
-use crate::balancer::leaving::UpstreamIncarnation;
 use crate::balancer::neighbours::NeighbourTracker;
 use crate::balancer::peer_loads::PeerLoads;
 use crate::balancer::peer_loads::WorkCount;
@@ -40,6 +39,7 @@
 use crate::ids::HostId;
 use crate::ids::ServiceName;
 use crate::ids::UpstreamId;
+use crate::ids::UpstreamIncarnation;
 use crate::ids::WorkClass;
 
 /// Number of reporting hosts from which each request chooses among a random sample of the
@@ -120,6 +120,8 @@
     pub key: BalancerKey,
     /// Identifier of the upstream.
     pub id: UpstreamId,
+    /// The process that runs there.
+    pub incarnation: UpstreamIncarnation,
     /// Address at which the upstream accepts requests.
     pub address: SocketAddr,
     /// Requests of all hosts that were at the upstream before this one; batch items count only if
@@ -225,6 +227,11 @@
         }
     }
 
+    /// Name of this host.
+    pub fn host(&self) -> &str {
+        self.tracker.own()
+    }
+
     /// Adds or updates an upstream.
     ///
     /// If the start time, the address or the service has changed, the upstream has restarted under
@@ -362,6 +369,11 @@
         self.keys_by_id.keys()
     }
 
+    /// Number of registered upstreams of all services.
+    pub fn upstream_count(&self) -> usize {
+        self.keys_by_id.len()
+    }
+
     /// Number of upstreams of `service` that accept requests, ejected ones included.
     pub fn ready_count(&self, service: &ServiceName) -> usize {
         self.serving.get(service).map_or(0, Vec::len)
@@ -457,6 +469,7 @@
         Some(UpstreamChoice {
             key,
             id: upstream.entry.id.clone(),
+            incarnation: upstream.incarnation(),
             address: upstream.entry.address,
             ahead,
             slots: upstream.entry.slots,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -124,6 +124,8 @@
         retry_ms: u64,
         /// Version of the configuration that the request was routed by.
         version: u64,
+        /// What the request is refused for, if it is convicted of crashing upstreams.
+        subject: Option<String>,
     },
     /// An attempt to send a request to an upstream has begun.
     RequestSent {
@@ -168,6 +170,39 @@
         /// after the upstream may have run the request.
         digest: Option<String>,
     },
+    /// An upstream crashed while a request waited there for the first part of its answer: the
+    /// request is a suspect.
+    UpstreamCrashed {
+        /// Identifier of the upstream.
+        upstream: String,
+        /// Identifier of the request.
+        request: String,
+        /// Digest of the request, which is equal for all copies of it.
+        digest: String,
+        /// Time in milliseconds that the request had waited there.
+        waited_ms: u64,
+    },
+    /// Requests with this subject are refused from now on, as they crash upstreams.
+    SubjectConvicted {
+        /// What is convicted: the digest of a request.
+        subject: String,
+        /// Number of crashes under it; absent if another host found out.
+        crashes: Option<usize>,
+        /// Number of crashes of other causes in the ten seconds before; absent if another host
+        /// found out.
+        others: Option<usize>,
+    },
+    /// The next request with a convicted subject runs, to find out whether it still crashes
+    /// upstreams.
+    ConvictionTested {
+        /// What is convicted.
+        subject: String,
+    },
+    /// A request with a convicted subject got a part of an answer: it is convicted no more.
+    SubjectReleased {
+        /// What was convicted.
+        subject: String,
+    },
     /// The handling of a request has ended.
     RequestEnded {
         /// Identifier of the request.
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -130,3 +130,12 @@
     /// An item of a batch job, which runs on spare capacity only.
     Batch,
 }
+
+/// One incarnation of an upstream: the process from a start to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamIncarnation(
+    /// Tag of the upstream, see [`upstream_tag`](crate::balancer::upstream_tag).
+    pub u32,
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    pub u64,
+);
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -342,7 +342,9 @@
     match opened {
         Ok(OpenedAnswer::Stream { .. }) => {}
         Ok(OpenedAnswer::Whole { status, .. }) => return status_outcome(status, progress),
-        Err(RelayFailure::NotRun) => return ItemOutcome::Unplaced(progress),
+        Err(RelayFailure::NotRun | RelayFailure::Convicted(_)) => {
+            return ItemOutcome::Unplaced(progress);
+        }
         Err(RelayFailure::Lost | RelayFailure::TimedOut) => return ItemOutcome::Broken(progress),
     }
     loop {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -39,6 +39,7 @@
     items: IntGaugeVec,
     config_version: IntGauge,
     config_age: Gauge,
+    convictions: IntGauge,
 }
 
 impl RelayMetrics {
@@ -117,6 +118,11 @@
                 "Version of the configuration in force.",
             )
             .expect("metric names are valid"),
+            convictions: IntGauge::new(
+                "parsleywall_convictions",
+                "Subjects that are convicted of crashing upstreams.",
+            )
+            .expect("metric names are valid"),
             config_age: Gauge::new(
                 "parsleywall_config_age_seconds",
                 "Time since the configuration in force was last known to be the newest.",
@@ -146,6 +152,7 @@
         all.push(Box::new(self.items.clone()));
         all.push(Box::new(self.config_version.clone()));
         all.push(Box::new(self.config_age.clone()));
+        all.push(Box::new(self.convictions.clone()));
         for collector in all {
             self.registry
                 .register(collector)
@@ -205,6 +212,11 @@
         }
     }
 
+    /// Sets the number of requests, or parts of requests, that are convicted of crashing upstreams.
+    pub fn set_convictions(&self, count: usize) {
+        self.convictions.set(count as i64);
+    }
+
     /// Sets the version of the configuration in force, and the time since it was last known to be
     /// the newest.
     pub fn set_config_version(&self, version: u64, age: Duration) {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::balancer::BalancerKey;
 use crate::balancer::SlotPermit;
 use crate::balancer::SlotRequest;
+use crate::balancer::UpstreamChoice;
 use crate::balancer::UpstreamFault;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
@@ -31,6 +32,8 @@
 use crate::relay::transport::SendOptions;
 use crate::relay::transport::UpstreamAnswer;
 use crate::relay::transport::UpstreamBody;
+use crate::relay::witness::CrashWitness;
+use crate::suspects::CrashRefusal;
 
 /// Largest whole answer that is buffered.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -69,6 +72,8 @@
 pub enum RelayFailure {
     /// No upstream accepted the request, so it has not run.
     NotRun,
+    /// The request has not run and is refused, as requests like it crash upstreams.
+    Convicted(CrashRefusal),
     /// An upstream may have run the request; its answer is lost and no further run is permitted.
     Lost,
     /// The deadline passed; an upstream may have run the request.
@@ -156,6 +161,7 @@
     last_event_id: Option<u64>,
     excluded: Vec<BalancerKey>,
     reserved: Option<SlotPermit>,
+    witness: CrashWitness,
     /// Upstream of the latest attempt.
     upstream: Option<UpstreamId>,
     heard_at: Instant,
@@ -167,6 +173,7 @@
     /// Returns a dispatch of `request` by `relay` that has not sent anything.
     pub fn new(relay: RequestRelay, request: Arc<RelayRequest>, policy: RetryPolicy) -> Self {
         let last_event_id = request.resume_after;
+        let witness = CrashWitness::new(relay.clone(), request.clone());
         Self {
             relay,
             request,
@@ -176,6 +183,7 @@
             last_event_id,
             excluded: Vec::new(),
             reserved: None,
+            witness,
             upstream: None,
             heard_at: Instant::now(),
             open: None,
@@ -202,6 +210,7 @@
     /// of a stream.
     ///
     /// Errors: [`RelayFailure::NotRun`] if no upstream accepted the request,
+    /// [`RelayFailure::Convicted`] if it is refused without having run,
     /// [`RelayFailure::Lost`] if it may have run and may not be repeated, and
     /// [`RelayFailure::TimedOut`] at the request's deadline.
     pub async fn start(&mut self) -> Result<OpenedAnswer, RelayFailure> {
@@ -216,11 +225,16 @@
             if status.is_success() && answer.is_stream {
                 self.open = Some(open_stream(permit, answer.body, sent));
                 match self.read_event().await {
-                    StreamRead::Event(event) => self.first_step = Some(StreamStep::Event(event)),
+                    StreamRead::Event(event) => {
+                        self.witness.report_sound();
+                        self.first_step = Some(StreamStep::Event(event));
+                    }
                     StreamRead::End => self.first_step = Some(StreamStep::End),
                     StreamRead::Deadline => return Err(RelayFailure::TimedOut),
                     StreamRead::Fault(fault, cause) => {
-                        self.abandon_stream(fault, &cause);
+                        if let Some((choice, sent)) = self.abandon_stream(fault, &cause) {
+                            self.witness.report_break(fault, &choice, sent).await;
+                        }
                         if !self.may_run_again() {
                             return Err(RelayFailure::Lost);
                         }
@@ -231,6 +245,7 @@
             }
             match self.read_whole(permit, answer, sent).await? {
                 Some(body) => {
+                    self.witness.report_sound();
                     return Ok(OpenedAnswer::Whole {
                         status,
                         headers,
@@ -286,7 +301,9 @@
                 }
                 AttemptOutcome::Retry => {}
                 // An upstream already sent events, so the request has run.
-                AttemptOutcome::Failed(RelayFailure::NotRun) => return Err(RelayFailure::Lost),
+                AttemptOutcome::Failed(RelayFailure::NotRun | RelayFailure::Convicted(_)) => {
+                    return Err(RelayFailure::Lost);
+                }
                 AttemptOutcome::Failed(failure) => return Err(failure),
             }
         }
@@ -297,6 +314,12 @@
     }
 
     async fn send(&mut self) -> AttemptOutcome {
+        if let Err(refusal) = self.witness.await_admission().await {
+            return AttemptOutcome::Failed(match self.runs {
+                0 => RelayFailure::Convicted(refusal),
+                _ => RelayFailure::Lost,
+            });
+        }
         let now = Instant::now();
         let budget = self.request.deadline.saturating_duration_since(now);
         if budget.is_zero() {
@@ -354,7 +377,11 @@
                 AttemptOutcome::Retry
             }
             Ok(Err(SendError::Broken(cause))) => {
-                self.record_lost(&permit, now, UpstreamFault::Broken, &cause)
+                let fault = UpstreamFault::Broken;
+                let outcome = self.record_lost(&permit, now, fault, &cause);
+                let choice = release(permit);
+                self.witness.report_break(fault, &choice, now).await;
+                outcome
             }
             Err(_) => {
                 let is_late = self.request.deadline <= Instant::now();
@@ -555,7 +582,10 @@
                 Ok(Some(whole.freeze()))
             }
             Ok(Err(cause)) => {
-                self.record_fault(&permit, sent, UpstreamFault::Broken, &cause, true);
+                let fault = UpstreamFault::Broken;
+                self.record_fault(&permit, sent, fault, &cause, true);
+                let choice = release(permit);
+                self.witness.report_break(fault, &choice, sent).await;
                 match self.may_run_again() {
                     true => Ok(None),
                     false => Err(RelayFailure::Lost),
@@ -565,14 +595,19 @@
         }
     }
 
-    fn abandon_stream(&mut self, fault: UpstreamFault, cause: &str) {
-        if let Some(open) = self.open.take() {
-            let fault = match fault {
-                UpstreamFault::Silent => open.permit.classify_silence(open.progressed_at),
-                fault => fault,
-            };
-            self.record_fault(&open.permit, open.sent, fault, cause, true);
-        }
+    /// Drops the open stream for a fault. Returns its upstream, and when the request was sent there.
+    fn abandon_stream(
+        &mut self,
+        fault: UpstreamFault,
+        cause: &str,
+    ) -> Option<(UpstreamChoice, Instant)> {
+        let open = self.open.take()?;
+        let fault = match fault {
+            UpstreamFault::Silent => open.permit.classify_silence(open.progressed_at),
+            fault => fault,
+        };
+        self.record_fault(&open.permit, open.sent, fault, cause, true);
+        Some((release(open.permit), open.sent))
     }
 
     /// Logs an attempt without a usable answer and records the fault for the upstream's health,
@@ -606,6 +641,11 @@
     }
 }
 
+/// Frees the slot of `permit` and returns the upstream that it was at.
+fn release(permit: SlotPermit) -> UpstreamChoice {
+    permit.choice.clone()
+}
+
 /// Records that the upstream of `permit` served a request; logs it if this ends its ejection.
 fn record_success(log: &EventLog, permit: &SlotPermit) {
     if let Some(ejected) = permit.note_success() {
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod request_relay;
 mod timeout;
 mod transport;
+mod witness;
 
 pub use dispatch::DispatchState;
 pub use dispatch::OpenedAnswer;
@@ -24,6 +25,7 @@
 pub use load_shedding::decide_shedding;
 pub use request::RelayRequest;
 pub use request_relay::RelayAnswer;
+pub use request_relay::RelayRefusal;
 pub use request_relay::RequestRelay;
 pub use transport::ExecutionReport;
 pub use transport::SendError;
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -11,6 +11,7 @@
 use crate::ids::ServiceName;
 use crate::ids::WorkClass;
 use crate::routes::Route;
+use crate::suspects::CrashSubject;
 use crate::suspects::Fingerprint;
 
 /// A completely read request with the route that was selected for it.
@@ -49,4 +50,9 @@
         let (method, target) = (self.method.as_str(), &self.target);
         Fingerprint::opaque(&self.route.host, method, target, &self.body)
     }
+
+    /// Everything about the request that may crash an upstream.
+    pub(crate) fn crash_subjects(&self) -> Vec<CrashSubject> {
+        vec![CrashSubject::Request(self.fingerprint())]
+    }
 }
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -27,6 +27,8 @@
 use crate::relay::transport::UpstreamTransport;
 use crate::routes::Route;
 use crate::routes::RouteKind;
+use crate::suspects::CrashKeeper;
+use crate::suspects::CrashSubject;
 
 /// Lower bound of the wait for a stream's first event before another upstream is tried.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_millis(150);
@@ -40,12 +42,24 @@
 /// Upper bound of the retry delay for a request that no upstream accepted.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Why a request is refused, for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RelayRefusal {
+    /// No upstream has room for the request now.
+    Overloaded,
+    /// Requests like this one crash the upstreams that run them.
+    Convicted,
+}
+
 /// Outcome of a relayed request, for its caller.
 pub enum RelayAnswer {
     /// The request is refused; no upstream has run it, and none will.
     Refused {
         /// Delay after which the caller may retry.
         retry_after: Duration,
+        /// Why the request is refused.
+        reason: RelayRefusal,
     },
     /// A complete answer of an upstream, also one with an error status.
     Whole {
@@ -79,6 +93,7 @@
     balancer: LoadBalancer,
     log: EventLog,
     answer_memory: MemoryBudget,
+    crashes: CrashKeeper,
 }
 
 impl RequestRelay {
@@ -89,11 +104,13 @@
         balancer: LoadBalancer,
         log: EventLog,
     ) -> Self {
+        let host = balancer.state().host().to_owned();
         Self {
             transport,
             balancer,
-            log,
             answer_memory: MemoryBudget::new(ANSWER_MEMORY_BYTES),
+            crashes: CrashKeeper::new(&host, log.clone()),
+            log,
         }
     }
 
@@ -113,6 +130,11 @@
         &self.balancer
     }
 
+    /// What this host knows of requests that crash upstreams.
+    pub fn crashes(&self) -> &CrashKeeper {
+        &self.crashes
+    }
+
     /// Memory budget that all buffered whole answers share.
     pub(crate) fn answer_memory(&self) -> &MemoryBudget {
         &self.answer_memory
@@ -129,8 +151,11 @@
         let load = self.load(&request);
         let left = request.deadline.saturating_duration_since(Instant::now());
         if let ShedDecision::Refuse(delay) = decide_shedding(load, request.route.objective, left) {
-            self.log_refusal(&request, "no_free_place", load, delay);
-            return RelayAnswer::Refused { retry_after: delay };
+            self.log_refusal(&request, "no_free_place", load, delay, None);
+            return RelayAnswer::Refused {
+                retry_after: delay,
+                reason: RelayRefusal::Overloaded,
+            };
         }
         let request = Arc::new(request);
         let policy = online_policy(&request.route);
@@ -161,8 +186,20 @@
             Err(RelayFailure::NotRun) => {
                 let delay = UNPLACED_RETRY_DELAY.min(left / 3);
                 dispatch.finish("refused");
-                self.log_refusal(&request, "no_upstream_took_it", load, delay);
-                RelayAnswer::Refused { retry_after: delay }
+                self.log_refusal(&request, "no_upstream_took_it", load, delay, None);
+                RelayAnswer::Refused {
+                    retry_after: delay,
+                    reason: RelayRefusal::Overloaded,
+                }
+            }
+            Err(RelayFailure::Convicted(refusal)) => {
+                dispatch.finish("refused");
+                let (delay, subject) = (refusal.retry_after, refusal.subject);
+                self.log_refusal(&request, "convicted", load, delay, Some(subject));
+                RelayAnswer::Refused {
+                    retry_after: delay,
+                    reason: RelayRefusal::Convicted,
+                }
             }
             Err(RelayFailure::Lost) => {
                 dispatch.finish("lost");
@@ -187,6 +224,7 @@
         reason: &str,
         load: ServiceLoad,
         delay: Duration,
+        subject: Option<CrashSubject>,
     ) {
         self.log.write(LogEvent::RequestRefused {
             request: request.id.to_string(),
@@ -195,6 +233,7 @@
             online: load.online,
             retry_ms: delay.as_millis() as u64,
             version: request.version,
+            subject: subject.map(|subject| subject.to_string()),
         });
     }
 }
@@ -229,7 +268,9 @@
             StreamStep::Failed(failure) => {
                 let outcome = match failure {
                     RelayFailure::TimedOut => "stream_timed_out",
-                    RelayFailure::NotRun | RelayFailure::Lost => "stream_broken",
+                    RelayFailure::NotRun | RelayFailure::Convicted(_) | RelayFailure::Lost => {
+                        "stream_broken"
+                    }
                 };
                 dispatch.finish(outcome);
                 Some((Err(std::io::Error::other(outcome)), None))
--- a/lib/src/relay/transport.rs
+++ b/lib/src/relay/transport.rs
@@ -79,4 +79,8 @@
         request: &RelayRequest,
         options: SendOptions,
     ) -> Result<UpstreamAnswer, SendError>;
+
+    /// Whether the upstream that `to` names refuses connections, as one does that has crashed.
+    /// False if it accepts one, or if that is not known within a fraction of a second.
+    async fn refuses_connections(&self, to: &UpstreamChoice) -> bool;
 }
--- /dev/null
+++ b/lib/src/relay/witness.rs
@@ -0,0 +1,81 @@
+//! What one request tells about crashes of upstreams, and whether it may run for what is known of
+//! them.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use crate::balancer::UpstreamChoice;
+use crate::balancer::UpstreamFault;
+use crate::events::LogEvent;
+use crate::ids::WorkClass;
+use crate::relay::request::RelayRequest;
+use crate::relay::request_relay::RequestRelay;
+use crate::suspects::CrashRefusal;
+use crate::suspects::CrashedRun;
+
+/// Connects one request with what the host knows of crashes of upstreams. Batch items are neither
+/// suspected nor refused.
+pub(crate) struct CrashWitness {
+    relay: RequestRelay,
+    request: Arc<RelayRequest>,
+}
+
+impl CrashWitness {
+    /// Returns the witness for `request`.
+    pub(crate) fn new(relay: RequestRelay, request: Arc<RelayRequest>) -> Self {
+        Self { relay, request }
+    }
+
+    /// Waits until it is decided whether the request may be sent to an upstream.
+    pub(crate) async fn await_admission(&self) -> Result<(), CrashRefusal> {
+        if !self.is_online() {
+            return Ok(());
+        }
+        let subjects = || self.request.crash_subjects();
+        self.relay.crashes().admit(subjects).await
+    }
+
+    /// Reports that the answer of the upstream `choice` ended by `fault` before its first part, if
+    /// that upstream has crashed. If only the connection broke, there is nothing to report.
+    pub(crate) async fn report_break(
+        &self,
+        fault: UpstreamFault,
+        choice: &UpstreamChoice,
+        sent: Instant,
+    ) {
+        let waited = sent.elapsed();
+        if fault != UpstreamFault::Broken
+            || !self.is_online()
+            || !self.relay.transport().refuses_connections(choice).await
+        {
+            return;
+        }
+        let run = CrashedRun {
+            request: self.request.fingerprint(),
+            waited_ms: waited.as_millis() as u32,
+        };
+        self.relay.log().write(LogEvent::UpstreamCrashed {
+            upstream: choice.id.to_string(),
+            request: self.request.id.to_string(),
+            digest: run.request.to_hex(),
+            waited_ms: u64::from(run.waited_ms),
+        });
+        let upstreams = self.relay.balancer().state().upstream_count();
+        let crashes = self.relay.crashes();
+        crashes.report_crash(choice.incarnation, run, upstreams);
+    }
+
+    /// Reports that an upstream began to answer the request, so that the request does not crash
+    /// upstreams.
+    pub(crate) fn report_sound(&self) {
+        if self.is_online() {
+            let subjects = || self.request.crash_subjects();
+            self.relay.crashes().report_sound(subjects);
+        }
+    }
+
+    fn is_online(&self) -> bool {
+        self.request.class == WorkClass::Online
+    }
+}
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -165,7 +165,8 @@
             self.config.host.clone(),
             self.config.incarnation,
             self.leaving.clone(),
-        );
+        )
+        .with_crashes(self.relay.crashes().clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
@@ -355,6 +356,7 @@
         drop(balancer_state);
         let (waiting, running) = self.jobs.item_counts();
         metrics.set_item_counts(waiting, running);
+        metrics.set_convictions(self.relay.crashes().convictions());
         let outage_start = *self.config_outage_start.lock().expect("config outage lock");
         let age = outage_start.map_or(Duration::ZERO, |since| since.elapsed());
         metrics.set_config_version(table.version(), age);
--- /dev/null
+++ b/lib/src/suspects/ledger.rs
@@ -0,0 +1,512 @@
+//! What one host knows of crashes of upstreams, and which requests it refuses for them. Does no I/O
+//! and reads no clock.
+//!
+//! All hosts know of the same crashes, as each reports those that it notices to all others, and
+//! each decides for itself. A host that missed reports gets the convictions of its neighbours.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::collections::HashMap;
+use crate::ids::UpstreamIncarnation;
+use crate::suspects::conviction::CONVICTION_TIME;
+use crate::suspects::conviction::Conviction;
+use crate::suspects::conviction::ConvictionNotice;
+use crate::suspects::crash::CrashSubject;
+use crate::suspects::crash::CrashedRun;
+use crate::suspects::crash::MAX_RUNS;
+use crate::suspects::crash::UpstreamCrash;
+use crate::suspects::judgement::RATE_WINDOW;
+use crate::suspects::judgement::exceeds_chance;
+use crate::suspects::news::CrashNews;
+use crate::suspects::news::NewsItem;
+use crate::suspects::news::NewsQueue;
+use crate::suspects::news::SoundNotice;
+use crate::suspects::news::TestClaim;
+use crate::suspects::recent::RecentSubjects;
+
+/// Time after a crash in which other hosts report their runs there; it is not judged before.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Time for which crashes are remembered.
+const CRASH_TIME: Duration = Duration::from_secs(120);
+/// Most crashes that are remembered; the oldest ones are dropped beyond that.
+const MAX_CRASHES: usize = 256;
+/// Most convictions; the ones with the oldest crashes are dropped beyond that.
+const MAX_CONVICTIONS: usize = 1_024;
+/// Most convictions in one message.
+const MAX_NOTICES: usize = 128;
+/// Time between the claim of a test and its begin, in which the claims of other hosts arrive.
+pub(crate) const CLAIM_TIME: Duration = Duration::from_millis(200);
+/// Time for which no other host tests the same conviction after a claim.
+const TEST_TIME: Duration = Duration::from_secs(5);
+
+/// How a request may run, by the crashes that are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashVerdict {
+    /// It may run.
+    Free,
+    /// It was at several crashes, the last of which is not judged before this time.
+    Unsettled(Instant),
+    /// It is refused, as requests with this subject crash upstreams.
+    Convicted {
+        /// What is convicted.
+        subject: CrashSubject,
+        /// Time until the conviction is tested again.
+        retry_after: Duration,
+    },
+    /// It may run as the test of this conviction, once the test is claimed.
+    Testable(CrashSubject),
+}
+
+/// A change of what the host believes, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashDecision {
+    /// Crashes convict a subject.
+    Convicted {
+        /// What is convicted.
+        subject: CrashSubject,
+        /// Number of crashes under it.
+        crashes: usize,
+        /// Number of crashes of other causes at the time.
+        others: usize,
+    },
+    /// The subject is convicted on another host's word, which has the evidence.
+    Learned(CrashSubject),
+    /// A request with a convicted subject got a part of an answer, so that the conviction ends.
+    Released(CrashSubject),
+}
+
+#[derive(Debug)]
+struct CrashRecord {
+    upstream: UpstreamIncarnation,
+    at: Instant,
+    runs: Vec<CrashedRun>,
+    is_judged: bool,
+}
+
+impl CrashRecord {
+    fn subjects(&self) -> impl Iterator<Item = CrashSubject> {
+        self.runs.iter().flat_map(CrashedRun::subjects)
+    }
+
+    /// How long a run with `subject` had waited; `None` if no such run was there.
+    fn waited(&self, subject: CrashSubject) -> Option<Duration> {
+        let mut runs = self.runs.iter();
+        let run = runs.find(|run| run.subjects().any(|other| other == subject))?;
+        Some(run.waited())
+    }
+}
+
+#[derive(Debug)]
+struct ClaimRecord {
+    host: String,
+    until: Instant,
+}
+
+/// Crashes, convictions and tests as one host knows them.
+#[derive(Debug)]
+pub struct CrashLedger {
+    host: String,
+    upstreams: usize,
+    crashes: VecDeque<CrashRecord>,
+    sound: RecentSubjects,
+    convictions: HashMap<CrashSubject, Conviction>,
+    claims: HashMap<CrashSubject, ClaimRecord>,
+    news: NewsQueue,
+    decisions: Vec<CrashDecision>,
+}
+
+impl CrashLedger {
+    /// Returns the ledger of `host`, which knows of no crash.
+    pub fn new(host: &str) -> Self {
+        Self {
+            host: host.to_owned(),
+            upstreams: 0,
+            crashes: VecDeque::new(),
+            sound: RecentSubjects::default(),
+            convictions: HashMap::default(),
+            claims: HashMap::default(),
+            news: NewsQueue::default(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Sets the number of upstreams in the fleet.
+    pub fn set_upstreams(&mut self, count: usize) {
+        self.upstreams = count;
+    }
+
+    /// Whether nothing is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.convictions.is_empty()
+    }
+
+    /// Number of convictions.
+    pub fn convictions(&self) -> usize {
+        self.convictions.len()
+    }
+
+    /// Decisions since the last call.
+    pub fn take_decisions(&mut self) -> Vec<CrashDecision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Returns how a request with `subjects` may run at `now`.
+    pub fn verdict(&mut self, subjects: &[CrashSubject], now: Instant) -> CrashVerdict {
+        self.judge(now);
+        let mut testable = None;
+        for subject in subjects {
+            let Some(conviction) = self.convictions.get(subject) else {
+                continue;
+            };
+            let claim = self.claims.get(subject).map(|claim| claim.until);
+            let refused_until = conviction.test_at().max(claim.unwrap_or(now));
+            if refused_until > now {
+                return CrashVerdict::Convicted {
+                    subject: *subject,
+                    retry_after: refused_until - now,
+                };
+            }
+            testable = Some(*subject);
+        }
+        if let Some(subject) = testable {
+            return CrashVerdict::Testable(subject);
+        }
+        match self.unsettled_until(subjects, now) {
+            Some(settled_at) => CrashVerdict::Unsettled(settled_at),
+            None => CrashVerdict::Free,
+        }
+    }
+
+    /// When the last crash under one of `subjects` can be judged; `None` if there are not several or
+    /// all are judged.
+    fn unsettled_until(&self, subjects: &[CrashSubject], now: Instant) -> Option<Instant> {
+        let times = subjects.iter().filter_map(|subject| {
+            let under = self.crashes_under(*subject);
+            let last = under.last().map(|(crash, _)| crash.at + SETTLE_TIME)?;
+            (under.len() > 1).then_some(last)
+        });
+        times.max().filter(|at| *at > now)
+    }
+
+    /// Records that `run` broke at `now` as `upstream` crashed. Other hosts will be told.
+    pub fn report_crash(&mut self, upstream: UpstreamIncarnation, run: CrashedRun, now: Instant) {
+        self.add_crash(upstream, now, vec![run]);
+        self.news.push(NewsItem::Crash(upstream), now);
+    }
+
+    /// Records that a request with `subjects` got a part of an answer at `now`. Other hosts will be
+    /// told of those that were at a crash.
+    pub fn report_sound(&mut self, subjects: &[CrashSubject], now: Instant) {
+        for subject in subjects {
+            if self.is_suspect(*subject) {
+                self.news.push(NewsItem::Sound(*subject), now);
+                self.note_sound(*subject, now);
+            }
+        }
+    }
+
+    /// Claims the test of a conviction for this host. [`Self::holds_test`] tells after
+    /// 200 ms whether the host has it.
+    pub fn claim_test(&mut self, subject: CrashSubject, now: Instant) {
+        let host = self.host.clone();
+        self.add_claim(subject, &host, now);
+        self.news.push(NewsItem::Test(subject), now);
+    }
+
+    /// Whether this host may test the conviction.
+    pub fn holds_test(&self, subject: CrashSubject, now: Instant) -> bool {
+        let claim = self.claims.get(&subject);
+        claim.is_some_and(|claim| claim.host == self.host && claim.until > now)
+    }
+
+    /// Digest of all convictions; 0 without any.
+    pub fn digest(&self) -> u64 {
+        let digests = self.convictions.iter();
+        digests.fold(0, |sum, (subject, conviction)| {
+            sum ^ conviction.digest(*subject)
+        })
+    }
+
+    /// Convictions for a host that may lack some, at most 128: others than the last time if there
+    /// are more, by `draw`.
+    pub fn convictions_notice(&self, draw: usize, now: Instant) -> CrashNews {
+        let skipped = draw % self.convictions.len().max(1);
+        let all = self.convictions.iter().cycle().skip(skipped);
+        let convictions = all
+            .take(self.convictions.len().min(MAX_NOTICES))
+            .map(|(subject, conviction)| ConvictionNotice {
+                subject: *subject,
+                age_ms: age_ms(conviction.last_crash, now),
+                failed_tests: conviction.failed_tests,
+            })
+            .collect();
+        CrashNews {
+            convictions,
+            ..CrashNews::default()
+        }
+    }
+
+    /// Changes that all other hosts have to be told now; `None` without any. Also judges crashes
+    /// and forgets old ones, and so has to be called regularly.
+    pub fn take_news(&mut self, now: Instant) -> Option<CrashNews> {
+        self.judge(now);
+        self.expire(now);
+        let items = self.news.take(now);
+        let mut news = CrashNews::default();
+        for item in &items {
+            match item {
+                NewsItem::Crash(upstream) => {
+                    news.crashes.extend(self.crash_message(*upstream, now))
+                }
+                NewsItem::Sound(subject) => news.sound.extend(self.sound_notice(*subject, now)),
+                NewsItem::Test(subject) => news.tests.push(TestClaim {
+                    subject: *subject,
+                    host: self.host.clone(),
+                }),
+            }
+        }
+        (!items.is_empty()).then_some(news)
+    }
+
+    /// Applies another host's message.
+    pub fn apply(&mut self, news: CrashNews, now: Instant) {
+        for crash in news.crashes {
+            let at = earlier(now, crash.age_ms);
+            self.add_crash(crash.upstream, at, crash.runs);
+        }
+        for notice in news.sound {
+            self.note_sound(notice.subject, earlier(now, notice.age_ms));
+        }
+        for claim in news.tests {
+            self.add_claim(claim.subject, &claim.host, now);
+        }
+        for notice in news.convictions {
+            self.merge_conviction(notice, now);
+        }
+    }
+
+    fn crash_message(&self, upstream: UpstreamIncarnation, now: Instant) -> Option<UpstreamCrash> {
+        let mut crashes = self.crashes.iter();
+        let crash = crashes.find(|crash| crash.upstream == upstream)?;
+        Some(UpstreamCrash {
+            upstream,
+            age_ms: age_ms(crash.at, now),
+            runs: crash.runs.clone(),
+        })
+    }
+
+    fn sound_notice(&self, subject: CrashSubject, now: Instant) -> Option<SoundNotice> {
+        let age_ms = age_ms(self.sound.last_seen(subject)?, now);
+        Some(SoundNotice { subject, age_ms })
+    }
+
+    fn add_crash(&mut self, upstream: UpstreamIncarnation, at: Instant, runs: Vec<CrashedRun>) {
+        for subject in runs.iter().flat_map(CrashedRun::subjects) {
+            if let Some(conviction) = self.convictions.get_mut(&subject) {
+                conviction.record_crash(at);
+            }
+        }
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|crash| crash.upstream == upstream);
+        let Some(crash) = known else {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            let mut runs = runs;
+            runs.truncate(MAX_RUNS);
+            return self.crashes.push_back(CrashRecord {
+                upstream,
+                at,
+                runs,
+                is_judged: false,
+            });
+        };
+        for run in runs {
+            let is_known = crash.runs.iter().any(|known| known.request == run.request);
+            if !is_known && crash.runs.len() < MAX_RUNS {
+                crash.runs.push(run);
+                crash.is_judged = false;
+            }
+        }
+    }
+
+    fn note_sound(&mut self, subject: CrashSubject, at: Instant) {
+        self.sound.record(subject, at);
+        let conviction = self.convictions.get(&subject);
+        if conviction.is_some_and(|conviction| conviction.last_crash < at) {
+            self.convictions.remove(&subject);
+            self.claims.remove(&subject);
+            self.decisions.push(CrashDecision::Released(subject));
+        }
+        // Without this subject, others may stand out at the crashes that it was at.
+        for crash in &mut self.crashes {
+            if crash.waited(subject).is_some() {
+                crash.is_judged = false;
+            }
+        }
+    }
+
+    /// Among hosts that claim the same test at the same time, the one with the lowest name has it.
+    fn add_claim(&mut self, subject: CrashSubject, host: &str, now: Instant) {
+        let known = self.claims.get(&subject);
+        let has_priority = known.is_some_and(|claim| claim.until > now && *claim.host <= *host);
+        if !has_priority && self.convictions.contains_key(&subject) {
+            let claim = ClaimRecord {
+                host: host.to_owned(),
+                until: now + TEST_TIME,
+            };
+            self.claims.insert(subject, claim);
+        }
+    }
+
+    fn merge_conviction(&mut self, notice: ConvictionNotice, now: Instant) {
+        let other = Conviction {
+            last_crash: earlier(now, notice.age_ms),
+            failed_tests: notice.failed_tests,
+        };
+        if self.sound.last_seen(notice.subject) > Some(other.last_crash) {
+            return self.news.push(NewsItem::Sound(notice.subject), now);
+        }
+        match self.convictions.get_mut(&notice.subject) {
+            Some(known) => known.merge(other),
+            None => {
+                self.insert_conviction(notice.subject, other);
+                let decision = CrashDecision::Learned(notice.subject);
+                self.decisions.push(decision);
+            }
+        }
+    }
+
+    fn insert_conviction(&mut self, subject: CrashSubject, conviction: Conviction) {
+        if self.convictions.len() >= MAX_CONVICTIONS {
+            let crashes = self.convictions.iter();
+            let oldest = crashes.min_by_key(|(subject, known)| (known.last_crash, **subject));
+            if let Some(oldest) = oldest.map(|(subject, _)| *subject) {
+                self.convictions.remove(&oldest);
+            }
+        }
+        self.convictions.insert(subject, conviction);
+    }
+
+    /// Whether something is held against `subject`.
+    fn is_suspect(&self, subject: CrashSubject) -> bool {
+        self.convictions.contains_key(&subject) || !self.crashes_under(subject).is_empty()
+    }
+
+    /// Crashes with `subject` since it was last sound, and how long it had waited there, but for those
+    /// that another conviction explains; by time.
+    fn crashes_under(&self, subject: CrashSubject) -> Vec<(&CrashRecord, Duration)> {
+        let sound_at = self.sound.last_seen(subject);
+        let crashes = self.crashes.iter();
+        let under = crashes
+            .filter(|crash| sound_at.is_none_or(|at| crash.at > at))
+            .filter_map(|crash| Some((crash, crash.waited(subject)?)))
+            .filter(|(crash, _)| !self.is_explained(crash, subject));
+        let mut under: Vec<_> = under.collect();
+        under.sort_by_key(|(crash, _)| crash.at);
+        under
+    }
+
+    /// Whether the crash is the work of a convicted subject other than `but`.
+    fn is_explained(&self, crash: &CrashRecord, but: CrashSubject) -> bool {
+        !self.convictions.is_empty()
+            && crash
+                .subjects()
+                .any(|subject| subject != but && self.convictions.contains_key(&subject))
+    }
+
+    /// Convicts the subjects that the crashes prove guilty.
+    fn judge(&mut self, now: Instant) {
+        let is_due = |crash: &CrashRecord| !crash.is_judged && now >= crash.at + SETTLE_TIME;
+        let due = self.crashes.iter().filter(|crash| is_due(crash));
+        let mut subjects: Vec<CrashSubject> = due.flat_map(CrashRecord::subjects).collect();
+        if subjects.is_empty() {
+            return;
+        }
+        subjects.sort_unstable();
+        subjects.dedup();
+        for crash in &mut self.crashes {
+            crash.is_judged |= now >= crash.at + SETTLE_TIME;
+        }
+        for subject in subjects {
+            if self.convictions.contains_key(&subject) {
+                continue;
+            }
+            if let Some((conviction, decision)) = self.judge_subject(subject, now) {
+                self.insert_conviction(subject, conviction);
+                self.decisions.push(decision);
+            }
+        }
+    }
+
+    fn judge_subject(
+        &self,
+        subject: CrashSubject,
+        now: Instant,
+    ) -> Option<(Conviction, CrashDecision)> {
+        let under = self.crashes_under(subject);
+        let (last, _) = under.last()?;
+        if now < last.at + SETTLE_TIME || self.has_rival(subject, &under) {
+            return None;
+        }
+        let others = self.other_crashes(subject, last.at);
+        let waits: Vec<Duration> = under.iter().map(|(_, waited)| *waited).collect();
+        let conviction = Conviction {
+            last_crash: last.at,
+            failed_tests: 0,
+        };
+        let decision = CrashDecision::Convicted {
+            subject,
+            crashes: waits.len(),
+            others,
+        };
+        exceeds_chance(&waits, others, self.upstreams).then_some((conviction, decision))
+    }
+
+    /// Whether another request was at all of the crashes too, so that either may be the cause.
+    fn has_rival(&self, subject: CrashSubject, under: &[(&CrashRecord, Duration)]) -> bool {
+        let Some((first, _)) = under.first() else {
+            return false;
+        };
+        first.subjects().any(|other| {
+            let was_at_all = under.iter().all(|(crash, _)| crash.waited(other).is_some());
+            other != subject && was_at_all && self.sound.last_seen(other) <= Some(first.at)
+        })
+    }
+
+    /// Number of crashes within [`RATE_WINDOW`] before `at` that neither `subject` nor a conviction
+    /// explains.
+    fn other_crashes(&self, subject: CrashSubject, at: Instant) -> usize {
+        let is_recent = |crash: &&CrashRecord| crash.at <= at && crash.at + RATE_WINDOW >= at;
+        let recent = self.crashes.iter().filter(is_recent);
+        let others = recent
+            .filter(|crash| crash.waited(subject).is_none() && !self.is_explained(crash, subject));
+        others.count()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(crash) = self.crashes.front()
+            && now.saturating_duration_since(crash.at) >= CRASH_TIME
+        {
+            self.crashes.pop_front();
+        }
+        self.claims.retain(|_, claim| claim.until > now);
+        self.convictions
+            .retain(|_, known| now.saturating_duration_since(known.last_crash) < CONVICTION_TIME);
+    }
+}
+
+fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
+
+fn earlier(now: Instant, age_ms: u32) -> Instant {
+    let age = Duration::from_millis(u64::from(age_ms));
+    now.checked_sub(age).unwrap_or(now)
+}
--- a/lib/tests/opaque/mod.rs
+++ b/lib/tests/opaque/mod.rs
@@ -71,6 +71,25 @@
     }
 }
 
+/// Lets the hosts of `relays` exchange what they know of crashes until the task is aborted.
+pub(crate) fn spawn_crash_exchange(relays: Vec<RequestRelay>) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            for (sender, relay) in relays.iter().enumerate() {
+                let Some(news) = relay.crashes().take_news() else {
+                    continue;
+                };
+                let others = relays.iter().enumerate();
+                for (_, other) in others.filter(|(number, _)| *number != sender) {
+                    let upstreams = other.balancer().state().upstream_count();
+                    other.crashes().apply(news.clone(), upstreams);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+}
+
 pub(crate) fn new_relay(
     host: &str,
     wire: Arc<dyn UpstreamTransport>,
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -177,6 +177,7 @@
                 loads: host.balancer.own_loads(now),
                 leaving: Vec::new(),
                 waiting: host.balancer.own_waiting(now),
+                convictions: 0,
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -96,6 +96,7 @@
         loads: loads.collect(),
         leaving: Vec::new(),
         waiting: Vec::new(),
+        convictions: 0,
     }
 }
 
@@ -499,6 +500,7 @@
                 loads: self.balancers[host].own_loads(now),
                 leaving: Vec::new(),
                 waiting: Vec::new(),
+                convictions: 0,
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -56,6 +56,7 @@
         online: 12,
         retry_ms: 500,
         version: 3,
+        subject: None,
     }
 }
 
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -136,7 +136,7 @@
         transport.set(name, OpaqueBehaviour::Full);
     }
     let answer = relay.relay(request("r1", route(UNRESUMABLE, 1))).await;
-    assert!(matches!(answer, RelayAnswer::Refused { retry_after } if !retry_after.is_zero()));
+    assert!(matches!(answer, RelayAnswer::Refused { retry_after, .. } if !retry_after.is_zero()));
     assert!(transport.runs("r1").is_empty());
 
     for behaviour in [OpaqueBehaviour::LosesAnswers, OpaqueBehaviour::Unsigned] {
@@ -228,7 +228,7 @@
                 .relay(request(&format!("r{number}"), route(UNRESUMABLE, 1)))
                 .await;
             match answer {
-                RelayAnswer::Refused { retry_after } => Err(retry_after),
+                RelayAnswer::Refused { retry_after, .. } => Err(retry_after),
                 answer => Ok(read_stream(answer).await),
             }
         }));
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -366,6 +366,11 @@
             }),
         }
     }
+
+    async fn refuses_connections(&self, to: &UpstreamChoice) -> bool {
+        let state = self.lock();
+        state.behaviour(to.id.as_str()) == OpaqueBehaviour::Unreachable
+    }
 }
 
 /// Counts an execution at an upstream until it is dropped with the answer's body.
