suspects: convict parts of prompts that crash upstreams

Cause: what is convicted is a request, and each of these is new: two crashes of its own come before anything is held against it. Class: memory under a key that is too narrow for the cause.

The parts of a prompt that others may share (all but the last) are now suspects beside the request. A part is judged by one crash of each request; of two explanations the narrower one holds (the request rather than its parts, the later one of two parts that come together). What has got an answer since the first crash is cleared, and a host that knows it tells the others if it was at several crashes, in an order that keeps the messages few.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -209,8 +209,8 @@
     }
 
     fn apply_news(&self, news: CrashNews) {
-        let upstreams = self.balancer.state().upstream_count();
-        self.crashes.apply(news, upstreams);
+        let fleet = self.balancer.state().fleet_size();
+        self.crashes.apply(news, fleet);
     }
 
     /// Sends this host's convictions to the host that sent `report`, if that knows others.
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -41,6 +41,7 @@
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
 use crate::ids::WorkClass;
+use crate::suspects::FleetSize;
 
 /// Number of reporting hosts from which each request chooses among a random sample of the
 /// upstreams.
@@ -369,9 +370,12 @@
         self.keys_by_id.keys()
     }
 
-    /// Number of registered upstreams of all services.
-    pub fn upstream_count(&self) -> usize {
-        self.keys_by_id.len()
+    /// Numbers of hosts and of registered upstreams of all services.
+    pub fn fleet_size(&self) -> FleetSize {
+        FleetSize {
+            hosts: self.tracker.hosts(),
+            upstreams: self.keys_by_id.len(),
+        }
     }
 
     /// Number of upstreams of `service` that accept requests, ejected ones included.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -181,10 +181,12 @@
         digest: String,
         /// Time in milliseconds that the request had waited there.
         waited_ms: u64,
+        /// Parts of its prompt that other requests may share; they are suspects too.
+        parts: Vec<String>,
     },
     /// Requests with this subject are refused from now on, as they crash upstreams.
     SubjectConvicted {
-        /// What is convicted: the digest of a request.
+        /// What is convicted: the digest of a request, or `part-` and that of a part of a prompt.
         subject: String,
         /// Number of crashes under it; absent if another host found out.
         crashes: Option<usize>,
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -450,5 +450,6 @@
         received: now,
         deadline: now + RUN_TIMEOUT,
         resume_after: dispatch.progress.last_id,
+        prompt_parts: Vec::new(),
     }
 }
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -226,7 +226,7 @@
                 self.open = Some(open_stream(permit, answer.body, sent));
                 match self.read_event().await {
                     StreamRead::Event(event) => {
-                        self.witness.report_sound();
+                        self.witness.report_sound(sent);
                         self.first_step = Some(StreamStep::Event(event));
                     }
                     StreamRead::End => self.first_step = Some(StreamStep::End),
@@ -245,7 +245,7 @@
             }
             match self.read_whole(permit, answer, sent).await? {
                 Some(body) => {
-                    self.witness.report_sound();
+                    self.witness.report_sound(sent);
                     return Ok(OpenedAnswer::Whole {
                         status,
                         headers,
@@ -373,6 +373,8 @@
             Ok(Ok(answer)) => self.check_head(permit, answer, now),
             Ok(Err(SendError::NotSent(cause))) => {
                 let fault = UpstreamFault::Unreachable;
+                let crashes = self.relay.crashes();
+                crashes.report_unreachable(permit.choice.incarnation);
                 self.record_fault(&permit, now, fault, &cause, false);
                 AttemptOutcome::Retry
             }
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -35,6 +35,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Parts of the prompt that other requests may share, in their order; empty if not known.
+    pub prompt_parts: Vec<Fingerprint>,
     /// When the relay received the request; latencies in the log count from here.
     pub received: Instant,
     /// When the request is given up, by the caller's deadline or the route's time-out.
@@ -53,6 +55,13 @@
 
     /// Everything about the request that may crash an upstream.
     pub(crate) fn crash_subjects(&self) -> Vec<CrashSubject> {
-        vec![CrashSubject::Request(self.fingerprint())]
+        let mut subjects = vec![CrashSubject::Request(self.fingerprint())];
+        subjects.extend(self.part_subjects());
+        subjects
+    }
+
+    /// The shared parts of the prompt, each of which may crash an upstream.
+    pub(crate) fn part_subjects(&self) -> impl Iterator<Item = CrashSubject> {
+        self.prompt_parts.iter().copied().map(CrashSubject::Part)
     }
 }
--- a/lib/src/relay/witness.rs
+++ b/lib/src/relay/witness.rs
@@ -51,27 +51,33 @@
         {
             return;
         }
-        let run = CrashedRun {
-            request: self.request.fingerprint(),
-            waited_ms: waited.as_millis() as u32,
-        };
+        let fingerprint = self.request.fingerprint();
+        let run = CrashedRun::new(fingerprint, &self.request.prompt_parts, waited);
         self.relay.log().write(LogEvent::UpstreamCrashed {
             upstream: choice.id.to_string(),
             request: self.request.id.to_string(),
             digest: run.request.to_hex(),
             waited_ms: u64::from(run.waited_ms),
+            parts: self
+                .request
+                .part_subjects()
+                .map(|part| part.to_string())
+                .collect(),
         });
-        let upstreams = self.relay.balancer().state().upstream_count();
+        let fleet = self.relay.balancer().state().fleet_size();
         let crashes = self.relay.crashes();
-        crashes.report_crash(choice.incarnation, run, upstreams);
+        crashes.report_crash(choice.incarnation, run, fleet);
     }
 
-    /// Reports that an upstream began to answer the request, so that the request does not crash
-    /// upstreams.
-    pub(crate) fn report_sound(&self) {
+    /// Reports that an upstream began to answer the request, which it got at `sent`, so that the
+    /// request does not crash upstreams.
+    pub(crate) fn report_sound(&self, sent: Instant) {
         if self.is_online() {
-            let subjects = || self.request.crash_subjects();
-            self.relay.crashes().report_sound(subjects);
+            let parts = self.request.part_subjects();
+            let fingerprint = || self.request.fingerprint();
+            self.relay
+                .crashes()
+                .report_sound(sent.elapsed(), parts, fingerprint);
         }
     }
 
--- a/lib/src/suspects/crash_keeper.rs
+++ b/lib/src/suspects/crash_keeper.rs
@@ -13,10 +13,12 @@
 use crate::ids::UpstreamIncarnation;
 use crate::suspects::crash::CrashSubject;
 use crate::suspects::crash::CrashedRun;
+use crate::suspects::fingerprint::Fingerprint;
 use crate::suspects::ledger::CLAIM_TIME;
 use crate::suspects::ledger::CrashDecision;
 use crate::suspects::ledger::CrashLedger;
 use crate::suspects::ledger::CrashVerdict;
+use crate::suspects::ledger::FleetSize;
 use crate::suspects::news::CrashNews;
 
 /// Why a request may not run.
@@ -99,28 +101,42 @@
         has_test
     }
 
-    /// Records that `run` broke as `upstream`, one of `upstreams`, crashed.
+    /// Records that `run` broke as `upstream` crashed, in a fleet of the size `fleet`.
     pub(crate) fn report_crash(
         &self,
         upstream: UpstreamIncarnation,
         run: CrashedRun,
-        upstreams: usize,
+        fleet: FleetSize,
     ) {
         self.with_ledger(|ledger| {
-            ledger.set_upstreams(upstreams);
+            ledger.set_fleet(fleet);
             ledger.report_crash(upstream, run, Instant::now());
         });
         self.shared.has_news.notify_one();
     }
 
-    /// Records that a request with the subjects that `subjects` computes got a part of an answer.
-    pub(crate) fn report_sound(&self, subjects: impl FnOnce() -> Vec<CrashSubject>) {
-        if self.with_ledger(|ledger| ledger.is_empty()) {
-            return;
+    /// Records that no connection to `upstream` could be opened.
+    pub(crate) fn report_unreachable(&self, upstream: UpstreamIncarnation) {
+        self.with_ledger(|ledger| ledger.report_unreachable(upstream, Instant::now()));
+    }
+
+    /// Records that a request with the shared parts `parts` and the fingerprint that `fingerprint`
+    /// computes got a part of an answer, for which it had waited for `waited`.
+    pub(crate) fn report_sound(
+        &self,
+        waited: Duration,
+        parts: impl Iterator<Item = CrashSubject>,
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) {
+        let mut subjects: Vec<CrashSubject> = parts.collect();
+        let is_empty = self.with_ledger(|ledger| ledger.is_empty());
+        if !is_empty {
+            subjects.push(CrashSubject::Request(fingerprint()));
+        }
+        self.with_ledger(|ledger| ledger.report_sound(&subjects, waited, Instant::now()));
+        if !is_empty {
+            self.shared.has_news.notify_one();
         }
-        let subjects = subjects();
-        self.with_ledger(|ledger| ledger.report_sound(&subjects, Instant::now()));
-        self.shared.has_news.notify_one();
     }
 
     /// Waits until there may be news for other hosts.
@@ -133,10 +149,10 @@
         self.with_ledger(|ledger| ledger.take_news(Instant::now()))
     }
 
-    /// Applies another host's message. `upstreams` is the number of upstreams in the fleet.
-    pub fn apply(&self, news: CrashNews, upstreams: usize) {
+    /// Applies another host's message.
+    pub fn apply(&self, news: CrashNews, fleet: FleetSize) {
         self.with_ledger(|ledger| {
-            ledger.set_upstreams(upstreams);
+            ledger.set_fleet(fleet);
             ledger.apply(news, Instant::now());
         });
     }
--- a/lib/src/suspects/fingerprint.rs
+++ b/lib/src/suspects/fingerprint.rs
@@ -11,7 +11,8 @@
 /// Members of a request body that do not change what the engine computes.
 const IGNORED_MEMBERS: [&str; 5] = ["stream", "stream_options", "user", "metadata", "store"];
 
-/// Digest of the work that a request asks of an engine; equal on all hosts and for all callers.
+/// Digest of the work that a request asks of an engine, or of a part of its prompt; equal on all
+/// hosts and for all callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint([u8; 16]);
@@ -44,6 +45,15 @@
         Self::from_hash(hash)
     }
 
+    /// Computes the digest of a part of a prompt that requests share, from its identifier.
+    pub fn prompt_part(id: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(b"prompt part");
+        hash.update([0]);
+        hash.update(id);
+        Self::from_hash(hash)
+    }
+
     fn from_hash(hash: Sha256) -> Self {
         let digest = hash.finalize();
         let mut bytes = [0; 16];
--- a/lib/src/suspects/ledger.rs
+++ b/lib/src/suspects/ledger.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::collections::HashMap;
 use crate::ids::UpstreamIncarnation;
@@ -18,6 +19,9 @@
 use crate::suspects::crash::CrashedRun;
 use crate::suspects::crash::MAX_RUNS;
 use crate::suspects::crash::UpstreamCrash;
+use crate::suspects::judgement::BURST_WINDOW;
+use crate::suspects::judgement::CrashExposure;
+use crate::suspects::judgement::MIN_CRASHES_IF_SOUND;
 use crate::suspects::judgement::RATE_WINDOW;
 use crate::suspects::judgement::exceeds_chance;
 use crate::suspects::news::CrashNews;
@@ -39,6 +43,15 @@
 const MAX_NOTICES: usize = 128;
 /// Time between the claim of a test and its begin, in which the claims of other hosts arrive.
 pub(crate) const CLAIM_TIME: Duration = Duration::from_millis(200);
+/// Step of the delays after which hosts that know a subject to be sound tell the others.
+const DEFENCE_STEP: Duration = Duration::from_millis(1);
+const MAX_DEFENCE_DELAY: Duration = Duration::from_millis(500);
+/// Time within which crashes of several upstreams count as one, as those of a rack that loses power.
+const SAME_CAUSE_TIME: Duration = Duration::from_millis(25);
+/// Assumed time to the first part of an answer before any was measured.
+const INITIAL_ANSWER_TIME: Duration = Duration::from_millis(100);
+/// One over the weight of a new value in the mean time to the first part of an answer.
+const ANSWER_TIME_WEIGHT: u32 = 16;
 /// Time for which no other host tests the same conviction after a claim.
 const TEST_TIME: Duration = Duration::from_secs(5);
 
@@ -60,6 +73,15 @@
     Testable(CrashSubject),
 }
 
+/// Size of the fleet that crashes happen in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Number of hosts.
+    pub hosts: usize,
+    /// Number of upstreams of all services.
+    pub upstreams: usize,
+}
+
 /// A change of what the host believes, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashDecision {
@@ -91,11 +113,28 @@
         self.runs.iter().flat_map(CrashedRun::subjects)
     }
 
-    /// How long a run with `subject` had waited; `None` if no such run was there.
-    fn waited(&self, subject: CrashSubject) -> Option<Duration> {
-        let mut runs = self.runs.iter();
-        let run = runs.find(|run| run.subjects().any(|other| other == subject))?;
-        Some(run.waited())
+    /// Runs with `subject`.
+    fn runs_with(&self, subject: CrashSubject) -> impl Iterator<Item = &CrashedRun> {
+        self.runs.iter().filter(move |run| run.has(subject))
+    }
+
+    /// Whether a run with `subject` was there.
+    fn has(&self, subject: CrashSubject) -> bool {
+        self.runs_with(subject).next().is_some()
+    }
+
+    /// Whether `other` was there in a run without `subject`.
+    fn has_apart(&self, other: CrashSubject, subject: CrashSubject) -> bool {
+        self.runs_with(other).any(|run| !run.has(subject))
+    }
+
+    /// Whether `earlier` precedes `later` in the prompt of each run with `later`.
+    fn always_precedes(&self, earlier: CrashSubject, later: CrashSubject) -> bool {
+        let position = |run: &CrashedRun, subject| run.subjects().position(|own| own == subject);
+        self.runs_with(later).all(|run| {
+            let earlier = position(run, earlier);
+            earlier.is_some() && earlier < position(run, later)
+        })
     }
 }
 
@@ -109,9 +148,14 @@
 #[derive(Debug)]
 pub struct CrashLedger {
     host: String,
-    upstreams: usize,
+    fleet: FleetSize,
     crashes: VecDeque<CrashRecord>,
+    /// Mean time from the dispatch of a request to the first part of its answer.
+    first_answer_time: Duration,
+    /// When requests with a subject last got a part of an answer.
     sound: RecentSubjects,
+    /// When they did so last as far as all hosts know.
+    announced: RecentSubjects,
     convictions: HashMap<CrashSubject, Conviction>,
     claims: HashMap<CrashSubject, ClaimRecord>,
     news: NewsQueue,
@@ -123,9 +167,11 @@
     pub fn new(host: &str) -> Self {
         Self {
             host: host.to_owned(),
-            upstreams: 0,
+            fleet: FleetSize::default(),
+            first_answer_time: INITIAL_ANSWER_TIME,
             crashes: VecDeque::new(),
             sound: RecentSubjects::default(),
+            announced: RecentSubjects::default(),
             convictions: HashMap::default(),
             claims: HashMap::default(),
             news: NewsQueue::default(),
@@ -133,9 +179,9 @@
         }
     }
 
-    /// Sets the number of upstreams in the fleet.
-    pub fn set_upstreams(&mut self, count: usize) {
-        self.upstreams = count;
+    /// Sets the size of the fleet.
+    pub fn set_fleet(&mut self, fleet: FleetSize) {
+        self.fleet = fleet;
     }
 
     /// Whether nothing is known against any request.
@@ -185,7 +231,7 @@
     fn unsettled_until(&self, subjects: &[CrashSubject], now: Instant) -> Option<Instant> {
         let times = subjects.iter().filter_map(|subject| {
             let under = self.crashes_under(*subject);
-            let last = under.last().map(|(crash, _)| crash.at + SETTLE_TIME)?;
+            let last = under.last().map(|crash| crash.at + SETTLE_TIME)?;
             (under.len() > 1).then_some(last)
         });
         times.max().filter(|at| *at > now)
@@ -197,14 +243,31 @@
         self.news.push(NewsItem::Crash(upstream), now);
     }
 
-    /// Records that a request with `subjects` got a part of an answer at `now`. Other hosts will be
-    /// told of those that were at a crash.
-    pub fn report_sound(&mut self, subjects: &[CrashSubject], now: Instant) {
+    /// Records that `upstream` could not be reached at `now`, which counts as a crash of unknown cause.
+    pub fn report_unreachable(&mut self, upstream: UpstreamIncarnation, now: Instant) {
+        self.add_crash(upstream, now, Vec::new());
+    }
+
+    /// Records that a request with `subjects` got a part of an answer at `now`, for which it had waited
+    /// for `waited`. Other hosts will be
+    /// told of a request that was at a crash, and of any subject that was convicted or was at several
+    /// crashes.
+    pub fn report_sound(&mut self, subjects: &[CrashSubject], waited: Duration, now: Instant) {
+        let weight = ANSWER_TIME_WEIGHT;
+        self.first_answer_time = (self.first_answer_time * (weight - 1) + waited) / weight;
         for subject in subjects {
-            if self.is_suspect(*subject) {
-                self.news.push(NewsItem::Sound(*subject), now);
+            let is_request = matches!(subject, CrashSubject::Request(_));
+            let is_convicted = self.convictions.contains_key(subject);
+            let was_at_crash = self.crashes.iter().any(|crash| crash.has(*subject));
+            if is_convicted || (is_request && was_at_crash) {
+                self.announce_sound(*subject, now);
+            }
+            if !is_request || is_convicted || was_at_crash {
                 self.note_sound(*subject, now);
             }
+            if !is_request && was_at_crash {
+                self.defend(*subject, now);
+            }
         }
     }
 
@@ -278,7 +341,11 @@
             self.add_crash(crash.upstream, at, crash.runs);
         }
         for notice in news.sound {
-            self.note_sound(notice.subject, earlier(now, notice.age_ms));
+            let at = earlier(now, notice.age_ms);
+            self.announced.record(notice.subject, at);
+            self.note_sound(notice.subject, at);
+            self.news.remove(NewsItem::Sound(notice.subject));
+            self.defend(notice.subject, now);
         }
         for claim in news.tests {
             self.add_claim(claim.subject, &claim.host, now);
@@ -319,12 +386,17 @@
             }
             let mut runs = runs;
             runs.truncate(MAX_RUNS);
-            return self.crashes.push_back(CrashRecord {
+            let subjects: Vec<CrashSubject> = runs.iter().flat_map(CrashedRun::subjects).collect();
+            self.crashes.push_back(CrashRecord {
                 upstream,
                 at,
                 runs,
                 is_judged: false,
             });
+            for subject in subjects {
+                self.defend(subject, at);
+            }
+            return;
         };
         for run in runs {
             let is_known = crash.runs.iter().any(|known| known.request == run.request);
@@ -336,6 +408,7 @@
     }
 
     fn note_sound(&mut self, subject: CrashSubject, at: Instant) {
+        let before = self.sound.last_seen(subject);
         self.sound.record(subject, at);
         let conviction = self.convictions.get(&subject);
         if conviction.is_some_and(|conviction| conviction.last_crash < at) {
@@ -345,12 +418,40 @@
         }
         // Without this subject, others may stand out at the crashes that it was at.
         for crash in &mut self.crashes {
-            if crash.waited(subject).is_some() {
+            if before <= Some(crash.at) && crash.at < at && crash.has(subject) {
                 crash.is_judged = false;
             }
         }
     }
 
+    fn announce_sound(&mut self, subject: CrashSubject, now: Instant) {
+        self.news.push(NewsItem::Sound(subject), now);
+        self.announced.record(subject, now);
+    }
+
+    /// Tells the other hosts that `subject` is sound if it was at several crashes and was sound after
+    /// the first of them, which they may not know.
+    ///
+    /// Many hosts may know it. They tell it in an order of their own, and the others keep silent
+    /// once one has.
+    fn defend(&mut self, subject: CrashSubject, now: Instant) {
+        let announced_at = self.announced.last_seen(subject);
+        let sound_at = self.sound.last_seen(subject);
+        let is_held_against = |crash: &&CrashRecord| {
+            announced_at.is_none_or(|at| crash.at > at) && crash.has(subject)
+        };
+        let mut against = self.crashes.iter().filter(is_held_against);
+        let (Some(first), Some(_)) = (against.next(), against.next()) else {
+            return;
+        };
+        let item = NewsItem::Sound(subject);
+        if sound_at > Some(first.at) && !self.news.contains(item) {
+            let hash = xxh3_64(format!("{} {subject}", self.host).as_bytes());
+            let delay = DEFENCE_STEP * (hash % self.fleet.hosts.max(1) as u64) as u32;
+            self.news.push(item, now + delay.min(MAX_DEFENCE_DELAY));
+        }
+    }
+
     /// Among hosts that claim the same test at the same time, the one with the lowest name has it.
     fn add_claim(&mut self, subject: CrashSubject, host: &str, now: Instant) {
         let known = self.claims.get(&subject);
@@ -393,31 +494,30 @@
         self.convictions.insert(subject, conviction);
     }
 
-    /// Whether something is held against `subject`.
-    fn is_suspect(&self, subject: CrashSubject) -> bool {
-        self.convictions.contains_key(&subject) || !self.crashes_under(subject).is_empty()
-    }
-
-    /// Crashes with `subject` since it was last sound, and how long it had waited there, but for those
-    /// that another conviction explains; by time.
-    fn crashes_under(&self, subject: CrashSubject) -> Vec<(&CrashRecord, Duration)> {
+    /// Crashes with `subject` since it was last sound, but for those that a conviction of another
+    /// subject explains; by time.
+    fn crashes_under(&self, subject: CrashSubject) -> Vec<&CrashRecord> {
         let sound_at = self.sound.last_seen(subject);
         let crashes = self.crashes.iter();
-        let under = crashes
+        let mut under: Vec<&CrashRecord> = crashes
             .filter(|crash| sound_at.is_none_or(|at| crash.at > at))
-            .filter_map(|crash| Some((crash, crash.waited(subject)?)))
-            .filter(|(crash, _)| !self.is_explained(crash, subject));
-        let mut under: Vec<_> = under.collect();
-        under.sort_by_key(|(crash, _)| crash.at);
+            .filter(|crash| crash.has(subject) && !self.is_explained(crash, subject))
+            .collect();
+        under.sort_by_key(|crash| crash.at);
         under
     }
 
-    /// Whether the crash is the work of a convicted subject other than `but`.
+    /// Whether the crash is the work of a convicted subject other than `but`. A request that was
+    /// convicted for a part of its prompt speaks for the part's guilt, not against it.
     fn is_explained(&self, crash: &CrashRecord, but: CrashSubject) -> bool {
+        let is_other = |subject: &CrashSubject| match subject {
+            CrashSubject::Request(_) => crash.has_apart(*subject, but),
+            CrashSubject::Part(_) => *subject != but,
+        };
         !self.convictions.is_empty()
             && crash
                 .subjects()
-                .any(|subject| subject != but && self.convictions.contains_key(&subject))
+                .any(|subject| self.convictions.contains_key(&subject) && is_other(&subject))
     }
 
     /// Convicts the subjects that the crashes prove guilty.
@@ -450,43 +550,106 @@
         now: Instant,
     ) -> Option<(Conviction, CrashDecision)> {
         let under = self.crashes_under(subject);
-        let (last, _) = under.last()?;
+        let last = under.last()?;
         if now < last.at + SETTLE_TIME || self.has_rival(subject, &under) {
             return None;
         }
-        let others = self.other_crashes(subject, last.at);
-        let waits: Vec<Duration> = under.iter().map(|(_, waited)| *waited).collect();
+        let exposures = self.exposures(subject, &under);
+        let was_sound = self.sound.last_seen(subject).is_some();
+        if was_sound && exposures.len() < MIN_CRASHES_IF_SOUND {
+            return None;
+        }
         let conviction = Conviction {
             last_crash: last.at,
             failed_tests: 0,
         };
         let decision = CrashDecision::Convicted {
             subject,
-            crashes: waits.len(),
-            others,
+            crashes: exposures.len(),
+            others: exposures.last().map_or(0, |exposure| exposure.others),
         };
-        exceeds_chance(&waits, others, self.upstreams).then_some((conviction, decision))
+        exceeds_chance(&exposures, self.fleet.upstreams).then_some((conviction, decision))
     }
 
-    /// Whether another request was at all of the crashes too, so that either may be the cause.
-    fn has_rival(&self, subject: CrashSubject, under: &[(&CrashRecord, Duration)]) -> bool {
-        let Some((first, _)) = under.first() else {
+    /// Whether something else was at all of the crashes too, so that either may be the cause.
+    ///
+    /// The narrower of two explanations holds: a request rather than the parts that nothing else
+    /// brought, and of two parts that come together the later one. What was sound after the first
+    /// crash is no rival, and what was ever sound is none for what never was.
+    fn has_rival(&self, subject: CrashSubject, under: &[&CrashRecord]) -> bool {
+        let Some(first) = under.first() else {
             return false;
         };
+        let was_sound = self.sound.last_seen(subject).is_some();
         first.subjects().any(|other| {
-            let was_at_all = under.iter().all(|(crash, _)| crash.waited(other).is_some());
-            other != subject && was_at_all && self.sound.last_seen(other) <= Some(first.at)
+            let is_narrower = match (subject, other) {
+                (CrashSubject::Request(_), _) => {
+                    !under.iter().all(|crash| crash.has_apart(other, subject))
+                }
+                (CrashSubject::Part(_), CrashSubject::Part(_)) => under
+                    .iter()
+                    .all(|crash| crash.always_precedes(other, subject)),
+                (CrashSubject::Part(_), CrashSubject::Request(_)) => false,
+            };
+            let sound_at = self.sound.last_seen(other);
+            let is_cleared = sound_at > Some(first.at) || (sound_at.is_some() && !was_sound);
+            let was_at_all = under.iter().all(|crash| crash.has(other));
+            other != subject && was_at_all && !is_narrower && !is_cleared
         })
     }
 
-    /// Number of crashes within [`RATE_WINDOW`] before `at` that neither `subject` nor a conviction
-    /// explains.
-    fn other_crashes(&self, subject: CrashSubject, at: Instant) -> usize {
-        let is_recent = |crash: &&CrashRecord| crash.at <= at && crash.at + RATE_WINDOW >= at;
-        let recent = self.crashes.iter().filter(is_recent);
-        let others = recent
-            .filter(|crash| crash.waited(subject).is_none() && !self.is_explained(crash, subject));
-        others.count()
+    /// The crash as evidence against `subject`, a run of which had waited there for `waited`.
+    fn exposure(
+        &self,
+        subject: CrashSubject,
+        crash: &CrashRecord,
+        waited: Duration,
+    ) -> CrashExposure {
+        let others = self
+            .crashes
+            .iter()
+            .filter(|other| !other.has(subject) && !self.is_explained(other, subject));
+        let mut exposure = CrashExposure {
+            risk_time: waited.max(self.first_answer_time),
+            others: 0,
+            others_near: 0,
+        };
+        for other in others {
+            let is_before = other.at <= crash.at && crash.at - other.at <= RATE_WINDOW;
+            let distance = match is_before {
+                true => crash.at - other.at,
+                false => other.at.saturating_duration_since(crash.at),
+            };
+            let is_near = distance <= BURST_WINDOW / 2;
+            exposure.others += usize::from(is_before);
+            exposure.others_near += usize::from(is_near && (is_before || other.at > crash.at));
+        }
+        exposure
+    }
+
+    /// The crashes `under` as evidence against `subject`, but for those at the same moment as another;
+    /// for a part of a prompt only one of each request, as the copies of a request prove nothing about
+    /// a part of it.
+    fn exposures(&self, subject: CrashSubject, under: &[&CrashRecord]) -> Vec<CrashExposure> {
+        let mut requests = Vec::new();
+        let mut exposures = Vec::new();
+        let mut last_at: Option<Instant> = None;
+        for crash in under {
+            if last_at.is_some_and(|at| crash.at - at < SAME_CAUSE_TIME) {
+                continue;
+            }
+            let mut runs = crash.runs_with(subject);
+            let is_new = |run: &&CrashedRun| match subject {
+                CrashSubject::Request(_) => true,
+                CrashSubject::Part(_) => !requests.contains(&run.request),
+            };
+            if let Some(run) = runs.find(is_new) {
+                last_at = Some(crash.at);
+                requests.push(run.request);
+                exposures.push(self.exposure(subject, crash, run.waited()));
+            }
+        }
+        exposures
     }
 
     fn expire(&mut self, now: Instant) {
--- a/lib/src/suspects/news.rs
+++ b/lib/src/suspects/news.rs
@@ -73,7 +73,7 @@
 #[derive(Clone, Copy, Debug)]
 struct QueuedItem {
     item: NewsItem,
-    queued_at: Instant,
+    first_send: Instant,
     sends: usize,
 }
 
@@ -84,22 +84,32 @@
 }
 
 impl NewsQueue {
-    /// Adds a change, or begins anew with one that is still queued.
-    pub(crate) fn push(&mut self, item: NewsItem, now: Instant) {
-        self.items.retain(|queued| queued.item != item);
+    /// Adds a change to be sent from `first_send` on, or begins anew with one that is still queued.
+    pub(crate) fn push(&mut self, item: NewsItem, first_send: Instant) {
+        self.remove(item);
         if self.items.len() >= MAX_QUEUED {
             self.items.pop_front();
         }
         self.items.push_back(QueuedItem {
             item,
-            queued_at: now,
+            first_send,
             sends: 0,
         });
     }
 
+    /// Whether the change is still queued.
+    pub(crate) fn contains(&self, item: NewsItem) -> bool {
+        self.items.iter().any(|queued| queued.item == item)
+    }
+
+    /// Removes a change that need not be sent any more.
+    pub(crate) fn remove(&mut self, item: NewsItem) {
+        self.items.retain(|queued| queued.item != item);
+    }
+
     /// Takes the changes that are due for the next message.
     pub(crate) fn take(&mut self, now: Instant) -> Vec<NewsItem> {
-        let is_due = |queued: &&mut QueuedItem| now >= queued.queued_at + SEND_TIMES[queued.sends];
+        let is_due = |queued: &&mut QueuedItem| now >= queued.first_send + SEND_TIMES[queued.sends];
         let due = self.items.iter_mut().filter(is_due).take(MAX_SENT);
         let taken = due
             .map(|queued| {
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -20,6 +20,7 @@
 use parsleywall::relay::UpstreamAnswer;
 use parsleywall::relay::UpstreamBody;
 use parsleywall::relay::UpstreamTransport;
+use parsleywall::suspects::Fingerprint;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -84,6 +85,8 @@
     behaviours: HashMap<String, OpaqueBehaviour>,
     /// Bodies of the requests that crash the upstreams that run them.
     deadly_bodies: Vec<Bytes>,
+    /// Parts of prompts that crash the upstreams that run requests with them.
+    deadly_parts: Vec<Fingerprint>,
     crashes: HashMap<String, CrashState>,
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
@@ -122,9 +125,16 @@
         self.lock().deadly_bodies.push(body.clone());
     }
 
+    /// Lets requests with this part of a prompt crash each upstream that begins to run them.
+    pub fn set_deadly_part(&self, part: Fingerprint) {
+        self.lock().deadly_parts.push(part);
+    }
+
     /// Lets all requests succeed again.
     pub fn clear_deadly(&self) {
-        self.lock().deadly_bodies.clear();
+        let mut state = self.lock();
+        state.deadly_bodies.clear();
+        state.deadly_parts.clear();
     }
 
     /// Crashes `upstream`: all its connections break, and it refuses new ones until it has
@@ -219,7 +229,7 @@
         let guard = ExecutionGuard::new(self.state.clone(), to.id.to_string());
         let begin = options.resume_after.unwrap_or(0) + 1;
         let (last, first, gap) = (self.events, self.first, self.gap);
-        let is_deadly = self.lock().deadly_bodies.contains(&request.body);
+        let is_deadly = self.lock().is_deadly(request);
         let request = request.id.to_string();
         let watcher = CrashWatcher::new(self, to.id.as_str());
         let events = stream::unfold((begin, guard), move |(id, guard)| {
@@ -269,6 +279,12 @@
         crash.is_some_and(|crash| Instant::now() < crash.back_at)
     }
 
+    fn is_deadly(&self, request: &RelayRequest) -> bool {
+        let mut parts = request.prompt_parts.iter();
+        self.deadly_bodies.contains(&request.body)
+            || parts.any(|part| self.deadly_parts.contains(part))
+    }
+
     fn behaviour(&self, upstream: &str) -> OpaqueBehaviour {
         if self.is_down(upstream) {
             return OpaqueBehaviour::Unreachable;
