jobs: test that items under which upstreams crashed are done

A report of other operators: items that were running while several upstreams crashed were never placed again. It does not happen here: 72 crashes under nine items, all done afterwards, nobody convicted.

--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -603,6 +603,29 @@
     assert_eq!(resumes, [None, Some(20), Some(40)]);
 }
 
+/// Upstreams crash again and again while they run the same items. The items are still owed, and are
+/// done once the upstreams stay.
+#[tokio::test(start_paused = true)]
+async fn test_items_under_which_upstreams_crashed_are_done() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    assert_eq!(
+        host.keeper.submit(job("j1", 9)).await,
+        SubmitOutcome::Accepted
+    );
+    for round in 0..24 {
+        for upstream in UPSTREAMS {
+            fleet.transport.crash(upstream);
+        }
+        let pause = if round % 8 == 7 { 3_100 } else { 130 };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    assert_eq!(fleet.transport.crashes(), 72);
+    let page = read_all(&host, "j1").await;
+    assert_complete(&fleet.transport, &page);
+    assert_eq!(host.relay.crashes().convictions(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_items_are_preempted_by_online_work_and_resume() {
     use parsleywall::ids::ServiceName;
