jobs: send items that were refused before on new connections

A report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run though it had. Answers on kept connections count only if they name the request, and each online attempt has an identifier of its own, so that it can't happen to them. A batch item keeps its identifier: refused, and sent again over the same connection, it would take the duplicate for its answer, run again elsewhere while the upstream works on it, and leave that answer to the next request on the connection.

Test: test_duplicate_of_a_refusal_reaches_no_later_run_of_the_item, failed before (the second run at an upstream that had refused the item reused a connection).

--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -94,6 +94,8 @@
     progress: ItemProgress,
     failures: u32,
     backoff_steps: u32,
+    /// Whether an upstream may have refused the item before.
+    was_unplaced: bool,
     not_before: Option<Instant>,
     result: Option<JobResult>,
 }
@@ -141,6 +143,8 @@
     pub(crate) index: usize,
     pub(crate) progress: ItemProgress,
     pub(crate) urgency: ItemUrgency,
+    /// Whether an upstream may have refused the item before.
+    pub(crate) was_unplaced: bool,
 }
 
 /// Waiting items of one job that are equally urgent.
@@ -185,6 +189,7 @@
             progress: ItemProgress::default(),
             failures: 0,
             backoff_steps: 0,
+            was_unplaced: false,
             not_before: None,
             result: None,
         });
@@ -309,6 +314,7 @@
             spec: job.spec.clone(),
             index,
             urgency: self.urgency(job, progress.events, now_ms),
+            was_unplaced: job.owned_items[index].was_unplaced,
             progress,
         })
     }
@@ -379,6 +385,7 @@
         if owned_item.state != ItemState::Running {
             return Some(owned_item.state);
         }
+        owned_item.was_unplaced |= matches!(outcome, ItemOutcome::Unplaced(_));
         let result = match outcome {
             ItemOutcome::Done(progress) => Some((ResultState::Done, progress)),
             ItemOutcome::Impossible => Some((ResultState::DeadLetter, ItemProgress::default())),
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -161,6 +161,7 @@
     last_event_id: Option<u64>,
     excluded: Vec<BalancerKey>,
     reserved: Option<SlotPermit>,
+    may_reuse: bool,
     witness: CrashWitness,
     /// Upstream of the latest attempt.
     upstream: Option<UpstreamId>,
@@ -183,6 +184,7 @@
             last_event_id,
             excluded: Vec::new(),
             reserved: None,
+            may_reuse: true,
             witness,
             upstream: None,
             heard_at: Instant::now(),
@@ -197,6 +199,13 @@
         self
     }
 
+    /// Sends the request on new connections only. A request that was refused under the same identifier
+    /// before needs them: on a pooled connection, a duplicate of the refusal would pass for the answer.
+    pub fn with_new_connections(mut self) -> Self {
+        self.may_reuse = false;
+        self
+    }
+
     /// Progress of the dispatch so far.
     pub fn state(&self) -> DispatchState {
         DispatchState {
@@ -362,7 +371,7 @@
         let options = SendOptions {
             budget,
             resume_after: self.last_event_id,
-            reuse: self.policy.is_retryable && self.runs == 0,
+            reuse: self.may_reuse && self.policy.is_retryable && self.runs == 0,
         };
         let wait = self.head_wait(&permit).min(budget);
         let answer = self
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -603,6 +603,34 @@
     assert_eq!(resumes, [None, Some(20), Some(40)]);
 }
 
+/// An upstream may send a refusal again on a connection that is kept. An item that was refused keeps its
+/// identifier, so that it must not be sent on such a connection again.
+#[tokio::test(start_paused = true)]
+async fn test_duplicate_of_a_refusal_reaches_no_later_run_of_the_item() {
+    let mut fleet = JobFleet::new();
+    for upstream in UPSTREAMS {
+        fleet.transport.set(upstream, OpaqueBehaviour::Full);
+    }
+    let host = fleet.host("host-a").await;
+    host.keeper.submit(job("j1", 1)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for upstream in UPSTREAMS {
+        fleet.transport.set(upstream, OpaqueBehaviour::Serves);
+    }
+    assert_complete(&fleet.transport, &read_all(&host, "j1").await);
+    let attempts = fleet.transport.attempts();
+    let (first, later) = attempts.split_first().unwrap();
+    assert!(first.reuse && !first.ran && later.len() > 1);
+    let mut seen = vec![first.upstream.clone()];
+    for attempt in later {
+        assert!(
+            !attempt.reuse || !seen.contains(&attempt.upstream),
+            "{attempt:?}"
+        );
+        seen.push(attempt.upstream.clone());
+    }
+}
+
 /// Upstreams crash again and again while they run the same items. The items are still owed, and are
 /// done once the upstreams stay.
 #[tokio::test(start_paused = true)]
