suspects: tell a second crash of an upstream from the first, evidence apart from the ledger

A test failed once: copies of a convicted request that was due for a test crashed two upstreams in place of one. The upstream of the test had crashed 20 s before and had the same identity and start time, so that the crash passed for the old one, and the other hosts, told of the old time, tested once more. Reports about one upstream are now about the same crash only within a second.

The questions that are asked of crashes (which of them count, what else explains them) moved to a unit of their own, and trace --id shows the crashes for which a request was refused.

--- a/lib/src/suspects/ledger.rs
+++ b/lib/src/suspects/ledger.rs
@@ -19,8 +19,8 @@
 use crate::suspects::crash::CrashedRun;
 use crate::suspects::crash::MAX_RUNS;
 use crate::suspects::crash::UpstreamCrash;
-use crate::suspects::judgement::BURST_WINDOW;
-use crate::suspects::judgement::CrashExposure;
+use crate::suspects::evidence::CrashEvidence;
+use crate::suspects::evidence::CrashRecord;
 use crate::suspects::judgement::MIN_CRASHES_IF_SOUND;
 use crate::suspects::judgement::RATE_WINDOW;
 use crate::suspects::judgement::exceeds_chance;
@@ -33,6 +33,9 @@
 
 /// Time after a crash in which other hosts report their runs there; it is not judged before.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Time within which reports about an upstream are about the same crash. An upstream may restart without
+/// a new start time in its entry, or before the entry is known.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// Time for which crashes are remembered.
 const CRASH_TIME: Duration = Duration::from_secs(120);
 /// Most crashes that are remembered; the oldest ones are dropped beyond that.
@@ -46,8 +49,6 @@
 /// Step of the delays after which hosts that know a subject to be sound tell the others.
 const DEFENCE_STEP: Duration = Duration::from_millis(1);
 const MAX_DEFENCE_DELAY: Duration = Duration::from_millis(500);
-/// Time within which crashes of several upstreams count as one, as those of a rack that loses power.
-const SAME_CAUSE_TIME: Duration = Duration::from_millis(25);
 /// Assumed time to the first part of an answer before any was measured.
 const INITIAL_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// One over the weight of a new value in the mean time to the first part of an answer.
@@ -100,44 +101,6 @@
     Released(CrashSubject),
 }
 
-#[derive(Debug)]
-struct CrashRecord {
-    upstream: UpstreamIncarnation,
-    at: Instant,
-    runs: Vec<CrashedRun>,
-    is_judged: bool,
-}
-
-impl CrashRecord {
-    fn subjects(&self) -> impl Iterator<Item = CrashSubject> {
-        self.runs.iter().flat_map(CrashedRun::subjects)
-    }
-
-    /// Runs with `subject`.
-    fn runs_with(&self, subject: CrashSubject) -> impl Iterator<Item = &CrashedRun> {
-        self.runs.iter().filter(move |run| run.has(subject))
-    }
-
-    /// Whether a run with `subject` was there.
-    fn has(&self, subject: CrashSubject) -> bool {
-        self.runs_with(subject).next().is_some()
-    }
-
-    /// Whether `other` was there in a run without `subject`.
-    fn has_apart(&self, other: CrashSubject, subject: CrashSubject) -> bool {
-        self.runs_with(other).any(|run| !run.has(subject))
-    }
-
-    /// Whether `earlier` precedes `later` in the prompt of each run with `later`.
-    fn always_precedes(&self, earlier: CrashSubject, later: CrashSubject) -> bool {
-        let position = |run: &CrashedRun, subject| run.subjects().position(|own| own == subject);
-        self.runs_with(later).all(|run| {
-            let earlier = position(run, earlier);
-            earlier.is_some() && earlier < position(run, later)
-        })
-    }
-}
-
 #[derive(Debug)]
 struct ClaimRecord {
     host: String,
@@ -230,7 +193,7 @@
     /// all are judged.
     fn unsettled_until(&self, subjects: &[CrashSubject], now: Instant) -> Option<Instant> {
         let times = subjects.iter().filter_map(|subject| {
-            let under = self.crashes_under(*subject);
+            let under = self.evidence().crashes_under(*subject);
             let last = under.last().map(|crash| crash.at + SETTLE_TIME)?;
             (under.len() > 1).then_some(last)
         });
@@ -245,13 +208,18 @@
 
     /// Records that `upstream` could not be reached at `now`, which counts as a crash of unknown cause.
     pub fn report_unreachable(&mut self, upstream: UpstreamIncarnation, now: Instant) {
-        self.add_crash(upstream, now, Vec::new());
+        let mut crashes = self.crashes.iter();
+        let is_known = crashes.any(|crash| {
+            crash.upstream == upstream && now.saturating_duration_since(crash.at) < RATE_WINDOW
+        });
+        if !is_known {
+            self.add_crash(upstream, now, Vec::new());
+        }
     }
 
     /// Records that a request with `subjects` got a part of an answer at `now`, for which it had waited
-    /// for `waited`. Other hosts will be
-    /// told of a request that was at a crash, and of any subject that was convicted or was at several
-    /// crashes.
+    /// for `waited`. Other hosts will be told of a request that was at a crash, and of any subject that
+    /// was convicted or was at several crashes.
     pub fn report_sound(&mut self, subjects: &[CrashSubject], waited: Duration, now: Instant) {
         let weight = ANSWER_TIME_WEIGHT;
         self.first_answer_time = (self.first_answer_time * (weight - 1) + waited) / weight;
@@ -357,7 +325,7 @@
 
     fn crash_message(&self, upstream: UpstreamIncarnation, now: Instant) -> Option<UpstreamCrash> {
         let mut crashes = self.crashes.iter();
-        let crash = crashes.find(|crash| crash.upstream == upstream)?;
+        let crash = crashes.rfind(|crash| crash.upstream == upstream)?;
         Some(UpstreamCrash {
             upstream,
             age_ms: age_ms(crash.at, now),
@@ -376,11 +344,11 @@
                 conviction.record_crash(at);
             }
         }
-        let known = self
-            .crashes
-            .iter_mut()
-            .find(|crash| crash.upstream == upstream);
-        let Some(crash) = known else {
+        let is_same = |crash: &&mut CrashRecord| {
+            let apart = crash.at.max(at) - crash.at.min(at);
+            crash.upstream == upstream && apart < SAME_CRASH_TIME
+        };
+        let Some(crash) = self.crashes.iter_mut().find(is_same) else {
             if self.crashes.len() >= MAX_CRASHES {
                 self.crashes.pop_front();
             }
@@ -494,32 +462,6 @@
         self.convictions.insert(subject, conviction);
     }
 
-    /// Crashes with `subject` since it was last sound, but for those that a conviction of another
-    /// subject explains; by time.
-    fn crashes_under(&self, subject: CrashSubject) -> Vec<&CrashRecord> {
-        let sound_at = self.sound.last_seen(subject);
-        let crashes = self.crashes.iter();
-        let mut under: Vec<&CrashRecord> = crashes
-            .filter(|crash| sound_at.is_none_or(|at| crash.at > at))
-            .filter(|crash| crash.has(subject) && !self.is_explained(crash, subject))
-            .collect();
-        under.sort_by_key(|crash| crash.at);
-        under
-    }
-
-    /// Whether the crash is the work of a convicted subject other than `but`. A request that was
-    /// convicted for a part of its prompt speaks for the part's guilt, not against it.
-    fn is_explained(&self, crash: &CrashRecord, but: CrashSubject) -> bool {
-        let is_other = |subject: &CrashSubject| match subject {
-            CrashSubject::Request(_) => crash.has_apart(*subject, but),
-            CrashSubject::Part(_) => *subject != but,
-        };
-        !self.convictions.is_empty()
-            && crash
-                .subjects()
-                .any(|subject| self.convictions.contains_key(&subject) && is_other(&subject))
-    }
-
     /// Convicts the subjects that the crashes prove guilty.
     fn judge(&mut self, now: Instant) {
         let is_due = |crash: &CrashRecord| !crash.is_judged && now >= crash.at + SETTLE_TIME;
@@ -544,17 +486,27 @@
         }
     }
 
+    fn evidence(&self) -> CrashEvidence<'_> {
+        CrashEvidence {
+            crashes: &self.crashes,
+            sound: &self.sound,
+            convictions: &self.convictions,
+            first_answer_time: self.first_answer_time,
+        }
+    }
+
     fn judge_subject(
         &self,
         subject: CrashSubject,
         now: Instant,
     ) -> Option<(Conviction, CrashDecision)> {
-        let under = self.crashes_under(subject);
+        let evidence = self.evidence();
+        let under = evidence.crashes_under(subject);
         let last = under.last()?;
-        if now < last.at + SETTLE_TIME || self.has_rival(subject, &under) {
+        if now < last.at + SETTLE_TIME || evidence.has_rival(subject, &under) {
             return None;
         }
-        let exposures = self.exposures(subject, &under);
+        let exposures = evidence.exposures(subject, &under);
         let was_sound = self.sound.last_seen(subject).is_some();
         if was_sound && exposures.len() < MIN_CRASHES_IF_SOUND {
             return None;
@@ -571,87 +523,6 @@
         exceeds_chance(&exposures, self.fleet.upstreams).then_some((conviction, decision))
     }
 
-    /// Whether something else was at all of the crashes too, so that either may be the cause.
-    ///
-    /// The narrower of two explanations holds: a request rather than the parts that nothing else
-    /// brought, and of two parts that come together the later one. What was sound after the first
-    /// crash is no rival, and what was ever sound is none for what never was.
-    fn has_rival(&self, subject: CrashSubject, under: &[&CrashRecord]) -> bool {
-        let Some(first) = under.first() else {
-            return false;
-        };
-        let was_sound = self.sound.last_seen(subject).is_some();
-        first.subjects().any(|other| {
-            let is_narrower = match (subject, other) {
-                (CrashSubject::Request(_), _) => {
-                    !under.iter().all(|crash| crash.has_apart(other, subject))
-                }
-                (CrashSubject::Part(_), CrashSubject::Part(_)) => under
-                    .iter()
-                    .all(|crash| crash.always_precedes(other, subject)),
-                (CrashSubject::Part(_), CrashSubject::Request(_)) => false,
-            };
-            let sound_at = self.sound.last_seen(other);
-            let is_cleared = sound_at > Some(first.at) || (sound_at.is_some() && !was_sound);
-            let was_at_all = under.iter().all(|crash| crash.has(other));
-            other != subject && was_at_all && !is_narrower && !is_cleared
-        })
-    }
-
-    /// The crash as evidence against `subject`, a run of which had waited there for `waited`.
-    fn exposure(
-        &self,
-        subject: CrashSubject,
-        crash: &CrashRecord,
-        waited: Duration,
-    ) -> CrashExposure {
-        let others = self
-            .crashes
-            .iter()
-            .filter(|other| !other.has(subject) && !self.is_explained(other, subject));
-        let mut exposure = CrashExposure {
-            risk_time: waited.max(self.first_answer_time),
-            others: 0,
-            others_near: 0,
-        };
-        for other in others {
-            let is_before = other.at <= crash.at && crash.at - other.at <= RATE_WINDOW;
-            let distance = match is_before {
-                true => crash.at - other.at,
-                false => other.at.saturating_duration_since(crash.at),
-            };
-            let is_near = distance <= BURST_WINDOW / 2;
-            exposure.others += usize::from(is_before);
-            exposure.others_near += usize::from(is_near && (is_before || other.at > crash.at));
-        }
-        exposure
-    }
-
-    /// The crashes `under` as evidence against `subject`, but for those at the same moment as another;
-    /// for a part of a prompt only one of each request, as the copies of a request prove nothing about
-    /// a part of it.
-    fn exposures(&self, subject: CrashSubject, under: &[&CrashRecord]) -> Vec<CrashExposure> {
-        let mut requests = Vec::new();
-        let mut exposures = Vec::new();
-        let mut last_at: Option<Instant> = None;
-        for crash in under {
-            if last_at.is_some_and(|at| crash.at - at < SAME_CAUSE_TIME) {
-                continue;
-            }
-            let mut runs = crash.runs_with(subject);
-            let is_new = |run: &&CrashedRun| match subject {
-                CrashSubject::Request(_) => true,
-                CrashSubject::Part(_) => !requests.contains(&run.request),
-            };
-            if let Some(run) = runs.find(is_new) {
-                last_at = Some(crash.at);
-                requests.push(run.request);
-                exposures.push(self.exposure(subject, crash, run.waited()));
-            }
-        }
-        exposures
-    }
-
     fn expire(&mut self, now: Instant) {
         while let Some(crash) = self.crashes.front()
             && now.saturating_duration_since(crash.at) >= CRASH_TIME
--- a/lib/src/suspects/mod.rs
+++ b/lib/src/suspects/mod.rs
@@ -10,6 +10,7 @@
 mod conviction;
 mod crash;
 mod crash_keeper;
+mod evidence;
 mod fingerprint;
 mod judgement;
 mod keeper;
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -19,6 +19,13 @@
     "upstream_ejected",
     "upstream_returned",
 ];
+/// Events that lead to the refusal of requests that crash upstreams, or end it.
+const CRASH_EVENTS: [&str; 4] = [
+    "upstream_crashed",
+    "subject_convicted",
+    "conviction_tested",
+    "subject_released",
+];
 /// Outcome of a request whose caller got the whole answer.
 const SERVED_OUTCOME: &str = "served";
 
@@ -52,9 +59,18 @@
         })
     }
 
-    /// Whether the value of any field is the text `id`.
+    /// Whether the value of any field is the text `id`, or a list that contains it.
     pub fn is_about(&self, id: &str) -> bool {
-        self.fields.values().any(|value| value.as_str() == Some(id))
+        let is_id = |value: &Value| value.as_str() == Some(id);
+        self.fields.values().any(|value| match value {
+            Value::Array(values) => values.iter().any(is_id),
+            value => is_id(value),
+        })
+    }
+
+    /// Whether the line says why requests with `subject` are refused.
+    fn is_evidence_against(&self, subject: &str) -> bool {
+        CRASH_EVENTS.contains(&self.event.as_str()) && self.is_about(subject)
     }
 
     /// Value of a field that holds text; `None` if it is absent or of another type.
@@ -145,7 +161,8 @@
 
     /// Lines about `id`, in order, with the context that explains them: changes in the same hosts'
     /// views of its upstreams, from a second before its first line to its last, and the next start
-    /// of a host whose process ended while it handled the request.
+    /// of a host whose process ended while it handled the request, and the crashes for which a request
+    /// was refused.
     pub fn events_about(&self, id: &str) -> Vec<&TraceLine> {
         let own: Vec<&TraceLine> = self.lines.iter().filter(|line| line.is_about(id)).collect();
         let (Some(first), Some(last)) = (own.first(), own.last()) else {
@@ -156,6 +173,7 @@
             .iter()
             .filter_map(|line| line.text("upstream"))
             .collect();
+        let subjects: Vec<&str> = own.iter().filter_map(|line| line.text("subject")).collect();
         let later_starts: Vec<&TraceLine> = last_lines(&own)
             .into_iter()
             .filter(|line| line.event == "request_sent")
@@ -168,6 +186,9 @@
                 && own.iter().any(|own| own.host == line.host);
             line.is_about(id)
                 || (of_upstream && span.contains(&line.time_ms))
+                || subjects
+                    .iter()
+                    .any(|subject| line.is_evidence_against(subject))
                 || later_starts.iter().any(|start| std::ptr::eq(*start, *line))
         };
         self.lines.iter().filter(is_relevant).collect()
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -525,3 +525,21 @@
     assert!(crashes > 2);
     assert!(!is_convicted(&mut ledger, part("first")));
 }
+
+/// An upstream restarts under its old identity and start time, and crashes again: a second crash, which
+/// other hosts learn of as such.
+#[tokio::test(start_paused = true)]
+async fn test_second_crash_of_an_upstream_is_not_taken_for_the_first() {
+    let (mut ledger, mut other) = (ledger(), CrashLedger::new("host-b"));
+    other.set_fleet(FLEET);
+    for _ in 0..2 {
+        let run = run_with_parts(1, &["first", "second"]);
+        ledger.report_crash(upstream(1), run, Instant::now());
+        let news = ledger.take_news(Instant::now()).unwrap();
+        other.apply(news, Instant::now());
+        tokio::time::advance(Duration::from_secs(4)).await;
+    }
+    let subject = CrashSubject::Request(fingerprint(1));
+    assert!(is_convicted(&mut ledger, subject));
+    assert!(is_convicted(&mut other, subject));
+}
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -328,3 +328,42 @@
     assert_eq!(unserved[0].request, "r1");
     assert_eq!(unserved[0].outcome, "cut_off");
 }
+
+/// On call, an engineer has the identifier of a refused request and asks what convicted it.
+#[test]
+fn test_trace_of_a_convicted_request_shows_the_crashes() {
+    let line = |time: u64, event: &str, fields: &str| {
+        format!("{{\"time_ms\":{time},\"host\":\"a\",\"boot\":1,\"event\":\"{event}\",{fields}}}")
+    };
+    let lines = [
+        line(
+            1,
+            "upstream_crashed",
+            "\"upstream\":\"u1\",\"request\":\"r1\",\"digest\":\"d1\",\"parts\":[\"part-1\"]",
+        ),
+        line(
+            2,
+            "upstream_crashed",
+            "\"upstream\":\"u2\",\"request\":\"r2\",\"digest\":\"d2\",\"parts\":[\"part-2\",\"part-1\"]",
+        ),
+        line(
+            3,
+            "upstream_crashed",
+            "\"upstream\":\"u3\",\"request\":\"r3\",\"digest\":\"d3\",\"parts\":[\"part-3\"]",
+        ),
+        line(
+            4,
+            "subject_convicted",
+            "\"subject\":\"part-1\",\"crashes\":2",
+        ),
+        line(
+            9,
+            "request_refused",
+            "\"request\":\"r9\",\"reason\":\"convicted\",\"subject\":\"part-1\"",
+        ),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let about = trace.events_about("r9");
+    let times: Vec<i64> = about.iter().map(|line| line.time_ms).collect();
+    assert_eq!(times, [1, 2, 4, 9]);
+}
