--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -3,6 +3,7 @@
 
 mod opaque;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,15 +15,25 @@
 use opaque::request;
 use opaque::route;
 use opaque::spawn_crash_exchange;
+use parsleywall::balancer::BalancerState;
 use parsleywall::balancer::HostDatagram;
+use parsleywall::balancer::LoadBalancer;
+use parsleywall::balancer::LoadExchange;
+use parsleywall::balancer::PeerAddresses;
+use parsleywall::event_log::EventLog;
+use parsleywall::ids::DataCentre;
+use parsleywall::ids::HostId;
 use parsleywall::ids::UpstreamIncarnation;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRefusal;
 use parsleywall::relay::RelayRequest;
 use parsleywall::relay::RequestRelay;
 use parsleywall::routes::RouteKind;
+use parsleywall::suspects::ConvictionNotice;
 use parsleywall::suspects::CrashExposure;
+use parsleywall::suspects::CrashKeeper;
 use parsleywall::suspects::CrashLedger;
+use parsleywall::suspects::CrashNews;
 use parsleywall::suspects::CrashSubject;
 use parsleywall::suspects::CrashVerdict;
 use parsleywall::suspects::CrashedRun;
@@ -33,7 +44,9 @@
 use parsleywall_standins::opaque::OpaqueUpstreams;
 use rand::Rng;
 use rand::SeedableRng;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
 const HOSTS: [&str; 3] = ["host-a", "host-b", "host-c"];
@@ -543,3 +556,49 @@
     assert!(is_convicted(&mut ledger, subject));
     assert!(is_convicted(&mut other, subject));
 }
+
+/// Starts the exchange of `keeper` with the host at `peer`.
+fn spawn_exchange(socket: UdpSocket, host: &str, keeper: CrashKeeper, peer: SocketAddr) {
+    let state = BalancerState::new(HostId::new(host), DataCentre::new("west"));
+    let leaving = CancellationToken::new();
+    let balancer = LoadBalancer::new(state);
+    let exchange = LoadExchange::new(socket, balancer, host.to_owned(), 1, leaving);
+    let peers = move || PeerAddresses {
+        neighbours: vec![peer],
+        all: vec![peer],
+    };
+    tokio::spawn(async move {
+        let exchange = exchange.with_crashes(keeper);
+        exchange.run(peers, Vec::new, |_, _| {}).await;
+    });
+}
+
+/// A host that has just started gets the convictions of its neighbour with the first load reports.
+#[tokio::test]
+async fn test_new_host_gets_convictions_from_a_neighbour() {
+    let keepers = ["host-a", "host-b"].map(|host| CrashKeeper::new(host, EventLog::disabled()));
+    let notice = ConvictionNotice {
+        subject: part("tainted"),
+        age_ms: 1_000,
+        failed_tests: 0,
+    };
+    let news = CrashNews {
+        convictions: vec![notice],
+        ..CrashNews::default()
+    };
+    keepers[0].apply(news, FLEET);
+    let sockets = [
+        UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+        UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+    ];
+    let [first, second] = sockets
+        .each_ref()
+        .map(|socket| socket.local_addr().unwrap());
+    let [socket_a, socket_b] = sockets;
+    spawn_exchange(socket_a, "host-a", keepers[0].clone(), second);
+    spawn_exchange(socket_b, "host-b", keepers[1].clone(), first);
+    while keepers[1].convictions() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(keepers[0].digest(), keepers[1].digest());
+}
