suspects: a stream that goes on is neither a suspect nor refused; the digest is computed at changes

Found by reading the diff: a resumed stream, which an upstream has already answered in part, was checked against the convictions and reported as a suspect if its next upstream crashed before its next event. It is sound, as a request begins to run with its first event. And the digest of all convictions was computed for each load report in and out, which at 1,024 convictions and hundreds of reports a second would take a large part of a core; it is now kept until a conviction changes. No other behaviour.

--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -318,12 +318,20 @@
         }
     }
 
+    /// Whether an upstream has sent an event in this dispatch, so that the request does not crash those
+    /// that run it.
+    fn has_begun(&self) -> bool {
+        self.last_event_id != self.request.resume_after
+    }
+
     fn may_run_again(&self) -> bool {
         self.policy.is_retryable && self.runs < self.policy.max_runs
     }
 
     async fn send(&mut self) -> AttemptOutcome {
-        if let Err(refusal) = self.witness.await_admission().await {
+        if !self.has_begun()
+            && let Err(refusal) = self.witness.await_admission().await
+        {
             return AttemptOutcome::Failed(match self.runs {
                 0 => RelayFailure::Convicted(refusal),
                 _ => RelayFailure::Lost,
@@ -391,7 +399,9 @@
                 let fault = UpstreamFault::Broken;
                 let outcome = self.record_lost(&permit, now, fault, &cause);
                 let choice = release(permit);
-                self.witness.report_break(fault, &choice, now).await;
+                if !self.has_begun() {
+                    self.witness.report_break(fault, &choice, now).await;
+                }
                 outcome
             }
             Err(_) => {
--- a/lib/src/suspects/ledger.rs
+++ b/lib/src/suspects/ledger.rs
@@ -120,6 +120,8 @@
     /// When they did so last as far as all hosts know.
     announced: RecentSubjects,
     convictions: HashMap<CrashSubject, Conviction>,
+    /// Digest of the convictions; `None` after a change.
+    digest: Option<u64>,
     claims: HashMap<CrashSubject, ClaimRecord>,
     news: NewsQueue,
     decisions: Vec<CrashDecision>,
@@ -136,6 +138,7 @@
             sound: RecentSubjects::default(),
             announced: RecentSubjects::default(),
             convictions: HashMap::default(),
+            digest: None,
             claims: HashMap::default(),
             news: NewsQueue::default(),
             decisions: Vec::new(),
@@ -254,13 +257,22 @@
     }
 
     /// Digest of all convictions; 0 without any.
-    pub fn digest(&self) -> u64 {
-        let digests = self.convictions.iter();
-        digests.fold(0, |sum, (subject, conviction)| {
-            sum ^ conviction.digest(*subject)
+    pub fn digest(&mut self) -> u64 {
+        let convictions = &self.convictions;
+        *self.digest.get_or_insert_with(|| {
+            let digests = convictions
+                .iter()
+                .map(|(subject, conviction)| conviction.digest(*subject));
+            digests.fold(0, |sum, digest| sum ^ digest)
         })
     }
 
+    /// The convictions, to be changed.
+    fn convictions_mut(&mut self) -> &mut HashMap<CrashSubject, Conviction> {
+        self.digest = None;
+        &mut self.convictions
+    }
+
     /// Convictions for a host that may lack some, at most 128: others than the last time if there
     /// are more, by `draw`.
     pub fn convictions_notice(&self, draw: usize, now: Instant) -> CrashNews {
@@ -340,7 +352,9 @@
 
     fn add_crash(&mut self, upstream: UpstreamIncarnation, at: Instant, runs: Vec<CrashedRun>) {
         for subject in runs.iter().flat_map(CrashedRun::subjects) {
-            if let Some(conviction) = self.convictions.get_mut(&subject) {
+            if self.convictions.contains_key(&subject)
+                && let Some(conviction) = self.convictions_mut().get_mut(&subject)
+            {
                 conviction.record_crash(at);
             }
         }
@@ -380,7 +394,7 @@
         self.sound.record(subject, at);
         let conviction = self.convictions.get(&subject);
         if conviction.is_some_and(|conviction| conviction.last_crash < at) {
-            self.convictions.remove(&subject);
+            self.convictions_mut().remove(&subject);
             self.claims.remove(&subject);
             self.decisions.push(CrashDecision::Released(subject));
         }
@@ -441,7 +455,7 @@
         if self.sound.last_seen(notice.subject) > Some(other.last_crash) {
             return self.news.push(NewsItem::Sound(notice.subject), now);
         }
-        match self.convictions.get_mut(&notice.subject) {
+        match self.convictions_mut().get_mut(&notice.subject) {
             Some(known) => known.merge(other),
             None => {
                 self.insert_conviction(notice.subject, other);
@@ -456,10 +470,10 @@
             let crashes = self.convictions.iter();
             let oldest = crashes.min_by_key(|(subject, known)| (known.last_crash, **subject));
             if let Some(oldest) = oldest.map(|(subject, _)| *subject) {
-                self.convictions.remove(&oldest);
+                self.convictions_mut().remove(&oldest);
             }
         }
-        self.convictions.insert(subject, conviction);
+        self.convictions_mut().insert(subject, conviction);
     }
 
     /// Convicts the subjects that the crashes prove guilty.
@@ -530,8 +544,11 @@
             self.crashes.pop_front();
         }
         self.claims.retain(|_, claim| claim.until > now);
-        self.convictions
-            .retain(|_, known| now.saturating_duration_since(known.last_crash) < CONVICTION_TIME);
+        let is_old =
+            |known: &Conviction| now.saturating_duration_since(known.last_crash) >= CONVICTION_TIME;
+        if self.convictions.values().any(is_old) {
+            self.convictions_mut().retain(|_, known| !is_old(known));
+        }
     }
 }
 
