suspects: a request waits for the judgement of a crash once

Found by reading: while upstreams crash more often than every 50 ms under a part of a prompt, each request with it would have waited for the next judgement again and again, beyond its deadline. It now waits once. No other behaviour.

--- a/lib/src/suspects/crash_keeper.rs
+++ b/lib/src/suspects/crash_keeper.rs
@@ -55,7 +55,8 @@
     }
 
     /// Waits until it is decided whether a request with the subjects that `subjects` computes may
-    /// run: at once unless the request was at a crash just now, or is to test a conviction.
+    /// run: at once unless it has been at several crashes, the last one just now (50 ms), or is to test a
+    /// conviction (200 ms).
     pub(crate) async fn admit(
         &self,
         subjects: impl FnOnce() -> Vec<CrashSubject>,
@@ -64,11 +65,16 @@
             return Ok(());
         }
         let subjects = subjects();
+        let mut has_waited = false;
         loop {
             let now = Instant::now();
             match self.with_ledger(|ledger| ledger.verdict(&subjects, now)) {
-                CrashVerdict::Free => return Ok(()),
-                CrashVerdict::Unsettled(until) => tokio::time::sleep_until(until).await,
+                CrashVerdict::Unsettled(until) if !has_waited => {
+                    has_waited = true;
+                    tokio::time::sleep_until(until).await;
+                }
+                // While upstreams crash all the time, there is always a crash to be judged.
+                CrashVerdict::Free | CrashVerdict::Unsettled(_) => return Ok(()),
                 CrashVerdict::Convicted {
                     subject,
                     retry_after,
