test_suspects: send each request on a connection of its own

The client's pool keeps idle connections for 20 s, while a host closes them after 10 s; the test lasts 13 to 20 s beside load, so that a connection may be closed just as the client takes it from the pool. What the test checks of answers and engines is unchanged.

--- a/lib/tests/test_suspects.rs
+++ b/lib/tests/test_suspects.rs
@@ -59,7 +59,8 @@
         let mut fleet = Self {
             platform,
             hosts: Vec::new(),
-            client: HttpClient::new(),
+            // Hosts close connections that are idle for 10 s, sooner than a pool would.
+            client: HttpClient::unpooled(),
         };
         for _ in 0..hosts {
             fleet.add_host().await;
