--- a/lib/src/suspects/mod.rs
+++ b/lib/src/suspects/mod.rs
@@ -1,9 +1,10 @@
 //! Detection of requests that crash the upstreams that run them.
 //!
-//! For relayed requests, hosts report crashes to one another ([`CrashLedger`]): a request that was at
-//! too many of them is convicted, and all hosts refuse it. For requests that this product interprets
-//! itself there is stronger proof ([`SuspectTable`]): a request that ran on an upstream when it crashed is a suspect and is run again alone on an
-//! upstream. If that crashes too, the request is convicted: all hosts refuse it from then on.
+//! For relayed requests, hosts report crashes to one another ([`CrashLedger`]): a request, or a part
+//! of a prompt, that was at too many of them is convicted, and all hosts refuse it. For requests that
+//! this product interprets itself there is stronger proof ([`SuspectTable`]): a request that ran on an
+//! upstream when it crashed is a suspect and is run again alone on an upstream. If that crashes too,
+//! the request is convicted.
 //!
 //! See `docs/design/suspects.md`.
 
