--- a/lib/src/balancer/capacity.rs
+++ b/lib/src/balancer/capacity.rs
@@ -43,6 +43,13 @@
     free.saturating_sub((f64::from(slots) * START_FREE_FRACTION).ceil() as u32)
 }
 
+/// Whether more than half of the slots are free.
+pub(crate) fn is_mostly_free(usages: &[SlotUsage]) -> bool {
+    let slots: u32 = usages.iter().map(|usage| usage.slots).sum();
+    let free: u32 = usages.iter().map(|usage| usage.free()).sum();
+    free * 2 > slots
+}
+
 /// Number of items to preempt at each upstream, of all hosts together: those beyond its slots.
 /// Nothing is preempted while there is no online work.
 pub(crate) fn preemptions(usages: &[SlotUsage]) -> Vec<(BalancerKey, u32)> {
--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -16,6 +16,7 @@
 use crate::balancer::waiting::is_same_backlog;
 use crate::collections::HashMap;
 use crate::event_log::EventLog;
+use crate::events::LogEvent;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
 
@@ -50,6 +51,8 @@
     pub neighbours: Vec<SocketAddr>,
     /// All other hosts, neighbours included; they receive its broadcasts.
     pub all: Vec<SocketAddr>,
+    /// Addresses of the neighbours by their names.
+    pub by_name: HashMap<String, SocketAddr>,
 }
 
 /// Sends the load reports and broadcasts of one host, and applies those of the others.
@@ -69,6 +72,9 @@
     /// When other hosts, by name, were last sent the convictions.
     convictions_sent: HashMap<String, Instant>,
     news_budget: NewsBudget,
+    log: EventLog,
+    /// State of the limits that the last report told of.
+    limit_revision: u64,
 }
 
 /// Bytes that may be sent in news of crashes. A message may overdraw it; the next one waits until
@@ -126,6 +132,7 @@
             leaving: Vec::new(),
             waiting: Vec::new(),
             convictions: 0,
+            limits: Vec::new(),
         };
         Self {
             socket,
@@ -141,9 +148,17 @@
             crashes,
             convictions_sent: HashMap::default(),
             news_budget: NewsBudget::new(Instant::now()),
+            log: EventLog::disabled(),
+            limit_revision: 0,
         }
     }
 
+    /// Writes changes of upstreams' limits to `log`.
+    pub fn with_log(mut self, log: EventLog) -> Self {
+        self.log = log;
+        self
+    }
+
     /// Also exchanges what `crashes` knows of crashes of upstreams.
     pub fn with_crashes(mut self, crashes: CrashKeeper) -> Self {
         self.crashes = crashes;
@@ -163,6 +178,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next = Instant::now();
         let crashes = self.crashes.clone();
+        let balancer = self.balancer.clone();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -171,6 +187,7 @@
                     }
                 }
                 () = crashes.news_added() => self.send_news(Instant::now()).await,
+                () = balancer.grants_requested() => self.send_grant_requests().await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
                     self.refresh_peers(now, &peers);
@@ -204,6 +221,16 @@
                 self.balancer.state().apply_announcement(&announcement, now);
             }
             Some(HostDatagram::Crashes(news)) => self.apply_news(news),
+            Some(HostDatagram::GrantRequest(request)) => {
+                let reply = self.balancer.state().answer_grant_request(&request, now);
+                let reply = HostDatagram::GrantReply(reply);
+                self.send(&reply, &[sender]).await;
+            }
+            Some(HostDatagram::GrantReply(reply)) => {
+                if self.balancer.state().apply_grant_reply(&reply, now) {
+                    self.balancer.notify_waiters();
+                }
+            }
             None => {}
         }
     }
@@ -230,6 +257,27 @@
         }
     }
 
+    async fn send_grant_requests(&self) {
+        let requests = self.balancer.state().take_grant_requests();
+        for (host, request) in requests {
+            // Without an address, the request counts as one without a reply.
+            if let Some(address) = self.peers.by_name.get(&host) {
+                self.send(&HostDatagram::GrantRequest(request), &[*address])
+                    .await;
+            }
+        }
+    }
+
+    fn log_limit_changes(&self) {
+        let changes = self.balancer.state().take_limit_changes();
+        for (upstream, change) in changes {
+            self.log.write(LogEvent::LimitChanged {
+                upstream: upstream.map(|id| id.to_string()),
+                per_second: change.limit.map(|limit| limit.per_second()),
+            });
+        }
+    }
+
     /// Broadcasts what this host has found out about crashes.
     async fn send_news(&mut self, now: Instant) {
         if self.news_budget.is_spent(now) {
@@ -258,13 +306,15 @@
     /// Sends a load report to the neighbours if the load has changed or [`IDLE_INTERVAL`] has
     /// passed.
     async fn report_load(&mut self, now: Instant) {
-        let (loads, leaving, waiting) = {
+        self.log_limit_changes();
+        let (loads, leaving, waiting, limit_revision) = {
             let mut state = self.balancer.state();
             state.expire_reports(now);
             (
                 state.own_loads(now),
                 state.recent_leaving(now),
                 state.own_waiting(now),
+                state.limit_revision(),
             )
         };
         let is_leaving = self.leaving.is_cancelled();
@@ -273,6 +323,7 @@
             || leaving != self.report.leaving
             || !is_same_backlog(&waiting, &self.report.waiting)
             || convictions != self.report.convictions
+            || limit_revision != self.limit_revision
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -286,6 +337,8 @@
         self.report.waiting = waiting;
         self.report.is_leaving = is_leaving;
         self.report.convictions = convictions;
+        self.report.limits = self.balancer.state().limit_notices(now);
+        self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
         self.send(&report, &self.peers.neighbours).await;
--- a/lib/src/balancer/handle.rs
+++ b/lib/src/balancer/handle.rs
@@ -1,5 +1,6 @@
 //! Handle to the load balancer that the tasks of a host share.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -7,12 +8,17 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::balancer::backoff::UpstreamFault;
 use crate::balancer::state::BalancerState;
 use crate::balancer::state::SlotRequest;
 use crate::balancer::state::UpstreamChoice;
 use crate::ids::WorkClass;
+use crate::limits::LimitSignal;
+
+/// Shortest time after which work that waits for a grant is tried again without a change of slots.
+const MIN_GRANT_POLL: Duration = Duration::from_millis(2);
 
 /// Shared handle to a [`BalancerState`], with a notification for tasks that wait for a slot. Clones
 /// refer to the same state.
@@ -24,6 +30,7 @@
 struct BalancerShared {
     state: Mutex<BalancerState>,
     slots_changed: Notify,
+    grants_requested: Notify,
 }
 
 impl LoadBalancer {
@@ -32,6 +39,7 @@
         let shared = BalancerShared {
             state: Mutex::new(state),
             slots_changed: Notify::new(),
+            grants_requested: Notify::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -54,11 +62,50 @@
         self.shared.slots_changed.notify_waiters();
     }
 
+    /// Waits until there are requests for grants to send.
+    pub(crate) async fn grants_requested(&self) {
+        self.shared.grants_requested.notified().await;
+    }
+
+    /// Chooses an upstream for an online request as [`Self::acquire`] does, and waits until `limit` for
+    /// a grant if only upstreams with a limit of requests a second have room for it.
+    pub async fn acquire_until(
+        &self,
+        request: SlotRequest<'_>,
+        limit: Instant,
+    ) -> Option<SlotPermit> {
+        loop {
+            let mut slots_changed = pin!(self.shared.slots_changed.notified());
+            slots_changed.as_mut().enable();
+            let now = Instant::now();
+            let request = SlotRequest {
+                may_wait: now < limit,
+                ..request
+            };
+            if let Some(permit) = self.acquire(request) {
+                return Some(permit);
+            }
+            if now >= limit {
+                return None;
+            }
+            let expected = self.state().grant_expected_at(request.service, now)?;
+            let next = expected.max(now + MIN_GRANT_POLL).min(limit);
+            let _ = timeout_at(next, slots_changed).await;
+        }
+    }
+
     /// Chooses an upstream for one piece of work, or returns `None` if none may take it. The slot
     /// is freed when the returned value is dropped.
     pub fn acquire(&self, request: SlotRequest<'_>) -> Option<SlotPermit> {
         let draw = rand::random();
-        let choice = self.state().acquire(request, Instant::now(), draw)?;
+        let choice = {
+            let mut state = self.state();
+            let choice = state.acquire(request, Instant::now(), draw);
+            if state.has_grant_requests() {
+                self.shared.grants_requested.notify_one();
+            }
+            choice?
+        };
         let class = request.class;
         if class == WorkClass::Online {
             // Wakes the tasks that preempt batch items: the request may need the slot of one.
@@ -111,6 +158,13 @@
             .note_leaving(self.choice.key, Instant::now())
     }
 
+    /// Applies what an answer of the upstream says about its limit of requests a second.
+    pub fn note_limit(&self, signal: LimitSignal) {
+        self.balancer
+            .state()
+            .note_limit(self.choice.key, signal, Instant::now());
+    }
+
     /// Records a successful request. Returns the time since the upstream was ejected, or `None` if
     /// it was not.
     pub fn note_success(&self) -> Option<Duration> {
--- a/lib/src/balancer/liveness.rs
+++ b/lib/src/balancer/liveness.rs
@@ -62,6 +62,12 @@
         self.recent_heartbeat(host, now).is_some()
     }
 
+    /// Whether the last heartbeat of `host` said that it is leaving; `None` without a recent one.
+    pub(crate) fn is_leaving(&self, host: &str, now: Instant) -> Option<bool> {
+        let heartbeat = self.recent_heartbeat(host, now)?;
+        Some(heartbeat.is_leaving)
+    }
+
     /// Whether `host` became silent within the last [`ANNOUNCE_TIME`], so that its silence has to be
     /// announced.
     pub(crate) fn recently_silent(&self, host: &str, now: Instant) -> bool {
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod handle;
 mod leaving;
+mod limit_placement;
 mod liveness;
 mod neighbours;
 mod peer_loads;
--- a/lib/src/balancer/neighbours.rs
+++ b/lib/src/balancer/neighbours.rs
@@ -7,6 +7,17 @@
 use crate::balancer::ring::HostRing;
 use crate::ids::HostId;
 
+/// What this host hears of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerState {
+    /// Its reports arrive.
+    Heard,
+    /// Its last report said that it leaves.
+    Leaving,
+    /// No report has arrived lately.
+    Unheard,
+}
+
 /// Position of a host on the ring, and the liveness of the other hosts.
 ///
 /// Callers pass the reach, the ring distance that makes a host a neighbour, as it depends on the
@@ -81,6 +92,15 @@
         self.liveness.usable(self.own(), hosts, is_expected, now)
     }
 
+    /// What this host hears of `host`.
+    pub(crate) fn peer_state(&self, host: &str, now: Instant) -> PeerState {
+        match self.liveness.is_leaving(host, now) {
+            Some(true) => PeerState::Leaving,
+            Some(false) => PeerState::Heard,
+            None => PeerState::Unheard,
+        }
+    }
+
     /// Records a heartbeat of `host`: any load report or broadcast from it.
     pub(crate) fn record_heartbeat(&mut self, host: &str, is_leaving: bool, now: Instant) {
         self.liveness.record_heartbeat(host, is_leaving, now);
--- a/lib/src/balancer/peer_loads.rs
+++ b/lib/src/balancer/peer_loads.rs
@@ -136,6 +136,12 @@
         items.sum::<f64>().round() as u32
     }
 
+    /// Whether a report of this process of `host` is counted.
+    pub(crate) fn knows(&self, host: &str, incarnation: u64) -> bool {
+        let peer = self.peers.get(host);
+        peer.is_some_and(|peer| peer.incarnation == incarnation)
+    }
+
     /// Whether the last known report of the same host is as new as `report`, or newer. Datagrams
     /// may be duplicated or reordered.
     pub(crate) fn is_stale(&self, report: &HostLoadReport) -> bool {
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -7,6 +7,9 @@
 use crate::balancer::waiting::WaitingItems;
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
+use crate::limits::GrantReply;
+use crate::limits::GrantRequest;
+use crate::limits::LimitNotice;
 use crate::suspects::CrashNews;
 
 /// Work of one host at one upstream.
@@ -31,7 +34,7 @@
 
 /// Work of one host at all upstreams, sent to its neighbours. Upstreams at which it runs nothing
 /// are left out.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostLoadReport {
     /// Name of the host that reports.
     #[serde(rename = "h")]
@@ -57,6 +60,9 @@
     /// Digest of the convictions that the host knows; 0 without any.
     #[serde(rename = "c", default)]
     pub convictions: u64,
+    /// Limits of upstreams that the host has observed or granted requests under lately.
+    #[serde(rename = "r", default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
@@ -78,7 +84,7 @@
 }
 
 /// A datagram from one host to another, encoded as CBOR.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum HostDatagram {
     /// Load of the sender, for its neighbours.
     #[serde(rename = "l")]
@@ -89,6 +95,12 @@
     /// Crashes of upstreams, for all hosts or for one that lacks convictions.
     #[serde(rename = "k")]
     Crashes(CrashNews),
+    /// Request for a grant, to the authority of a limited upstream.
+    #[serde(rename = "a")]
+    GrantRequest(GrantRequest),
+    /// Reply to a request for a grant.
+    #[serde(rename = "g")]
+    GrantReply(GrantReply),
 }
 
 impl HostDatagram {
--- a/lib/src/balancer/ring.rs
+++ b/lib/src/balancer/ring.rs
@@ -80,7 +80,7 @@
         let count = self.len();
         let at = move |rank: usize| (rank as f64 + 0.5) / count as f64;
         indices_by_distance(position, count)
-            .take_while(move |rank| distance(at(*rank), position) <= reach)
+            .take_while(move |rank| ring_distance(at(*rank), position) <= reach)
             .map(|rank| self.hosts[rank].1.as_str())
     }
 
@@ -110,7 +110,7 @@
 
     /// Distance of two hosts on the ring, at most 0.5.
     pub(crate) fn distance(&self, one: &str, other: &str) -> f64 {
-        distance(self.position(one), self.position(other))
+        ring_distance(self.position(one), self.position(other))
     }
 }
 
@@ -166,7 +166,8 @@
     })
 }
 
-fn distance(one: f64, other: f64) -> f64 {
+/// Distance of two positions on the ring, at most 0.5.
+pub(crate) fn ring_distance(one: f64, other: f64) -> f64 {
     let gap = (one - other).abs();
     gap.min(1.0 - gap)
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -87,6 +87,14 @@
         /// Identifier of the request that was answered so.
         request: String,
     },
+    /// An upstream has named another limit of the requests a second that it takes from all hosts, in an
+    /// answer to this host or to another one, or has ended it.
+    LimitChanged {
+        /// Identifier of the upstream; absent if it is not registered.
+        upstream: Option<String>,
+        /// The limit in requests a second; absent if it has ended.
+        per_second: Option<f64>,
+    },
     /// An upstream was ejected after faults in this host's requests: it gets none for a while.
     UpstreamEjected {
         /// Identifier of the upstream.
@@ -147,6 +155,10 @@
         next_ahead: Option<u32>,
         /// Age in milliseconds of the oldest load report that the choice was based on.
         report_ms: Option<u64>,
+        /// Limit of requests a second that the upstream has named, if it has one.
+        limit: Option<f64>,
+        /// Time in milliseconds since an answer named that limit.
+        limit_ms: Option<u64>,
         /// Version of the configuration that the request was routed by.
         version: u64,
     },
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -136,6 +136,7 @@
             excluded: &[],
             may_probe: true,
             urgency: Some(dispatch.urgency),
+            may_wait: false,
         };
         let Some(permit) = self.shared.relay.balancer().acquire(slot_request) else {
             return false;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ids;
 pub mod inference;
 pub mod jobs;
+pub mod limits;
 pub mod membership;
 mod memory_budget;
 pub mod metrics;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -16,6 +16,8 @@
 use prometheus::TextEncoder;
 
 use crate::events::LogEvent;
+use crate::limits::GrantCounts;
+use crate::limits::KnownLimit;
 
 /// Upper bounds, in seconds, of the buckets of all latency histograms.
 const LATENCY_BUCKETS: [f64; 14] = [
@@ -40,6 +42,9 @@
     config_version: IntGauge,
     config_age: Gauge,
     convictions: IntGauge,
+    limited_upstreams: IntGauge,
+    limit_age: Gauge,
+    grants: IntCounterVec,
 }
 
 impl RelayMetrics {
@@ -123,6 +128,21 @@
                 "Subjects that are convicted of crashing upstreams.",
             )
             .expect("metric names are valid"),
+            limited_upstreams: IntGauge::new(
+                "parsleywall_limited_upstreams",
+                "Upstreams that are known to limit the requests a second.",
+            )
+            .expect("metric names are valid"),
+            limit_age: Gauge::new(
+                "parsleywall_limit_age_seconds",
+                "Time since the oldest known limit of an upstream was last named.",
+            )
+            .expect("metric names are valid"),
+            grants: counter(
+                "limit_grants_total",
+                "Requests to limited upstreams: granted, denied (withheld for the limit) or unanswered.",
+                &["outcome"],
+            ),
             config_age: Gauge::new(
                 "parsleywall_config_age_seconds",
                 "Time since the configuration in force was last known to be the newest.",
@@ -142,6 +162,7 @@
             &self.requests,
             &self.item_runs,
             &self.jobs,
+            &self.grants,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
         all.extend(counters.map(|counter| Box::new(counter.clone()) as _));
@@ -153,6 +174,8 @@
         all.push(Box::new(self.config_version.clone()));
         all.push(Box::new(self.config_age.clone()));
         all.push(Box::new(self.convictions.clone()));
+        all.push(Box::new(self.limited_upstreams.clone()));
+        all.push(Box::new(self.limit_age.clone()));
         for collector in all {
             self.registry
                 .register(collector)
@@ -217,6 +240,25 @@
         self.convictions.set(count as i64);
     }
 
+    /// Sets the number of upstreams with a known limit, and the age of the oldest one.
+    pub fn set_limits(&self, limits: &[KnownLimit]) {
+        let oldest = limits.iter().map(|known| known.age).max();
+        self.limited_upstreams.set(limits.len() as i64);
+        self.limit_age
+            .set(oldest.unwrap_or_default().as_secs_f64());
+    }
+
+    /// Counts requests to limited upstreams by what became of them.
+    pub fn count_grants(&self, counts: GrantCounts) {
+        for (outcome, count) in [
+            ("granted", counts.granted),
+            ("denied", counts.denied),
+            ("unanswered", counts.unanswered),
+        ] {
+            self.grants.with_label_values(&[outcome]).inc_by(count);
+        }
+    }
+
     /// Sets the version of the configuration in force, and the time since it was last known to be
     /// the newest.
     pub fn set_config_version(&self, version: u64, age: Duration) {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -48,6 +48,11 @@
 /// Attempts without a run after which a request is given up.
 const MAX_UNRUN_ATTEMPTS: u32 = 6;
 
+/// Share of the latency objective for which a request waits until a limited upstream may get it.
+const GRANT_WAIT_SHARE: f64 = 0.4;
+/// The same wait for a request that goes on after a fault.
+const RESUME_GRANT_WAIT: Duration = Duration::from_secs(1);
+
 /// How often a request may run, and how long it waits for progress of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
@@ -352,14 +357,20 @@
             excluded: &self.excluded,
             may_probe: self.policy.is_retryable,
             urgency: None,
+            may_wait: false,
+        };
+        let permit = match self.reserved.take() {
+            Some(permit) => Some(permit),
+            None => {
+                let limit = now + self.grant_wait().min(budget);
+                self.relay.balancer().acquire_until(slot, limit).await
+            }
         };
-        let permit = self
-            .reserved
-            .take()
-            .or_else(|| self.relay.balancer().acquire(slot));
         let Some(permit) = permit else {
             return AttemptOutcome::Failed(self.unplaced_failure());
         };
+        let now = Instant::now();
+        let budget = self.request.deadline.saturating_duration_since(now);
         self.attempts += 1;
         self.excluded.push(permit.choice.key);
         self.relay.log().write(LogEvent::RequestSent {
@@ -372,6 +383,8 @@
             next_upstream: permit.choice.next.as_ref().map(|next| next.id.to_string()),
             next_ahead: permit.choice.next.as_ref().map(|next| next.ahead),
             report_ms: permit.choice.report_age.map(|age| age.as_millis() as u64),
+            limit: permit.choice.limit.map(|known| known.limit.per_second()),
+            limit_ms: permit.choice.limit.map(|known| known.age.as_millis() as u64),
             version: request.version,
         });
         self.upstream = Some(permit.choice.id.clone());
@@ -423,6 +436,7 @@
         answer: UpstreamAnswer,
         sent: Instant,
     ) -> AttemptOutcome {
+        permit.note_limit(answer.limit);
         if answer.is_leaving && permit.note_leaving() {
             self.relay.log().write(LogEvent::UpstreamLeaves {
                 upstream: permit.choice.id.to_string(),
@@ -487,6 +501,15 @@
         }
     }
 
+    /// Longest wait until a limited upstream may get the request. One that has begun has no other way
+    /// to go on, and so waits longer.
+    fn grant_wait(&self) -> Duration {
+        match self.runs {
+            0 => self.request.route.objective.mul_f64(GRANT_WAIT_SHARE),
+            _ => RESUME_GRANT_WAIT,
+        }
+    }
+
     /// Longest wait for an answer's head; unbounded if no further run would be permitted, as giving
     /// up this attempt would then only lose its answer.
     fn head_wait(&self, permit: &SlotPermit) -> Duration {
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -41,6 +41,8 @@
 const SERVED_OUTCOME: &str = "served";
 /// Upper bound of the retry delay for a request that no upstream accepted.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Lower bound of the retry delay for a request that limits of upstreams leave no room for.
+const MIN_LIMITED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Why a request is refused, for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -184,9 +186,10 @@
                 }
             }
             Err(RelayFailure::NotRun) => {
-                let delay = UNPLACED_RETRY_DELAY.min(left / 3);
+                let (reason, delay) = self.unplaced_delay(&request);
+                let delay = delay.min(left / 3);
                 dispatch.finish("refused");
-                self.log_refusal(&request, "no_upstream_took_it", load, delay, None);
+                self.log_refusal(&request, reason, load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: RelayRefusal::Overloaded,
@@ -218,6 +221,15 @@
         ServiceLoad { slots, online }
     }
 
+    /// Why a request was not placed, and when its caller should come back.
+    fn unplaced_delay(&self, request: &RelayRequest) -> (&'static str, Duration) {
+        let mut state = self.balancer.state();
+        match state.limited_retry_delay(&request.service, Instant::now()) {
+            Some(delay) => ("limited", delay.max(MIN_LIMITED_RETRY_DELAY)),
+            None => ("no_upstream_took_it", UNPLACED_RETRY_DELAY),
+        }
+    }
+
     fn log_refusal(
         &self,
         request: &RelayRequest,
--- a/lib/src/relay/transport.rs
+++ b/lib/src/relay/transport.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 
 use crate::balancer::UpstreamChoice;
+use crate::limits::LimitSignal;
 use crate::relay::request::RelayRequest;
 
 /// Body of an upstream's answer; an error means that the body ended before it was complete.
@@ -52,6 +53,8 @@
     pub is_signed: bool,
     /// Whether the upstream announces that it is shutting down; it then gets no new requests.
     pub is_leaving: bool,
+    /// Limit of requests a second that the upstream names, whether or not it ran the request.
+    pub limit: LimitSignal,
     /// Whether the body is a stream of server-sent events.
     pub is_stream: bool,
     /// Body, to be polled by the relay.
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -23,6 +23,7 @@
 use crate::balancer::PeerAddresses;
 use crate::balancer::UpstreamEntry;
 use crate::balancer::UpstreamState;
+use crate::collections::HashMap;
 use crate::counters::CounterSet;
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
@@ -166,7 +167,8 @@
             self.config.incarnation,
             self.leaving.clone(),
         )
-        .with_crashes(self.relay.crashes().clone());
+        .with_crashes(self.relay.crashes().clone())
+        .with_log(self.log.clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
@@ -200,9 +202,12 @@
             let neighbours = balancer_state.neighbours();
             let is_near = |entry: &&&HostEntry| neighbours.contains(&entry.host);
             let near = others.iter().filter(is_near);
+            let by_name = near.map(|entry| (entry.host.clone(), entry.peers));
+            let by_name: HashMap<String, SocketAddr> = by_name.collect();
             PeerAddresses {
-                neighbours: near.map(|entry| entry.peers).collect(),
+                neighbours: by_name.values().copied().collect(),
                 all: others.iter().map(|entry| entry.peers).collect(),
+                by_name,
             }
         })
     }
@@ -345,7 +350,7 @@
     pub fn metrics_text(&self) -> String {
         let metrics = self.log.metrics();
         let table = self.routes.borrow().clone();
-        let balancer_state = self.balancer.state();
+        let mut balancer_state = self.balancer.state();
         for service in table.services() {
             let (slots, _) = balancer_state.online_capacity(service, Instant::now());
             let (online, batch) = balancer_state.running_work(service);
@@ -353,6 +358,8 @@
                 metrics.set_slot_counts(service.as_str(), kind, count);
             }
         }
+        metrics.set_limits(&balancer_state.known_limits(Instant::now()));
+        metrics.count_grants(balancer_state.take_grant_counts());
         drop(balancer_state);
         let (waiting, running) = self.jobs.item_counts();
         metrics.set_item_counts(waiting, running);
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -178,6 +178,7 @@
                 leaving: Vec::new(),
                 waiting: host.balancer.own_waiting(now),
                 convictions: 0,
+                limits: Vec::new(),
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
@@ -321,6 +322,7 @@
             excluded: &[],
             may_probe: true,
             urgency: None,
+            may_wait: false,
         };
         let choice = self.balancer.acquire(request, self.now, 0)?;
         Some(choice.key)
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -71,6 +71,7 @@
         excluded: &[],
         may_probe: true,
         urgency: None,
+        may_wait: false,
     }
 }
 
@@ -97,6 +98,7 @@
         leaving: Vec::new(),
         waiting: Vec::new(),
         convictions: 0,
+        limits: Vec::new(),
     }
 }
 
@@ -501,6 +503,7 @@
                 leaving: Vec::new(),
                 waiting: Vec::new(),
                 convictions: 0,
+                limits: Vec::new(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
@@ -897,6 +900,7 @@
     let peers = move || PeerAddresses {
         neighbours: vec![address],
         all: vec![address],
+        ..PeerAddresses::default()
     };
     let running = tokio::spawn(exchange.run(peers, Vec::new, |_: &str, _: &[String]| {}));
     let mut buffer = [0; 1024];
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -566,6 +566,7 @@
     let peers = move || PeerAddresses {
         neighbours: vec![peer],
         all: vec![peer],
+        ..PeerAddresses::default()
     };
     tokio::spawn(async move {
         let exchange = exchange.with_crashes(keeper);
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -679,6 +679,7 @@
         excluded: &[],
         may_probe: true,
         urgency: None,
+        may_wait: false,
     };
     let online: Vec<_> = (0..12)
         .map(|_| host.relay.balancer().acquire(slot_request))
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -13,6 +13,8 @@
 use http::StatusCode;
 use parsleywall::balancer::UpstreamChoice;
 use parsleywall::collections::HashMap;
+use parsleywall::limits::LimitSignal;
+use parsleywall::limits::RateLimit;
 use parsleywall::relay::ExecutionReport;
 use parsleywall::relay::RelayRequest;
 use parsleywall::relay::SendError;
@@ -88,6 +90,7 @@
     /// Parts of prompts that crash the upstreams that run requests with them.
     deadly_parts: Vec<Fingerprint>,
     crashes: HashMap<String, CrashState>,
+    limits: HashMap<String, RateLimit>,
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
     most_running: HashMap<String, usize>,
@@ -120,6 +123,15 @@
         })
     }
 
+    /// Lets an upstream name a limit of requests a second in its answers, or no longer one.
+    pub fn set_limit(&self, upstream: &str, limit: Option<RateLimit>) {
+        let mut state = self.lock();
+        match limit {
+            Some(limit) => state.limits.insert(upstream.to_owned(), limit),
+            None => state.limits.remove(upstream),
+        };
+    }
+
     /// Lets requests with `body` crash each upstream that begins to run them.
     pub fn set_deadly(&self, body: &Bytes) {
         self.lock().deadly_bodies.push(body.clone());
@@ -338,6 +350,8 @@
         options: SendOptions,
     ) -> Result<UpstreamAnswer, SendError> {
         let behaviour = self.record_attempt(to, request, options);
+        let named = self.lock().limits.get(to.id.as_str()).copied();
+        let limit = named.map_or(LimitSignal::Unlimited, LimitSignal::Limited);
         let whole = |status, executed, is_signed| {
             Ok(UpstreamAnswer {
                 status,
@@ -345,6 +359,7 @@
                 executed,
                 is_signed,
                 is_leaving: false,
+                limit,
                 is_stream: false,
                 body: stream::empty().boxed(),
             })
@@ -377,6 +392,7 @@
                 executed: ExecutionReport::Maybe,
                 is_signed: true,
                 is_leaving: behaviour == OpaqueBehaviour::Leaves,
+                limit,
                 is_stream: true,
                 body: self.body(to, request, options, behaviour),
             }),
