--- a/lib/src/balancer/limit_placement.rs
+++ b/lib/src/balancer/limit_placement.rs
@@ -5,9 +5,17 @@
 //! upstreams first, and online requests, which are many and short, to the others. Online requests
 //! go to a limited upstream where all others are full, and as tests whether the limit still holds.
 
+use std::time::Duration;
+
+use tokio::time::Instant;
+
 use crate::balancer::state::BalancerKey;
 use crate::limits::GrantState;
 
+/// Longest time for which a batch item waits for a grant rather than start at an upstream without a
+/// limit, where online requests would preempt it: each further run might need a grant.
+const MAX_ITEM_WAIT: Duration = Duration::from_secs(2);
+
 /// An upstream that may take a piece of work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PlacementCandidate {
@@ -78,7 +86,11 @@
 /// Places a batch item. `candidates` are in the order of preference; `has_spare_slots` tells whether
 /// upstreams without a limit have so much room that the item will hardly be preempted there: its next
 /// run might need a grant.
-pub(crate) fn place_item(candidates: &[PlacementCandidate], has_spare_slots: bool) -> Placement {
+pub(crate) fn place_item(
+    candidates: &[PlacementCandidate],
+    has_spare_slots: bool,
+    now: Instant,
+) -> Placement {
     let with = |grant| {
         let chosen = candidates
             .iter()
@@ -99,8 +111,13 @@
             asks,
         };
     }
+    let is_soon = |candidate: &PlacementCandidate| match candidate.grant {
+        Some(GrantState::Denied(until)) => candidate.has_free_slot && until <= now + MAX_ITEM_WAIT,
+        _ => false,
+    };
+    let waits = !has_spare_slots || candidates.iter().any(is_soon);
     let unlimited = candidates.iter().filter(|candidate| {
-        has_spare_slots && candidate.grant.is_none() && candidate.has_free_slot
+        !waits && candidate.grant.is_none() && candidate.has_free_slot
     });
     Placement {
         among: unlimited.map(|candidate| candidate.key).collect(),
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -574,7 +574,7 @@
             WorkClass::Online => place_online(&described, request.may_wait),
             WorkClass::Batch => {
                 let usages = self.unlimited_usages(request.service, now);
-                place_item(&described, is_mostly_free(&usages))
+                place_item(&described, is_mostly_free(&usages), now)
             }
         };
         candidates.retain(|(key, _)| among.contains(key));
