--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -606,6 +606,12 @@
         self.limits.limit(upstream.incarnation()).is_some()
     }
 
+    /// Whether an upstream in this host's window of `service` has a limit of requests a second.
+    pub fn has_limited_upstream(&self, service: &ServiceName) -> bool {
+        let mut window = self.window(service, |_| true);
+        window.any(|(_, upstream)| self.is_limited(upstream))
+    }
+
     /// Whether a limited upstream has a free slot, and a grant for an online request can be had.
     fn takes_another(&self, key: BalancerKey, now: Instant) -> bool {
         let upstream = &self.upstreams[&key];
--- a/lib/src/relay/load_shedding.rs
+++ b/lib/src/relay/load_shedding.rs
@@ -24,6 +24,9 @@
     pub slots: u32,
     /// Online requests at those upstreams, whether they occupy a slot or queue for one.
     pub online: u32,
+    /// Whether any of those upstreams has a limit of requests a second. The lack of room then lasts
+    /// longer than a peak.
+    pub is_limited: bool,
 }
 
 /// Outcome of the load-shedding decision for one online request.
@@ -49,7 +52,10 @@
     if wait <= objective.mul_f64(MAX_WAIT_SHARE) {
         return ShedDecision::Admit;
     }
-    let delay = retry_delay(wait * 4, left);
+    let delay = match load.is_limited {
+        true => left.mul_f64(MAX_RETRY_DELAY_SHARE),
+        false => retry_delay(wait * 4, left),
+    };
     let has_time = left.saturating_sub(delay) > objective * 4;
     match has_time && left > objective * 12 {
         true => ShedDecision::Refuse(delay),
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -218,7 +218,11 @@
     fn load(&self, request: &RelayRequest) -> ServiceLoad {
         let state = self.balancer.state();
         let (slots, online) = state.online_capacity(&request.service, Instant::now());
-        ServiceLoad { slots, online }
+        ServiceLoad {
+            slots,
+            online,
+            is_limited: state.has_limited_upstream(&request.service),
+        }
     }
 
     /// Why a request was not placed, and when its caller should come back.
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -264,7 +264,11 @@
 fn test_shedding_by_expected_wait() {
     let objective = Duration::from_millis(300);
     let left = Duration::from_secs(5);
-    let view = |online| ServiceLoad { slots: 96, online };
+    let view = |online| ServiceLoad {
+        slots: 96,
+        online,
+        is_limited: false,
+    };
     assert_eq!(
         decide_shedding(view(50), objective, left),
         ShedDecision::Admit
@@ -286,6 +290,7 @@
     let none = ServiceLoad {
         slots: 0,
         online: 0,
+        is_limited: false,
     };
     assert!(matches!(
         decide_shedding(none, objective, left),
