limits: hosts keep the limits that upstreams name

Cause: nothing read the limit. Class: a signal of the protocol that no unit answers for.

Change: one host paces each limited upstream and grants its requests, tests included; batch items go there first, and work that the limits leave no room for is refused when that is known. Without the line that notes the limit of an answer, test_relays_keep_a_limit_and_tell_callers_when_to_return fails with 80 requests in 4 s of 22 allowed.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -227,7 +227,8 @@
                 self.send(&reply, &[sender]).await;
             }
             Some(HostDatagram::GrantReply(reply)) => {
-                if self.balancer.state().apply_grant_reply(&reply, now) {
+                let has_changed = self.balancer.state().apply_grant_reply(&reply, now);
+                if has_changed {
                     self.balancer.notify_waiters();
                 }
             }
--- a/lib/src/balancer/limit_placement.rs
+++ b/lib/src/balancer/limit_placement.rs
@@ -116,9 +116,9 @@
         _ => false,
     };
     let waits = !has_spare_slots || candidates.iter().any(is_soon);
-    let unlimited = candidates.iter().filter(|candidate| {
-        !waits && candidate.grant.is_none() && candidate.has_free_slot
-    });
+    let unlimited = candidates
+        .iter()
+        .filter(|candidate| !waits && candidate.grant.is_none() && candidate.has_free_slot);
     Placement {
         among: unlimited.map(|candidate| candidate.key).collect(),
         asks: Vec::new(),
@@ -128,12 +128,16 @@
 /// The upstream at which to ask for a grant. A host asks for one at a time, as the others may be
 /// granted too, and a grant that is not used is lost.
 fn next_ask(candidates: &[PlacementCandidate]) -> Vec<BalancerKey> {
-    let is_expected = |candidate: &PlacementCandidate| candidate.grant == Some(GrantState::Expected);
+    let is_expected =
+        |candidate: &PlacementCandidate| candidate.grant == Some(GrantState::Expected);
     if candidates.iter().any(is_expected) {
         return Vec::new();
     }
     let mut open = candidates
         .iter()
         .filter(|candidate| candidate.is_limited_with(GrantState::Open));
-    open.next().map(|candidate| candidate.key).into_iter().collect()
+    open.next()
+        .map(|candidate| candidate.key)
+        .into_iter()
+        .collect()
 }
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -10,6 +10,7 @@
 mod handle;
 mod leaving;
 mod limit_placement;
+mod limited;
 mod liveness;
 mod neighbours;
 mod peer_loads;
--- a/lib/src/limits/request_window.rs
+++ b/lib/src/limits/request_window.rs
@@ -41,8 +41,11 @@
         let share = share.clamp(f64::EPSILON, 1.0);
         let requests = (limit.per_second() * share * LIMIT_SECONDS).floor();
         let requests = requests as usize;
+        // The parts of a divided fleet would add up to more.
+        let is_whole = share >= 1.0;
+        let excess = if is_whole { MAX_EXCESS - TESTS } else { 0 };
         Self {
-            online: requests + requests.min(MAX_EXCESS - TESTS),
+            online: requests + requests.min(excess),
             batch: (requests as f64 * BATCH_FRACTION).ceil() as usize,
             all: requests + MAX_EXCESS,
             test_interval: TEST_INTERVAL.div_f64(share),
--- a/lib/src/limits/returns.rs
+++ b/lib/src/limits/returns.rs
@@ -17,12 +17,7 @@
 impl ReturnSchedule {
     /// The time after which the next refused caller should come back, at a host that may send
     /// `per_second` requests a second and whose next one waits for `wait`.
-    pub(crate) fn next_delay(
-        &mut self,
-        per_second: f64,
-        wait: Duration,
-        now: Instant,
-    ) -> Duration {
+    pub(crate) fn next_delay(&mut self, per_second: f64, wait: Duration, now: Instant) -> Duration {
         let interval = match per_second > 1.0 / MAX_AHEAD.as_secs_f64() {
             true => Duration::from_secs_f64(1.0 / per_second),
             false => MAX_AHEAD,
--- a/lib/src/limits/table.rs
+++ b/lib/src/limits/table.rs
@@ -100,6 +100,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct HeldGrant {
+    class: WorkClass,
     usable_at: Instant,
     expires_at: Instant,
 }
@@ -155,8 +156,13 @@
             .is_some_and(|at| now - at < ONLINE_PRIORITY_TIME)
     }
 
-    fn drop_expired(&mut self, now: Instant) {
-        self.held.retain(|grant| now < grant.expires_at);
+    /// Index of the first held grant that work of `class` may use: an online request may use that of a
+    /// batch item, but not the other way round.
+    fn held_for(&self, class: WorkClass, now: Instant) -> Option<usize> {
+        let mut held = self.held.iter();
+        held.position(|grant| {
+            now < grant.expires_at && (grant.class == class || class == WorkClass::Online)
+        })
     }
 
     fn observation(&self, incarnation: UpstreamIncarnation, now: Instant) -> LimitObservation {
@@ -225,11 +231,8 @@
 
     /// All limits that are known to hold.
     pub(crate) fn all(&self, now: Instant) -> impl Iterator<Item = KnownLimit> {
-        let limited = self
-            .records
-            .keys()
-            .filter_map(move |key| self.known(*key, now));
-        limited
+        let keys = self.records.keys();
+        keys.filter_map(move |key| self.known(*key, now))
     }
 
     /// Applies what an answer of the upstream to this host says.
@@ -263,12 +266,17 @@
             return;
         };
         // A lower total is that of a new process, which has none of the earlier grants.
-        let known = record.peer_totals.get(host).filter(|known| **known <= total);
+        let known = record
+            .peer_totals
+            .get(host)
+            .filter(|known| **known <= total);
         let new = known.map_or(recent, |known| recent.min(total - known));
         if total > 0 {
             record.peer_totals.insert(host.to_owned(), total);
         }
-        record.window.merge(new.min(MAX_MERGED_GRANTS) as usize, now);
+        record
+            .window
+            .merge(new.min(MAX_MERGED_GRANTS) as usize, now);
     }
 
     fn merge_observation(&mut self, observation: &LimitObservation, now: Instant) {
@@ -318,8 +326,7 @@
         let Some(record) = self.records.get(&incarnation) else {
             return GrantState::Ready;
         };
-        let mut held = record.held.iter().filter(|grant| now < grant.expires_at);
-        if let Some(first) = held.next() {
+        if let Some(first) = record.held_for(class, now).map(|index| record.held[index]) {
             return match first.usable_at <= now {
                 true => GrantState::Ready,
                 false => GrantState::Expected,
@@ -366,14 +373,16 @@
     pub(crate) fn take(
         &mut self,
         incarnation: UpstreamIncarnation,
+        class: WorkClass,
         authority: &GrantAuthority,
         now: Instant,
     ) {
         let Some(record) = self.records.get_mut(&incarnation) else {
             return;
         };
-        record.drop_expired(now);
-        if record.held.pop_front().is_some() {
+        record.held.retain(|grant| now < grant.expires_at);
+        if let Some(index) = record.held_for(class, now) {
+            record.held.remove(index);
             return;
         }
         if let (Some(limit), GrantAuthority::Own { share }) = (record.limit, authority) {
@@ -502,6 +511,7 @@
         let expires_at = usable_at + GRANT_TTL;
         if now < expires_at {
             record.held.push_back(HeldGrant {
+                class: pending.class,
                 usable_at: usable_at.max(now.min(expires_at)),
                 expires_at,
             });
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -244,8 +244,7 @@
     pub fn set_limits(&self, limits: &[KnownLimit]) {
         let oldest = limits.iter().map(|known| known.age).max();
         self.limited_upstreams.set(limits.len() as i64);
-        self.limit_age
-            .set(oldest.unwrap_or_default().as_secs_f64());
+        self.limit_age.set(oldest.unwrap_or_default().as_secs_f64());
     }
 
     /// Counts requests to limited upstreams by what became of them.
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -384,7 +384,10 @@
             next_ahead: permit.choice.next.as_ref().map(|next| next.ahead),
             report_ms: permit.choice.report_age.map(|age| age.as_millis() as u64),
             limit: permit.choice.limit.map(|known| known.limit.per_second()),
-            limit_ms: permit.choice.limit.map(|known| known.age.as_millis() as u64),
+            limit_ms: permit
+                .choice
+                .limit
+                .map(|known| known.age.as_millis() as u64),
             version: request.version,
         });
         self.upstream = Some(permit.choice.id.clone());
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -13,9 +13,10 @@
 /// Outcome of a request for which the logs hold no end.
 const NO_END_OUTCOME: &str = "no_end";
 /// Events that change a host's view of whether an upstream is usable.
-const UPSTREAM_STATE_EVENTS: [&str; 4] = [
+const UPSTREAM_STATE_EVENTS: [&str; 5] = [
     "upstream_listed",
     "upstream_gone",
+    "limit_changed",
     "upstream_ejected",
     "upstream_returned",
 ];
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -66,7 +66,10 @@
     let sent: Vec<Instant> = sent.iter().copied().filter(|at| *at >= from).collect();
     let allowed = limit * WINDOW.as_secs_f64() + 2.0;
     for (first, start) in sent.iter().enumerate() {
-        let count = sent[first..].iter().filter(|at| **at - *start < WINDOW).count();
+        let count = sent[first..]
+            .iter()
+            .filter(|at| **at - *start < WINDOW)
+            .count();
         assert!(
             count as f64 <= allowed + 1e-9,
             "{name}: {count} requests in 4 s from {:?} after {from:?}, limit {limit}, allowed {allowed}",
@@ -168,8 +171,7 @@
     }
 
     fn new_host(&self, number: usize, hosts: usize, incarnation: u64) -> Host {
-        let mut state =
-            BalancerState::new(HostId::new(host_name(number)), DataCentre::new("west"));
+        let mut state = BalancerState::new(HostId::new(host_name(number)), DataCentre::new("west"));
         for number in 0..self.upstreams {
             state.put(UpstreamEntry {
                 id: UpstreamId::new(upstream_name(number)),
@@ -240,7 +242,10 @@
     }
 
     pub(crate) fn items_started_since(&self, age: Duration) -> usize {
-        let items = self.sent.iter().filter(|sent| sent.class == WorkClass::Batch);
+        let items = self
+            .sent
+            .iter()
+            .filter(|sent| sent.class == WorkClass::Batch);
         items.filter(|sent| self.now - sent.at < age).count()
     }
 
@@ -248,7 +253,9 @@
     pub(crate) fn items_by_limit(&mut self, act: impl FnOnce(&mut Self)) -> (usize, usize) {
         let before = self.sent.len();
         act(self);
-        let items = self.sent[before..].iter().filter(|sent| sent.class == WorkClass::Batch);
+        let items = self.sent[before..]
+            .iter()
+            .filter(|sent| sent.class == WorkClass::Batch);
         let limited = items.clone().filter(|sent| sent.was_limited);
         (items.count(), limited.count())
     }
@@ -268,7 +275,10 @@
             else {
                 continue;
             };
-            let sent = self.sent.iter().filter(|sent| sent.upstream == upstream && !sent.is_excused);
+            let sent = self
+                .sent
+                .iter()
+                .filter(|sent| sent.upstream == upstream && !sent.is_excused);
             let sent: Vec<Instant> = sent.map(|sent| sent.at).collect();
             assert_window(&sent, since + settle, limit, &upstream_name(upstream));
         }
@@ -432,7 +442,12 @@
         let Some(choice) = placing.state.acquire(slot(&self.service, class), now, draw) else {
             return false;
         };
-        let upstream: usize = choice.id.as_str().trim_start_matches("upstream-").parse().unwrap();
+        let upstream: usize = choice
+            .id
+            .as_str()
+            .trim_start_matches("upstream-")
+            .parse()
+            .unwrap();
         let limit = self.limits[upstream];
         let signal = match limit {
             Some(limit) => LimitSignal::Limited(RateLimit::new(limit).unwrap()),
@@ -492,7 +507,10 @@
                     let mut authority = relays[to].balancer().state();
                     let reply = authority.answer_grant_request(&request, now);
                     drop(authority);
-                    relays[number].balancer().state().apply_grant_reply(&reply, now);
+                    relays[number]
+                        .balancer()
+                        .state()
+                        .apply_grant_reply(&reply, now);
                     relays[number].balancer().notify_waiters();
                 }
             }
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -149,6 +149,7 @@
                 excluded: &[],
                 may_probe: true,
                 urgency: is_ranked.then(|| item.urgency(now)),
+                may_wait: false,
             };
             let Some(choice) = host.balancer.acquire(request, now, 0) else {
                 break;
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -69,7 +69,9 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_limits_on_all_upstreams_are_used_and_kept() {
-    let mut fleet = LimitFleet::new(9, 12, 1).with_traffic(80.0, 7.0).without_waves();
+    let mut fleet = LimitFleet::new(9, 12, 1)
+        .with_traffic(80.0, 7.0)
+        .without_waves();
     fleet.run(SECOND);
     for number in 0..12 {
         fleet.set_limit(number, Some(3.0));
@@ -121,7 +123,11 @@
     fleet.run(3 * SECOND);
     fleet.start(4);
     fleet.run(Duration::from_millis(700));
-    assert_eq!(fleet.hosts_that_know_a_limit(5), 9, "also a host that starts anew");
+    assert_eq!(
+        fleet.hosts_that_know_a_limit(5),
+        9,
+        "also a host that starts anew"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -228,8 +234,7 @@
 /// The requests of nine hosts, their retries and resumptions go through one relay each.
 #[tokio::test(start_paused = true)]
 async fn test_relays_keep_a_limit_and_tell_callers_when_to_return() {
-    let transport =
-        OpaqueUpstreams::new(10, Duration::from_millis(60), Duration::from_millis(10));
+    let transport = OpaqueUpstreams::new(10, Duration::from_millis(60), Duration::from_millis(10));
     let relays: Vec<RequestRelay> = (0..9)
         .map(|number| opaque::new_relay(&format!("host-{number}"), transport.clone(), &["a"]))
         .collect();
@@ -267,7 +272,10 @@
     assert!(sent.len() > 60, "{} requests sent", sent.len());
     assert!(refusals.len() > 200, "{} refused", refusals.len());
     for (waited, retry_after) in refusals {
-        assert!(waited <= Duration::from_millis(150), "told after {waited:?}");
+        assert!(
+            waited <= Duration::from_millis(150),
+            "told after {waited:?}"
+        );
         assert!(retry_after >= Duration::from_millis(100), "{retry_after:?}");
     }
 }
--- a/standins/src/platform_worker.rs
+++ b/standins/src/platform_worker.rs
@@ -61,6 +61,7 @@
     id: String,
     events: u64,
     behaviour: Mutex<WorkerBehaviour>,
+    limits: Mutex<Vec<String>>,
     requests: Mutex<Vec<WorkerRequest>>,
 }
 
@@ -71,6 +72,7 @@
             id: id.to_owned(),
             events,
             behaviour: Mutex::default(),
+            limits: Mutex::default(),
             requests: Mutex::default(),
         })
     }
@@ -90,6 +92,12 @@
         *self.behaviour.lock().expect("behaviour lock") = behaviour;
     }
 
+    /// Sets the values of the headers by which the worker names its limit from now on.
+    pub fn set_limits(&self, values: &[&str]) {
+        let values = values.iter().map(|value| (*value).to_owned());
+        *self.limits.lock().expect("limits lock") = values.collect();
+    }
+
     /// Returns all requests so far, in the order of arrival.
     pub fn requests(&self) -> Vec<WorkerRequest> {
         self.requests.lock().expect("requests lock").clone()
@@ -128,6 +136,10 @@
         if let Some(id) = headers.get("attempt-id") {
             answered.insert("attempt-id", id.clone());
         }
+        for value in self.limits.lock().expect("limits lock").iter() {
+            let value = http::HeaderValue::from_str(value).expect("limits are ASCII");
+            answered.append("server-limit", value);
+        }
         if let WorkerBehaviour::Leaves | WorkerBehaviour::LeavesFull = behaviour {
             answered.insert("server-leaving", http::HeaderValue::from_static("1"));
         }
