origins: streams and items go on only at the software version that began them

Cause: upstreams of a service counted as interchangeable; an entry's version was dropped. Class: state of one producer handed to another. The same in the text of batch items.

Change: the host that passes on a stream's first event remembers the version and tells three registrars, which a host asks at which the caller takes the stream up; if none knows it, the versions that served lately decide, which are kept in the key-value service. Runs that go on are placed at that version only. Items whose version has no free slot start anew.

Evidence: with the version left out of the placement, test_stream_is_not_resumed_at_another_software_version, test_take_up_at_another_host_goes_on_at_the_version_that_began and test_items_are_not_joined_from_two_software_versions fail. Why it works: placement is the only way to an upstream, and takes the version as a condition.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -17,6 +17,12 @@
 use crate::collections::HashMap;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::origins::OriginKeeper;
+use crate::origins::OriginNotice;
+use crate::origins::OriginQuery;
+use crate::origins::OriginReply;
+use crate::origins::REGISTRARS;
+use crate::origins::StreamTag;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
 
@@ -51,7 +57,7 @@
     pub neighbours: Vec<SocketAddr>,
     /// All other hosts, neighbours included; they receive its broadcasts.
     pub all: Vec<SocketAddr>,
-    /// Addresses of the neighbours by their names.
+    /// Addresses of all other hosts by their names.
     pub by_name: HashMap<String, SocketAddr>,
 }
 
@@ -73,6 +79,7 @@
     convictions_sent: HashMap<String, Instant>,
     news_budget: NewsBudget,
     log: EventLog,
+    origins: OriginKeeper,
     /// State of the limits that the last report told of.
     limit_revision: u64,
 }
@@ -149,6 +156,7 @@
             convictions_sent: HashMap::default(),
             news_budget: NewsBudget::new(Instant::now()),
             log: EventLog::disabled(),
+            origins: OriginKeeper::default(),
             limit_revision: 0,
         }
     }
@@ -165,6 +173,12 @@
         self
     }
 
+    /// Also exchanges what `origins` knows of the versions at which streams began.
+    pub fn with_origins(mut self, origins: OriginKeeper) -> Self {
+        self.origins = origins;
+        self
+    }
+
     /// Exchanges datagrams with the hosts that `peers` returns, until the future is dropped.
     ///
     /// Broadcasts announce the jobs that `acquired_jobs` returns. For each broadcast received,
@@ -178,7 +192,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next = Instant::now();
         let crashes = self.crashes.clone();
-        let balancer = self.balancer.clone();
+        let (balancer, origins) = (self.balancer.clone(), self.origins.clone());
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -188,6 +202,7 @@
                 }
                 () = crashes.news_added() => self.send_news(Instant::now()).await,
                 () = balancer.grants_requested() => self.send_grant_requests().await,
+                () = origins.messages_added() => self.send_origins().await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
                     self.refresh_peers(now, &peers);
@@ -232,6 +247,17 @@
                     self.balancer.notify_waiters();
                 }
             }
+            Some(HostDatagram::Origins(notice)) => self.origins.apply(notice.origins),
+            Some(HostDatagram::OriginQuery(query)) => {
+                let reply = OriginReply {
+                    tag: query.tag,
+                    host: self.report.host.clone(),
+                    version: self.origins.find(query.tag),
+                };
+                self.send(&HostDatagram::OriginReply(reply), &[sender])
+                    .await;
+            }
+            Some(HostDatagram::OriginReply(reply)) => self.origins.apply_reply(&reply),
             None => {}
         }
     }
@@ -269,6 +295,28 @@
         }
     }
 
+    /// Tells registrars of streams that have begun here, and asks them about others.
+    async fn send_origins(&self) {
+        for origin in self.origins.take_origins() {
+            let registrars = self.registrars(origin.0);
+            let origins = vec![origin];
+            let notice = HostDatagram::Origins(OriginNotice { origins });
+            self.send(&notice, &registrars).await;
+        }
+        for tag in self.origins.take_queries() {
+            let registrars = self.registrars(tag);
+            self.origins.note_asked(tag, registrars.len());
+            let query = HostDatagram::OriginQuery(OriginQuery { tag });
+            self.send(&query, &registrars).await;
+        }
+    }
+
+    fn registrars(&self, tag: StreamTag) -> Vec<SocketAddr> {
+        let hosts = self.balancer.state().hosts_near(tag.position(), REGISTRARS);
+        let addresses = hosts.iter().filter_map(|host| self.peers.by_name.get(host));
+        addresses.copied().collect()
+    }
+
     fn log_limit_changes(&self) {
         let changes = self.balancer.state().take_limit_changes();
         for (upstream, change) in changes {
--- a/lib/src/balancer/neighbours.rs
+++ b/lib/src/balancer/neighbours.rs
@@ -85,6 +85,15 @@
         near.filter(|host| *host != self.own())
     }
 
+    /// Whether this host is the nearest to `position` among itself and those that it hears.
+    pub(crate) fn is_nearest_heard(&self, position: f64, now: Instant) -> bool {
+        let own = self.own();
+        let mut hosts = self.ring.near_position(position, 1.0);
+        let nearest =
+            hosts.find(|host| *host == own || self.peer_state(host, now) == PeerState::Heard);
+        nearest.is_none_or(|host| host == own)
+    }
+
     /// Those of `hosts` that callers should use, where the hosts within `reach` are expected to
     /// report to this one.
     pub(crate) fn usable<'a>(&self, hosts: &[&'a str], reach: f64, now: Instant) -> Vec<&'a str> {
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -10,6 +10,9 @@
 use crate::limits::GrantReply;
 use crate::limits::GrantRequest;
 use crate::limits::LimitNotice;
+use crate::origins::OriginNotice;
+use crate::origins::OriginQuery;
+use crate::origins::OriginReply;
 use crate::suspects::CrashNews;
 
 /// Work of one host at one upstream.
@@ -101,6 +104,15 @@
     /// Reply to a request for a grant.
     #[serde(rename = "g")]
     GrantReply(GrantReply),
+    /// Versions of streams that have begun, to their registrars.
+    #[serde(rename = "o")]
+    Origins(OriginNotice),
+    /// Question about a stream, to one of its registrars.
+    #[serde(rename = "y")]
+    OriginQuery(OriginQuery),
+    /// Reply of a registrar.
+    #[serde(rename = "z")]
+    OriginReply(OriginReply),
 }
 
 impl HostDatagram {
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -38,6 +38,7 @@
 use crate::ids::DataCentre;
 use crate::ids::HostId;
 use crate::ids::ServiceName;
+use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
 use crate::ids::WorkClass;
@@ -93,6 +94,8 @@
     pub state: UpstreamState,
     /// Start time of the upstream process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
+    /// Version of the upstream's software.
+    pub software: SoftwareVersion,
 }
 
 /// Key of an upstream within one host's [`BalancerState`].
@@ -113,6 +116,8 @@
     /// Whether the work may run more than once, so that it can probe an upstream that was ejected
     /// for a fault.
     pub may_probe: bool,
+    /// Version of the software at which the work has to go on; `None` for work that has not begun.
+    pub software: Option<&'a SoftwareVersion>,
     /// Urgency of a batch item; `None` for an online request.
     pub urgency: Option<ItemUrgency>,
     /// Whether an online request rather waits for a grant at a limited upstream than queues at one
@@ -131,6 +136,8 @@
     pub incarnation: UpstreamIncarnation,
     /// Address at which the upstream accepts requests.
     pub address: SocketAddr,
+    /// Version of the upstream's software.
+    pub software: SoftwareVersion,
     /// Requests of all hosts that were at the upstream before this one; batch items count only if
     /// this work is a batch item itself.
     pub ahead: u32,
@@ -217,6 +224,8 @@
     /// Batch items that wait at this host, the most urgent first.
     own_waiting: Vec<WaitingItems>,
     pub(super) limits: LimitTable,
+    /// Number of changes of `serving`.
+    serving_revision: u64,
     pub(super) returns: HashMap<ServiceName, ReturnSchedule>,
 }
 
@@ -236,6 +245,7 @@
             first_start_attempt: None,
             own_waiting: Vec::new(),
             limits: LimitTable::default(),
+            serving_revision: 0,
             returns: HashMap::default(),
         }
     }
@@ -247,7 +257,7 @@
 
     /// Adds or updates an upstream.
     ///
-    /// If the start time, the address or the service has changed, the upstream has restarted under
+    /// If the start time, the address, the service or the software has changed, the upstream has restarted under
     /// its old identifier: it gets a new key, no recorded faults and no counted work.
     pub fn put(&mut self, entry: UpstreamEntry) {
         if let Some(key) = self.keys_by_id.get(&entry.id)
@@ -255,7 +265,8 @@
         {
             let restarted = upstream.entry.started_ms != entry.started_ms
                 || upstream.entry.address != entry.address
-                || upstream.entry.service != entry.service;
+                || upstream.entry.service != entry.service
+                || upstream.entry.software != entry.software;
             if !restarted {
                 upstream.entry = entry;
                 upstream.is_registered = true;
@@ -300,8 +311,9 @@
             (Ok(at), false) => {
                 serving.remove(at);
             }
-            _ => {}
+            _ => return,
         }
+        self.serving_revision += 1;
     }
 
     /// Replaces the hosts that share the upstreams. This host is included even if `names` lacks it.
@@ -364,6 +376,42 @@
         self.remove_if_idle(key);
     }
 
+    /// Number of changes of the upstreams that accept requests.
+    pub fn serving_revision(&self) -> u64 {
+        self.serving_revision
+    }
+
+    /// Services and versions of all upstreams that accept requests, without duplicates.
+    pub fn serving_versions(&self) -> Vec<(ServiceName, SoftwareVersion)> {
+        let serving = self.serving.iter().flat_map(|(service, all)| {
+            let versions: HashSet<SoftwareVersion> = all
+                .iter()
+                .map(|(_, key)| self.upstreams[key].entry.software.clone())
+                .collect();
+            versions
+                .into_iter()
+                .map(|version| (service.clone(), version))
+        });
+        serving.collect()
+    }
+
+    /// Whether an upstream of `service` with this version accepts requests.
+    pub fn serves_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let mut serving = self.serving.get(service).into_iter().flatten();
+        serving.any(|(_, key)| self.upstreams[key].entry.software == *version)
+    }
+
+    /// The other hosts nearest to `position` on the ring, `count` at most.
+    pub fn hosts_near(&self, position: f64, count: usize) -> Vec<String> {
+        let near = self.tracker.near_position(position, 1.0).take(count);
+        near.map(str::to_owned).collect()
+    }
+
+    /// Whether this host is the nearest to `position` on the ring among those that it hears.
+    pub fn is_nearest_heard(&self, position: f64, now: Instant) -> bool {
+        self.tracker.is_nearest_heard(position, now)
+    }
+
     /// Removes all upstreams for whose identifiers `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
         let gone: Vec<UpstreamId> = self
@@ -496,6 +544,7 @@
             id: upstream.entry.id.clone(),
             incarnation: upstream.incarnation(),
             address: upstream.entry.address,
+            software: upstream.entry.software.clone(),
             ahead,
             slots: upstream.entry.slots,
             next,
@@ -520,7 +569,11 @@
         let mut candidates: Vec<(BalancerKey, &UpstreamRecord)> = self
             .window(request.service, is_eligible)
             .filter(|(key, upstream)| {
-                !request.excluded.contains(key) && self.has_slot(upstream, class)
+                !request.excluded.contains(key)
+                    && self.has_slot(upstream, class)
+                    && request
+                        .software
+                        .is_none_or(|software| *software == upstream.entry.software)
             })
             .collect();
         let is_healthy = |upstream: &UpstreamRecord| {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -73,6 +73,8 @@
         address: String,
         /// `ready` or `draining`.
         state: String,
+        /// Version of the upstream's software.
+        software: String,
     },
     /// An upstream was removed, as its entry has vanished.
     UpstreamGone {
@@ -161,6 +163,10 @@
         limit_ms: Option<u64>,
         /// Version of the configuration that the request was routed by.
         version: u64,
+        /// Version of the upstream's software.
+        software: String,
+        /// Version of the software that began the answer; absent if it starts anew.
+        began_at: Option<String>,
     },
     /// An attempt to send a request ended without a usable answer.
     SendingFailed {
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -68,6 +68,10 @@
     /// Name of a service whose requests are relayed without being interpreted.
     ServiceName
 );
+string_id!(
+    /// Version of the software that an upstream runs, not of the weights that it serves.
+    SoftwareVersion
+);
 string_id!(
     /// Identifier of one request, the same on all hosts that handle it.
     RequestId
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -118,7 +118,8 @@
     /// route, so that the caller may try the next.
     fn dispatch_next(&self) -> bool {
         let now = Instant::now();
-        let Some(dispatch) = self.with_table(|table| table.next_item(now, steady_unix_millis()))
+        let Some(mut dispatch) =
+            self.with_table(|table| table.next_item(now, steady_unix_millis()))
         else {
             return false;
         };
@@ -135,12 +136,24 @@
             class: WorkClass::Batch,
             excluded: &[],
             may_probe: true,
+            software: dispatch.progress.software.as_ref(),
             urgency: Some(dispatch.urgency),
             may_wait: false,
         };
-        let Some(permit) = self.shared.relay.balancer().acquire(slot_request) else {
+        let balancer = self.shared.relay.balancer();
+        let permit = balancer.acquire(slot_request).or_else(|| {
+            slot_request.software?;
+            balancer.acquire(SlotRequest {
+                software: None,
+                ..slot_request
+            })
+        });
+        let Some(permit) = permit else {
             return false;
         };
+        if dispatch.progress.software.as_ref() != Some(&permit.choice.software) {
+            dispatch.progress = ItemProgress::default();
+        }
         self.with_table(|table| table.mark_running(&job, dispatch.index));
         let events = Arc::new(AtomicU64::new(dispatch.progress.events));
         let stop = self
@@ -360,6 +373,7 @@
         match step {
             StreamStep::Event(event) => {
                 progress.push(event.id, &event.data());
+                progress.software = run.software().cloned();
                 if progress.text.len() > MAX_OUTPUT_BYTES {
                     // Output of this length can't be valid, so the next run starts from scratch.
                     return ItemOutcome::Broken(ItemProgress::default());
@@ -455,6 +469,8 @@
         received: now,
         deadline: now + RUN_TIMEOUT,
         resume_after: dispatch.progress.last_id,
+        resumes: None,
+        software: dispatch.progress.software.clone(),
         prompt_parts: Vec::new(),
     }
 }
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::SoftwareVersion;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
 use crate::peers::PeerMessage;
@@ -24,6 +25,9 @@
     pub last_id: Option<u64>,
     /// Number of events received.
     pub events: u64,
+    /// Version of the software that sent them.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// A call to another host about a job, mostly to the job's owner.
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -9,6 +9,7 @@
 use crate::balancer::ItemUrgency;
 use crate::collections::HashMap;
 use crate::edges::kv::LeaseId;
+use crate::ids::SoftwareVersion;
 use crate::jobs::estimator::DurationEstimator;
 use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::spec::JobResult;
@@ -56,6 +57,8 @@
     pub(crate) last_id: Option<u64>,
     /// Number of events received, over all runs.
     pub(crate) events: u64,
+    /// Version of the software that sent them; a later run resumes at no other.
+    pub(crate) software: Option<SoftwareVersion>,
 }
 
 impl ItemProgress {
@@ -433,6 +436,7 @@
             text: Bytes::from(owned_item.progress.text.clone()),
             last_id: owned_item.progress.last_id,
             events: owned_item.progress.events,
+            software: owned_item.progress.software.clone(),
         });
         checkpoints.collect()
     }
@@ -444,13 +448,16 @@
             let Some(owned_item) = self.owned_item(job, checkpoint.index) else {
                 continue;
             };
+            // A host of an earlier version does not tell which software sent the events.
             if owned_item.state == ItemState::Waiting
                 && owned_item.progress.events < checkpoint.events
+                && checkpoint.software.is_some()
             {
                 owned_item.progress = ItemProgress {
                     text: checkpoint.text.to_vec(),
                     last_id: checkpoint.last_id,
                     events: checkpoint.events,
+                    software: checkpoint.software,
                 };
             }
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod membership;
 mod memory_budget;
 pub mod metrics;
+pub mod origins;
 pub mod peers;
 pub mod placement;
 mod rate;
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -21,7 +21,9 @@
 use crate::balancer::UpstreamFault;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
+use crate::ids::WorkClass;
 use crate::relay::event::EventSplitter;
 use crate::relay::event::StreamEvent;
 use crate::relay::request::RelayRequest;
@@ -33,6 +35,7 @@
 use crate::relay::transport::UpstreamAnswer;
 use crate::relay::transport::UpstreamBody;
 use crate::relay::witness::CrashWitness;
+use crate::routes::RouteKind;
 use crate::suspects::CrashRefusal;
 
 /// Largest whole answer that is buffered.
@@ -164,6 +167,8 @@
     attempts: u32,
     runs: u32,
     last_event_id: Option<u64>,
+    /// Version of the software that began the answer; it goes on at no other.
+    software: Option<SoftwareVersion>,
     excluded: Vec<BalancerKey>,
     reserved: Option<SlotPermit>,
     may_reuse: bool,
@@ -179,6 +184,7 @@
     /// Returns a dispatch of `request` by `relay` that has not sent anything.
     pub fn new(relay: RequestRelay, request: Arc<RelayRequest>, policy: RetryPolicy) -> Self {
         let last_event_id = request.resume_after;
+        let software = request.software.clone();
         let witness = CrashWitness::new(relay.clone(), request.clone());
         Self {
             relay,
@@ -187,6 +193,7 @@
             attempts: 0,
             runs: 0,
             last_event_id,
+            software,
             excluded: Vec::new(),
             reserved: None,
             may_reuse: true,
@@ -211,6 +218,11 @@
         self
     }
 
+    /// Version of the software that began the answer; `None` before its first event.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        self.software.as_ref()
+    }
+
     /// Progress of the dispatch so far.
     pub fn state(&self) -> DispatchState {
         DispatchState {
@@ -356,6 +368,7 @@
             class: request.class,
             excluded: &self.excluded,
             may_probe: self.policy.is_retryable,
+            software: self.software.as_ref(),
             urgency: None,
             may_wait: false,
         };
@@ -389,6 +402,8 @@
                 .limit
                 .map(|known| known.age.as_millis() as u64),
             version: request.version,
+            software: permit.choice.software.to_string(),
+            began_at: self.software.as_ref().map(ToString::to_string),
         });
         self.upstream = Some(permit.choice.id.clone());
         self.heard_at = now;
@@ -540,6 +555,11 @@
                 match event_order(self.last_event_id, event.id) {
                     EventOrder::Next => {
                         self.last_event_id = event.id.or(self.last_event_id);
+                        if open.events == 0 && event.carries_data() {
+                            let version = &open.permit.choice.software;
+                            record_origin(&self.relay, &self.request, version);
+                            self.software.get_or_insert_with(|| version.clone());
+                        }
                         if event.carries_data() {
                             open.record_progress(self.relay.log());
                         }
@@ -720,6 +740,15 @@
     }
 }
 
+/// Records which version of the software began the stream of an online request that may be taken up.
+fn record_origin(relay: &RequestRelay, request: &RelayRequest, version: &SoftwareVersion) {
+    let is_resumable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
+    if is_resumable && request.class == WorkClass::Online {
+        let tag = request.stream_tag();
+        relay.origins().record_begun(tag, version);
+    }
+}
+
 fn open_stream(permit: SlotPermit, body: UpstreamBody, sent: Instant) -> OpenStream {
     OpenStream {
         permit,
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -9,7 +9,9 @@
 
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
+use crate::ids::SoftwareVersion;
 use crate::ids::WorkClass;
+use crate::origins::StreamTag;
 use crate::routes::Route;
 use crate::suspects::CrashSubject;
 use crate::suspects::Fingerprint;
@@ -43,6 +45,11 @@
     pub deadline: Instant,
     /// Id of the last event that the caller has received; `None` for a stream from its start.
     pub resume_after: Option<u64>,
+    /// Identifier of the request that brought the stream's first event to the caller, if its caller
+    /// takes a stream up and says so.
+    pub resumes: Option<RequestId>,
+    /// Version of the software at which the answer has to go on; `None` if it starts anew.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl RelayRequest {
@@ -53,6 +60,11 @@
         Fingerprint::opaque(&self.route.host, method, target, &self.body)
     }
 
+    /// Tag of the stream that the request begins, or takes up.
+    pub(crate) fn stream_tag(&self) -> StreamTag {
+        StreamTag::new(self.resumes.as_ref().unwrap_or(&self.id))
+    }
+
     /// Everything about the request that may crash an upstream.
     pub(crate) fn crash_subjects(&self) -> Vec<CrashSubject> {
         let mut subjects = vec![CrashSubject::Request(self.fingerprint())];
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -15,6 +15,7 @@
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::memory_budget::MemoryBudget;
+use crate::origins::OriginKeeper;
 use crate::relay::dispatch::OpenedAnswer;
 use crate::relay::dispatch::RelayFailure;
 use crate::relay::dispatch::RequestDispatch;
@@ -41,6 +42,8 @@
 const SERVED_OUTCOME: &str = "served";
 /// Upper bound of the retry delay for a request that no upstream accepted.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Retry delay for a request that takes up a stream which can't go on.
+const NOT_RESUMABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Lower bound of the retry delay for a request that limits of upstreams leave no room for.
 const MIN_LIMITED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -52,6 +55,9 @@
     Overloaded,
     /// Requests like this one crash the upstreams that run them.
     Convicted,
+    /// The stream can't be taken up: the version of the software that began it is not known, or none
+    /// of its upstreams serves. The caller has to begin anew.
+    NotResumable,
 }
 
 /// Outcome of a relayed request, for its caller.
@@ -96,6 +102,7 @@
     log: EventLog,
     answer_memory: MemoryBudget,
     crashes: CrashKeeper,
+    origins: OriginKeeper,
 }
 
 impl RequestRelay {
@@ -112,6 +119,7 @@
             balancer,
             answer_memory: MemoryBudget::new(ANSWER_MEMORY_BYTES),
             crashes: CrashKeeper::new(&host, log.clone()),
+            origins: OriginKeeper::default(),
             log,
         }
     }
@@ -137,6 +145,19 @@
         &self.crashes
     }
 
+    /// What this host knows of the versions at which streams began.
+    pub fn origins(&self) -> &OriginKeeper {
+        &self.origins
+    }
+
+    /// Takes over the versions of the upstreams that serve now into the history of versions.
+    pub(crate) fn update_versions(&self) {
+        let state = self.balancer.state();
+        let revision = state.serving_revision();
+        self.origins
+            .update_history(revision, || state.serving_versions());
+    }
+
     /// Memory budget that all buffered whole answers share.
     pub(crate) fn answer_memory(&self) -> &MemoryBudget {
         &self.answer_memory
@@ -149,7 +170,15 @@
 
     /// Relays `request` and returns its answer. A streamed answer makes progress, and is resumed
     /// at another upstream after a failure, only while its body is polled.
-    pub async fn relay(&self, request: RelayRequest) -> RelayAnswer {
+    pub async fn relay(&self, mut request: RelayRequest) -> RelayAnswer {
+        if let Err(reason) = self.set_origin(&mut request).await {
+            let load = self.load(&request);
+            self.log_refusal(&request, reason, load, NOT_RESUMABLE_RETRY_DELAY, None);
+            return RelayAnswer::Refused {
+                retry_after: NOT_RESUMABLE_RETRY_DELAY,
+                reason: RelayRefusal::NotResumable,
+            };
+        }
         let load = self.load(&request);
         let left = request.deadline.saturating_duration_since(Instant::now());
         if let ShedDecision::Refuse(delay) = decide_shedding(load, request.route.objective, left) {
@@ -225,6 +254,30 @@
         }
     }
 
+    /// Finds the version of the software at which a stream has to go on that the request takes up. The
+    /// error is the reason why there is none.
+    async fn set_origin(&self, request: &mut RelayRequest) -> Result<(), &'static str> {
+        if request.resume_after.is_none() {
+            return Ok(());
+        }
+        self.update_versions();
+        let age = request.route.timeout;
+        let version = match &request.resumes {
+            Some(_) => {
+                let tag = request.stream_tag();
+                self.origins.resolve(tag, &request.service, age).await
+            }
+            None => self.origins.sole_version(&request.service, age),
+        };
+        let version = version.ok_or("origin_unknown")?;
+        let is_served = self
+            .balancer
+            .state()
+            .serves_version(&request.service, &version);
+        request.software = Some(version);
+        is_served.then_some(()).ok_or("version_gone")
+    }
+
     /// Why a request was not placed, and when its caller should come back.
     fn unplaced_delay(&self, request: &RelayRequest) -> (&'static str, Duration) {
         let mut state = self.balancer.state();
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -23,7 +23,6 @@
 use crate::balancer::PeerAddresses;
 use crate::balancer::UpstreamEntry;
 use crate::balancer::UpstreamState;
-use crate::collections::HashMap;
 use crate::counters::CounterSet;
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
@@ -39,6 +38,7 @@
 use crate::jobs::JobPeerClient;
 use crate::jobs::JobReply;
 use crate::jobs::JobStore;
+use crate::origins::VersionArchive;
 use crate::peers::PeerClient;
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
@@ -55,6 +55,10 @@
 const SECRET_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which upstreams whose entries vanished during an outage are checked for removal.
 const UPSTREAM_SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which the versions of upstreams that serve are compared with those known before.
+const VERSION_INTERVAL: Duration = Duration::from_millis(200);
+/// Position on the ring near which the host is that stores changes of versions.
+const VERSION_WRITER_POSITION: f64 = 0.0;
 /// How long a leaving host still accepts new connections, as callers cache the list of hosts for a
 /// while.
 const CALLER_MOVE_TIME: Duration = Duration::from_millis(3_500);
@@ -168,7 +172,8 @@
             self.leaving.clone(),
         )
         .with_crashes(self.relay.crashes().clone())
-        .with_log(self.log.clone());
+        .with_log(self.log.clone())
+        .with_origins(self.relay.origins().clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
@@ -183,6 +188,11 @@
         tokio::spawn(async move { registry.run(stop).await });
         let (jobs, stop) = (self.jobs.clone(), self.stop.clone());
         tokio::spawn(async move { jobs.run(stop).await });
+        let (host, archive) = (
+            self.clone(),
+            VersionArchive::new(kv.clone(), self.relay.origins().clone()),
+        );
+        tokio::spawn(async move { host.follow_versions(archive).await });
         let host = self.clone();
         tokio::spawn(async move { host.serve_peers(listener, peer_client, kv).await });
         let host = self.clone();
@@ -202,12 +212,11 @@
             let neighbours = balancer_state.neighbours();
             let is_near = |entry: &&&HostEntry| neighbours.contains(&entry.host);
             let near = others.iter().filter(is_near);
-            let by_name = near.map(|entry| (entry.host.clone(), entry.peers));
-            let by_name: HashMap<String, SocketAddr> = by_name.collect();
+            let by_name = others.iter().map(|entry| (entry.host.clone(), entry.peers));
             PeerAddresses {
-                neighbours: by_name.values().copied().collect(),
+                neighbours: near.map(|entry| entry.peers).collect(),
                 all: others.iter().map(|entry| entry.peers).collect(),
-                by_name,
+                by_name: by_name.collect(),
             }
         })
     }
@@ -247,6 +256,23 @@
         }
     }
 
+    /// Follows the versions that serve. One host of the fleet stores their changes.
+    async fn follow_versions(&self, archive: VersionArchive) {
+        archive.load().await;
+        let origins = self.relay.origins();
+        while !self.stop.is_cancelled() {
+            self.relay.update_versions();
+            let is_writer = {
+                let state = self.balancer.state();
+                state.is_nearest_heard(VERSION_WRITER_POSITION, Instant::now())
+            };
+            if origins.take_unsaved() && is_writer && !archive.store().await {
+                origins.set_unsaved();
+            }
+            tokio::time::sleep(VERSION_INTERVAL).await;
+        }
+    }
+
     /// Relay that forwards this host's online requests.
     pub fn relay(&self) -> &RequestRelay {
         &self.relay
@@ -295,6 +321,7 @@
                 UpstreamState::Ready => "ready".to_owned(),
                 UpstreamState::Draining => "draining".to_owned(),
             },
+            software: entry.software.to_string(),
         });
         self.with_reconciler(|reconciler, balancer_state| reconciler.put(entry, balancer_state));
         self.balancer.notify_waiters();
@@ -328,6 +355,7 @@
             true => reconciler.note_recovery(Instant::now()),
             false => reconciler.note_outage(),
         });
+        self.relay.origins().set_current(is_reachable);
     }
 
     fn with_reconciler<T>(
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -16,6 +16,7 @@
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
 use parsleywall::limits::GrantReply;
@@ -49,6 +50,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        software: None,
         urgency: match class {
             WorkClass::Online => None,
             WorkClass::Batch => Some(ItemUrgency {
@@ -181,6 +183,7 @@
                 slots: SLOTS,
                 state: UpstreamState::Ready,
                 started_ms: 1,
+                software: SoftwareVersion::new("v1"),
             });
         }
         let names: Vec<String> = (0..hosts).map(host_name).collect();
--- a/lib/tests/opaque/mod.rs
+++ b/lib/tests/opaque/mod.rs
@@ -18,8 +18,11 @@
 use parsleywall::ids::HostId;
 use parsleywall::ids::RequestId;
 use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
+use parsleywall::origins::OriginReply;
+use parsleywall::origins::StreamTag;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
 use parsleywall::relay::RequestRelay;
@@ -68,9 +71,53 @@
         slots: SLOTS,
         state: UpstreamState::Ready,
         started_ms: 1,
+        software: SoftwareVersion::new("v1"),
     }
 }
 
+/// Entry of an upstream that runs another version of the software.
+pub(crate) fn upstream_with(name: &str, software: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        software: SoftwareVersion::new(software),
+        ..upstream(name)
+    }
+}
+
+/// Lets the hosts of `relays` exchange the versions at which streams began until the task is aborted.
+pub(crate) fn spawn_origin_exchange(relays: Vec<RequestRelay>) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        let name = |number: usize| relays[number].balancer().state().host().to_owned();
+        loop {
+            for number in 0..relays.len() {
+                let origins = relays[number].origins();
+                let registrars = |tag: StreamTag| {
+                    let near = relays[number]
+                        .balancer()
+                        .state()
+                        .hosts_near(tag.position(), 3);
+                    (0..relays.len()).filter(move |other| near.contains(&name(*other)))
+                };
+                for origin in origins.take_origins() {
+                    for other in registrars(origin.0) {
+                        relays[other].origins().apply(vec![origin.clone()]);
+                    }
+                }
+                for tag in origins.take_queries() {
+                    origins.note_asked(tag, registrars(tag).count());
+                    for other in registrars(tag) {
+                        origins.apply_reply(&OriginReply {
+                            tag,
+                            host: name(other),
+                            version: relays[other].origins().find(tag),
+                        });
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+}
+
 /// Lets the hosts of `relays` exchange what they know of crashes until the task is aborted.
 pub(crate) fn spawn_crash_exchange(relays: Vec<RequestRelay>) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
@@ -116,6 +163,8 @@
         received: now,
         deadline: now + route.timeout,
         resume_after: None,
+        resumes: None,
+        software: None,
         prompt_parts: Vec::new(),
         route: Arc::new(route),
     }
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -14,6 +14,7 @@
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
 use tokio::time::Instant;
@@ -148,6 +149,7 @@
                 class: WorkClass::Batch,
                 excluded: &[],
                 may_probe: true,
+                software: None,
                 urgency: is_ranked.then(|| item.urgency(now)),
                 may_wait: false,
             };
@@ -202,6 +204,7 @@
         slots: SLOTS,
         state: UpstreamState::Ready,
         started_ms: 1,
+        software: SoftwareVersion::new("v1"),
     }
 }
 
@@ -322,6 +325,7 @@
             class,
             excluded: &[],
             may_probe: true,
+            software: None,
             urgency: None,
             may_wait: false,
         };
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -30,6 +30,7 @@
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
 use proptest::prelude::*;
@@ -53,6 +54,7 @@
         slots: SLOTS,
         state: UpstreamState::Ready,
         started_ms: 1,
+        software: SoftwareVersion::new("v1"),
     }
 }
 
@@ -70,6 +72,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        software: None,
         urgency: None,
         may_wait: false,
     }
@@ -327,6 +330,7 @@
     let service = service();
     let once = SlotRequest {
         may_probe: false,
+        software: None,
         ..request(&service, WorkClass::Online)
     };
     for _ in 0..SLOTS {
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -654,6 +654,50 @@
     assert_eq!(host.relay.crashes().convictions(), 0);
 }
 
+/// What two versions of the software write must not be joined: an item whose version serves no more
+/// starts anew.
+#[tokio::test(start_paused = true)]
+async fn test_items_are_not_joined_from_two_software_versions() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    let version = |name: &str| if name == UPSTREAMS[0] { "v1" } else { "v2" };
+    for name in UPSTREAMS {
+        let entry = opaque::upstream_with(name, version(name));
+        host.relay.balancer().state().put(entry);
+    }
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::BreaksAfter(6));
+    }
+    assert_eq!(
+        host.keeper.submit(job("j1", 10)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet
+        .transport
+        .set(UPSTREAMS[0], OpaqueBehaviour::Unreachable);
+    host.relay
+        .balancer()
+        .state()
+        .remove(&parsleywall::ids::UpstreamId::new(UPSTREAMS[0]));
+    for name in &UPSTREAMS[1..] {
+        fleet.transport.set(name, OpaqueBehaviour::Serves);
+    }
+    assert_complete(&fleet.transport, &read_all(&host, "j1").await);
+    let mut resumed = 0;
+    for number in 0..10 {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        for pair in runs
+            .windows(2)
+            .filter(|pair| pair[1].resume_after.is_some())
+        {
+            assert_eq!(version(&pair[0].upstream), version(&pair[1].upstream));
+            resumed += 1;
+        }
+    }
+    assert!(resumed > 0, "items of the version that serves are resumed");
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_items_are_preempted_by_online_work_and_resume() {
     use parsleywall::ids::ServiceName;
@@ -678,6 +722,7 @@
         class: WorkClass::Online,
         excluded: &[],
         may_probe: true,
+        software: None,
         urgency: None,
         may_wait: false,
     };
--- /dev/null
+++ b/lib/tests/test_origins.rs
@@ -0,0 +1,272 @@
+//! Streams go on only at the version of the upstream's software that began them.
+
+mod opaque;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opaque::all_events;
+use opaque::read_stream;
+use opaque::request;
+use opaque::route;
+use opaque::spawn_origin_exchange;
+use opaque::upstream_with;
+use parsleywall::ids::RequestId;
+use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
+use parsleywall::ids::UpstreamId;
+use parsleywall::origins::OriginKeeper;
+use parsleywall::origins::VersionArchive;
+use parsleywall::origins::VersionHistory;
+use parsleywall::relay::RelayAnswer;
+use parsleywall::relay::RelayRefusal;
+use parsleywall::relay::RelayRequest;
+use parsleywall::relay::RequestRelay;
+use parsleywall::routes::RouteKind;
+use parsleywall_standins::kv::KvMemory;
+use parsleywall_standins::opaque::OpaqueBehaviour;
+use parsleywall_standins::opaque::OpaqueUpstreams;
+
+const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
+const EVENTS: u64 = 20;
+const HOSTS: usize = 6;
+const SECOND_MS: u64 = 1_000;
+
+fn upstreams() -> Arc<OpaqueUpstreams> {
+    OpaqueUpstreams::new(EVENTS, Duration::from_millis(60), Duration::from_millis(20))
+}
+
+fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion::new(name)
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("desk")
+}
+
+/// Adds upstreams by their names, each with the version that its name begins with.
+fn put(relay: &RequestRelay, names: &[&str]) {
+    for name in names {
+        let entry = upstream_with(name, &name[..2]);
+        relay.balancer().state().put(entry);
+    }
+}
+
+fn remove(relay: &RequestRelay, name: &str) {
+    relay.balancer().state().remove(&UpstreamId::new(name));
+}
+
+/// Relays of a fleet that use the same upstreams and have just started.
+fn fleet(transport: &Arc<OpaqueUpstreams>, upstreams: &[&str]) -> Vec<RequestRelay> {
+    let names: Vec<String> = (0..HOSTS).map(|number| format!("host-{number}")).collect();
+    let relays = names.iter().map(|name| {
+        let relay = opaque::new_relay(name, transport.clone(), &[]);
+        let hosts = names.iter().map(String::as_str);
+        relay.balancer().state().set_hosts(hosts);
+        put(&relay, upstreams);
+        relay.origins().load_history(&VersionHistory::default());
+        relay
+    });
+    relays.collect()
+}
+
+/// A request that takes up the stream that the request `began` has begun.
+fn take_up(id: &str, began: &str, after: u64) -> RelayRequest {
+    RelayRequest {
+        resume_after: Some(after),
+        resumes: Some(RequestId::new(began)),
+        ..request(id, route(RESUMABLE, 2))
+    }
+}
+
+fn is_not_resumable(answer: &RelayAnswer) -> bool {
+    matches!(
+        answer,
+        RelayAnswer::Refused {
+            reason: RelayRefusal::NotResumable,
+            ..
+        }
+    )
+}
+
+/// Begins the stream `id` at `relay` and has its caller read `events` events before it leaves.
+async fn begin(relay: &RequestRelay, id: &str, events: usize) {
+    use futures_util::StreamExt;
+    let answer = relay.relay(request(id, route(RESUMABLE, 2))).await;
+    let RelayAnswer::Stream { body, .. } = answer else {
+        panic!("no stream");
+    };
+    let read: Vec<_> = body.take(events).collect().await;
+    assert_eq!(read.len(), events);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_stream_is_not_resumed_at_another_software_version() {
+    for behaviour in [
+        OpaqueBehaviour::BreaksAfter(7),
+        OpaqueBehaviour::SilentAfter(7),
+    ] {
+        let transport = upstreams();
+        let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+        put(&relay, &["v1-a"]);
+        transport.set("v1-a", behaviour);
+        let answer = relay.relay(request("r1", route(RESUMABLE, 2))).await;
+        put(&relay, &["v2-a", "v2-b"]);
+        assert_eq!(read_stream(answer).await, (all_events("r1", 7), false));
+        assert_eq!(transport.runs("r1").len(), 1, "{behaviour:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_stream_is_resumed_at_its_software_version_among_three() {
+    let transport = upstreams();
+    let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+    put(&relay, &["v2-a"]);
+    transport.set("v2-a", OpaqueBehaviour::BreaksAfter(7));
+    let answer = relay.relay(request("r1", route(RESUMABLE, 2))).await;
+    put(&relay, &["v1-a", "v1-b", "v3-a", "v3-b", "v2-b"]);
+    assert_eq!(read_stream(answer).await, (all_events("r1", EVENTS), true));
+    assert_eq!(transport.runs("r1")[1].upstream, "v2-b");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_take_up_at_another_host_goes_on_at_the_version_that_began() {
+    let transport = upstreams();
+    let relays = fleet(&transport, &["v1-a", "v1-b", "v2-a", "v2-b"]);
+    let exchange = spawn_origin_exchange(relays.clone());
+    for number in 0..40 {
+        let (began, id) = (format!("r{number}"), format!("t{number}"));
+        begin(&relays[number % HOSTS], &began, 5).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let other = &relays[(number + 1 + number % (HOSTS - 1)) % HOSTS];
+        let answer = other.relay(take_up(&id, &began, 5)).await;
+        assert!(read_stream(answer).await.1, "{began} goes on");
+        let (first, second) = (&transport.runs(&began)[0], &transport.runs(&id)[0]);
+        assert_eq!(first.upstream[..2], second.upstream[..2], "{began}");
+    }
+    exchange.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_take_up_of_a_version_that_is_gone_is_refused_at_once() {
+    let transport = upstreams();
+    let relays = fleet(&transport, &["v1-a"]);
+    let exchange = spawn_origin_exchange(relays.clone());
+    begin(&relays[0], "r1", 5).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    for relay in &relays {
+        put(relay, &["v2-a", "v2-b"]);
+        remove(relay, "v1-a");
+    }
+    let asked = tokio::time::Instant::now();
+    let answer = relays[1].relay(take_up("t1", "r1", 5)).await;
+    assert!(is_not_resumable(&answer));
+    assert!(asked.elapsed() < Duration::from_millis(100));
+    assert!(transport.runs("t1").is_empty());
+    // A rollback brings the version back.
+    put(&relays[1], &["v1-b"]);
+    let answer = relays[1].relay(take_up("t2", "r1", 5)).await;
+    assert!(read_stream(answer).await.1);
+    assert_eq!(transport.runs("t2")[0].upstream, "v1-b");
+    exchange.abort();
+}
+
+/// All hosts are killed, so that none of them knows the stream.
+#[tokio::test(start_paused = true)]
+async fn test_take_up_after_all_hosts_were_killed_is_refused_if_two_versions_served() {
+    let transport = upstreams();
+    let old = fleet(&transport, &["v1-a", "v2-a"]);
+    begin(&old[0], "r1", 5).await;
+    let relays = fleet(&transport, &["v1-a", "v2-a"]);
+    let exchange = spawn_origin_exchange(relays.clone());
+    let answer = relays[1].relay(take_up("t1", "r1", 5)).await;
+    assert!(is_not_resumable(&answer));
+    assert!(transport.runs("t1").is_empty());
+    exchange.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_take_up_after_all_hosts_were_killed_goes_on_if_one_version_served() {
+    let transport = upstreams();
+    let old = fleet(&transport, &["v1-a", "v1-b"]);
+    begin(&old[0], "r1", 5).await;
+    let relays = fleet(&transport, &["v1-a", "v1-b"]);
+    let exchange = spawn_origin_exchange(relays.clone());
+    let answer = relays[1].relay(take_up("t1", "r1", 5)).await;
+    assert!(read_stream(answer).await.1);
+    // While it does not follow the entries of upstreams, a host may not know of a newer version.
+    relays[2].origins().set_current(false);
+    let answer = relays[2].relay(take_up("t2", "r9", 5)).await;
+    assert!(is_not_resumable(&answer));
+    exchange.abort();
+}
+
+/// The versions of the time before the hosts were killed come from the key-value service.
+#[tokio::test(start_paused = true)]
+async fn test_version_that_served_before_all_hosts_were_killed_is_known_from_the_store() {
+    let kv = KvMemory::new();
+    let before = OriginKeeper::default();
+    let archive = VersionArchive::new(kv.clone(), before.clone());
+    archive.load().await;
+    before.update_history(1, || vec![(service(), version("v1"))]);
+    assert!(archive.store().await);
+
+    let transport = upstreams();
+    let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+    put(&relay, &["v2-a", "v2-b"]);
+    let early = relay.relay(take_up("t0", "r1", 5)).await;
+    assert!(is_not_resumable(&early), "before the history was read");
+    VersionArchive::new(kv.clone(), relay.origins().clone())
+        .load()
+        .await;
+    let answer = relay.relay(take_up("t1", "r1", 5)).await;
+    assert!(is_not_resumable(&answer));
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let answer = relay.relay(take_up("t2", "r2", 5)).await;
+    assert!(read_stream(answer).await.1, "v1 is long gone");
+}
+
+#[test]
+fn test_history_tells_the_sole_version_of_a_time() {
+    let both = [(service(), version("v1")), (service(), version("v2"))];
+    let age = Duration::from_secs(5);
+    let mut history = VersionHistory::default();
+    assert_eq!(history.sole_version(&service(), age, SECOND_MS), None);
+    assert!(history.update(&both[..1], SECOND_MS));
+    assert!(!history.update(&both[..1], 2 * SECOND_MS));
+    let sole = |history: &VersionHistory, at| history.sole_version(&service(), age, at);
+    assert_eq!(sole(&history, 3 * SECOND_MS), Some(version("v1")));
+    assert!(history.update(&both, 100 * SECOND_MS));
+    assert_eq!(sole(&history, 100 * SECOND_MS), None);
+    assert!(history.update(&both[1..], 200 * SECOND_MS));
+    assert_eq!(sole(&history, 209 * SECOND_MS), None);
+    assert_eq!(sole(&history, 211 * SECOND_MS), Some(version("v2")));
+    // The version comes back.
+    assert!(history.update(&both, 212 * SECOND_MS));
+    assert_eq!(sole(&history, 212 * SECOND_MS), None);
+}
+
+#[test]
+fn test_merged_history_has_the_versions_of_both() {
+    let mut one = VersionHistory::default();
+    one.update(&[(service(), version("v1"))], SECOND_MS);
+    let mut other = VersionHistory::default();
+    other.update(&[(service(), version("v2"))], SECOND_MS);
+    one.merge(&other);
+    let age = Duration::from_secs(5);
+    assert_eq!(one.sole_version(&service(), age, 2 * SECOND_MS), None);
+}
+
+/// Without the identifier of the stream, only the time tells which version began it.
+#[tokio::test(start_paused = true)]
+async fn test_take_up_that_names_no_stream_goes_on_if_one_version_served() {
+    let transport = upstreams();
+    let relays = fleet(&transport, &["v1-a"]);
+    let unnamed = |id: &str| RelayRequest {
+        resumes: None,
+        ..take_up(id, "r1", 5)
+    };
+    assert!(read_stream(relays[0].relay(unnamed("t1")).await).await.1);
+    put(&relays[0], &["v2-a"]);
+    assert!(is_not_resumable(&relays[0].relay(unnamed("t2")).await));
+}
