inference: a refusal after an engine has run says so

What callers saw: a request whose stream or whole answer broke off at one engine and that the next one refused with a 4xx got an error which said that it has not run.

Cause: the refusal of an attempt was returned as it was, without the attempts before it. Class: a promise made from the last of several attempts. Found by the test for the users' report of errors that follow a broken stream; the answer itself never held the error's text. test_inference_error_of_the_next_engine_is_no_part_of_a_broken_stream failed with executed No instead of Unknown, and passes now.

--- a/lib/src/inference/runner.rs
+++ b/lib/src/inference/runner.rs
@@ -191,7 +191,7 @@
                     return Ok(());
                 }
                 AttemptResult::CallerLeft => return Ok(()),
-                AttemptResult::Refused(refusal) => return Err(refusal),
+                AttemptResult::Refused(refusal) => return Err(history.refuse(refusal)),
                 AttemptResult::Failed(reason, cause) => (reason, cause),
             };
             if let (RetryReason::ConnectionBroken, Some(suspects)) = (reason, &self.suspects) {
--- a/lib/tests/scripted/mod.rs
+++ b/lib/tests/scripted/mod.rs
@@ -80,6 +80,8 @@
     NotSent,
     /// Rejects the call, as all of the engine's slots are taken.
     Busy,
+    /// Answers with the status 400 and the text `scripted refusal`.
+    Refuses,
 }
 
 /// Record of a call that an engine received.
@@ -232,6 +234,10 @@
             EngineScript::NoHead => std::future::pending().await,
             EngineScript::NotSent => Err(EngineError::NotSent("scripted".to_owned())),
             EngineScript::Busy => Err(EngineError::Busy),
+            EngineScript::Refuses => Err(EngineError::Refused {
+                status: 400,
+                message: "scripted refusal".to_owned(),
+            }),
             script => Ok(self.stream(script, from, tokens)),
         }
     }
--- a/lib/tests/test_inference.rs
+++ b/lib/tests/test_inference.rs
@@ -44,6 +44,19 @@
     }
 }
 
+/// After an engine began to answer, the refusal of the next one must not say that the request has not
+/// run, and its text must not get into the answer.
+#[tokio::test(start_paused = true)]
+async fn test_inference_error_of_the_next_engine_is_no_part_of_a_broken_stream() {
+    let fleet = ScriptedFleet::start(2).await;
+    fleet.engine.script(EngineScript::BreakAfter(5));
+    fleet.engine.script(EngineScript::Refuses);
+    let answer = fleet.answer(fleet.call(WorkClass::Online, TOKENS)).await;
+    let refusal = answer.expect_err("the stream is not complete");
+    assert_eq!(refusal.reason, RefusalReason::UpstreamRefused);
+    assert_eq!(refusal.executed, Executed::Unknown);
+}
+
 /// A stream that stalls on an open connection is moved to another engine, and pooled connections
 /// to the silent one are given up.
 #[tokio::test(start_paused = true)]
