limits: an impossible limit in a report of another host does not end the process

Limits above 1,000 a second now count as that where requests are counted, and answers that name more have no limit; grants that expired unused are dropped with the next reply. The new test failed before with an overflow in request_window.rs.

--- a/lib/src/limits/rate_limit.rs
+++ b/lib/src/limits/rate_limit.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 /// Limits above this, in requests a second, have no effect: no upstream gets as many requests.
-const MAX_EFFECTIVE_LIMIT: f64 = 10_000.0;
+pub(crate) const MAX_EFFECTIVE_LIMIT: f64 = 1_000.0;
 
 /// Requests a second that an upstream takes from all hosts together: finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -55,7 +55,7 @@
 impl LimitSignal {
     /// The signal of an answer that names the limits `values`, in requests a second, where `None`
     /// stands for text that is no number. The lowest of several valid limits holds; one above
-    /// 10,000 has no effect.
+    /// 1,000 has no effect.
     pub fn from_values(values: impl IntoIterator<Item = Option<f64>>) -> Self {
         let mut is_named = false;
         let mut lowest: Option<f64> = None;
--- a/lib/src/limits/request_window.rs
+++ b/lib/src/limits/request_window.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::ids::WorkClass;
+use crate::limits::rate_limit::MAX_EFFECTIVE_LIMIT;
 use crate::limits::rate_limit::RateLimit;
 
 /// Time over which a limit is kept, in seconds.
@@ -39,7 +40,8 @@
     /// The budget for the part `share` of `limit`, from 0 to 1.
     pub(crate) fn new(limit: RateLimit, share: f64) -> Self {
         let share = share.clamp(f64::EPSILON, 1.0);
-        let requests = (limit.per_second() * share * LIMIT_SECONDS).floor();
+        let per_second = limit.per_second().min(MAX_EFFECTIVE_LIMIT);
+        let requests = (per_second * share * LIMIT_SECONDS).floor();
         let requests = requests as usize;
         // The parts of a divided fleet would add up to more.
         let is_whole = share >= 1.0;
--- a/lib/src/limits/table.rs
+++ b/lib/src/limits/table.rs
@@ -516,6 +516,7 @@
         self.counts.granted += 1;
         let usable_at = pending.asked_at + wait.min(MAX_GRANT_WAIT);
         let expires_at = usable_at + GRANT_TTL;
+        record.held.retain(|grant| now < grant.expires_at);
         if now < expires_at {
             record.held.push_back(HeldGrant {
                 class: pending.class,
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -11,10 +11,14 @@
 use opaque::route;
 use parsleywall::balancer::BalancerState;
 use parsleywall::balancer::HostLoadReport;
+use parsleywall::balancer::upstream_tag;
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
+use parsleywall::ids::UpstreamIncarnation;
 use parsleywall::ids::WorkClass;
+use parsleywall::limits::LimitNotice;
+use parsleywall::limits::LimitObservation;
 use parsleywall::limits::LimitSignal;
 use parsleywall::limits::RateLimit;
 use parsleywall::relay::RelayAnswer;
@@ -216,6 +220,38 @@
     assert_eq!(state.known_limit(&entry.id, now), None);
 }
 
+/// A message may hold any limit, also one that no answer could have named.
+#[tokio::test(start_paused = true)]
+async fn test_impossible_limit_in_a_report_takes_no_memory() {
+    let now = Instant::now();
+    let mut state = BalancerState::new(HostId::new("host-a"), DataCentre::new("west"));
+    let entry = opaque::upstream("a");
+    state.put(entry.clone());
+    let incarnation = UpstreamIncarnation(upstream_tag(&entry.id), entry.started_ms);
+    let limit = RateLimit::new(1e308);
+    let observation = LimitObservation(incarnation, limit, u32::MAX);
+    let report = HostLoadReport {
+        host: "host-b".to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        is_leaving: false,
+        loads: Vec::new(),
+        leaving: Vec::new(),
+        waiting: Vec::new(),
+        convictions: 0,
+        limits: vec![LimitNotice(observation, u32::MAX, u32::MAX)],
+    };
+    state.apply_report(report, now);
+    assert_eq!(
+        state.known_limit(&entry.id, now).map(|known| known.limit),
+        limit
+    );
+    let later = now + 10 * SECOND;
+    let service = ServiceName::new("desk");
+    let choice = state.acquire(limit_fleet::slot(&service, WorkClass::Online), later, 0);
+    assert!(choice.is_some());
+}
+
 /// A host that hears none of the others uses its own part of the limit only.
 #[tokio::test(start_paused = true)]
 async fn test_host_that_hears_nobody_sends_its_share_of_a_limit() {
