--- a/review/tool/src/cases/mod.rs
+++ b/review/tool/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, by name.
 
 mod dead_service;
+mod garbled_item;
 
 use serde_json::Value;
 use serde_json::json;
@@ -18,6 +19,7 @@
 /// Plays a case and returns how often the rule was broken.
 pub async fn play(case: &str, record: Record, trouble: bool) -> Result<usize, CaseError> {
     match case {
+        "garbled-item" => garbled_item::play(record, trouble).await,
         "dead-service" => dead_service::play(record, trouble).await,
         _ => Err("there is no such case".into()),
     }
