review: a repeated answer makes an item a dead letter too early

Cause: all runs of an item share one identifier and go over pooled connections, so that a late duplicate of a 500 passes for the answer of the next run. Added: case 3.

--- a/review/tool/src/cases/mod.rs
+++ b/review/tool/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, by name.
 
 mod dead_service;
+mod early_dead_letter;
 mod garbled_item;
 
 use serde_json::Value;
@@ -21,6 +22,7 @@
     match case {
         "garbled-item" => garbled_item::play(record, trouble).await,
         "dead-service" => dead_service::play(record, trouble).await,
+        "early-dead-letter" => early_dead_letter::play(record, trouble).await,
         _ => Err("there is no such case".into()),
     }
 }
