review: removing the route of batch jobs hides accepted jobs

Cause: calls that read or end a job are passed on only while the manifest has a route for the host name. Added: case 4.

--- a/review/tool/src/cases/mod.rs
+++ b/review/tool/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod dead_service;
 mod early_dead_letter;
 mod garbled_item;
+mod removed_route;
 
 use serde_json::Value;
 use serde_json::json;
@@ -21,6 +22,7 @@
 pub async fn play(case: &str, record: Record, trouble: bool) -> Result<usize, CaseError> {
     match case {
         "garbled-item" => garbled_item::play(record, trouble).await,
+        "removed-route" => removed_route::play(record, trouble).await,
         "dead-service" => dead_service::play(record, trouble).await,
         "early-dead-letter" => early_dead_letter::play(record, trouble).await,
         _ => Err("there is no such case".into()),
