review: streams are joined from two versions when workers restart

Cause: the version of an upstream is that of its entry, which lags behind a restart under the same identifier.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 tool=target/review/release/review-tool
 [ -x "$tool" ] && [ -x target/release/parsleywall ] || exit 2
-exec "$tool" silent-watch review/5/record.txt
+exec "$tool" removed-route review/5/record.txt
--- a/review/tool/src/cases/mod.rs
+++ b/review/tool/src/cases/mod.rs
@@ -3,8 +3,8 @@
 mod dead_service;
 mod early_dead_letter;
 mod garbled_item;
+mod new_version;
 mod removed_route;
-mod silent_watch;
 
 use serde_json::Value;
 use serde_json::json;
@@ -22,8 +22,8 @@
 /// Plays a case and returns how often the rule was broken.
 pub async fn play(case: &str, record: Record, trouble: bool) -> Result<usize, CaseError> {
     match case {
-        "silent-watch" => silent_watch::play(record, trouble).await,
         "garbled-item" => garbled_item::play(record, trouble).await,
+        "new-version" => new_version::play(record, trouble).await,
         "removed-route" => removed_route::play(record, trouble).await,
         "dead-service" => dead_service::play(record, trouble).await,
         "early-dead-letter" => early_dead_letter::play(record, trouble).await,
--- a/review/tool/src/client.rs
+++ b/review/tool/src/client.rs
@@ -14,7 +14,6 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub status: u16,
-    pub head: String,
     pub body: Vec<u8>,
 }
 
@@ -22,13 +21,6 @@
     pub fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
-
-    pub fn header(&self, name: &str) -> Option<String> {
-        let lines = self.head.lines().skip(1);
-        let mut fields = lines.filter_map(|line| line.split_once(':'));
-        let found = fields.find(|(field, _)| field.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.trim().to_owned())
-    }
 }
 
 /// Sends `request`, which asks to close the connection, and reads up to the connection's end.
@@ -56,7 +48,6 @@
     };
     Ok(Answer {
         status: status.ok_or("the answer is malformed")?,
-        head,
         body,
     })
 }
--- a/review/tool/src/fleet.rs
+++ b/review/tool/src/fleet.rs
@@ -23,7 +23,6 @@
 use tokio::time::Instant;
 
 use crate::client;
-use crate::proxy::StoreLink;
 
 const CALLER_PORT: u16 = 8161;
 const DIRECTORY_PORT: u16 = 8164;
@@ -63,7 +62,6 @@
 /// One front process. Dropping it kills the process.
 pub struct Front {
     pub ip: IpAddr,
-    pub link: StoreLink,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -143,7 +141,7 @@
             fleet.put(&format!("servers/{id}"), entry).await?;
         }
         for _ in 0..count {
-            fleet.add_front().await?;
+            fleet.add_front()?;
         }
         for number in 0..count {
             fleet.await_ready(number).await?;
@@ -154,16 +152,14 @@
         Ok(fleet)
     }
 
-    async fn add_front(&mut self) -> Result<(), CaseError> {
+    fn add_front(&mut self) -> Result<(), CaseError> {
         let number = self.fronts.len();
         let pid = std::process::id();
         let ip = IpAddr::from([127, (pid >> 8) as u8 | 64, pid as u8, number as u8 + 1]);
-        let link = StoreLink::start(self.store.address()).await?;
         let settings = self.folder.join(format!("front-{number}.toml"));
-        std::fs::write(&settings, node_file(number, ip, link.address()))?;
+        std::fs::write(&settings, node_file(number, ip, self.store.address()))?;
         let mut front = Front {
             ip,
-            link,
             settings,
             log: self.folder.join(format!("front-{number}.log")),
             child: None,
@@ -175,8 +171,13 @@
 
     /// Writes `value` to the store, which acknowledges it by returning.
     pub async fn put(&self, key: &str, value: &Value) -> Result<(), CaseError> {
+        Self::put_into(&self.kv, key, value).await
+    }
+
+    /// Writes `value` to the store `kv`.
+    pub async fn put_into(kv: &KvMemory, key: &str, value: &Value) -> Result<(), CaseError> {
         let bytes = Bytes::from(value.to_string());
-        let put = self.kv.put(key, bytes, Expect::Any, None).await;
+        let put = kv.put(key, bytes, Expect::Any, None).await;
         put.map(|_| ()).map_err(|err| err.to_string().into())
     }
 
--- a/review/tool/src/main.rs
+++ b/review/tool/src/main.rs
@@ -5,7 +5,6 @@
 mod cases;
 mod client;
 mod fleet;
-mod proxy;
 mod worker;
 
 use std::process::ExitCode;
--- a/review/tool/src/worker.rs
+++ b/review/tool/src/worker.rs
@@ -52,6 +52,7 @@
     pub id: String,
     pub service: String,
     pub zone: &'static str,
+    pub version: &'static str,
     pub address: SocketAddr,
     tasks: Arc<Mutex<JoinSet<()>>>,
 }
@@ -63,7 +64,21 @@
         record: Record,
         script: Script,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_version("v1", id, service, address, record, script).await
+    }
+
+    /// Starts a worker with software of `version` at `address`. The data of its events names the version,
+    /// unless it is v1.
+    pub async fn start_version(
+        version: &'static str,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        record: Record,
+        script: Script,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (name, service_name) = (id.to_owned(), service.to_owned());
         let connections = Arc::new(AtomicUsize::new(0));
@@ -76,6 +91,7 @@
                     name: name.clone(),
                     service: service_name.clone(),
                     number,
+                    version,
                     record: record.clone(),
                     script: script.clone(),
                 };
@@ -87,6 +103,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             zone: "west",
+            version,
             address,
             tasks,
         })
@@ -107,7 +124,7 @@
     pub fn entry(&self) -> (String, Value) {
         let entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone,
-            "version": "v1", "slots": SLOTS, "state": "ready", "coldLeftMs": 0, "sequence": 1,
+            "version": self.version, "slots": SLOTS, "state": "ready", "coldLeftMs": 0, "sequence": 1,
             "stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}], "born": 1000
         });
         (self.id.clone(), entry)
@@ -118,6 +135,7 @@
     name: String,
     service: String,
     number: usize,
+    version: &'static str,
     record: Record,
     script: Script,
 }
@@ -217,7 +235,11 @@
         stream.write_all(head.as_bytes()).await?;
         for number in request.last_event.unwrap_or(0) + 1..=events {
             tokio::time::sleep(interval).await;
-            let event = format!("id: {number}\ndata: {}\n\n", data(&request.id, number));
+            let data = match self.version {
+                "v1" => data(&request.id, number),
+                version => format!("{} by {version}", data(&request.id, number)),
+            };
+            let event = format!("id: {number}\ndata: {data}\n\n");
             write_chunk(stream, &event).await?;
         }
         Ok(())
