store: prove the store's answers on a new connection when open ones are silent

Callers were served by an old manifest, or by workers that drain, for as long as the open connections to the store brought nothing: each read waited 1.5 s on a dead connection before it failed, the next one took the next dead connection from the pool, and pending watches went on unless a call timed out. A connect that was refused or timed out, a body that broke off and a head without a body ended no watch, so that a store whose machine was gone left them for 26.5 s.

Cause: what one call showed about its connection was not applied to the others, and a repeated call chose again from the same pool.

`ServiceConnections` sends reads, lease renewals and `changes_since` again on a new connection when the first request fails or is late: after 250 ms, or three mean response times, so that a slow store gets no second request for each. The first answer wins. Writes are sent once. `ConnectionVerdict` decides which outcome discards the open connections: none is used again, and the watches on them end. An outcome applies to the connections that it was seen on only, so that several failures discard them once.

`KvStore::changes_since` reads the changes after a revision without waiting for any; the platform's store client sends it as a repeatable call.

--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -208,6 +208,11 @@
         wait: Duration,
     ) -> Result<KvChanges, KvError>;
 
+    /// Returns the changes to keys with `prefix` after revision `after`, without waiting for any. Linearizable.
+    async fn changes_since(&self, prefix: &str, after: KvVersion) -> Result<KvChanges, KvError> {
+        self.watch(prefix, after, Duration::ZERO).await
+    }
+
     /// Creates a lease that lapses `ttl` after its creation or last renewal.
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError>;
 
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod pools;
 pub mod reply;
 pub mod server;
+pub mod service_connections;
 mod write_timeout;
 
 #[cfg(test)]
