follow, metrics: how old a host's views of the store may be

`parsleywall_config_age_seconds` was 0 as long as no call failed, against its help text.

Each view (configuration, upstreams, requests to retire) now has an age: the time since the start of the newest call whose answer shows that it is current. `view_advanced`, `view_unproved` and `view_proved` log it, the gauges `_view_age_seconds` and `_config_age_seconds` show it, `request_sent` has it as `config_ms` and `view_ms`, and `_view_calls_total` counts the calls by view, call and outcome.

Shown by `test_view_age_tells_silence_from_no_changes`, which needs this change to compile.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -65,6 +65,33 @@
         /// Parse error.
         cause: String,
     },
+    /// An answer of the key-value service has brought a view up to date: a listing, or one with changes.
+    ViewAdvanced {
+        /// What the host follows, such as `configuration` or `upstreams`.
+        view: String,
+        /// Revision of the service up to which the view has all changes.
+        revision: u64,
+        /// Call that brought them: `listing`, `watch` or `check`.
+        via: String,
+        /// Number of changes, or of keys of a listing.
+        changes: usize,
+        /// Time in milliseconds since the view is known to be current, by the start of that call.
+        age_ms: u64,
+    },
+    /// Nothing has proved for its greatest age that a view is current; it may miss changes.
+    ViewUnproved {
+        /// What the host follows.
+        view: String,
+        /// Time in milliseconds since the view was last known to be current.
+        age_ms: u64,
+    },
+    /// A view that was logged as unproved is known to be current again.
+    ViewProved {
+        /// What the host follows.
+        view: String,
+        /// Time in milliseconds since the view is known to be current.
+        age_ms: u64,
+    },
     /// An upstream has registered itself or changed its entry.
     UpstreamListed {
         /// Identifier of the upstream.
@@ -171,6 +198,10 @@
         limit_ms: Option<u64>,
         /// Version of the configuration that the request was routed by.
         version: u64,
+        /// Time in milliseconds since the configuration in force was last known to be the newest.
+        config_ms: Option<u64>,
+        /// Time in milliseconds since the list of upstreams was last known to be current.
+        view_ms: Option<u64>,
         /// Version of the upstream's software.
         software: String,
         /// Version of the software that began the answer; absent if it starts anew.
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -13,6 +13,8 @@
 use crate::edges::kv::KvStore;
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::list_all;
+use crate::host_views::ViewHandle;
+use crate::view_monitor::ViewCall;
 
 /// Longest time that a watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
@@ -42,6 +44,7 @@
 pub struct PrefixFollower {
     kv: Arc<dyn KvStore>,
     prefix: String,
+    view: ViewHandle,
     coalesce_delay: Duration,
     refresh: Arc<Notify>,
     revision: Option<KvVersion>,
@@ -50,11 +53,13 @@
 }
 
 impl PrefixFollower {
-    /// Creates a follower of `prefix` that starts with a listing.
-    pub fn new(kv: Arc<dyn KvStore>, prefix: impl Into<String>) -> Self {
+    /// Creates a follower of `prefix` that starts with a listing and records in `view` how old what it
+    /// reports may be.
+    pub fn new(kv: Arc<dyn KvStore>, prefix: impl Into<String>, view: ViewHandle) -> Self {
         Self {
             kv,
             prefix: prefix.into(),
+            view,
             coalesce_delay: COALESCE_DELAY,
             refresh: Arc::default(),
             revision: None,
@@ -78,7 +83,15 @@
 
     /// Calls `handle` with each event, until the future is dropped. Failed calls are retried with
     /// backoff.
-    pub async fn run(mut self, mut handle: impl FnMut(PrefixEvent)) {
+    pub async fn run(self, handle: impl FnMut(PrefixEvent)) {
+        let view = self.view.clone();
+        tokio::select! {
+            () = self.follow(handle) => {}
+            () = view.log_age() => {}
+        }
+    }
+
+    async fn follow(mut self, mut handle: impl FnMut(PrefixEvent)) {
         let refresh = self.refresh.clone();
         loop {
             let outcome = match self.revision {
@@ -103,12 +116,16 @@
     }
 
     async fn list(&mut self, handle: &mut impl FnMut(PrefixEvent)) -> Result<(), KvError> {
+        let started = Instant::now();
+        let listing = list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await;
         let (entries, revision) =
-            list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await?;
+            listing.inspect_err(|_| self.view.note_failure(ViewCall::Listing))?;
         self.note_success(handle);
         // Later pages of the listing may contain changes beyond this revision; the watch reports
         // them again.
         self.revision = Some(revision);
+        self.view
+            .note_answer(ViewCall::Listing, started, revision, entries.len());
         handle(PrefixEvent::Listed(entries));
         Ok(())
     }
@@ -118,17 +135,22 @@
         revision: KvVersion,
         handle: &mut impl FnMut(PrefixEvent),
     ) -> Result<(), KvError> {
-        let changes = self.kv.watch(&self.prefix, revision, WATCH_TIMEOUT).await?;
+        let started = Instant::now();
+        let answer = self.kv.watch(&self.prefix, revision, WATCH_TIMEOUT).await;
+        let changes = answer.inspect_err(|_| self.view.note_failure(ViewCall::Watch))?;
         self.note_success(handle);
         if changes.compacted {
             self.revision = None;
             return Ok(());
         }
         let has_changed = !changes.changes.is_empty();
+        let revision = changes.revision.max(revision);
+        self.view
+            .note_answer(ViewCall::Watch, started, revision, changes.changes.len());
         for change in changes.changes {
             handle(PrefixEvent::Changed(change));
         }
-        self.revision = Some(changes.revision.max(revision));
+        self.revision = Some(revision);
         if has_changed {
             tokio::time::sleep(self.coalesce_delay).await;
         }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -41,6 +42,8 @@
     items: IntGaugeVec,
     config_version: IntGauge,
     config_age: Gauge,
+    view_age: GaugeVec,
+    view_calls: IntCounterVec,
     convictions: IntGauge,
     limited_upstreams: IntGauge,
     limit_age: Gauge,
@@ -143,6 +146,19 @@
                 "Requests to limited upstreams: granted, denied (withheld for the limit) or unanswered.",
                 &["outcome"],
             ),
+            view_age: GaugeVec::new(
+                Opts::new(
+                    "parsleywall_view_age_seconds",
+                    "Time since a view of the key-value service was last known to be current.",
+                ),
+                &["view"],
+            )
+            .expect("metric names are valid"),
+            view_calls: counter(
+                "view_calls_total",
+                "Calls that read a view, by what they are and by outcome: changed, unchanged or failed.",
+                &["view", "via", "outcome"],
+            ),
             config_age: Gauge::new(
                 "parsleywall_config_age_seconds",
                 "Time since the configuration in force was last known to be the newest.",
@@ -163,6 +179,7 @@
             &self.item_runs,
             &self.jobs,
             &self.grants,
+            &self.view_calls,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
         all.extend(counters.map(|counter| Box::new(counter.clone()) as _));
@@ -173,6 +190,7 @@
         all.push(Box::new(self.items.clone()));
         all.push(Box::new(self.config_version.clone()));
         all.push(Box::new(self.config_age.clone()));
+        all.push(Box::new(self.view_age.clone()));
         all.push(Box::new(self.convictions.clone()));
         all.push(Box::new(self.limited_upstreams.clone()));
         all.push(Box::new(self.limit_age.clone()));
@@ -221,6 +239,18 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    /// Counts a call that reads `view`, by what it is and by outcome.
+    pub fn count_view_call(&self, view: &str, via: &str, outcome: &str) {
+        let counter = self.view_calls.with_label_values(&[view, via, outcome]);
+        counter.inc();
+    }
+
+    /// Sets the time since `view` was last known to be current.
+    pub fn set_view_age(&self, view: &str, age: Duration) {
+        let gauge = self.view_age.with_label_values(&[view]);
+        gauge.set(age.as_secs_f64());
+    }
+
     /// Sets a gauge of `service`: its slots (`kind` is `places`), or the `online` or `batch` work
     /// at the upstreams that offer them.
     pub fn set_slot_counts(&self, service: &str, kind: &str, count: u32) {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -391,6 +391,7 @@
         let budget = self.request.deadline.saturating_duration_since(now);
         self.attempts += 1;
         self.excluded.push(permit.choice.key);
+        let (config_ms, view_ms) = self.relay.view_ages_ms();
         self.relay.log().write(LogEvent::RequestSent {
             request: request.id.to_string(),
             upstream: permit.choice.id.to_string(),
@@ -407,6 +408,8 @@
                 .limit
                 .map(|known| known.age.as_millis() as u64),
             version: request.version,
+            config_ms,
+            view_ms,
             software: permit.choice.software.to_string(),
             began_at: self.software.as_ref().map(ToString::to_string),
         });
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -15,6 +15,8 @@
 use crate::balancer::UpstreamChoice;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::host_views::HostViews;
+use crate::host_views::ViewHandle;
 use crate::memory_budget::MemoryBudget;
 use crate::origins::OriginKeeper;
 use crate::relay::answered::AnsweredRequests;
@@ -108,6 +110,7 @@
     balancer: LoadBalancer,
     log: EventLog,
     answer_memory: MemoryBudget,
+    views: Option<HostViews>,
     answered: Arc<AnsweredRequests>,
     stop_gate: StopGate,
     crashes: CrashKeeper,
@@ -127,6 +130,7 @@
             transport,
             balancer,
             answer_memory: MemoryBudget::new(ANSWER_MEMORY_BYTES),
+            views: None,
             answered: Arc::default(),
             stop_gate: StopGate::default(),
             crashes: CrashKeeper::new(&host, log.clone()),
@@ -141,6 +145,22 @@
         self
     }
 
+    /// Logs the ages of `views` with each request that is sent.
+    pub fn with_views(mut self, views: HostViews) -> Self {
+        self.views = Some(views);
+        self
+    }
+
+    /// Ages in milliseconds of the configuration and of the list of upstreams; `None` without views.
+    pub(crate) fn view_ages_ms(&self) -> (Option<u64>, Option<u64>) {
+        let age = |view: &ViewHandle| view.age().as_millis() as u64;
+        let views = self.views.as_ref();
+        (
+            views.map(|views| age(&views.configuration)),
+            views.map(|views| age(&views.upstreams)),
+        )
+    }
+
     /// The transport that sends requests to upstreams.
     pub fn transport(&self) -> &Arc<dyn UpstreamTransport> {
         &self.transport
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -29,6 +29,8 @@
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::host_views::HostViews;
+use crate::host_views::ViewAges;
 use crate::http::server::InFlightRequests;
 use crate::http::server::ServerShutdown;
 use crate::ids::DataCentre;
@@ -83,6 +85,8 @@
     pub peers: SocketAddr,
     /// Memory limit in bytes for buffered answers, those that are not streamed.
     pub answer_bytes: usize,
+    /// Greatest ages that the views of the key-value service should reach.
+    pub view_ages: ViewAges,
     /// Limits and intervals of the batch work.
     pub jobs: JobConfig,
 }
@@ -98,8 +102,7 @@
     routes: watch::Sender<Arc<RouteTable>>,
     config_monitor: ConfigMonitor,
     reconciler: Mutex<EntryReconciler>,
-    /// Start of the current outage of the configuration service; `None` while it answers.
-    config_outage_start: Mutex<Option<Instant>>,
+    views: HostViews,
     stop: CancellationToken,
     leaving: CancellationToken,
 }
@@ -119,8 +122,10 @@
             HostId::new(&config.host),
             DataCentre::new(&config.data_centre),
         ));
+        let views = HostViews::new(config.view_ages, &log);
         let relay = RequestRelay::new(transport, balancer.clone(), log.clone())
-            .with_answer_memory(config.answer_bytes);
+            .with_answer_memory(config.answer_bytes)
+            .with_views(views.clone());
         let entry = HostEntry {
             host: config.host.clone(),
             incarnation: config.incarnation,
@@ -153,7 +158,7 @@
             routes,
             config_monitor: ConfigMonitor::default(),
             reconciler: Mutex::default(),
-            config_outage_start: Mutex::default(),
+            views,
             stop: CancellationToken::new(),
             leaving: CancellationToken::new(),
         });
@@ -313,14 +318,9 @@
         self.config_monitor.refresh()
     }
 
-    /// Records whether the service that holds the configuration answers. During an outage, the age
-    /// of the configuration grows in the metrics.
-    pub fn set_config_reachable(&self, is_reachable: bool) {
-        let mut lost = self.config_outage_start.lock().expect("config outage lock");
-        *lost = match is_reachable {
-            true => None,
-            false => lost.or(Some(Instant::now())),
-        };
+    /// The host's views of the key-value service.
+    pub fn views(&self) -> &HostViews {
+        &self.views
     }
 
     /// Adds an upstream, or replaces its entry.
@@ -403,9 +403,8 @@
         let (waiting, running) = self.jobs.item_counts();
         metrics.set_item_counts(waiting, running);
         metrics.set_convictions(self.relay.crashes().convictions());
-        let outage_start = *self.config_outage_start.lock().expect("config outage lock");
-        let age = outage_start.map_or(Duration::ZERO, |since| since.elapsed());
-        metrics.set_config_version(table.version(), age);
+        metrics.set_config_version(table.version(), self.views.configuration.age());
+        self.views.set_gauges(&self.log);
         metrics.text()
     }
 
--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -19,11 +19,22 @@
 use parsleywall::edges::kv::KvStore;
 use parsleywall::edges::kv::KvVersion;
 use parsleywall::edges::kv::LeaseId;
+use parsleywall::event_log::EventLog;
 use parsleywall::follow::PrefixEvent;
 use parsleywall::follow::PrefixFollower;
+use parsleywall::host_views::ViewHandle;
+use parsleywall::view_monitor::ViewKind;
 use parsleywall_standins::kv::KvMemory;
 use tokio::time::Instant;
 
+fn view() -> ViewHandle {
+    ViewHandle::new(
+        ViewKind::Configuration,
+        Duration::from_secs(1),
+        EventLog::disabled(),
+    )
+}
+
 struct Follower {
     kv: Arc<KvMemory>,
     events: Arc<Mutex<Vec<String>>>,
@@ -33,7 +44,7 @@
     async fn start() -> Self {
         let kv = KvMemory::new();
         let events: Arc<Mutex<Vec<String>>> = Arc::default();
-        let follower = PrefixFollower::new(kv.clone(), "a/");
+        let follower = PrefixFollower::new(kv.clone(), "a/", view());
         let recorded = events.clone();
         tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -180,7 +191,7 @@
     });
     let value = Bytes::from_static(b"value");
     let events: Arc<Mutex<Vec<String>>> = Arc::default();
-    let follower = PrefixFollower::new(kv.clone(), "a/");
+    let follower = PrefixFollower::new(kv.clone(), "a/", view());
     let recorded = events.clone();
     tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -200,7 +211,7 @@
     let monitor = ConfigMonitor::default();
     monitor.set_own_version(6);
     let events: Arc<Mutex<Vec<String>>> = Arc::default();
-    let follower = PrefixFollower::new(kv.clone(), "a/").with_refresh(monitor.refresh());
+    let follower = PrefixFollower::new(kv.clone(), "a/", view()).with_refresh(monitor.refresh());
     let recorded = events.clone();
     tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -230,3 +241,37 @@
     let notified = tokio::time::timeout(Duration::from_secs(1), refresh.notified()).await;
     assert!(notified.is_err());
 }
+
+/// Guards against a host that has heard nothing for long and looks as if nothing had changed.
+#[tokio::test(start_paused = true)]
+async fn test_view_age_tells_silence_from_no_changes() {
+    let kv = Arc::new(SilentWatches {
+        memory: KvMemory::new(),
+        watches: AtomicU64::new(1),
+    });
+    let log = EventLog::disabled();
+    let max_age = Duration::from_secs(1);
+    let view = ViewHandle::new(ViewKind::Configuration, max_age, log.clone());
+    let follower = PrefixFollower::new(kv.clone(), "a/", view.clone());
+    let following = tokio::spawn(follower.run(|_| {}));
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    following.abort();
+    let follower = PrefixFollower::new(kv.clone(), "a/", view.clone());
+    kv.memory.faults.down.store(true, Ordering::Relaxed);
+    tokio::spawn(follower.run(|_| {}));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(view.age() > Duration::from_secs(2), "{:?}", view.age());
+    let text = log.metrics().text();
+    for line in [
+        "parsleywall_log_events_total{event=\"view_advanced\"} 1",
+        "parsleywall_log_events_total{event=\"view_unproved\"} 1",
+        "outcome=\"failed\",via=\"listing\",view=\"configuration\"",
+    ] {
+        assert!(text.contains(line), "{line} is missing of {text}");
+    }
+    kv.memory.faults.down.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert!(view.age() < Duration::from_millis(900), "{:?}", view.age());
+    let line = "parsleywall_log_events_total{event=\"view_proved\"} 1";
+    assert!(log.metrics().text().contains(line));
+}
