tests: a change while the open watch brings nothing

Fails on the code as it is: a watch that brings nothing is taken for a view that has not changed, until the watch times out after 25 s.

thread 'test_follow_reports_a_change_while_watches_are_silent' panicked at lib/tests/test_follow.rs:298:9: assertion `left == right` failed left: "listed 0" right: "put a/1"

--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -155,10 +155,13 @@
 
     async fn watch(
         &self,
-        _prefix: &str,
-        _after: KvVersion,
+        prefix: &str,
+        after: KvVersion,
         wait: Duration,
     ) -> Result<KvChanges, KvError> {
+        if wait.is_zero() {
+            return self.memory.watch(prefix, after, wait).await;
+        }
         match self.watches.fetch_add(1, Ordering::Relaxed) {
             0 => Err(KvError::Unavailable("cut".to_owned())),
             _ => {
@@ -275,3 +278,26 @@
     let line = "parsleywall_log_events_total{event=\"view_proved\"} 1";
     assert!(log.metrics().text().contains(line));
 }
+
+/// Guards against a host that follows an old state for as long as a silent watch waits.
+#[tokio::test(start_paused = true)]
+async fn test_follow_reports_a_change_while_watches_are_silent() {
+    let kv = Arc::new(SilentWatches {
+        memory: KvMemory::new(),
+        watches: AtomicU64::new(1),
+    });
+    let events: Arc<Mutex<Vec<String>>> = Arc::default();
+    let follower = PrefixFollower::new(kv.clone(), "a/", view());
+    let recorded = events.clone();
+    tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
+    for number in 1..4 {
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        let (key, value) = (format!("a/{number}"), Bytes::from_static(b"value"));
+        kv.put(&key, value, Expect::Any, None).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(
+            events.lock().unwrap().last().unwrap(),
+            &format!("put {key}")
+        );
+    }
+}
