store: end the watches at an earlier address of the store

After a settings file that names another address of the store, a host went on with its pending watches at the earlier one: it followed a store that the operator no longer writes to, for up to 25 s, without any call that fails.

--- a/lib/src/http/service_connections.rs
+++ b/lib/src/http/service_connections.rs
@@ -254,6 +254,12 @@
         }
     }
 
+    /// Discards all open connections: none is used again, and calls that wait at the service end.
+    pub fn discard(&self) {
+        let set = self.lock().current.clone();
+        self.replace(&set, ConnectionSet::new(self.bounds));
+    }
+
     async fn call_repeatable(&self, set: Arc<ConnectionSet>, call: &ServiceCall) -> CallResult {
         let delay = self.lock().repeat_delay.get(call.timeout);
         let first_failed = Notify::new();
