relay: what goes on is sent only to the process that its version belongs to

Callers got one answer joined from two versions of a worker's software: workers restarted under their identifier and address with another version, nobody met the closed port in between, and take-ups went by entries that still named the process before.

Cause: what an entry says of a process was believed until a closed port contradicted it.

A resumed stream, a take-up and an item with a checkpoint are now sent on a connection of their own. On it, the worker's report is read first and its start time compared with that of the entry; as a connection ends with its process, the request then reaches that process or none. Another process marks the incarnation as ended, and neighbours are told. An unknown one (no report in 300 ms, no whole number `born`) is passed by. Neither is a fault of the upstream, and the request has not run. If no upstream of the version is left, the take-up is refused as `version_gone`.

The log has `upstream_identified` where a process does not match, and `request_sent` the start time of the process that an answer should go on at; the metrics have `misidentified_total`.

The scripted worker of test_broken_answers now reports its start time as the platform's workers do, and does not count that as a request: otherwise the next worker would be passed by and never send the error that the test is about.

The new tests of test_origins and test_jobs need the transport's new outcomes and so can't be compiled without it.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -108,7 +108,22 @@
         /// Identifier of the upstream.
         upstream: String,
     },
-    /// The process of an upstream has ended, as its address refuses connections. Nothing goes on at that
+    /// An answer does not go on at an upstream, as another process than that of its entry answers at its
+    /// address, or an unknown one.
+    UpstreamIdentified {
+        /// Identifier of the request or item.
+        request: String,
+        /// Identifier of the upstream.
+        upstream: String,
+        /// Start time of the process in the upstream's entry, in milliseconds since the Unix epoch.
+        expected_ms: u64,
+        /// Start time of the process that answers; absent if it is unknown.
+        started_ms: Option<u64>,
+        /// Why the process is unknown.
+        cause: Option<String>,
+    },
+    /// The process of an upstream has ended, as its address refuses connections or another process answers
+    /// there. Nothing goes on at that
     /// address until the entry changes.
     UpstreamEnded {
         /// Identifier of the upstream.
@@ -204,6 +219,9 @@
         view_ms: Option<u64>,
         /// Version of the upstream's software.
         software: String,
+        /// Start time of the process that an answer goes on at, in milliseconds since the Unix epoch, by the
+        /// upstream's entry; absent if the answer starts anew.
+        started_ms: Option<u64>,
         /// Version of the software that began the answer; absent if it starts anew.
         began_at: Option<String>,
     },
--- a/lib/src/http/client.rs
+++ b/lib/src/http/client.rs
@@ -26,7 +26,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Largest head of a response.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest number of interim responses (1xx) to a request. A server that sends more fails the
 /// call; otherwise it could keep the call open without end.
 const MAX_INTERIM_ANSWERS: u32 = 16;
@@ -132,7 +132,7 @@
 }
 
 /// Returns a notification that fires when `request` gets more interim responses than allowed.
-fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
+pub(super) fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
     let excess = Arc::new(Notify::new());
     let (count, notify) = (AtomicU32::new(0), excess.clone());
     hyper::ext::on_informational(request, move |_| {
--- a/lib/src/http/mod.rs
+++ b/lib/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod connection;
 pub mod pools;
 pub mod reply;
 pub mod server;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -32,6 +32,7 @@
     refusals: IntCounterVec,
     faults: IntCounterVec,
     ejections: IntCounterVec,
+    misidentified: IntCounterVec,
     requests: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
@@ -79,6 +80,11 @@
                 "Ejections of upstreams, by the last fault.",
                 &["fault"],
             ),
+            misidentified: counter(
+                "misidentified_total",
+                "Answers that did not go on at an upstream, by the process found there.",
+                &["process"],
+            ),
             requests: counter(
                 "requests_total",
                 "Ended requests, by outcome.",
@@ -175,6 +181,7 @@
             &self.refusals,
             &self.faults,
             &self.ejections,
+            &self.misidentified,
             &self.requests,
             &self.item_runs,
             &self.jobs,
@@ -227,6 +234,10 @@
             LogEvent::UpstreamEjected { fault, .. } => {
                 self.ejections.with_label_values(&[fault]).inc();
             }
+            LogEvent::UpstreamIdentified { started_ms, .. } => {
+                let process = started_ms.map_or("unknown", |_| "other");
+                self.misidentified.with_label_values(&[process]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
             _ => {}
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -32,6 +32,7 @@
 use crate::relay::stop_gate::StopGate;
 use crate::relay::timeout::wait_until;
 use crate::relay::transport::ExecutionReport;
+use crate::relay::transport::IDENTIFICATION_TIME;
 use crate::relay::transport::SendError;
 use crate::relay::transport::SendOptions;
 use crate::relay::transport::UpstreamAnswer;
@@ -411,6 +412,7 @@
             config_ms,
             view_ms,
             software: permit.choice.software.to_string(),
+            started_ms: self.last_event_id.map(|_| permit.choice.incarnation.1),
             began_at: self.software.as_ref().map(ToString::to_string),
         });
         self.upstream = Some(permit.choice.id.clone());
@@ -420,7 +422,11 @@
             resume_after: self.last_event_id,
             reuse: self.may_reuse_connection(&permit.choice.id, now),
         };
-        let wait = self.head_wait(&permit).min(budget);
+        let identification = self
+            .last_event_id
+            .map_or(Duration::ZERO, |_| IDENTIFICATION_TIME);
+        let wait = self.head_wait(&permit).saturating_add(identification);
+        let wait = wait.min(budget);
         let answer = self
             .relay
             .transport()
@@ -435,6 +441,15 @@
                 self.record_fault(&permit, now, fault, &cause, false);
                 AttemptOutcome::Retry
             }
+            Ok(Err(SendError::OtherProcess { started_ms })) => {
+                self.record_unidentified(&permit, Some(started_ms), None);
+                self.relay.note_ended(&permit.choice);
+                AttemptOutcome::Retry
+            }
+            Ok(Err(SendError::Unidentified(cause))) => {
+                self.record_unidentified(&permit, None, Some(cause));
+                AttemptOutcome::Retry
+            }
             Ok(Err(SendError::Broken(cause))) => {
                 let fault = UpstreamFault::Broken;
                 let outcome = self.record_lost(&permit, now, fault, &cause);
@@ -707,6 +722,23 @@
         Some((release(open.permit), open.sent))
     }
 
+    /// Logs that the answer does not go on at an upstream, as another process than that of its entry
+    /// answers there, or an unknown one. The upstream is sound, so this is no fault of it.
+    fn record_unidentified(
+        &self,
+        permit: &SlotPermit,
+        started_ms: Option<u64>,
+        cause: Option<String>,
+    ) {
+        self.relay.log().write(LogEvent::UpstreamIdentified {
+            request: self.request.id.to_string(),
+            upstream: permit.choice.id.to_string(),
+            expected_ms: permit.choice.incarnation.1,
+            started_ms,
+            cause,
+        });
+    }
+
     /// Logs an attempt without a usable answer and records the fault for the upstream's health,
     /// which may eject the upstream.
     fn record_fault(
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -33,6 +33,7 @@
 pub use request_relay::RequestRelay;
 pub use stop_gate::StopGate;
 pub use transport::ExecutionReport;
+pub use transport::IDENTIFICATION_TIME;
 pub use transport::SendError;
 pub use transport::SendOptions;
 pub use transport::UpstreamAnswer;
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -200,19 +200,24 @@
             if !relay.transport.refuses_connections(&choice).await {
                 return;
             }
-            let is_new = {
-                let mut state = relay.balancer.state();
-                state.note_ended(choice.incarnation, Instant::now())
-            };
-            if is_new {
-                relay.log.write(LogEvent::UpstreamEnded {
-                    upstream: choice.id.to_string(),
-                    software: choice.software.to_string(),
-                });
-            }
+            relay.note_ended(&choice);
         });
     }
 
+    /// Records that the process which wrote the entry of an upstream has ended.
+    pub(crate) fn note_ended(&self, choice: &UpstreamChoice) {
+        let is_new = {
+            let mut state = self.balancer.state();
+            state.note_ended(choice.incarnation, Instant::now())
+        };
+        if is_new {
+            self.log.write(LogEvent::UpstreamEnded {
+                upstream: choice.id.to_string(),
+                software: choice.software.to_string(),
+            });
+        }
+    }
+
     /// Memory budget that all buffered whole answers share.
     pub(crate) fn answer_memory(&self) -> &MemoryBudget {
         &self.answer_memory
@@ -287,6 +292,15 @@
                     body: stream_body(dispatch),
                 }
             }
+            Err(RelayFailure::NotRun) if self.is_version_gone(&request) => {
+                dispatch.finish("refused");
+                let delay = NOT_RESUMABLE_RETRY_DELAY;
+                self.log_refusal(&request, "version_gone", load, delay, None);
+                RelayAnswer::Refused {
+                    retry_after: delay,
+                    reason: RelayRefusal::NotResumable,
+                }
+            }
             Err(RelayFailure::NotRun) => {
                 let (reason, delay) = self.unplaced_delay(&request);
                 let delay = delay.min(left / 3);
@@ -346,6 +360,13 @@
         is_served.then_some(()).ok_or("version_gone")
     }
 
+    /// Whether a request goes on at a version of the software that no upstream serves any more.
+    fn is_version_gone(&self, request: &RelayRequest) -> bool {
+        let state = self.balancer.state();
+        let version = request.software.as_ref();
+        version.is_some_and(|version| !state.serves_version(&request.service, version))
+    }
+
     /// Why a request was not placed, and when its caller should come back.
     fn unplaced_delay(&self, request: &RelayRequest) -> (&'static str, Duration) {
         let mut state = self.balancer.state();
--- a/lib/src/relay/transport.rs
+++ b/lib/src/relay/transport.rs
@@ -12,6 +12,9 @@
 use crate::limits::LimitSignal;
 use crate::relay::request::RelayRequest;
 
+/// Longest time that a transport takes to identify the process of an upstream.
+pub const IDENTIFICATION_TIME: Duration = Duration::from_millis(300);
+
 /// Body of an upstream's answer; an error means that the body ended before it was complete.
 pub type UpstreamBody = BoxStream<'static, Result<Bytes, String>>;
 
@@ -69,6 +72,15 @@
     /// The connection failed after the request was sent; the upstream may have run it. Holds the
     /// cause.
     Broken(String),
+    /// Another process than the expected one answers at the upstream's address; the request was not sent
+    /// to it.
+    OtherProcess {
+        /// Start time of that process, in milliseconds since the Unix epoch.
+        started_ms: u64,
+    },
+    /// Which process answers at the upstream's address is not known, so the request was not sent to it.
+    /// Holds the cause.
+    Unidentified(String),
 }
 
 /// Sends requests to upstreams. Dropping the future or the body cancels the upstream's work.
@@ -76,6 +88,9 @@
 pub trait UpstreamTransport: Send + Sync + 'static {
     /// Sends `request` to the upstream that `to` names and waits for the head of its answer,
     /// without a time-out of its own.
+    ///
+    /// An answer that is resumed is only requested of the process that `to` names: it is identified
+    /// on the connection that then carries the request.
     async fn send(
         &self,
         to: &UpstreamChoice,
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -914,6 +914,35 @@
     assert!(resumed > 0, "items of the version that serves are resumed");
 }
 
+/// Guards against an item whose text is joined from two processes of an upstream, which may run other
+/// software (issue 41).
+#[tokio::test(start_paused = true)]
+async fn test_items_do_not_go_on_at_upstreams_that_restarted_unseen() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::BreaksAfter(6));
+    }
+    assert_eq!(
+        host.keeper.submit(job("j1", 10)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for name in UPSTREAMS {
+        fleet.transport.set_start(name, Some(2));
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::Serves);
+    }
+    assert_complete(&fleet.transport, &read_all(&host, "j1").await);
+    for number in 0..10 {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        assert!(runs.iter().all(|run| run.resume_after.is_none()));
+        assert!(runs.len() > 1, "{runs:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_items_are_preempted_by_online_work_and_resume() {
     use parsleywall::ids::ServiceName;
--- a/lib/tests/test_origins.rs
+++ b/lib/tests/test_origins.rs
@@ -230,6 +230,56 @@
     exchange.abort();
 }
 
+/// Guards against streams that go on at the next process of an upstream, which may run other software, as
+/// nobody met the closed port between the two (issue 41).
+#[tokio::test(start_paused = true)]
+async fn test_nothing_goes_on_at_an_upstream_that_restarted_unseen() {
+    let transport = upstreams();
+    let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+    relay.origins().load_history(&VersionHistory::default());
+    let exchange = spawn_origin_exchange(vec![relay.clone()]);
+    put(&relay, &["v1-a"]);
+    transport.set("v1-a", OpaqueBehaviour::BreaksAfter(7));
+    let running = relay.relay(request("r1", route(RESUMABLE, 2))).await;
+    put(&relay, &["v1-b"]);
+    transport.set_start("v1-b", Some(2));
+    assert_eq!(read_stream(running).await, (all_events("r1", 7), false));
+    assert_eq!(transport.runs("r1").len(), 1);
+
+    // The upstream at which the stream broke still serves.
+    transport.set("v1-a", OpaqueBehaviour::Serves);
+    let answer = relay.relay(take_up("t1", "r1", 7)).await;
+    assert!(read_stream(answer).await.1);
+    assert_eq!(transport.runs("t1")[0].upstream, "v1-a");
+    transport.set_start("v1-a", Some(2));
+    let answer = relay.relay(take_up("t2", "r1", 7)).await;
+    assert!(is_not_resumable(&answer));
+    assert!(transport.runs("t2").is_empty());
+    exchange.abort();
+}
+
+/// Guards against take-ups that are refused among restarted and unknown processes although one of the
+/// version still serves.
+#[tokio::test(start_paused = true)]
+async fn test_take_up_finds_the_process_of_its_version_among_others() {
+    let transport = upstreams();
+    let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+    put(&relay, &["v1-a", "v1-b", "v1-c", "v1-d", "v2-a", "v3-a"]);
+    transport.set_start("v1-a", Some(2));
+    transport.set_start("v1-b", None);
+    transport.set_start("v1-c", Some(2));
+    for name in ["v2-a", "v3-a"] {
+        transport.set(name, OpaqueBehaviour::Full);
+    }
+    begin(&relay, "r1", 5).await;
+    for number in 0..10 {
+        let id = format!("t{number}");
+        let answer = relay.relay(take_up(&id, "r1", 5)).await;
+        assert!(read_stream(answer).await.1, "{id}");
+        assert_eq!(transport.runs(&id)[0].upstream, "v1-d");
+    }
+}
+
 /// All hosts are killed, so that none of them knows the stream.
 #[tokio::test(start_paused = true)]
 async fn test_take_up_after_all_hosts_were_killed_is_refused_if_two_versions_served() {
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -319,7 +319,8 @@
         let active = self.active.load(Ordering::Relaxed);
         let report = json!({
             "stage": "hybrid", "models": [], "busy": false, "sequence": 1, "queued": 0,
-            "active": active, "kvUsed": 0, "kvTotal": 100_000, "handles": 0
+            "active": active, "kvUsed": 0, "kvTotal": 100_000, "handles": 0,
+            "born": 1000
         });
         json_reply(StatusCode::OK, &report)
     }
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -93,6 +93,8 @@
     deadly_parts: Vec<Fingerprint>,
     crashes: HashMap<String, CrashState>,
     limits: HashMap<String, RateLimit>,
+    /// Start times of the processes of upstreams that differ from their entries; `None` if they don't tell.
+    starts: HashMap<String, Option<u64>>,
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
     most_running: HashMap<String, usize>,
@@ -168,6 +170,12 @@
         self.lock().crashes.values().map(|crash| crash.count).sum()
     }
 
+    /// Sets the start time that the process of `upstream` tells, in milliseconds since the Unix epoch, from
+    /// now on; `None` if it tells none. At first it is that of the upstream's entry.
+    pub fn set_start(&self, upstream: &str, started_ms: Option<u64>) {
+        self.lock().starts.insert(upstream.to_owned(), started_ms);
+    }
+
     /// Sets how `upstream` handles requests from now on.
     pub fn set(&self, upstream: &str, behaviour: OpaqueBehaviour) {
         self.lock()
@@ -209,6 +217,22 @@
         self.state.lock().expect("upstream state lock")
     }
 
+    /// Checks that the upstream accepts connections and that its process is that of its entry.
+    fn identify(&self, to: &UpstreamChoice) -> Result<(), SendError> {
+        let state = self.lock();
+        if state.behaviour(to.id.as_str()) == OpaqueBehaviour::Unreachable {
+            return Ok(());
+        }
+        match state.starts.get(to.id.as_str()) {
+            Some(None) => Err(SendError::Unidentified("no start time".to_owned())),
+            Some(Some(started_ms)) if *started_ms != to.incarnation.1 => {
+                let started_ms = *started_ms;
+                Err(SendError::OtherProcess { started_ms })
+            }
+            Some(Some(_)) | None => Ok(()),
+        }
+    }
+
     fn record_attempt(
         &self,
         to: &UpstreamChoice,
@@ -355,6 +379,9 @@
         request: &RelayRequest,
         options: SendOptions,
     ) -> Result<UpstreamAnswer, SendError> {
+        if options.resume_after.is_some() {
+            self.identify(to)?;
+        }
         let behaviour = self.record_attempt(to, request, options);
         let named = self.lock().limits.get(to.id.as_str()).copied();
         let limit = named.map_or(LimitSignal::Unlimited, LimitSignal::Limited);
--- a/standins/src/platform_worker.rs
+++ b/standins/src/platform_worker.rs
@@ -21,6 +21,9 @@
 use crate::server::StandinServer;
 use crate::server::read_body;
 
+/// Start time of a worker's process, in milliseconds since the Unix epoch.
+const START_MS: u64 = 1000;
+
 /// How a worker handles the requests that it gets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WorkerBehaviour {
@@ -98,7 +101,7 @@
         *self.limits.lock().expect("limits lock") = values.collect();
     }
 
-    /// Returns all requests so far, in the order of arrival.
+    /// Returns all requests so far, reports excepted, in the order of arrival.
     pub fn requests(&self) -> Vec<WorkerRequest> {
         self.requests.lock().expect("requests lock").clone()
     }
@@ -109,7 +112,15 @@
         lines.join("\n")
     }
 
+    fn report(&self) -> StandinReply {
+        let text = format!("{{\"stage\":\"hybrid\",\"busy\":false,\"born\":{START_MS}}}");
+        Response::new(Full::new(Bytes::from(text)).boxed_unsync())
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> StandinReply {
+        if request.uri().path() == "/report" {
+            return self.report();
+        }
         let line = format!("{} {}", request.method(), request.uri());
         let headers = request.headers().clone();
         let body = read_body(request).await;
