--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -20,6 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -33,6 +34,7 @@
 use crate::history::CallRecord;
 use crate::history::SoakHistory;
 use crate::inject::FaultInjector;
+use crate::play_clients::BrokenStream;
 
 /// Time that a client waits for an answer, summed over all attempts at one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -43,6 +45,10 @@
 /// One in this many streams is cancelled by its client.
 const CANCEL_ONE_IN: u32 = 20;
 const CANCEL_AFTER: Duration = Duration::from_millis(400);
+/// One in this many requests is a stream that its client breaks off and takes up.
+const TAKE_UP_ONE_IN: u32 = 20;
+const STREAM_TIME_MS: std::ops::Range<u64> = 50..600;
+const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 100..900;
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..160;
 /// Of ten connections whose request was served, this many are reused.
 const REUSE_OF_TEN: u32 = 7;
@@ -99,6 +105,9 @@
 
     /// Sends one request and retries it where that is allowed; records each attempt.
     async fn call(&mut self) {
+        if self.rng.random_ratio(1, TAKE_UP_ONE_IN) {
+            return self.break_and_take_up().await;
+        }
         let (kind, prefix, route_acknowledged_at) = self.draw_route();
         self.calls += 1;
         let deadline = Instant::now() + REQUEST_TIMEOUT;
@@ -119,6 +128,7 @@
             let record = CallRecord {
                 id,
                 kind,
+                prefix: prefix.clone(),
                 front,
                 sent,
                 ended: self.history.now(),
@@ -132,6 +142,47 @@
         }
     }
 
+    /// Begins a long stream, breaks it off, and takes it up at another front.
+    async fn break_and_take_up(&mut self) {
+        self.refresh_addresses().await;
+        self.calls += 1;
+        let id = format!(
+            "call-{}-{}-{}",
+            self.number,
+            self.calls,
+            content::LONG_SUFFIX
+        );
+        let mut fronts = self.addresses.clone();
+        fronts.shuffle(&mut self.rng);
+        let (Some(first), Some(second)) = (fronts.first(), fronts.last()) else {
+            return;
+        };
+        let time = Duration::from_millis(self.rng.random_range(STREAM_TIME_MS));
+        let sent = self.history.now();
+        let stream = BrokenStream::begin(&self.fleet, *first, &id, time).await;
+        self.record_stream(&id, *first, sent, CallOutcome::Cancelled);
+        let pause = self.rng.random_range(TAKE_UP_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let attempt = format!("{id}-again");
+        let sent = self.history.now();
+        let outcome = stream.take_up(&self.fleet, *second, &attempt).await;
+        self.record_stream(&attempt, *second, sent, outcome);
+    }
+
+    fn record_stream(&self, id: &str, front: usize, sent: Duration, outcome: CallOutcome) {
+        let record = CallRecord {
+            id: id.to_owned(),
+            kind: CallKind::Stream,
+            prefix: "/ask/".to_owned(),
+            front,
+            sent,
+            ended: self.history.now(),
+            outcome,
+            route_acknowledged_at: Duration::ZERO,
+        };
+        self.history.update(|records| records.calls.push(record));
+    }
+
     fn draw_route(&mut self) -> (CallKind, String, Duration) {
         match self.rng.random_range(0..10) {
             0..5 => (CallKind::Stream, "/ask/".to_owned(), Duration::ZERO),
@@ -225,7 +276,13 @@
 
 fn may_retry(kind: CallKind, outcome: &CallOutcome) -> bool {
     match (kind, outcome) {
-        (_, CallOutcome::Served | CallOutcome::Mismatched(_) | CallOutcome::Cancelled) => false,
+        (
+            _,
+            CallOutcome::Served
+            | CallOutcome::Joined(_)
+            | CallOutcome::Mismatched(_)
+            | CallOutcome::Cancelled,
+        ) => false,
         (_, CallOutcome::Refused(_)) => true,
         (CallKind::Once, _) => false,
         (_, CallOutcome::Failed(status)) => *status >= 500,
@@ -247,7 +304,8 @@
     open(fleet.caller_links[number].address()).await
 }
 
-async fn open(address: std::net::SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+/// Connects to `address`.
+pub(crate) async fn open(address: std::net::SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let opening = async {
         let stream = TcpStream::connect(address).await.ok()?;
         let _ = stream.set_nodelay(true);
@@ -320,17 +378,23 @@
 ///
 /// `whole` says whether the body ended as HTTP requires. A truncated answer must not end so, and
 /// its bytes must be a prefix of the expected answer.
-pub(crate) fn compare_answer(kind: CallKind, id: &str, read: &[u8], whole: bool) -> CallOutcome {
+pub fn compare_answer(kind: CallKind, id: &str, read: &[u8], whole: bool) -> CallOutcome {
+    let text = String::from_utf8_lossy(read);
+    let versions = content::versions(&text);
+    if versions.len() > 1 {
+        return CallOutcome::Joined(format!("{versions:?}"));
+    }
+    let version = versions.first().copied().unwrap_or_default();
     let expected = match kind {
         CallKind::Stream => (1..=content::event_count(id))
             .map(|number| {
                 format!(
                     "id: {number}\ndata: {}\n\n",
-                    content::event_data(id, number)
+                    content::event_data(id, number, version)
                 )
             })
             .collect(),
-        CallKind::Repeatable | CallKind::Once => content::whole_output(id),
+        CallKind::Repeatable | CallKind::Once => content::whole_output(id, version),
     };
     let expected = expected.into_bytes();
     match (
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use crate::content;
+use crate::fleet::MOVED_PREFIX;
 use crate::history::CallKind;
 use crate::history::CallOutcome;
 use crate::history::CallRecord;
 use crate::history::ExecutionRecord;
 use crate::history::FaultRecord;
+use crate::history::MoveRecord;
 use crate::history::Records;
 use crate::jobs::CANCEL_EFFECT_TIME;
 use crate::jobs::JobRecord;
@@ -52,6 +54,7 @@
     check_executions(records, jobs, &mut violations);
     check_cancelled_calls(records, &executions, &mut violations);
     check_leaving_workers(records, &mut violations);
+    check_moved_route(records, &executions, &mut violations);
     check_jobs(records, jobs, &executions, &mut violations);
     check_recovery(&records.calls, recovered_at, &mut violations);
     violations
@@ -78,6 +81,9 @@
         if let CallOutcome::Mismatched(what) = &call.outcome {
             violations.push(format!("MIXED: {} got {what}", call.id));
         }
+        if let CallOutcome::Joined(what) = &call.outcome {
+            violations.push(format!("ORDER: {} is joined from {what}", call.id));
+        }
         if call.kind == CallKind::Once && executions.len() > 1 {
             violations.push(format!("TWICE: {} ran {} times", call.id, executions.len()));
         }
@@ -186,12 +192,22 @@
 
 /// Checks that no request reaches a draining worker once its changed entry has taken effect.
 fn check_leaving_workers(records: &Records, violations: &mut Vec<String>) {
+    let calls = records.calls.iter();
+    let sent: BTreeMap<&str, Duration> = calls.map(|call| (call.id.as_str(), call.sent)).collect();
     for leave in &records.leaves {
         let from = leave.at + IN_FORCE_TIME;
+        // Only an impairment of the store itself excuses what was acknowledged meanwhile.
+        let store_faults = records.faults.iter().filter(|fault| fault.at_store);
+        let store_faults: Vec<FaultRecord> = store_faults.cloned().collect();
+        if !is_undisturbed(&store_faults, leave.at, leave.at) {
+            continue;
+        }
         let late = records.executions.iter().filter(|execution| {
+            let taken_at = sent.get(execution.id.as_str());
+            let taken_at = taken_at.map_or(execution.began_at, |sent| *sent);
             execution.worker == leave.worker
                 && execution.began_at > from
-                && is_undisturbed(&records.faults, leave.at, execution.began_at)
+                && is_undisturbed(&records.faults, taken_at, execution.began_at)
         });
         for execution in late {
             let after = execution.began_at - leave.at;
@@ -203,6 +219,35 @@
     }
 }
 
+/// Checks that no request is run by a service that only an older manifest than the one that must be
+/// in force allows.
+fn check_moved_route(
+    records: &Records,
+    executions: &BTreeMap<&str, Vec<&ExecutionRecord>>,
+    violations: &mut Vec<String>,
+) {
+    let calls = records.calls.iter();
+    for call in calls.filter(|call| call.prefix == MOVED_PREFIX) {
+        let must_be_in_force =
+            |change: &MoveRecord| change.at.is_some_and(|at| call.sent > at + IN_FORCE_TIME);
+        let Some(first) = records.moves.iter().rposition(must_be_in_force) else {
+            continue;
+        };
+        for execution in executions.get(call.id.as_str()).into_iter().flatten() {
+            let mut allowed = records.moves[first..].iter();
+            let is_allowed = allowed.any(|change| {
+                change.service == execution.service && change.sent <= execution.began_at
+            });
+            if !is_allowed && is_undisturbed(&records.faults, call.sent, execution.began_at) {
+                violations.push(format!(
+                    "CONFIG: {} at front {} was run by {}",
+                    call.id, call.front, execution.service
+                ));
+            }
+        }
+    }
+}
+
 fn check_jobs(
     records: &Records,
     jobs: &[JobRecord],
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -1,6 +1,9 @@
 //! Bodies and expected answers of requests, derived from their identifiers.
 //!
-//! Workers and clients compute them independently, so that each answer can be verified.
+//! Workers and clients compute them independently, so that each answer can be verified. Each event
+//! names the version of the software that wrote it.
+
+use std::collections::BTreeSet;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,10 +13,14 @@
 const ONLINE_EVENTS_LIMIT: u64 = 24;
 /// Exclusive upper bound of the number of events of a batch item's answer.
 const ITEM_EVENTS_LIMIT: u64 = 60;
-/// Number of events of an answer that its client cancels; long enough that it doesn't end before.
-const CANCELLED_EVENTS: u64 = 250;
+/// Number of events of a long answer, which doesn't end before its client cancels it.
+const LONG_EVENTS: u64 = 250;
 /// Suffix of the identifiers of requests that their client cancels.
 pub const CANCEL_SUFFIX: &str = "leaves";
+/// Suffix of the identifiers of other requests and batch items with long answers.
+pub const LONG_SUFFIX: &str = "long";
+/// Text between the data of an event and the version that wrote it.
+const VERSION_MARK: &str = " by ";
 /// One in this many batch items is rejected by every worker.
 const POISON_ONE_IN: u64 = 40;
 /// Prefix of the identifiers of batch items.
@@ -27,8 +34,8 @@
 /// Number of events of the complete answer to request `id`.
 pub fn event_count(id: &str) -> u64 {
     let hash = xxh3_64(id.as_bytes());
-    if id.ends_with(CANCEL_SUFFIX) {
-        return CANCELLED_EVENTS;
+    if id.ends_with(CANCEL_SUFFIX) || id.ends_with(LONG_SUFFIX) {
+        return LONG_EVENTS;
     }
     match id.starts_with(ITEM_PREFIX) {
         true => MIN_EVENTS + hash % (ITEM_EVENTS_LIMIT - MIN_EVENTS),
@@ -36,19 +43,35 @@
     }
 }
 
-/// Data of event `number` of the answer to `id`; the first event has number 1.
-pub fn event_data(id: &str, number: u64) -> String {
-    format!("{number} of {id}")
+/// Data of event `number` of the answer to `id` by software of `version`; the first event has
+/// number 1.
+pub fn event_data(id: &str, number: u64, version: &str) -> String {
+    format!("{number} of {id}{VERSION_MARK}{version}")
 }
 
-/// Data of all events of the answer to `id`, joined by line feeds, as a batch result holds it.
-pub fn whole_output(id: &str) -> String {
+/// Data of all events of the answer to `id` by software of `version`, joined by line feeds, as a
+/// batch result holds it.
+pub fn whole_output(id: &str, version: &str) -> String {
     let events: Vec<String> = (1..=event_count(id))
-        .map(|number| event_data(id, number))
+        .map(|number| event_data(id, number, version))
         .collect();
     events.join("\n")
 }
 
+/// Versions of the software that wrote the events in `text`, of which the last line may be cut off.
+pub fn versions(text: &str) -> BTreeSet<&str> {
+    let lines = text.lines().count();
+    let is_cut_off = |number: usize| number + 1 == lines && !text.ends_with('\n');
+    let marked = text.lines().enumerate().filter_map(|(number, line)| {
+        let (_, version) = line.rsplit_once(VERSION_MARK)?;
+        Some((number, version))
+    });
+    let marked: Vec<(usize, &str)> = marked.collect();
+    let first = marked.first().map(|(_, version)| *version);
+    let whole = marked.iter().filter(|(number, _)| !is_cut_off(*number));
+    whole.map(|(_, version)| *version).chain(first).collect()
+}
+
 /// Whether workers reject `id` as a batch item that can never succeed (status 422).
 pub fn is_poison(id: &str) -> bool {
     id.starts_with(ITEM_PREFIX)
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -25,6 +25,9 @@
 
 use crate::history::SoakHistory;
 use crate::proxy::LinkProxy;
+use crate::workers::ANNEX;
+use crate::workers::DESK;
+use crate::workers::WorkerConfig;
 use crate::workers::WorkerPool;
 
 /// Value of the `Host` header for which all routes are configured.
@@ -44,8 +47,8 @@
 pub struct FleetConfig {
     /// Number of front processes.
     pub fronts: usize,
-    /// Number of workers.
-    pub workers: usize,
+    /// Number and size of the workers.
+    pub workers: WorkerConfig,
     /// Binary that is run with the arguments `platform front`.
     pub binary: PathBuf,
     /// Folder for settings files and logs.
@@ -177,7 +180,12 @@
         let kv = KvMemory::new();
         let store = serve_platform_store(kv.clone()).await?;
         let platform_ip = config.ip(config.fronts);
-        let pool = WorkerPool::start(platform_ip, kv.clone(), history.clone(), config.workers);
+        let pool = WorkerPool::start(
+            platform_ip,
+            kv.clone(),
+            history.clone(),
+            config.workers.clone(),
+        );
         let mut fleet = Self {
             workers: pool.await?,
             kv,
@@ -187,7 +195,7 @@
             config,
             _store: store,
         };
-        fleet.put_manifest(1, &[]).await;
+        fleet.put_manifest(&Manifest::new(1)).await;
         for number in 0..fleet.config.fronts {
             let ip = fleet.config.ip(number);
             let link = LinkProxy::start(platform_ip, fleet._store.address()).await?;
@@ -209,16 +217,20 @@
         Ok(fleet)
     }
 
-    /// Writes version `version` of the manifest, with a route for each prefix in `added`; returns
-    /// whether the store acknowledged it.
-    pub async fn put_manifest(&self, version: u64, added: &[String]) -> bool {
-        let text = manifest(version, added).to_string();
+    /// Writes `manifest`; returns whether the store acknowledged it.
+    pub async fn put_manifest(&self, manifest: &Manifest) -> bool {
+        let text = manifest.to_json().to_string();
         let put = self
             .kv
             .put("op/config", Bytes::from(text), Expect::Any, None);
         put.await.is_ok()
     }
 
+    /// Address at which front `number` answers whether it is ready.
+    pub fn readiness(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.config.ip(number), READY_PORT)
+    }
+
     /// Address of the directory of front `number`.
     pub fn directory(&self, number: usize) -> SocketAddr {
         SocketAddr::new(self.config.ip(number), DIRECTORY_PORT)
@@ -242,29 +254,56 @@
     )
 }
 
-fn manifest(version: u64, added: &[String]) -> Value {
-    let route = |prefix: &str, kind: &str, resumable: bool| {
+/// Path prefix of the route that manifests move between services.
+pub const MOVED_PREFIX: &str = "/often/";
+
+/// A version of the manifest.
+#[derive(Clone, Debug)]
+pub struct Manifest {
+    /// Number of the version.
+    pub version: u64,
+    /// Prefixes of the routes that were added since the first version.
+    pub added: Vec<String>,
+    /// Service of the route [`MOVED_PREFIX`].
+    pub service: &'static str,
+}
+
+impl Manifest {
+    /// Returns a manifest with the routes of the first version.
+    pub fn new(version: u64) -> Self {
+        Self {
+            version,
+            added: Vec::new(),
+            service: DESK,
+        }
+    }
+
+    fn to_json(&self) -> Value {
+        let mut routes = vec![
+            route("/ask/", "stream", DESK),
+            route("/once/", "non_idempotent", DESK),
+            route(MOVED_PREFIX, "idempotent", self.service),
+            route("/lot/", "batch", DESK),
+        ];
+        let added = self.added.iter();
+        routes.extend(added.map(|prefix| route(prefix, "idempotent", DESK)));
+        let services = [DESK, ANNEX]
+            .map(|name| json!({ "name": name, "healthPath": "/health", "maxConns": 400 }));
         json!({
-            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": "desk",
-            "timeoutMs": 5000, "sloMs": 300, "priority": 0, "attempts": 3, "sticky": true,
-            "resumable": resumable, "gapSloMs": 300, "runSloMs": 18_000, "retentionS": 120
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": {
+                "headerBytes": 16384, "bodyBytes": 200_000, "headerMs": 3000, "idleMs": 15_000
+            }
         })
-    };
-    let mut routes = vec![
-        route("/ask/", "stream", true),
-        route("/once/", "non_idempotent", false),
-        route("/often/", "idempotent", false),
-        route("/lot/", "batch", false),
-    ];
-    routes.extend(
-        added
-            .iter()
-            .map(|prefix| route(prefix, "idempotent", false)),
-    );
+    }
+}
+
+fn route(prefix: &str, kind: &str, service: &str) -> Value {
     json!({
-        "version": version,
-        "routes": routes,
-        "services": [{ "name": "desk", "healthPath": "/health", "maxConns": 400 }],
-        "limits": { "headerBytes": 16384, "bodyBytes": 200_000, "headerMs": 3000, "idleMs": 15_000 }
+            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
+            "timeoutMs": 5000, "sloMs": 300, "priority": 0, "attempts": 3, "sticky": true,
+            "resumable": kind == "stream", "gapSloMs": 300, "runSloMs": 18_000, "retentionS": 120
     })
 }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -8,6 +8,9 @@
 
 use tokio::time::Instant;
 
+#[cfg(doc)]
+use crate::fleet::MOVED_PREFIX;
+
 /// How a request may be executed, as configured for its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -25,6 +28,8 @@
 pub enum CallOutcome {
     /// The complete and correct answer came, with a worker's signature.
     Served,
+    /// The answer joins events of several versions of the software; the text names them.
+    Joined(String),
     /// The answer lacks the signature or has the wrong identifier or content; the text says which.
     Mismatched(String),
     /// An unsigned status (408, 421, 429 or 503) which guarantees that no worker executes the
@@ -47,6 +52,8 @@
     pub id: String,
     /// How the request may be executed.
     pub kind: CallKind,
+    /// Path prefix of its route.
+    pub prefix: String,
     /// Number of the front that it was sent to.
     pub front: usize,
     /// When the client sent the request.
@@ -64,8 +71,12 @@
 pub struct ExecutionRecord {
     /// Identifier of the client's attempt or of the batch item.
     pub id: String,
-    /// Name of the worker process that executed it.
+    /// Name of the worker that executed it.
     pub worker: String,
+    /// Service of that worker.
+    pub service: String,
+    /// Version of the software that executed it.
+    pub version: String,
     /// Number of the event after which the execution resumes; zero for a whole answer.
     pub resume_after: u64,
     /// When the worker had read the request.
@@ -85,6 +96,8 @@
     pub name: String,
     /// Whether it is planned maintenance, which must not cut off requests.
     pub planned: bool,
+    /// Whether it impairs the store itself, and not the ways to it.
+    pub at_store: bool,
     /// When the injection began.
     pub from: Duration,
     /// When the fault was removed; [`Duration::MAX`] until then.
@@ -100,6 +113,17 @@
     pub at: Duration,
 }
 
+/// A change of the manifest that moved the route of [`MOVED_PREFIX`] to another service.
+#[derive(Clone, Debug)]
+pub struct MoveRecord {
+    /// Service that the route names from then on.
+    pub service: String,
+    /// When the change was sent to the store; requests may go to the new service from then on.
+    pub sent: Duration,
+    /// When the store acknowledged the change; absent until then.
+    pub at: Option<Duration>,
+}
+
 /// Everything that was recorded in a run so far.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -111,6 +135,8 @@
     pub faults: Vec<FaultRecord>,
     /// Workers that were set to draining.
     pub leaves: Vec<LeaveRecord>,
+    /// Routes that were moved to another service, in the order of the changes.
+    pub moves: Vec<MoveRecord>,
     /// Violations that were detected during the run, one line each.
     pub observed_violations: Vec<String>,
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -7,18 +7,30 @@
 
 use tokio::task::JoinSet;
 
+use crate::fleet::Manifest;
 use crate::fleet::SoakFleet;
 use crate::history::FaultRecord;
+use crate::history::MoveRecord;
 use crate::history::SoakHistory;
 use crate::plan::FaultKind;
 use crate::plan::FaultPlan;
 use crate::plan::PlannedFault;
+use crate::play::CONFIG_WATCH;
+use crate::play::ENTRY_WATCH;
+use crate::proxy::Direction;
 use crate::proxy::LinkFault;
 use crate::proxy::LinkProxy;
+use crate::workers::ANNEX;
+use crate::workers::DESK;
+use crate::workers::WorkerRestart;
 
 const SLOW_STORE_MS: u64 = 400;
 const LINK_DELAY: Duration = Duration::from_millis(80);
 const LOST_RESPONSES: u64 = 6;
+/// Share of the length of a restart for which the worker is away.
+const RESTART_AWAY_ONE_IN: u32 = 40;
+const MANIFEST_WRITE_ATTEMPTS: usize = 40;
+const MANIFEST_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// A route that a fault added to the manifest.
 #[derive(Clone, Debug)]
@@ -34,6 +46,8 @@
     fleet: Arc<SoakFleet>,
     history: SoakHistory,
     added: Mutex<Vec<AddedRoute>>,
+    /// Manifest that was last sent to the store, locked while it is changed.
+    manifest: tokio::sync::Mutex<Manifest>,
 }
 
 impl FaultInjector {
@@ -43,6 +57,7 @@
             fleet,
             history,
             added: Mutex::default(),
+            manifest: tokio::sync::Mutex::new(Manifest::new(1)),
         })
     }
 
@@ -84,6 +99,7 @@
             records.faults.push(FaultRecord {
                 name: fault.kind.to_string(),
                 planned: fault.kind.is_planned(),
+                at_store: fault.kind.is_at_store(),
                 from,
                 to: Duration::MAX,
             });
@@ -94,6 +110,11 @@
     async fn carry_out(&self, fault: PlannedFault) -> std::io::Result<()> {
         let PlannedFault { length, target, .. } = fault;
         let fleet = &self.fleet;
+        let links = |fault: PlannedFault| {
+            let numbers = fault.scope.fronts(fault.target, fleet.store_links.len());
+            numbers.into_iter().map(|number| &fleet.store_links[number])
+        };
+        let both = [Direction::ToServer, Direction::ToClient];
         let faults = &fleet.kv.faults;
         match fault.kind {
             FaultKind::FrontKilled => fleet.fronts[target].lock().await.kill_and_restart().await?,
@@ -139,6 +160,25 @@
                     link.set(LinkFault::StallExisting);
                 }
             }
+            FaultKind::ConfigWatchSilent => {
+                for link in links(fault) {
+                    link.stall_requests(CONFIG_WATCH, &both);
+                }
+            }
+            FaultKind::EntryWatchSilent => {
+                for link in links(fault) {
+                    link.stall_requests(ENTRY_WATCH, &both);
+                }
+            }
+            FaultKind::StoreBodiesSilent => {
+                inject_link_faults(links(fault), LinkFault::StallBodies, length).await;
+            }
+            FaultKind::StoreAwayRefusing => {
+                inject_link_faults(links(fault), LinkFault::AwayRefusing, length).await;
+            }
+            FaultKind::StoreAwayMute => {
+                inject_link_faults(links(fault), LinkFault::AwayMute, length).await;
+            }
             FaultKind::StoreReset => fleet.store_links[target].reset(),
             FaultKind::CallersDelayed => {
                 let delayed = LinkFault::Delayed(LINK_DELAY);
@@ -178,8 +218,18 @@
                 tokio::time::sleep(length).await;
                 fleet.workers.set_fails_partly(target, false);
             }
+            FaultKind::WorkerRestarted => {
+                let version = fleet.workers.version(target).unwrap_or_default();
+                let restart = WorkerRestart {
+                    version: format!("{version}.1"),
+                    away: length / RESTART_AWAY_ONE_IN,
+                    entry_lag: length / 2,
+                };
+                fleet.workers.restart(target, restart).await?;
+            }
             FaultKind::WorkerReplaced => fleet.workers.replace(target).await,
             FaultKind::ManifestChanged => self.add_route().await,
+            FaultKind::RouteMoved => self.move_route().await,
         }
         Ok(())
     }
@@ -201,17 +251,12 @@
         workers.with_link(target, |link| link.set(LinkFault::None));
     }
 
-    /// Adds a route to the manifest. The version rises by three, as versions may have gaps.
+    /// Adds a route to the manifest.
     async fn add_route(&self) {
-        let mut prefixes: Vec<String> = {
-            let added = self.added.lock().expect("routes lock");
-            added.iter().map(|route| route.prefix.clone()).collect()
-        };
-        let prefix = format!("/added-{}/", prefixes.len());
-        prefixes.push(prefix.clone());
-        let version = 1 + 3 * prefixes.len() as u64;
-        if self.fleet.put_manifest(version, &prefixes).await {
-            let acknowledged_at = self.history.now();
+        let mut manifest = self.manifest.lock().await;
+        let prefix = format!("/added-{}/", manifest.added.len());
+        manifest.added.push(prefix.clone());
+        if let Some(acknowledged_at) = self.put_next(&mut manifest).await {
             let route = AddedRoute {
                 prefix,
                 acknowledged_at,
@@ -219,6 +264,49 @@
             self.added.lock().expect("routes lock").push(route);
         }
     }
+
+    /// Moves the route of [`MOVED_PREFIX`](crate::fleet::MOVED_PREFIX) to the other service.
+    async fn move_route(&self) {
+        let mut manifest = self.manifest.lock().await;
+        manifest.service = match manifest.service {
+            DESK => ANNEX,
+            _ => DESK,
+        };
+        let record = MoveRecord {
+            service: manifest.service.to_owned(),
+            sent: self.history.now(),
+            at: None,
+        };
+        let mut position = 0;
+        self.history.update(|records| {
+            position = records.moves.len();
+            records.moves.push(record);
+        });
+        let at = self.put_next(&mut manifest).await;
+        self.history
+            .update(|records| records.moves[position].at = at);
+    }
+
+    /// Sends `manifest` as the next version until the store acknowledges it; returns when it did.
+    /// The version rises by three, as versions may have gaps.
+    async fn put_next(&self, manifest: &mut Manifest) -> Option<Duration> {
+        manifest.version += 3;
+        for _ in 0..MANIFEST_WRITE_ATTEMPTS {
+            if self.fleet.put_manifest(manifest).await {
+                return Some(self.history.now());
+            }
+            tokio::time::sleep(MANIFEST_RETRY_DELAY).await;
+        }
+        None
+    }
+}
+
+async fn inject_link_faults<'a>(
+    links: impl Iterator<Item = &'a LinkProxy>,
+    fault: LinkFault,
+    length: Duration,
+) {
+    futures_util::future::join_all(links.map(|link| inject_link_fault(link, fault, length))).await;
 }
 
 async fn inject_link_fault(link: &LinkProxy, fault: LinkFault, length: Duration) {
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -216,7 +216,13 @@
             let detail = format!("{id} lists {}, which is none of its items", result.id);
             self.history.record_violation("MIXED", &detail);
         }
-        let whole = result.output == content::whole_output(&result.id);
+        let versions = content::versions(&result.output);
+        if versions.len() > 1 {
+            let detail = format!("{} is joined from {versions:?}", result.id);
+            self.history.record_violation("ORDER", &detail);
+        }
+        let version = versions.first().copied().unwrap_or_default();
+        let whole = result.output == content::whole_output(&result.id, version);
         let is_right = match result.state.as_str() {
             "done" => whole && !content::is_poison(&result.id),
             _ => true,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod inject;
 pub mod jobs;
 pub mod plan;
+pub mod play;
+pub mod play_clients;
 pub mod proxy;
 pub mod run;
 pub mod workers;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,8 +6,12 @@
 
 use argh::FromArgs;
 use soak::fleet::FleetConfig;
+use soak::play::PlayConfig;
+use soak::play::PlayKind;
+use soak::play::run_play;
 use soak::run::SoakConfig;
 use soak::run::run_soak;
+use soak::workers::WorkerConfig;
 
 /// Injects random faults into real processes of the product. The exit status is 0 if no guarantee
 /// was violated.
@@ -34,6 +38,36 @@
     /// folder for settings files and logs; default: target/soak
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     out: PathBuf,
+    #[argh(subcommand)]
+    command: Option<SoakCommand>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SoakCommand {
+    Play(PlayArgs),
+}
+
+/// Plays one fault at set times, and prints a line of JSON for each run. The exit status is 0 if no
+/// rule was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "play")]
+struct PlayArgs {
+    /// name of the play, such as silent-config
+    #[argh(positional)]
+    kind: PlayKind,
+    /// binary that is run with the arguments `platform front`; default: this one
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// number of front processes; default: 3
+    #[argh(option, default = "3")]
+    fronts: usize,
+    /// number of fronts whose connections to the store are harmed; default: all
+    #[argh(option)]
+    harmed: Option<usize>,
+    /// number of runs, one after the other; default: 1
+    #[argh(option, default = "1")]
+    times: u64,
 }
 
 fn main() -> ExitCode {
@@ -53,7 +87,11 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(play(&args)) {
+    let failed = match &args.command {
+        Some(SoakCommand::Play(play)) => runtime.block_on(run_plays(&args, play)),
+        None => runtime.block_on(run_seeds(&args)),
+    };
+    match failed {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
         Err(err) => {
@@ -63,8 +101,36 @@
     }
 }
 
+/// Runs a play several times; returns how many of the runs broke a rule.
+async fn run_plays(args: &SoakArgs, play: &PlayArgs) -> std::io::Result<u64> {
+    let mut broken = 0;
+    for run in 1..=play.times {
+        let config = PlayConfig {
+            kind: play.kind,
+            harmed: play.harmed.unwrap_or(play.fronts).min(play.fronts),
+            run,
+            fleet: FleetConfig {
+                fronts: play.fronts,
+                workers: WorkerConfig::default(),
+                binary: match &play.program {
+                    Some(program) => program.clone(),
+                    None => std::env::current_exe()?,
+                },
+                out: args
+                    .out
+                    .join(format!("{}-{}-{run}", play.kind, std::process::id())),
+                network: [(200 + std::process::id() % 50) as u8, (run % 250) as u8],
+            },
+        };
+        let report = run_play(&config).await?;
+        broken += u64::from(report.is_broken());
+        println!("{}", report.to_json(&config));
+    }
+    Ok(broken)
+}
+
 /// Runs all seeds one after the other; returns how many of them violated a guarantee.
-async fn play(args: &SoakArgs) -> std::io::Result<u64> {
+async fn run_seeds(args: &SoakArgs) -> std::io::Result<u64> {
     let mut failed = 0;
     for seed in args.seed..args.seed + args.seeds {
         let config = SoakConfig {
@@ -73,7 +139,10 @@
             callers: args.callers,
             fleet: FleetConfig {
                 fronts: args.fronts,
-                workers: args.workers,
+                workers: WorkerConfig {
+                    desk: args.workers,
+                    ..WorkerConfig::default()
+                },
                 binary: std::env::current_exe()?,
                 out: args.out.join(format!("seed-{seed}")),
                 network: [100 + (std::process::id() % 100) as u8, (seed % 250) as u8],
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -50,6 +50,16 @@
     StoreOldSilent,
     /// Connections of a front to the store are reset.
     StoreReset,
+    /// Connections on which watches of the manifest wait go silent for good; new ones work.
+    ConfigWatchSilent,
+    /// Connections on which watches of the workers' entries wait go silent for good; new ones work.
+    EntryWatchSilent,
+    /// The store's answers to fronts lack their bodies.
+    StoreBodiesSilent,
+    /// The store refuses connections of fronts, and open ones go silent for good.
+    StoreAwayRefusing,
+    /// Open and new connections of fronts to the store go silent for good.
+    StoreAwayMute,
     /// Connections of callers to a front are delayed.
     CallersDelayed,
     /// Connections of callers to a front are reset.
@@ -72,10 +82,14 @@
     WorkerDelayed,
     /// A worker fails part of its requests (status 500).
     WorkerGrey,
+    /// A worker restarts under its name and address with another version; its entry lags behind.
+    WorkerRestarted,
     /// A worker is drained and replaced by another.
     WorkerReplaced,
     /// A route is added to the manifest.
     ManifestChanged,
+    /// A route is moved to another service in the manifest.
+    RouteMoved,
 }
 
 impl FaultKind {
@@ -88,6 +102,15 @@
                 | Self::SettingsChanged
                 | Self::WorkerReplaced
                 | Self::ManifestChanged
+                | Self::RouteMoved
+        )
+    }
+
+    /// Whether the fault impairs the store itself, and not the ways to it.
+    pub fn is_at_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown | Self::StoreSlow | Self::StoreAnswersLost | Self::StoreForgets
         )
     }
 
@@ -103,6 +126,11 @@
                 | Self::StoreCutThere
                 | Self::StoreCutBack
                 | Self::StoreReset
+                | Self::ConfigWatchSilent
+                | Self::EntryWatchSilent
+                | Self::StoreBodiesSilent
+                | Self::StoreAwayRefusing
+                | Self::StoreAwayMute
                 | Self::CallersDelayed
                 | Self::CallersReset
                 | Self::CallersCutBack
@@ -111,6 +139,31 @@
     }
 }
 
+/// How many fronts a fault affects, for kinds that may affect several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+pub enum FaultScope {
+    /// The front that is the target.
+    One,
+    /// Half of the fronts, from the target on.
+    Half,
+    /// All fronts.
+    All,
+}
+
+impl FaultScope {
+    /// Numbers of the affected fronts of `count`, of which `target` is one.
+    pub fn fronts(self, target: usize, count: usize) -> Vec<usize> {
+        let affected = match self {
+            Self::One => 1,
+            Self::Half => count.div_ceil(2),
+            Self::All => count,
+        };
+        (target..target + affected)
+            .map(|number| number % count)
+            .collect()
+    }
+}
+
 /// A fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannedFault {
@@ -122,6 +175,8 @@
     pub kind: FaultKind,
     /// Number of the front or worker that is affected; unused by kinds that affect all.
     pub target: usize,
+    /// Number of fronts that are affected; unused by kinds that affect one or all.
+    pub scope: FaultScope,
 }
 
 /// Schedule of the faults of a run.
@@ -139,6 +194,7 @@
         let kinds: Vec<FaultKind> = FaultKind::iter()
             .filter(|kind| !planned_only || kind.is_planned())
             .collect();
+        let scopes: Vec<FaultScope> = FaultScope::iter().collect();
         let mut faults = Vec::new();
         let mut at = Duration::from_millis(rng.random_range(0..FIRST_FAULT_MS));
         while at < time {
@@ -149,6 +205,7 @@
                 length: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)),
                 kind,
                 target: rng.random_range(0..count),
+                scope: *scopes.choose(&mut rng).expect("there are scopes"),
             });
             at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
         }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -85,7 +85,7 @@
         config.seed,
         config.time,
         config.fleet.fronts,
-        config.fleet.workers,
+        config.fleet.workers.desk,
     );
     injector.play(&faults).await;
     let recovered = history.now() + RECOVERY_TIME;
@@ -156,6 +156,7 @@
     for call in &records.calls {
         let name = match &call.outcome {
             CallOutcome::Served => "served".to_owned(),
+            CallOutcome::Joined(_) => "joined".to_owned(),
             CallOutcome::Mismatched(_) => "mixed".to_owned(),
             CallOutcome::Refused(status) => format!("refused {status}"),
             CallOutcome::Failed(status) => format!("failed {status}"),
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -3,12 +3,15 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -38,9 +41,12 @@
 use crate::history::SoakHistory;
 use crate::proxy::LinkProxy;
 
-const WORKER_SLOTS: u64 = 8;
 /// Time between two events of a worker's stream.
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(8);
+/// Service of all routes in the first manifest.
+pub const DESK: &str = "desk";
+/// Service to which a later manifest may move a route.
+pub const ANNEX: &str = "annex";
 const ENTRY_WRITE_ATTEMPTS: usize = 40;
 const ENTRY_RETRY_DELAY: Duration = Duration::from_millis(250);
 const RESTART_DELAY: Duration = Duration::from_millis(1500);
@@ -51,9 +57,51 @@
 /// A partly failing worker fails one in this many requests.
 const PARTIAL_FAILURE_ONE_IN: u64 = 3;
 
+/// Version of the software of workers that have not been restarted with another one.
+const FIRST_VERSION: &str = "v1";
+const REBIND_INTERVAL: Duration = Duration::from_millis(2);
+const REBIND_ATTEMPTS: usize = 500;
+
+/// Number and size of the workers.
+#[derive(Clone, Debug)]
+pub struct WorkerConfig {
+    /// Number of workers of [`DESK`], with the numbers from 0.
+    pub desk: usize,
+    /// Number of workers of [`ANNEX`], with the numbers after those.
+    pub annex: usize,
+    /// Number of requests that a worker executes at the same time.
+    pub slots: u64,
+}
+
+impl Default for WorkerConfig {
+    fn default() -> Self {
+        Self {
+            desk: 6,
+            annex: 2,
+            slots: 8,
+        }
+    }
+}
+
+/// A restart of a worker under its name and address.
+#[derive(Clone, Debug)]
+pub struct WorkerRestart {
+    /// Version of the software that runs from then on.
+    pub version: String,
+    /// Time for which connections to the worker are refused; none are if it is zero.
+    pub away: Duration,
+    /// Time from the start of the new process until its entry in the store describes it.
+    pub entry_lag: Duration,
+}
+
 /// State of one worker process, shared by its connections.
 struct WorkerProcess {
     name: String,
+    service: &'static str,
+    version: String,
+    /// Start of the process in Unix milliseconds.
+    born: u64,
+    slots: u64,
     history: SoakHistory,
     active: Arc<AtomicU64>,
     request_count: AtomicU64,
@@ -72,26 +120,28 @@
     ip: IpAddr,
     kv: Arc<KvMemory>,
     history: SoakHistory,
+    config: WorkerConfig,
     running: Mutex<BTreeMap<usize, RunningWorker>>,
     starts: AtomicU64,
 }
 
 impl WorkerPool {
-    /// Starts `count` workers and writes their entries into `kv`.
+    /// Starts all workers and writes their entries into `kv`.
     pub async fn start(
         ip: IpAddr,
         kv: Arc<KvMemory>,
         history: SoakHistory,
-        count: usize,
+        config: WorkerConfig,
     ) -> std::io::Result<Arc<Self>> {
         let pool = Arc::new(Self {
             ip,
             kv,
             history,
+            config,
             running: Mutex::default(),
             starts: AtomicU64::new(0),
         });
-        for number in 0..count {
+        for number in 0..pool.config.desk + pool.config.annex {
             pool.start_one(number).await?;
         }
         Ok(pool)
@@ -118,14 +168,8 @@
             return;
         };
         let name = worker.process.name.clone();
-        let left = self.put_entry(&name, worker.link.address(), "draining");
-        if left.await {
-            let leave = LeaveRecord {
-                worker: name.clone(),
-                at: self.history.now(),
-            };
-            self.history.update(|records| records.leaves.push(leave));
-        }
+        let (process, address) = (worker.process.clone(), worker.link.address());
+        self.announce_drain(&process, address).await;
         let _ = self.start_one(number).await;
         tokio::time::sleep(DRAIN_TIME).await;
         let _ = self.kv.delete(&entry_key(&name), Expect::Any).await;
@@ -134,6 +178,63 @@
         }
     }
 
+    /// Writes into the entry of worker `number` that it drains; the worker goes on serving.
+    pub async fn drain(&self, number: usize) {
+        let running = self.lock().get(&number).map(|worker| {
+            let address = worker.link.address();
+            (worker.process.clone(), address)
+        });
+        if let Some((process, address)) = running {
+            self.announce_drain(&process, address).await;
+        }
+    }
+
+    /// Ends worker `number` without notice and for good; its entry stays.
+    pub fn end(&self, number: usize) {
+        drop(self.take(number));
+    }
+
+    /// Restarts worker `number` under its name and address; returns when its entry describes the
+    /// new process.
+    pub async fn restart(&self, number: usize, restart: WorkerRestart) -> std::io::Result<()> {
+        let Some(worker) = self.take(number) else {
+            return Ok(());
+        };
+        let (name, address) = (worker.process.name.clone(), worker.link.address());
+        let process = self.process(number, name, restart.version);
+        let worker = if restart.away.is_zero() {
+            let server = self.serve(process.clone()).await?;
+            worker.link.set_server(server.address());
+            RunningWorker {
+                process: process.clone(),
+                link: worker.link,
+                _server: server,
+            }
+        } else {
+            drop(worker);
+            tokio::time::sleep(restart.away).await;
+            self.start_at(process.clone(), address).await?
+        };
+        self.lock().insert(number, worker);
+        tokio::time::sleep(restart.entry_lag).await;
+        let still_runs = self
+            .lock()
+            .get(&number)
+            .is_some_and(|worker| Arc::ptr_eq(&worker.process, &process));
+        if still_runs {
+            self.put_entry(&process, address, "ready").await;
+        }
+        Ok(())
+    }
+
+    /// Version of the software of worker `number`, if that worker runs now.
+    pub fn version(&self, number: usize) -> Option<String> {
+        let running = self.lock();
+        running
+            .get(&number)
+            .map(|worker| worker.process.version.clone())
+    }
+
     /// Makes worker `number` fail part of its requests, or ends that.
     pub fn set_fails_partly(&self, number: usize, fails_partly: bool) {
         if let Some(worker) = self.lock().get(&number) {
@@ -153,39 +254,85 @@
 
     async fn start_one(&self, number: usize) -> std::io::Result<()> {
         let start = self.starts.fetch_add(1, Ordering::Relaxed);
-        let process = Arc::new(WorkerProcess {
-            name: format!("i-{number}-{start}"),
+        let name = format!("i-{number}-{start}");
+        let process = self.process(number, name, FIRST_VERSION.to_owned());
+        let worker = self.start_at(process.clone(), (self.ip, 0).into()).await?;
+        let address = worker.link.address();
+        self.put_entry(&process, address, "ready").await;
+        self.lock().insert(number, worker);
+        Ok(())
+    }
+
+    fn process(&self, number: usize, name: String, version: String) -> Arc<WorkerProcess> {
+        let service = match number < self.config.desk {
+            true => DESK,
+            false => ANNEX,
+        };
+        Arc::new(WorkerProcess {
+            name,
+            service,
+            version,
+            born: unix_ms(),
+            slots: self.config.slots,
             history: self.history.clone(),
             active: Arc::default(),
             request_count: AtomicU64::new(0),
             fails_partly: AtomicBool::new(false),
-        });
-        let shared = process.clone();
-        let address = std::net::SocketAddr::new(self.ip, 0);
-        let server = StandinServer::start_on(address, move |request| {
-            let process = shared.clone();
+        })
+    }
+
+    /// Serves the requests for `process` on a free port.
+    async fn serve(&self, process: Arc<WorkerProcess>) -> std::io::Result<StandinServer> {
+        StandinServer::start_on((self.ip, 0).into(), move |request| {
+            let process = process.clone();
             async move { Some(process.answer(request).await) }
         })
-        .await?;
-        let link = LinkProxy::start(self.ip, server.address()).await?;
-        self.put_entry(&process.name, link.address(), "ready").await;
-        let worker = RunningWorker {
+        .await
+    }
+
+    /// Serves the requests for `process` behind a proxy at `address`.
+    async fn start_at(
+        &self,
+        process: Arc<WorkerProcess>,
+        address: SocketAddr,
+    ) -> std::io::Result<RunningWorker> {
+        let server = self.serve(process.clone()).await?;
+        let mut attempt = 0;
+        let link = loop {
+            attempt += 1;
+            match LinkProxy::start_on(address, server.address()).await {
+                Ok(link) => break link,
+                // The socket of the process before may not be closed yet.
+                Err(_) if attempt < REBIND_ATTEMPTS => tokio::time::sleep(REBIND_INTERVAL).await,
+                Err(err) => return Err(err),
+            }
+        };
+        Ok(RunningWorker {
             process,
             link,
             _server: server,
-        };
-        self.lock().insert(number, worker);
-        Ok(())
+        })
+    }
+
+    async fn announce_drain(&self, process: &WorkerProcess, address: SocketAddr) {
+        if self.put_entry(process, address, "draining").await {
+            let leave = LeaveRecord {
+                worker: process.name.clone(),
+                at: self.history.now(),
+            };
+            self.history.update(|records| records.leaves.push(leave));
+        }
     }
 
     /// Writes the entry of a worker, and retries while the store is unavailable. Returns whether
     /// the store acknowledged it.
-    async fn put_entry(&self, name: &str, address: std::net::SocketAddr, state: &str) -> bool {
+    async fn put_entry(&self, process: &WorkerProcess, address: SocketAddr, state: &str) -> bool {
         let entry = json!({
-            "service": "desk", "address": address, "zone": "west", "version": "v1",
-            "slots": WORKER_SLOTS, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1000
+            "service": process.service, "address": address, "zone": "west",
+            "version": process.version, "slots": process.slots, "state": state, "coldLeftMs": 0,
+            "sequence": 1, "born": process.born
         });
-        let key = entry_key(name);
+        let key = entry_key(&process.name);
         let value = Bytes::from(entry.to_string());
         for _ in 0..ENTRY_WRITE_ATTEMPTS {
             let put = self.kv.put(&key, value.clone(), Expect::Any, None);
@@ -260,7 +407,7 @@
         if text(&headers, "target-instance").is_some_and(|name| name != self.name) {
             return empty(StatusCode::MISDIRECTED_REQUEST);
         }
-        if self.active.load(Ordering::Relaxed) >= WORKER_SLOTS {
+        if self.active.load(Ordering::Relaxed) >= self.slots {
             let mut reply = empty(StatusCode::SERVICE_UNAVAILABLE);
             let headers = reply.headers_mut();
             headers.insert("not-executed", HeaderValue::from_static("1"));
@@ -274,14 +421,18 @@
         let resume_after: u64 = text(&headers, "last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
+        // What continues the answer to another attempt has the content of that answer.
+        let content_id = text(&headers, "resumes").unwrap_or_else(|| id.clone());
         let execution = ExecutionRecord {
             worker: self.name.clone(),
+            service: self.service.to_owned(),
+            version: self.version.clone(),
             resume_after,
             began_at: self.history.now(),
             ended_at: None,
             intact: method == http::Method::POST
-                && path.ends_with(&id)
-                && body == content::body(&id).as_bytes(),
+                && path.ends_with(&content_id)
+                && body == content::body(&content_id).as_bytes(),
             budget_ms: text(&headers, "time-budget-ms").and_then(|ms| ms.parse().ok()),
             id: id.clone(),
         };
@@ -292,10 +443,11 @@
         let mut reply = match path.split('/').nth(1) {
             _ if content::is_poison(&id) => empty(StatusCode::UNPROCESSABLE_ENTITY),
             _ if fails => empty(StatusCode::INTERNAL_SERVER_ERROR),
-            Some("ask" | "lot") => events(id.clone(), resume_after, active),
+            Some("ask" | "lot") => events(content_id, self.version.clone(), resume_after, active),
             _ => {
                 tokio::time::sleep(EVENT_INTERVAL).await;
-                Response::new(Full::new(Bytes::from(content::whole_output(&id))).boxed_unsync())
+                let output = content::whole_output(&id, &self.version);
+                Response::new(Full::new(Bytes::from(output)).boxed_unsync())
             }
         };
         let seal = format!("seal-of-{}", self.name);
@@ -320,16 +472,16 @@
         let report = json!({
             "stage": "hybrid", "models": [], "busy": false, "sequence": 1, "queued": 0,
             "active": active, "kvUsed": 0, "kvTotal": 100_000, "handles": 0,
-            "born": 1000
+            "born": self.born
         });
         json_reply(StatusCode::OK, &report)
     }
 }
 
-fn events(id: String, resume_after: u64, active: ActiveGuard) -> StandinReply {
+fn events(id: String, version: String, resume_after: u64, active: ActiveGuard) -> StandinReply {
     let count = content::event_count(&id);
     let events = stream::iter(resume_after + 1..=count).then(move |number| {
-        let data = content::event_data(&id, number);
+        let data = content::event_data(&id, number, &version);
         let _held_until_sent = &active;
         async move {
             tokio::time::sleep(EVENT_INTERVAL).await;
@@ -343,6 +495,11 @@
     reply
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use soak::callers::compare_answer;
 use soak::check::check;
 use soak::content;
+use soak::fleet::MOVED_PREFIX;
 use soak::history::CallKind;
 use soak::history::CallOutcome;
 use soak::history::CallRecord;
 use soak::history::ExecutionRecord;
 use soak::history::FaultRecord;
 use soak::history::LeaveRecord;
+use soak::history::MoveRecord;
 use soak::history::Records;
 use soak::jobs::ItemResult;
 use soak::jobs::JobRecord;
@@ -22,6 +25,7 @@
     CallRecord {
         id: id.to_owned(),
         kind,
+        prefix: "/ask/".to_owned(),
         front: 0,
         sent: at(20.0),
         ended: at(21.0),
@@ -34,6 +38,8 @@
     ExecutionRecord {
         id: id.to_owned(),
         worker: "w".to_owned(),
+        service: "desk".to_owned(),
+        version: "v1".to_owned(),
         resume_after: 0,
         began_at: at(20.1),
         ended_at: Some(at(20.9)),
@@ -46,6 +52,7 @@
     FaultRecord {
         name: "fault".to_owned(),
         planned,
+        at_store: false,
         from: at(19.0),
         to: at(19.5),
     }
@@ -56,7 +63,7 @@
     let results = items.iter().take(results).map(|id| ItemResult {
         id: id.clone(),
         state: "done".to_owned(),
-        output: content::whole_output(id),
+        output: content::whole_output(id, "v1"),
     });
     JobRecord {
         id: "lot".to_owned(),
@@ -98,7 +105,13 @@
 
 #[test]
 fn test_check_calls() {
-    let cases: [(&str, CallOutcome, usize, &str); 4] = [
+    let cases: [(&str, CallOutcome, usize, &str); 5] = [
+        (
+            "ORDER",
+            CallOutcome::Joined("v1 and v2".to_owned()),
+            1,
+            "call",
+        ),
         (
             "MIXED",
             CallOutcome::Mismatched("other bytes".to_owned()),
@@ -199,3 +212,91 @@
     records.executions.remove(0);
     assert_eq!(rules(&records, &jobs), ["RECOVER"]);
 }
+
+/// A run in which the moved route names `annex` from `moved_at` on, and a request on it, sent at
+/// 20 s, is run by `service`.
+fn moved_run(moved_at: Option<f64>, service: &str) -> Records {
+    let mut records = correct_run().0;
+    let mut moved = call("call-2", CallKind::Repeatable, CallOutcome::Served);
+    moved.prefix = MOVED_PREFIX.to_owned();
+    records.calls.push(moved);
+    let mut run = execution("call-2");
+    run.service = service.to_owned();
+    records.executions.push(run);
+    for (at, service) in [(Some(1.0), "desk"), (moved_at, "annex")] {
+        records.moves.push(MoveRecord {
+            service: service.to_owned(),
+            sent: self::at(at.unwrap_or(17.0)),
+            at: at.map(self::at),
+        });
+    }
+    records
+}
+
+#[test]
+fn test_check_moved_route() {
+    let cases = [
+        (Some(17.0), "desk", vec!["CONFIG"]),
+        (Some(17.0), "annex", vec![]),
+        (Some(18.5), "desk", vec![]),
+        (Some(18.5), "annex", vec![]),
+        (None, "desk", vec![]),
+        (None, "annex", vec![]),
+        (None, "other", vec!["CONFIG"]),
+    ];
+    for (moved_at, service, expected) in cases {
+        let records = moved_run(moved_at, service);
+        let jobs = [job(2)];
+        assert_eq!(rules(&records, &jobs), expected, "{moved_at:?} {service}");
+    }
+}
+
+/// Guards against silent watches that excuse a host for as long as they are silent.
+#[test]
+fn test_check_after_silence() {
+    for (silent_at, expected) in [(16.0, vec!["CONFIG", "DRAIN"]), (18.0, vec![])] {
+        let mut records = moved_run(Some(16.5), "desk");
+        let mut leaving = execution("call-2");
+        leaving.worker = "leaving".to_owned();
+        leaving.service = "annex".to_owned();
+        records.executions.push(leaving);
+        records.leaves.push(LeaveRecord {
+            worker: "leaving".to_owned(),
+            at: at(16.5),
+        });
+        records.faults.push(FaultRecord {
+            name: "config_watch_silent".to_owned(),
+            planned: false,
+            at_store: false,
+            from: at(silent_at),
+            to: at(silent_at),
+        });
+        let mut rules = rules(&records, &[job(2)]);
+        rules.sort();
+        assert_eq!(rules, expected, "{silent_at}");
+    }
+}
+
+#[test]
+fn test_answer_of_two_versions() {
+    let id = "call-1";
+    let event = |number, version| {
+        let data = content::event_data(id, number, version);
+        format!("id: {number}\ndata: {data}\n\n")
+    };
+    let answer = |second_from: u64| -> String {
+        let events = 1..=content::event_count(id);
+        let version = |number| if number < second_from { "v1" } else { "v1.1" };
+        events
+            .map(|number| event(number, version(number)))
+            .collect()
+    };
+    let outcome = |text: &str, whole| compare_answer(CallKind::Stream, id, text.as_bytes(), whole);
+    for second_from in [1, 100] {
+        assert_eq!(outcome(&answer(second_from), true), CallOutcome::Served);
+        let part = &answer(second_from)[..answer(second_from).len() - 3];
+        assert_eq!(outcome(part, false), CallOutcome::CutOff);
+    }
+    let joined = outcome(&answer(3), true);
+    assert!(matches!(joined, CallOutcome::Joined(_)), "{joined:?}");
+}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -5,8 +5,10 @@
 
 use soak::fleet::FleetConfig;
 use soak::plan::FaultPlan;
+use soak::plan::FaultScope;
 use soak::run::SoakConfig;
 use soak::run::run_soak;
+use soak::workers::WorkerConfig;
 
 const FRONTS: usize = 5;
 const WORKERS: usize = 6;
@@ -18,7 +20,10 @@
         callers: 8,
         fleet: FleetConfig {
             fronts: FRONTS,
-            workers: WORKERS,
+            workers: WorkerConfig {
+                desk: WORKERS,
+                ..WorkerConfig::default()
+            },
             binary: PathBuf::from(env!("CARGO_BIN_EXE_soak")),
             out: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
             network: [99, seed as u8],
@@ -44,6 +49,13 @@
     assert!(draw(7).faults.iter().any(|fault| !fault.kind.is_planned()));
 }
 
+#[test]
+fn test_soak_fault_scope() {
+    assert_eq!(FaultScope::One.fronts(4, 5), [4]);
+    assert_eq!(FaultScope::Half.fronts(4, 5), [4, 0, 1]);
+    assert_eq!(FaultScope::All.fronts(4, 5), [4, 0, 1, 2, 3]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_soak_mixed_faults() {
     play(2, 8).await;
