soak: links between fronts, and silent connections everywhere at once

Nothing harmed the connections between fronts, so a silence of all open connections at once could not be played. Fronts now read each other's entries from the stand-in of the store with the address of a proxy, which forwards datagrams and lets connections go silent. `silent-all` and the kind `all_old_silent` use it.

Runs alternate between two networks now, and a play fails if a front ends by itself, instead of counting what the fronts of another play served. The bound of a play is the later one of two seconds after the acknowledgement and three seconds after the fault, as connections that go silent count as reset.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -12,7 +12,7 @@
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
 use parsleywall_standins::kv::KvMemory;
-use parsleywall_standins::platform_store::serve_platform_store;
+use parsleywall_standins::platform_store::serve_platform_store_view;
 use parsleywall_standins::server::StandinServer;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -24,6 +24,8 @@
 use tokio::time::Instant;
 
 use crate::history::SoakHistory;
+use crate::peer_link;
+use crate::peer_link::PeerLink;
 use crate::proxy::LinkProxy;
 use crate::workers::ANNEX;
 use crate::workers::DESK;
@@ -38,6 +40,8 @@
 const DIRECTORY_PORT: u16 = 8164;
 const CALLER_PORT: u16 = 8161;
 const READY_PORT: u16 = 8167;
+/// Port on which a front serves the other fronts.
+const PEER_PORT: u16 = 7720;
 /// Time after its start from which a process handles signals.
 const MIN_UPTIME_FOR_SIGNALS: Duration = Duration::from_millis(200);
 const RESTART_DELAY: Duration = Duration::from_millis(300);
@@ -167,6 +171,8 @@
     pub store_links: Vec<LinkProxy>,
     /// Proxies between callers and each front, by number of the front.
     pub caller_links: Vec<LinkProxy>,
+    /// Proxies between the other fronts and each front, by number of the front.
+    pub peer_links: Vec<PeerLink>,
     /// The workers.
     pub workers: Arc<WorkerPool>,
     config: FleetConfig,
@@ -178,8 +184,16 @@
     pub async fn start(config: FleetConfig, history: &SoakHistory) -> std::io::Result<Self> {
         std::fs::create_dir_all(&config.out)?;
         let kv = KvMemory::new();
-        let store = serve_platform_store(kv.clone()).await?;
         let platform_ip = config.ip(config.fronts);
+        let mut peer_links = Vec::new();
+        for number in 0..config.fronts {
+            let front = SocketAddr::new(config.ip(number), PEER_PORT);
+            peer_links.push((front, PeerLink::start(platform_ip, front).await?));
+        }
+        let links = peer_links.iter();
+        let links = links.map(|(front, link)| (*front, link.address()));
+        let view = peer_link::link_view(links.collect());
+        let store = serve_platform_store_view(kv.clone(), view).await?;
         let pool = WorkerPool::start(
             platform_ip,
             kv.clone(),
@@ -192,6 +206,7 @@
             fronts: Vec::new(),
             store_links: Vec::new(),
             caller_links: Vec::new(),
+            peer_links: peer_links.into_iter().map(|(_, link)| link).collect(),
             config,
             _store: store,
         };
@@ -246,7 +261,7 @@
 fn settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
     format!(
         "node = \"front-{number}\"\nmachineClass = \"front\"\nip = \"{ip}\"\nzone = \"west\"\n\
-         portRange = [7720,7735]\n\
+         portRange = [{PEER_PORT},7735]\n\
          [listen]\nfront = \"{ip}:{CALLER_PORT}\"\nreadyAddr = \"{ip}:{READY_PORT}\"\n\
          directory = \"{ip}:{DIRECTORY_PORT}\"\n\
          [bounds]\ngraceS = {}\n[provider]\naddress = \"{store}\"\n",
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -160,6 +160,17 @@
                     link.set(LinkFault::StallExisting);
                 }
             }
+            FaultKind::AllOldSilent => {
+                for link in fleet.store_links.iter().chain(&fleet.caller_links) {
+                    link.set(LinkFault::StallExisting);
+                }
+                for link in &fleet.peer_links {
+                    link.set(LinkFault::StallExisting);
+                }
+                fleet
+                    .workers
+                    .with_links(|link| link.set(LinkFault::StallExisting));
+            }
             FaultKind::ConfigWatchSilent => {
                 for link in links(fault) {
                     link.stall_requests(CONFIG_WATCH, &both);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -119,7 +119,12 @@
                 out: args
                     .out
                     .join(format!("{}-{}-{run}", play.kind, std::process::id())),
-                network: [(200 + std::process::id() % 50) as u8, (run % 250) as u8],
+                // Soaks that run at the same time have other process numbers, and the processes of the
+                // run before may not have ended yet.
+                network: [
+                    (200 + std::process::id() / 200 % 25 * 2) as u8 + (run % 2) as u8,
+                    (std::process::id() % 200) as u8,
+                ],
             },
         };
         let report = run_play(&config).await?;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -50,6 +50,9 @@
     StoreOldSilent,
     /// Connections of a front to the store are reset.
     StoreReset,
+    /// All open connections of all fronts to the store, to each other, to callers and to workers stall
+    /// for good; new ones work.
+    AllOldSilent,
     /// Connections on which watches of the manifest wait go silent for good; new ones work.
     ConfigWatchSilent,
     /// Connections on which watches of the workers' entries wait go silent for good; new ones work.
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -38,7 +38,8 @@
 pub const ENTRY_WATCH: &str = "/kv-watch?prefix=servers";
 /// Time from the acknowledgement of a change until it is in force (`configMs`, `drainMs`).
 const IN_FORCE_TIME: Duration = Duration::from_secs(2);
-/// Time after an impairment of the store from which it counts as stable (`stableMs`).
+/// Time after an impairment of the store or of the ways to it until fronts count as in touch
+/// (`stableMs`).
 const STABLE_TIME: Duration = Duration::from_secs(3);
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time of load before the fault.
@@ -78,10 +79,11 @@
     /// Bytes to the store are lost on the connections of watches of the manifest and of the entries;
     /// then a manifest moves a route and a worker drains.
     SilentOneWay,
-    /// Bodies of the store's answers are withheld; then a manifest moves a route and a worker drains.
+    /// The answers to watches of the manifest and of the entries lack their bodies; then a manifest
+    /// moves a route and a worker drains.
     SilentBodies,
-    /// All open connections to the store and to workers go silent; then a manifest moves a route and
-    /// a worker drains.
+    /// All open connections to the store, between fronts and to workers go silent; then a manifest
+    /// moves a route and a worker drains.
     SilentAll,
     /// The store is away and refuses connections; a manifest is written as it returns.
     StoreBackRefusing,
@@ -198,6 +200,16 @@
 impl Play {
     async fn run(mut self) -> std::io::Result<PlayReport> {
         play_clients::wait_ready(&self.fleet, READY_TIMEOUT).await?;
+        let report = self.play().await?;
+        for front in &self.fleet.fronts {
+            if let Some(status) = front.lock().await.exit_status() {
+                return Err(std::io::Error::other(format!("a front ended: {status}")));
+            }
+        }
+        Ok(report)
+    }
+
+    async fn play(&mut self) -> std::io::Result<PlayReport> {
         match self.config.kind {
             PlayKind::NoRestart
             | PlayKind::UnseenRestarts
@@ -219,7 +231,7 @@
             load.spawn(play_clients::send_load(fleet, history, front, end));
         }
         tokio::time::sleep(WARM_UP_TIME).await;
-        let back_at = self.harm_store().await;
+        let harmed_until = self.harm_store().await;
         let kind = self.config.kind;
         if kind != PlayKind::SilentUpstreams {
             self.move_route().await;
@@ -235,15 +247,16 @@
         if drains {
             self.fleet.workers.drain(0).await;
         }
-        let stable_from = back_at.map_or(Duration::ZERO, |at| at + STABLE_TIME);
+        let stable_from = harmed_until + STABLE_TIME;
         self.observe(stable_from).await;
         end.cancel();
         load.join_all().await;
         Ok(self.report(stable_from))
     }
 
-    /// Harms the connections to the store. Returns when the store is back, if it was away.
-    async fn harm_store(&mut self) -> Option<Duration> {
+    /// Harms the connections to the store. Returns when that was over; connections that go silent count
+    /// as reset at that moment.
+    async fn harm_store(&mut self) -> Duration {
         let away = Duration::from_millis(self.rng.random_range(STORE_AWAY_MS));
         let both = [Direction::ToServer, Direction::ToClient];
         let fleet = self.fleet.clone();
@@ -267,14 +280,20 @@
                 self.stalled = stall(&[CONFIG_WATCH, ENTRY_WATCH], &[Direction::ToClient]);
             }
             PlayKind::SilentBodies => {
-                for link in links {
-                    link.set(LinkFault::StallBodies);
+                for (link, target) in links
+                    .iter()
+                    .flat_map(|link| [CONFIG_WATCH, ENTRY_WATCH].map(|target| (link, target)))
+                {
+                    self.stalled += link.stall_bodies(target);
                 }
             }
             PlayKind::SilentAll => {
                 for link in links {
                     link.set(LinkFault::StallExisting);
                 }
+                for link in &self.fleet.peer_links {
+                    link.set(LinkFault::StallExisting);
+                }
                 for worker in 0..2 {
                     let workers = &self.fleet.workers;
                     workers.with_link(worker, |link| link.set(LinkFault::StallExisting));
@@ -283,8 +302,9 @@
             _ => {}
         }
         let Some(fault) = away_fault else {
+            let silent_at = self.history.now();
             tokio::time::sleep(SILENCE_LEAD).await;
-            return None;
+            return silent_at;
         };
         for link in links {
             link.set(fault);
@@ -293,7 +313,7 @@
         for link in links {
             link.set(LinkFault::None);
         }
-        Some(self.history.now())
+        self.history.now()
     }
 
     async fn move_route(&self) {
@@ -451,7 +471,7 @@
             ..PlayReport::default()
         };
         self.count_config(&records, stable_from, &mut report);
-        count_drain(&records, &mut report);
+        count_drain(&records, stable_from, &mut report);
         report
     }
 
@@ -482,11 +502,11 @@
     }
 }
 
-fn count_drain(records: &Records, report: &mut PlayReport) {
+fn count_drain(records: &Records, stable_from: Duration, report: &mut PlayReport) {
     let Some(leave) = records.leaves.last() else {
         return;
     };
-    let from = leave.at + IN_FORCE_TIME;
+    let from = (leave.at + IN_FORCE_TIME).max(stable_from);
     let runs = records.executions.iter();
     for run in runs.filter(|run| run.service == crate::workers::DESK) {
         let is_leaving = run.worker == leave.worker;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -70,6 +70,8 @@
     server: Option<SocketAddr>,
     /// Single connections that are stalled for good in a direction.
     stalled: Vec<(u64, Direction)>,
+    /// Single connections on which the bodies of answers are withheld for good.
+    without_bodies: Vec<u64>,
 }
 
 impl LinkState {
@@ -84,6 +86,10 @@
         }
     }
 
+    fn lacks_bodies(&self, number: u64) -> bool {
+        self.fault == LinkFault::StallBodies || self.without_bodies.contains(&number)
+    }
+
     fn delay(&self) -> Duration {
         match self.fault {
             LinkFault::Delayed(delay) => delay,
@@ -163,6 +169,15 @@
         numbers.len()
     }
 
+    /// Withholds the bodies of answers for good on each open connection whose last request has a
+    /// request line that contains `target`. Returns how many these are.
+    pub fn stall_bodies(&self, target: &str) -> usize {
+        let numbers = self.requests.with_target(target);
+        self.state
+            .send_modify(|state| state.without_bodies.extend(&numbers));
+        numbers.len()
+    }
+
     /// Forwards new connections to `server` from now on.
     pub fn set_server(&self, server: SocketAddr) {
         self.state.send_modify(|state| state.server = Some(server));
@@ -334,8 +349,8 @@
     /// Number of the bytes of `chunk` that are forwarded now; less than all while bodies are
     /// withheld.
     fn passing(&self, chunk: &[u8]) -> usize {
-        let withheld = self.direction == Direction::ToClient
-            && self.state.borrow().fault == LinkFault::StallBodies;
+        let withheld =
+            self.direction == Direction::ToClient && self.state.borrow().lacks_bodies(self.number);
         let head = chunk
             .windows(HEAD_END.len())
             .position(|end| end == HEAD_END);
@@ -369,7 +384,7 @@
             let passing = self.passing(&chunk[..count]);
             writer.write_all(&chunk[..passing]).await?;
             if passing < count {
-                let passes = |state: &LinkState| state.fault != LinkFault::StallBodies;
+                let passes = |state: &LinkState| !state.lacks_bodies(number);
                 let _ = self.state.wait_for(passes).await;
                 writer.write_all(&chunk[passing..count]).await?;
             }
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Applies `act` to the proxies of all workers that run now.
+    pub fn with_links(&self, act: impl Fn(&LinkProxy)) {
+        self.lock().values().for_each(|worker| act(&worker.link));
+    }
+
     async fn start_one(&self, number: usize) -> std::io::Result<()> {
         let start = self.starts.fetch_add(1, Ordering::Relaxed);
         let name = format!("i-{number}-{start}");
--- a/soak/tests/test_proxy.rs
+++ b/soak/tests/test_proxy.rs
@@ -136,6 +136,19 @@
     }
 }
 
+#[tokio::test]
+async fn test_proxy_stalls_bodies_by_request() {
+    let proxy = answering_proxy().await;
+    let mut watch = TcpStream::connect(proxy.address()).await.unwrap();
+    let mut other = TcpStream::connect(proxy.address()).await.unwrap();
+    assert!(ask(&mut watch, "/kv-watch?prefix=op").await.ends_with("ok"));
+    assert!(ask(&mut other, "/kv-range").await.ends_with("ok"));
+    assert_eq!(proxy.stall_bodies("/kv-watch?prefix=op"), 1);
+    let answer = ask(&mut watch, "/kv-watch?prefix=op").await;
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+    assert!(ask(&mut other, "/kv-range").await.ends_with("ok"));
+}
+
 #[tokio::test]
 async fn test_proxy_stalls_bodies() {
     let proxy = answering_proxy().await;
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -31,16 +31,32 @@
 /// Most items in a page of a range listing.
 const PAGE_ITEMS: usize = 500;
 
+/// What readers get instead of the value of a key.
+pub type ValueView = Arc<dyn Fn(&str, &Bytes) -> Bytes + Send + Sync>;
+
 /// Serves `store` with the protocol of the metadata store on a free loopback port.
 pub async fn serve_platform_store(store: Arc<KvMemory>) -> std::io::Result<StandinServer> {
+    serve_platform_store_view(store, Arc::new(|_, value| value.clone())).await
+}
+
+/// Serves `store` as [`serve_platform_store`] does, and shows readers its values through `view`.
+pub async fn serve_platform_store_view(
+    store: Arc<KvMemory>,
+    view: ValueView,
+) -> std::io::Result<StandinServer> {
     StandinServer::start(move |request| {
-        let store = store.clone();
-        async move { answer(&store, request).await }
+        let (store, view) = (store.clone(), view.clone());
+        async move { answer(&store, &view, request).await }
     })
     .await
 }
 
-async fn answer(store: &KvMemory, request: Request<Incoming>) -> Option<StandinReply> {
+async fn answer(
+    store: &KvMemory,
+    view: &ValueView,
+    request: Request<Incoming>,
+) -> Option<StandinReply> {
+    let item = |entry: &KvEntry| item(entry, view);
     let path = request.uri().path().to_owned();
     let query = |name| query_value(&request, name).unwrap_or_default();
     match (request.method().clone(), path.as_str()) {
@@ -56,7 +72,7 @@
                     .list(&query("prefix"), after.as_deref(), PAGE_ITEMS)
                     .await,
                 |page| {
-                    let items: Vec<Value> = page.entries.iter().map(item).collect();
+                    let items: Vec<Value> = page.entries.iter().map(&item).collect();
                     json!({ "items": items, "hasMore": page.more, "asOf": page.revision.0 })
                 },
             )
@@ -67,7 +83,11 @@
             match store.watch(&query("prefix"), after, wait).await {
                 Ok(changes) if changes.compacted => Some(json_reply(StatusCode::GONE, &json!({}))),
                 changes => reply(changes, |changes| {
-                    let events: Vec<Value> = changes.changes.iter().map(event).collect();
+                    let events: Vec<Value> = changes
+                        .changes
+                        .iter()
+                        .map(|change| event(change, view))
+                        .collect();
                     json!({ "events": events, "asOf": changes.revision.0 })
                 }),
             }
@@ -98,10 +118,10 @@
     }
 }
 
-fn item(entry: &KvEntry) -> Value {
+fn item(entry: &KvEntry, view: &ValueView) -> Value {
     json!({
         "key": entry.key,
-        "value": STANDARD.encode(&entry.value),
+        "value": STANDARD.encode(view(&entry.key, &entry.value)),
         "rev": entry.version.0,
         "created": entry.version.0,
         "lease": 0,
@@ -109,9 +129,9 @@
     })
 }
 
-fn event(change: &KvChange) -> Value {
+fn event(change: &KvChange, view: &ValueView) -> Value {
     match change {
-        KvChange::Put(entry) => item(entry),
+        KvChange::Put(entry) => item(entry, view),
         KvChange::Deleted { key } => json!({ "key": key, "rev": 0, "removed": true }),
     }
 }
