--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -15,9 +15,10 @@
 use crate::balancer::report::is_same_work;
 use crate::balancer::waiting::is_same_backlog;
 use crate::collections::HashMap;
-use crate::config_monitor::ConfigMonitor;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::host_views::HostViews;
+use crate::host_views::ViewAges;
 use crate::origins::OriginKeeper;
 use crate::origins::OriginNotice;
 use crate::origins::OriginQuery;
@@ -80,7 +81,11 @@
     news_budget: NewsBudget,
     log: EventLog,
     origins: OriginKeeper,
-    config: ConfigMonitor,
+    views: HostViews,
+    /// When the last step began.
+    stepped_at: Instant,
+    /// Time before which all datagrams that have been received since the last step had not arrived.
+    emptied_at: Instant,
     /// State of the limits that the last report told of.
     limit_revision: u64,
 }
@@ -139,7 +144,6 @@
             loads: Vec::new(),
             leaving: Vec::new(),
             ended: Vec::new(),
-            config: 0,
             waiting: Vec::new(),
             convictions: 0,
             limits: Vec::new(),
@@ -160,7 +164,9 @@
             news_budget: NewsBudget::new(Instant::now()),
             log: EventLog::disabled(),
             origins: OriginKeeper::default(),
-            config: ConfigMonitor::default(),
+            views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
+            stepped_at: Instant::now(),
+            emptied_at: Instant::now(),
             limit_revision: 0,
         }
     }
@@ -183,9 +189,9 @@
         self
     }
 
-    /// Also exchanges the versions of the configuration that are in force.
-    pub fn with_config(mut self, config: ConfigMonitor) -> Self {
-        self.config = config;
+    /// Also exchanges what proves `views`.
+    pub fn with_views(mut self, views: HostViews) -> Self {
+        self.views = views;
         self
     }
 
@@ -203,6 +209,7 @@
         let mut next = Instant::now();
         let crashes = self.crashes.clone();
         let (balancer, origins) = (self.balancer.clone(), self.origins.clone());
+        let views = self.views.clone();
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -213,8 +220,10 @@
                 () = crashes.news_added() => self.send_news(Instant::now()).await,
                 () = balancer.grants_requested() => self.send_grant_requests().await,
                 () = origins.messages_added() => self.send_origins().await,
+                () = views.notice_added() => self.send_view_notices().await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
+                    self.receive_arrived(&mut buffer, now, &note_jobs).await;
                     self.refresh_peers(now, &peers);
                     self.report_load(now).await;
                     self.announce(now, acquired_jobs()).await;
@@ -226,6 +235,22 @@
         }
     }
 
+    /// Handles all datagrams that have arrived.
+    ///
+    /// They may have waited long, as after this process was paused. Those that are received until the next
+    /// step arrived after the step before this one.
+    async fn receive_arrived(
+        &mut self,
+        buffer: &mut [u8],
+        now: Instant,
+        note_jobs: &impl Fn(&str, &[String]),
+    ) {
+        while let Ok((length, sender)) = self.socket.try_recv_from(buffer) {
+            self.receive(&buffer[..length], sender, note_jobs).await;
+        }
+        self.emptied_at = std::mem::replace(&mut self.stepped_at, now);
+    }
+
     async fn receive(
         &mut self,
         bytes: &[u8],
@@ -235,7 +260,6 @@
         let now = Instant::now();
         match HostDatagram::decode(bytes) {
             Some(HostDatagram::Load(report)) => {
-                self.config.apply(report.config, now);
                 self.send_convictions(&report, sender, now).await;
                 let has_changed = self.balancer.state().apply_report(report, now);
                 if has_changed {
@@ -265,6 +289,7 @@
                     .await;
             }
             Some(HostDatagram::OriginReply(reply)) => self.origins.apply_reply(&reply),
+            Some(HostDatagram::View(notice)) => self.views.apply(&notice, self.emptied_at),
             None => {}
         }
     }
@@ -334,6 +359,14 @@
         }
     }
 
+    /// Broadcasts what this host's checks of its views have brought.
+    async fn send_view_notices(&self) {
+        for notice in self.views.take_notices() {
+            self.send(&HostDatagram::View(notice), &self.peers.all)
+                .await;
+        }
+    }
+
     /// Broadcasts what this host has found out about crashes.
     async fn send_news(&mut self, now: Instant) {
         if self.news_budget.is_spent(now) {
@@ -352,6 +385,7 @@
         if self.peers.all.is_empty() || now - self.peers_read_at >= NEIGHBOUR_INTERVAL {
             let was_alone = self.peers.all.is_empty();
             self.peers = peers();
+            self.views.set_hosts(self.peers.all.len() + 1);
             self.peers_read_at = now;
             if was_alone && !self.peers.all.is_empty() {
                 self.present_since = Some(now);
@@ -376,11 +410,9 @@
         };
         let is_leaving = self.leaving.is_cancelled();
         let convictions = self.crashes.digest();
-        let config = self.config.own_version();
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
             || ended != self.report.ended
-            || config != self.report.config
             || !is_same_backlog(&waiting, &self.report.waiting)
             || convictions != self.report.convictions
             || limit_revision != self.limit_revision
@@ -395,7 +427,6 @@
         self.report.loads = loads;
         self.report.leaving = leaving;
         self.report.ended = ended;
-        self.report.config = config;
         self.report.waiting = waiting;
         self.report.is_leaving = is_leaving;
         self.report.convictions = convictions;
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -14,6 +14,7 @@
 use crate::origins::OriginQuery;
 use crate::origins::OriginReply;
 use crate::suspects::CrashNews;
+use crate::view_monitor::ViewNotice;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,9 +67,6 @@
     /// Digest of the convictions that the host knows; 0 without any.
     #[serde(rename = "c", default)]
     pub convictions: u64,
-    /// Version of the configuration in force at the host; 0 before the first one.
-    #[serde(rename = "g", default)]
-    pub config: u64,
     /// Limits of upstreams that the host has observed or granted requests under lately.
     #[serde(rename = "r", default)]
     pub limits: Vec<LimitNotice>,
@@ -119,6 +117,9 @@
     /// Reply of a registrar.
     #[serde(rename = "z")]
     OriginReply(OriginReply),
+    /// Result of a check of a view, for all hosts.
+    #[serde(rename = "w")]
+    View(ViewNotice),
 }
 
 impl HostDatagram {
--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -82,9 +82,22 @@
     Deleted {
         /// Full name of the key.
         key: String,
+        /// Revision of the deletion; 0 if the service doesn't name it.
+        #[serde(default)]
+        version: KvVersion,
     },
 }
 
+impl KvChange {
+    /// Revision of the change; 0 for a deletion whose revision the service doesn't name.
+    pub fn version(&self) -> KvVersion {
+        match self {
+            Self::Put(entry) => entry.version,
+            Self::Deleted { version, .. } => *version,
+        }
+    }
+}
+
 /// Changes after a revision. Of several changes to one key, only the last may be reported.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct KvChanges {
@@ -208,7 +221,8 @@
         wait: Duration,
     ) -> Result<KvChanges, KvError>;
 
-    /// Returns the changes to keys with `prefix` after revision `after`, without waiting for any. Linearizable.
+    /// Returns the changes to keys with `prefix` after revision `after`, without waiting. The answer
+    /// shows every write that was acknowledged before the call.
     async fn changes_since(&self, prefix: &str, after: KvVersion) -> Result<KvChanges, KvError> {
         self.watch(prefix, after, Duration::ZERO).await
     }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -78,6 +78,14 @@
         /// Time in milliseconds since the view is known to be current, by the start of that call.
         age_ms: u64,
     },
+    /// A watch did not bring a change that a check has brought, so that its connection counts as dead and
+    /// another one is opened.
+    WatchReplaced {
+        /// What the host follows.
+        view: String,
+        /// Revision of the service up to which the view has all changes.
+        revision: u64,
+    },
     /// Nothing has proved for its greatest age that a view is current; it may miss changes.
     ViewUnproved {
         /// What the host follows.
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -1,25 +1,43 @@
 //! Follows all keys with a prefix: lists them first, then watches for changes.
+//!
+//! A watch that brings nothing doesn't show that nothing has changed, as its connection may be dead.
+//! Beside the open watch, short calls check for changes whenever nothing else proves the view.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use futures_util::future::BoxFuture;
 use tokio::time::Instant;
 
 use crate::edges::kv::Freshness;
 use crate::edges::kv::KvChange;
+use crate::edges::kv::KvChanges;
 use crate::edges::kv::KvEntry;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::list_all;
 use crate::host_views::ViewHandle;
+use crate::view_monitor::CheckReason;
+use crate::view_monitor::LastChange;
+use crate::view_monitor::ViewAnswer;
 use crate::view_monitor::ViewCall;
 
 /// Longest time that a watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Time that a watch may take beyond its wait.
+const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
 /// Delay between changes and the next watch call, so that one call returns several changes.
 const COALESCE_DELAY: Duration = Duration::from_millis(150);
+/// Shortest time between the starts of two watches if the first one brought nothing.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a watch may take to bring what a check has brought.
+const WATCH_GRACE: Duration = Duration::from_millis(100);
+/// First time-out of a check, as a fraction of the view's greatest age; it doubles with each one that
+/// passes, up to [`MAX_CHECK_TIMEOUT`].
+const CHECK_TIMEOUT_SHARE: f64 = 0.25;
+const MAX_CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before the first retry; it doubles with each consecutive failure, up to [`MAX_RETRY_DELAY`].
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
@@ -46,24 +64,72 @@
     prefix: String,
     view: ViewHandle,
     coalesce_delay: Duration,
-    refresh: Arc<Notify>,
-    revision: Option<KvVersion>,
     failures: u32,
+    /// Number of consecutive checks that passed a time-out below [`MAX_CHECK_TIMEOUT`].
+    slow_checks: u32,
     outage_since: Option<Instant>,
 }
 
+/// A call that has been made and not been answered yet.
+struct PendingCall {
+    call: ViewCall,
+    started: Instant,
+    after: KvVersion,
+    /// Whether other hosts are told of the answer.
+    is_told: bool,
+    answer: BoxFuture<'static, Result<KvChanges, CallError>>,
+}
+
+/// Why a call brought no changes.
+enum CallError {
+    Failed(KvError),
+    /// There was no answer within this time.
+    TimedOut(Duration),
+}
+
+impl From<CallError> for KvError {
+    fn from(err: CallError) -> Self {
+        match err {
+            CallError::Failed(err) => err,
+            CallError::TimedOut(_) => Self::Unknown("no answer in time".to_owned()),
+        }
+    }
+}
+
+/// What follows from an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum AnswerOutcome {
+    /// It was applied, and whether it had changes that were not known yet.
+    Applied(bool),
+    /// The changes since the position are not known, so that the keys have to be listed again.
+    HistoryLost,
+}
+
+/// Calls that follow one listing.
+struct FollowedCalls {
+    position: KvVersion,
+    watch: Option<PendingCall>,
+    /// When the next watch may begin.
+    watch_at: Instant,
+    /// When the open watch counts as dead, as a check has brought a change before it.
+    dead_at: Option<Instant>,
+    check: Option<PendingCall>,
+    /// When the next check may begin.
+    check_at: Instant,
+    /// Whether a call failed, so that a check has to succeed before the next watch.
+    is_doubtful: bool,
+}
+
 impl PrefixFollower {
-    /// Creates a follower of `prefix` that starts with a listing and records in `view` how old what it
-    /// reports may be.
+    /// Creates a follower of `prefix` that starts with a listing and proves `view` by its calls.
     pub fn new(kv: Arc<dyn KvStore>, prefix: impl Into<String>, view: ViewHandle) -> Self {
         Self {
             kv,
             prefix: prefix.into(),
             view,
             coalesce_delay: COALESCE_DELAY,
-            refresh: Arc::default(),
-            revision: None,
             failures: 0,
+            slow_checks: 0,
             outage_since: None,
         }
     }
@@ -75,12 +141,6 @@
         self
     }
 
-    /// Lists the keys again when `refresh` is notified, as the open watch may have gone silent.
-    pub fn with_refresh(mut self, refresh: Arc<Notify>) -> Self {
-        self.refresh = refresh;
-        self
-    }
-
     /// Calls `handle` with each event, until the future is dropped. Failed calls are retried with
     /// backoff.
     pub async fn run(self, handle: impl FnMut(PrefixEvent)) {
@@ -92,69 +152,215 @@
     }
 
     async fn follow(mut self, mut handle: impl FnMut(PrefixEvent)) {
-        let refresh = self.refresh.clone();
         loop {
-            let outcome = match self.revision {
-                None => self.list(&mut handle).await,
-                Some(revision) => tokio::select! {
-                    outcome = self.watch(revision, &mut handle) => outcome,
-                    () = refresh.notified() => {
-                        self.revision = None;
-                        continue;
-                    }
-                },
-            };
-            match outcome {
-                Ok(()) => self.note_success(&mut handle),
+            match self.list(&mut handle).await {
+                Ok(position) => self.follow_changes(position, &mut handle).await,
                 Err(err) => {
+                    self.view.note_failure(ViewCall::Listing);
                     self.note_failure(err, &mut handle);
-                    let delay = FIRST_RETRY_DELAY * 2u32.pow(self.failures.min(4) - 1);
-                    tokio::time::sleep(delay.min(MAX_RETRY_DELAY)).await;
                 }
             }
+            tokio::time::sleep(self.retry_delay()).await;
         }
     }
 
-    async fn list(&mut self, handle: &mut impl FnMut(PrefixEvent)) -> Result<(), KvError> {
+    async fn list(&mut self, handle: &mut impl FnMut(PrefixEvent)) -> Result<KvVersion, KvError> {
         let started = Instant::now();
-        let listing = list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await;
         let (entries, revision) =
-            listing.inspect_err(|_| self.view.note_failure(ViewCall::Listing))?;
+            list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await?;
         self.note_success(handle);
         // Later pages of the listing may contain changes beyond this revision; the watch reports
         // them again.
-        self.revision = Some(revision);
+        let answer = ViewAnswer {
+            started,
+            as_of: revision,
+            last_change: LastChange::Unknown,
+        };
         self.view
-            .note_answer(ViewCall::Listing, started, revision, entries.len());
+            .note_answer(ViewCall::Listing, answer, entries.len());
         handle(PrefixEvent::Listed(entries));
-        Ok(())
+        Ok(revision)
     }
 
-    async fn watch(
+    /// Reports changes after `position`. Returns when the keys have to be listed again: after the
+    /// service has lost its history, or when an outage begins, as it may be restored from a copy.
+    async fn follow_changes(&mut self, position: KvVersion, handle: &mut impl FnMut(PrefixEvent)) {
+        let view = self.view.clone();
+        let mut calls = FollowedCalls::new(position);
+        loop {
+            let now = Instant::now();
+            let may_watch = calls.watch.is_none() && !calls.is_doubtful;
+            let may_check = calls.check.is_none();
+            let watch_started = calls.watch.as_ref().map(|call| call.started);
+            let (check_at, is_doubtful) = (calls.check_at, calls.is_doubtful);
+            let due = async {
+                tokio::time::sleep_until(check_at).await;
+                match is_doubtful {
+                    true => CheckReason::Doubt,
+                    false => view.check_due(watch_started).await,
+                }
+            };
+            let (watch_at, dead_at) = (calls.watch_at, calls.dead_at);
+            tokio::select! {
+                answer = answer_to(&mut calls.watch) => {
+                    if !self.finish_watch(answer, &mut calls, handle) {
+                        return;
+                    }
+                }
+                answer = answer_to(&mut calls.check) => {
+                    if !self.finish_check(answer, &mut calls, handle) {
+                        return;
+                    }
+                }
+                reason = due, if may_check => {
+                    calls.check = Some(self.start_check(calls.position, reason));
+                }
+                () = tokio::time::sleep_until(watch_at), if may_watch => {
+                    calls.watch = Some(self.start_watch(calls.position));
+                }
+                () = tokio::time::sleep_until(dead_at.unwrap_or(now)), if dead_at.is_some() => {
+                    calls.drop_watch();
+                    view.note_dead_watch(calls.position);
+                }
+            }
+        }
+    }
+
+    fn start_watch(&self, after: KvVersion) -> PendingCall {
+        let (kv, prefix) = (self.kv.clone(), self.prefix.clone());
+        let timeout = WATCH_TIMEOUT + WATCH_TIMEOUT_MARGIN;
+        let answer = async move { kv.watch(&prefix, after, WATCH_TIMEOUT).await };
+        PendingCall::new(ViewCall::Watch, after, timeout, answer)
+    }
+
+    fn start_check(&self, after: KvVersion, reason: CheckReason) -> PendingCall {
+        let (kv, prefix) = (self.kv.clone(), self.prefix.clone());
+        let is_told = reason == CheckReason::Age;
+        let first_timeout = self.view.max_age().mul_f64(CHECK_TIMEOUT_SHARE);
+        let timeout = first_timeout * 2u32.pow(self.slow_checks.min(8));
+        let answer = async move { kv.changes_since(&prefix, after).await };
+        let timeout = timeout.min(MAX_CHECK_TIMEOUT);
+        let call = PendingCall::new(ViewCall::Check, after, timeout, answer);
+        PendingCall { is_told, ..call }
+    }
+
+    /// Returns whether the changes since the listing are still known.
+    fn finish_watch(
         &mut self,
-        revision: KvVersion,
+        answer: Result<KvChanges, CallError>,
+        calls: &mut FollowedCalls,
         handle: &mut impl FnMut(PrefixEvent),
-    ) -> Result<(), KvError> {
-        let started = Instant::now();
-        let answer = self.kv.watch(&self.prefix, revision, WATCH_TIMEOUT).await;
-        let changes = answer.inspect_err(|_| self.view.note_failure(ViewCall::Watch))?;
-        self.note_success(handle);
-        if changes.compacted {
-            self.revision = None;
-            return Ok(());
+    ) -> bool {
+        let Some(call) = calls.watch.take() else {
+            return true;
+        };
+        calls.dead_at = None;
+        let now = Instant::now();
+        match answer {
+            Ok(changes) => {
+                self.note_success(handle);
+                let outcome = self.apply(&call, changes, &mut calls.position, handle);
+                calls.watch_at = match outcome {
+                    AnswerOutcome::Applied(true) => now + self.coalesce_delay,
+                    _ => now.max(call.started + MIN_WATCH_INTERVAL),
+                };
+                outcome != AnswerOutcome::HistoryLost
+            }
+            Err(err) => {
+                self.view.note_failure(ViewCall::Watch);
+                self.doubt(err.into(), calls, handle)
+            }
         }
-        let has_changed = !changes.changes.is_empty();
-        let revision = changes.revision.max(revision);
-        self.view
-            .note_answer(ViewCall::Watch, started, revision, changes.changes.len());
-        for change in changes.changes {
-            handle(PrefixEvent::Changed(change));
+    }
+
+    /// Returns whether the changes since the listing are still known.
+    fn finish_check(
+        &mut self,
+        answer: Result<KvChanges, CallError>,
+        calls: &mut FollowedCalls,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) -> bool {
+        let Some(call) = calls.check.take() else {
+            return true;
+        };
+        match answer {
+            Ok(changes) => {
+                self.slow_checks = 0;
+                self.note_success(handle);
+                let outcome = self.apply(&call, changes, &mut calls.position, handle);
+                calls.is_doubtful = false;
+                let is_late = |watch: &PendingCall| watch.started < call.started;
+                if outcome == AnswerOutcome::Applied(true)
+                    && calls.watch.as_ref().is_some_and(is_late)
+                {
+                    let dead_at = Instant::now() + WATCH_GRACE;
+                    calls.dead_at = Some(calls.dead_at.unwrap_or(dead_at));
+                }
+                if call.is_told && outcome != AnswerOutcome::HistoryLost {
+                    self.view.tell();
+                }
+                outcome != AnswerOutcome::HistoryLost
+            }
+            Err(CallError::TimedOut(timeout)) if timeout < MAX_CHECK_TIMEOUT => {
+                self.view.note_failure(ViewCall::Check);
+                self.slow_checks += 1;
+                true
+            }
+            Err(err) => {
+                self.view.note_failure(ViewCall::Check);
+                self.doubt(err.into(), calls, handle)
+            }
         }
-        self.revision = Some(revision);
-        if has_changed {
-            tokio::time::sleep(self.coalesce_delay).await;
+    }
+
+    /// Has a check made soon. Returns false if this is an outage.
+    fn doubt(
+        &mut self,
+        err: KvError,
+        calls: &mut FollowedCalls,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) -> bool {
+        self.note_failure(err, handle);
+        calls.check_at = Instant::now() + self.retry_delay();
+        calls.is_doubtful = true;
+        self.outage_since.is_none()
+    }
+
+    /// Reports the changes that were not reported before and moves `position` on.
+    fn apply(
+        &self,
+        call: &PendingCall,
+        answer: KvChanges,
+        position: &mut KvVersion,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) -> AnswerOutcome {
+        if answer.compacted || answer.revision < call.after {
+            return AnswerOutcome::HistoryLost;
         }
-        Ok(())
+        let known = *position;
+        // A service that is older than this program doesn't name the versions of deletions.
+        let is_new = |change: &KvChange| {
+            let version = change.version();
+            version > known || version == KvVersion(0)
+        };
+        let changes: Vec<KvChange> = answer.changes.into_iter().filter(is_new).collect();
+        *position = known.max(answer.revision);
+        let last_change = match changes.iter().map(KvChange::version).max() {
+            None => LastChange::None,
+            Some(KvVersion(0)) => LastChange::Unknown,
+            Some(version) => LastChange::At(version),
+        };
+        let view_answer = ViewAnswer {
+            started: call.started,
+            as_of: *position,
+            last_change,
+        };
+        self.view.note_answer(call.call, view_answer, changes.len());
+        let has_changed = !changes.is_empty();
+        for change in changes {
+            handle(PrefixEvent::Changed(change));
+        }
+        AnswerOutcome::Applied(has_changed)
     }
 
     fn note_success(&mut self, handle: &mut impl FnMut(PrefixEvent)) {
@@ -166,13 +372,67 @@
 
     fn note_failure(&mut self, err: KvError, handle: &mut impl FnMut(PrefixEvent)) {
         self.failures += 1;
-        // Lists again instead of watching: a listing answers as soon as the service is back, or
-        // fails soon. A watch over a connection that delivers nothing would hang for its whole
-        // wait, and no change would be seen meanwhile.
-        self.revision = None;
         if self.failures == OUTAGE_FAILURES {
             self.outage_since = Some(Instant::now());
             handle(PrefixEvent::Lost(err));
         }
     }
+
+    /// Delay before the next call.
+    fn retry_delay(&self) -> Duration {
+        let delay = FIRST_RETRY_DELAY * 2u32.pow(self.failures.clamp(1, 4) - 1);
+        delay.min(MAX_RETRY_DELAY)
+    }
+}
+
+impl PendingCall {
+    fn new(
+        call: ViewCall,
+        after: KvVersion,
+        timeout: Duration,
+        answer: impl Future<Output = Result<KvChanges, KvError>> + Send + 'static,
+    ) -> Self {
+        let answer = async move {
+            match tokio::time::timeout(timeout, answer).await {
+                Ok(answer) => answer.map_err(CallError::Failed),
+                Err(_) => Err(CallError::TimedOut(timeout)),
+            }
+        };
+        Self {
+            call,
+            started: Instant::now(),
+            after,
+            is_told: false,
+            answer: Box::pin(answer),
+        }
+    }
+}
+
+impl FollowedCalls {
+    fn new(position: KvVersion) -> Self {
+        let now = Instant::now();
+        Self {
+            position,
+            watch: None,
+            watch_at: now,
+            dead_at: None,
+            check: None,
+            check_at: now,
+            is_doubtful: false,
+        }
+    }
+
+    fn drop_watch(&mut self) {
+        self.watch = None;
+        self.dead_at = None;
+        self.watch_at = Instant::now();
+    }
+}
+
+/// Waits for the answer to `call`; without a call, without end.
+async fn answer_to(call: &mut Option<PendingCall>) -> Result<KvChanges, CallError> {
+    match call {
+        Some(call) => call.answer.as_mut().await,
+        None => pending().await,
+    }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod caps;
 pub mod clock;
 pub mod collections;
-pub mod config_monitor;
 pub mod counters;
 pub mod decisions;
 pub mod edges;
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -12,10 +12,10 @@
 use async_trait::async_trait;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::balancer::BalancerState;
 use crate::balancer::EntryReconciler;
@@ -24,7 +24,6 @@
 use crate::balancer::PeerAddresses;
 use crate::balancer::UpstreamEntry;
 use crate::balancer::UpstreamState;
-use crate::config_monitor::ConfigMonitor;
 use crate::counters::CounterSet;
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
@@ -100,7 +99,6 @@
     jobs: JobKeeper,
     registry: HostRegistry,
     routes: watch::Sender<Arc<RouteTable>>,
-    config_monitor: ConfigMonitor,
     reconciler: Mutex<EntryReconciler>,
     views: HostViews,
     stop: CancellationToken,
@@ -122,7 +120,7 @@
             HostId::new(&config.host),
             DataCentre::new(&config.data_centre),
         ));
-        let views = HostViews::new(config.view_ages, &log);
+        let views = HostViews::new(config.view_ages, view_seed(&config), &log);
         let relay = RequestRelay::new(transport, balancer.clone(), log.clone())
             .with_answer_memory(config.answer_bytes)
             .with_views(views.clone());
@@ -156,7 +154,6 @@
             jobs,
             registry,
             routes,
-            config_monitor: ConfigMonitor::default(),
             reconciler: Mutex::default(),
             views,
             stop: CancellationToken::new(),
@@ -183,7 +180,7 @@
         .with_crashes(self.relay.crashes().clone())
         .with_log(self.log.clone())
         .with_origins(self.relay.origins().clone())
-        .with_config(self.config_monitor.clone());
+        .with_views(self.views.clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
@@ -309,15 +306,9 @@
             version: table.version(),
             routes: table.len(),
         });
-        self.config_monitor.set_own_version(table.version());
         self.routes.send_replace(Arc::new(table));
     }
 
-    /// Notified when other hosts have a newer configuration in force, so that it has to be read again.
-    pub fn config_refresh(&self) -> Arc<Notify> {
-        self.config_monitor.refresh()
-    }
-
     /// The host's views of the key-value service.
     pub fn views(&self) -> &HostViews {
         &self.views
@@ -463,6 +454,11 @@
     }
 }
 
+/// Seed of the random delays of checks, another one at each host.
+fn view_seed(config: &RelayHostConfig) -> u64 {
+    xxh3_64(config.host.as_bytes()) ^ config.incarnation
+}
+
 /// Peer client whose connections are set once the fleet secret has been read; calls fail until
 /// then.
 #[derive(Default)]
--- a/lib/src/view_monitor.rs
+++ b/lib/src/view_monitor.rs
@@ -1,14 +1,30 @@
-//! Tells how old a host's view of the keys with one prefix may be.
+//! Decides when a host's view of the keys with one prefix has to be proved, and what proves it.
 //!
-//! A view is proved by an answer of the key-value service. An answer proves the state at the moment at
-//! which its call was made, as the time that the answer took to arrive is unknown.
+//! A view is proved by an answer of the key-value service, at this host or at another one. An answer
+//! proves the state at the moment at which its call was made, as the time that the answer took to
+//! arrive is unknown. Hosts tell one another what their checks brought, so that the number of checks a
+//! second in the fleet hardly grows with the number of hosts.
 
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::edges::kv::KvVersion;
 
+/// Age from which a view is checked, as a fraction of its greatest age.
+const CHECK_SHARE: f64 = 0.5;
+/// Greatest random delay of a check, as a fraction of the greatest age.
+const SPREAD_SHARE: f64 = 0.2;
+/// Time for which an open watch may take to bring what another host already has, and greatest random
+/// delay after it, as fractions of the greatest age.
+const BEHIND_SHARE: f64 = 0.05;
+const BEHIND_SPREAD_SHARE: f64 = 0.1;
+
 /// What a host follows in the key-value service.
 #[derive(
     Clone,
@@ -20,17 +36,19 @@
     strum::Display,
     strum::EnumIter,
     strum::IntoStaticStr,
-    serde::Serialize,
-    serde::Deserialize,
+    Serialize,
+    Deserialize,
 )]
-#[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum ViewKind {
     /// Routes, services and limits.
+    #[serde(rename = "c")]
     Configuration,
     /// Entries of upstreams.
+    #[serde(rename = "u")]
     Upstreams,
     /// Requests to retire machines.
+    #[serde(rename = "r")]
     Retirements,
 }
 
@@ -46,32 +64,117 @@
     Check,
 }
 
+/// What an answer of the key-value service shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ViewAnswer {
+    /// When its call was made.
+    pub started: Instant,
+    /// Revision up to which all changes are applied.
+    pub as_of: KvVersion,
+    /// The last change up to `as_of`.
+    pub last_change: LastChange,
+}
+
+/// The last change of a view, as far as an answer shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastChange {
+    /// There was none after the view's position.
+    None,
+    /// It was made at this revision.
+    At(KvVersion),
+    /// It was made at or before the answer's revision, as in a listing, which doesn't show deletions.
+    Unknown,
+}
+
+/// What a host tells all others after a check of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewNotice {
+    /// What was checked.
+    #[serde(rename = "v")]
+    pub view: ViewKind,
+    /// Revision up to which the sender has all changes.
+    #[serde(rename = "r")]
+    pub as_of: KvVersion,
+    /// Revision after which there was no change up to `as_of`.
+    #[serde(rename = "c")]
+    pub last_change: KvVersion,
+    /// Whether there was a change at `last_change`.
+    #[serde(rename = "x")]
+    pub is_exact: bool,
+    /// Time in milliseconds, rounded up, since the view was known to be current.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
+/// Why a check is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckReason {
+    /// Nothing has proved the view for long. Other hosts are told what it brings.
+    Age,
+    /// Another host has a change that this one lacks.
+    Behind,
+    /// A call of the view failed.
+    Doubt,
+}
+
+/// A check and the time at which it is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DueCheck {
+    /// When the check is due.
+    pub at: Instant,
+    /// Why.
+    pub reason: CheckReason,
+}
+
+/// A change that another host has told of.
+#[derive(Clone, Copy, Debug)]
+struct MissingChange {
+    version: KvVersion,
+    heard_at: Instant,
+    delay: Duration,
+}
+
 /// State of one view. Holds no keys and makes no calls.
 #[derive(Debug)]
 pub struct ViewMonitor {
     max_age: Duration,
     created_at: Instant,
     position: Option<KvVersion>,
+    /// Revision after which there was no change up to the position, and whether there was one at it.
+    last_change: (KvVersion, bool),
     proven_at: Option<Instant>,
+    /// Highest revision that another host has told of, and when. Notices of lower ones may have been
+    /// overtaken.
+    heard: Option<(KvVersion, Instant)>,
+    missing: Option<MissingChange>,
+    hosts: usize,
+    check_delay: Duration,
     is_overdue: bool,
+    rng: StdRng,
 }
 
 impl ViewMonitor {
     /// Creates the monitor of a view that nothing has proved yet and that should be proved again
-    /// before it reaches `max_age`.
-    pub fn new(max_age: Duration, now: Instant) -> Self {
+    /// before it reaches `max_age`. Random delays follow from `seed`.
+    pub fn new(max_age: Duration, seed: u64, now: Instant) -> Self {
         Self {
             max_age,
             created_at: now,
             position: None,
+            last_change: (KvVersion(0), false),
             proven_at: None,
+            heard: None,
+            missing: None,
+            hosts: 1,
+            check_delay: Duration::ZERO,
             is_overdue: false,
+            rng: StdRng::seed_from_u64(seed),
         }
     }
 
-    /// Revision up to which all changes are applied; `None` before the first listing.
-    pub fn position(&self) -> Option<KvVersion> {
-        self.position
+    /// Sets the number of hosts, with this one, that tell one another of their checks.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
     }
 
     /// Age that the view should not reach.
@@ -84,10 +187,123 @@
         now.saturating_duration_since(self.proven_at.unwrap_or(self.created_at))
     }
 
-    /// Records the answer of a call that began at `started`: all changes up to `as_of` are applied.
-    pub fn note_answer(&mut self, started: Instant, as_of: KvVersion) {
-        self.position = Some(as_of);
-        self.proven_at = self.proven_at.max(Some(started));
+    /// Records an answer of a call of this host.
+    pub fn note_answer(&mut self, answer: ViewAnswer) {
+        self.position = Some(answer.as_of);
+        match answer.last_change {
+            LastChange::None => {}
+            LastChange::At(version) => self.last_change = (version, true),
+            LastChange::Unknown => self.last_change = (answer.as_of, false),
+        }
+        let is_found = |missing: &MissingChange| {
+            missing.version <= answer.as_of || missing.heard_at <= answer.started
+        };
+        self.missing = self.missing.filter(|missing| !is_found(missing));
+        // The service was restored from a copy, so that lower revisions are the newer ones.
+        self.heard = self
+            .heard
+            .filter(|(revision, at)| *revision <= answer.as_of || *at > answer.started);
+        self.prove(answer.started);
+    }
+
+    /// Applies the notice of another host that arrived at `arrived` or later.
+    pub fn apply(&mut self, notice: &ViewNotice, arrived: Instant, now: Instant) {
+        let is_overtaken = self
+            .heard
+            .is_some_and(|(revision, _)| notice.as_of < revision);
+        let Some(position) = self.position.filter(|position| *position <= notice.as_of) else {
+            return;
+        };
+        if is_overtaken {
+            return;
+        }
+        self.heard = Some((notice.as_of, now));
+        if notice.last_change <= position {
+            self.confirm(notice);
+            let age = Duration::from_millis(notice.age_ms);
+            if let Some(proven_at) = arrived.checked_sub(age) {
+                self.prove(proven_at);
+            }
+        } else if notice.is_exact {
+            self.note_missing(notice.last_change, now);
+        }
+    }
+
+    /// No change was made after that of `notice`, up to the position of this view.
+    fn confirm(&mut self, notice: &ViewNotice) {
+        let (version, is_exact) = self.last_change;
+        if notice.last_change < version {
+            self.last_change = (notice.last_change, notice.is_exact);
+        } else if notice.last_change == version {
+            self.last_change.1 = is_exact || notice.is_exact;
+        }
+    }
+
+    fn note_missing(&mut self, version: KvVersion, now: Instant) {
+        match &mut self.missing {
+            Some(missing) => missing.version = missing.version.max(version),
+            None => {
+                let share = BEHIND_SHARE + BEHIND_SPREAD_SHARE * self.rng.random::<f64>();
+                self.missing = Some(MissingChange {
+                    version,
+                    heard_at: now,
+                    delay: self.max_age.mul_f64(share),
+                });
+            }
+        }
+    }
+
+    fn prove(&mut self, at: Instant) {
+        if self.proven_at.is_some_and(|proven_at| at <= proven_at) {
+            return;
+        }
+        self.proven_at = Some(at);
+        // About one host draws no delay, and the number of hosts that draw a short one hardly grows with
+        // that of all, so that the first check mostly comes before those of the others.
+        let draw = self.rng.random_range(f64::EPSILON..1.0);
+        let hosts = self.hosts as f64;
+        let share = match self.hosts {
+            1 => 0.0,
+            _ => (1.0 + draw.ln() / hosts.ln()).max(0.0),
+        };
+        self.check_delay = self.max_age.mul_f64(SPREAD_SHARE * share);
+    }
+
+    /// The next check. For a change that this host lacks, an open watch has a while to bring it;
+    /// without one, the next watch will, so that no check is due for that.
+    pub fn next_check(&self, watch_started: Option<Instant>) -> DueCheck {
+        let proven_at = self.proven_at.unwrap_or(self.created_at);
+        // Notices don't prove the views of the hosts that lack a change, so that the delays of all of them
+        // may pass; a host that has told of the change tells of its check again.
+        let reason = match self.missing {
+            Some(_) => CheckReason::Behind,
+            None => CheckReason::Age,
+        };
+        let by_age = DueCheck {
+            at: proven_at + self.max_age.mul_f64(CHECK_SHARE) + self.check_delay,
+            reason,
+        };
+        let behind = self.missing.zip(watch_started);
+        let behind = behind.map(|(missing, started)| DueCheck {
+            at: missing.heard_at.max(started) + missing.delay,
+            reason: CheckReason::Behind,
+        });
+        match behind {
+            Some(behind) if behind.at < by_age.at => behind,
+            _ => by_age,
+        }
+    }
+
+    /// What to tell other hosts of `view`; `None` before the first listing.
+    pub fn notice(&self, view: ViewKind, now: Instant) -> Option<ViewNotice> {
+        let (last_change, is_exact) = self.last_change;
+        Some(ViewNotice {
+            view,
+            as_of: self.position?,
+            last_change,
+            is_exact,
+            age_ms: self.age(now).as_millis() as u64 + 1,
+        })
     }
 
     /// When the view reaches its greatest age unless it is proved before.
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -180,7 +180,6 @@
                 loads: host.balancer.own_loads(now),
                 leaving: Vec::new(),
                 ended: Vec::new(),
-                config: 0,
                 waiting: host.balancer.own_waiting(now),
                 convictions: 0,
                 limits: Vec::new(),
--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -8,7 +8,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use parsleywall::config_monitor::ConfigMonitor;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvChange;
 use parsleywall::edges::kv::KvChanges;
@@ -24,6 +23,7 @@
 use parsleywall::follow::PrefixFollower;
 use parsleywall::host_views::ViewHandle;
 use parsleywall::view_monitor::ViewKind;
+use parsleywall::view_monitor::ViewNotice;
 use parsleywall_standins::kv::KvMemory;
 use tokio::time::Instant;
 
@@ -31,6 +31,7 @@
     ViewHandle::new(
         ViewKind::Configuration,
         Duration::from_secs(1),
+        1,
         EventLog::disabled(),
     )
 }
@@ -66,7 +67,7 @@
     match event {
         PrefixEvent::Listed(entries) => format!("listed {}", entries.len()),
         PrefixEvent::Changed(KvChange::Put(entry)) => format!("put {}", entry.key),
-        PrefixEvent::Changed(KvChange::Deleted { key }) => format!("deleted {key}"),
+        PrefixEvent::Changed(KvChange::Deleted { key, .. }) => format!("deleted {key}"),
         PrefixEvent::Lost(_) => "lost".to_owned(),
         PrefixEvent::Regained(_) => "regained".to_owned(),
     }
@@ -113,17 +114,61 @@
     assert_eq!(follower.take_events(), ["regained", "listed 1"]);
 }
 
-/// A service that fails the first watch, and lets later ones hang as on a connection that delivers
-/// nothing.
-struct SilentWatches {
-    memory: Arc<KvMemory>,
-    watches: AtomicU64,
+/// How a [`ScriptedKv`] answers watches.
+#[derive(Clone, Copy)]
+enum WatchBehaviour {
+    /// Brings nothing, without end.
+    Silent,
+    /// Fails once and brings nothing from then on.
+    CutOnce,
+    /// Answers at once that nothing has changed.
+    EmptyAtOnce,
+    /// Brings the changes after this time, when there may be newer ones.
+    Late(Duration),
+}
+
+/// A service whose watches and checks have faults, while all other calls are answered.
+struct ScriptedKv {
+    memory: Mutex<Arc<KvMemory>>,
+    watches: Mutex<WatchBehaviour>,
+    /// Number of coming checks that are never answered.
+    hanging_checks: AtomicU64,
+    calls: AtomicU64,
+}
+
+impl ScriptedKv {
+    fn new(watches: WatchBehaviour) -> Arc<Self> {
+        Arc::new(Self {
+            memory: Mutex::new(KvMemory::new()),
+            watches: Mutex::new(watches),
+            hanging_checks: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+        })
+    }
+
+    fn memory(&self) -> Arc<KvMemory> {
+        self.memory.lock().unwrap().clone()
+    }
+
+    async fn put_value(&self, key: &str) {
+        let value = Bytes::from_static(b"value");
+        self.put(key, value, Expect::Any, None).await.unwrap();
+    }
+
+    /// Follows the prefix `a/` and returns the events.
+    fn follow(self: &Arc<Self>, view: ViewHandle) -> Arc<Mutex<Vec<String>>> {
+        let events: Arc<Mutex<Vec<String>>> = Arc::default();
+        let follower = PrefixFollower::new(self.clone(), "a/", view);
+        let recorded = events.clone();
+        tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
+        events
+    }
 }
 
 #[async_trait]
-impl KvStore for SilentWatches {
+impl KvStore for ScriptedKv {
     async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
-        self.memory.get(key).await
+        self.memory().get(key).await
     }
 
     async fn list(
@@ -132,7 +177,7 @@
         after: Option<&str>,
         limit: usize,
     ) -> Result<KvPage, KvError> {
-        self.memory.list(prefix, after, limit).await
+        self.memory().list(prefix, after, limit).await
     }
 
     async fn put(
@@ -142,15 +187,15 @@
         expect: Expect,
         lease: Option<LeaseId>,
     ) -> Result<KvVersion, KvError> {
-        self.memory.put(key, value, expect, lease).await
+        self.memory().put(key, value, expect, lease).await
     }
 
     async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
-        self.memory.delete(key, expect).await
+        self.memory().delete(key, expect).await
     }
 
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
-        self.memory.commit(commit).await
+        self.memory().commit(commit).await
     }
 
     async fn watch(
@@ -159,108 +204,199 @@
         after: KvVersion,
         wait: Duration,
     ) -> Result<KvChanges, KvError> {
-        if wait.is_zero() {
-            return self.memory.watch(prefix, after, wait).await;
-        }
-        match self.watches.fetch_add(1, Ordering::Relaxed) {
-            0 => Err(KvError::Unavailable("cut".to_owned())),
-            _ => {
-                tokio::time::sleep(wait).await;
-                Err(KvError::Unknown("no answer in time".to_owned()))
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let behaviour = *self.watches.lock().unwrap();
+        match behaviour {
+            WatchBehaviour::Silent => std::future::pending().await,
+            WatchBehaviour::CutOnce => {
+                *self.watches.lock().unwrap() = WatchBehaviour::Silent;
+                Err(KvError::Unavailable("cut".to_owned()))
+            }
+            WatchBehaviour::EmptyAtOnce => Ok(KvChanges {
+                revision: after,
+                ..KvChanges::default()
+            }),
+            WatchBehaviour::Late(delay) => {
+                let changes = self.memory().watch(prefix, after, wait).await;
+                tokio::time::sleep(delay).await;
+                changes
             }
         }
     }
 
+    async fn changes_since(&self, prefix: &str, after: KvVersion) -> Result<KvChanges, KvError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let left = |left: u64| left.checked_sub(1);
+        let hanging = &self.hanging_checks;
+        if hanging
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, left)
+            .is_ok()
+        {
+            std::future::pending::<()>().await;
+        }
+        self.memory().changes_since(prefix, after).await
+    }
+
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError> {
-        self.memory.grant_lease(ttl).await
+        self.memory().grant_lease(ttl).await
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
-        self.memory.renew_lease(lease).await
+        self.memory().renew_lease(lease).await
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError> {
-        self.memory.revoke_lease(lease).await
+        self.memory().revoke_lease(lease).await
     }
 }
 
 /// Guards against changes that are missed after a cut watch: if the follower watched again on a
 /// dead connection, it would see nothing for the whole wait.
 #[tokio::test(start_paused = true)]
-async fn test_follow_lists_after_a_cut_watch() {
-    let kv = Arc::new(SilentWatches {
-        memory: KvMemory::new(),
-        watches: AtomicU64::new(0),
-    });
-    let value = Bytes::from_static(b"value");
-    let events: Arc<Mutex<Vec<String>>> = Arc::default();
-    let follower = PrefixFollower::new(kv.clone(), "a/", view());
-    let recorded = events.clone();
-    tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
+async fn test_follow_checks_after_a_cut_watch() {
+    let kv = ScriptedKv::new(WatchBehaviour::CutOnce);
+    let events = kv.follow(view());
     tokio::time::sleep(Duration::from_millis(50)).await;
-    kv.put("a/1", value, Expect::Any, None).await.unwrap();
+    kv.put_value("a/1").await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(*events.lock().unwrap(), ["listed 0", "listed 1"]);
+    assert_eq!(*events.lock().unwrap(), ["listed 0", "put a/1"]);
 }
 
-/// Guards against a host that follows an old configuration for as long as a watch may wait: its connection
-/// is silent, and other hosts have had a newer version in force for a while.
+/// Guards against a host that follows an old configuration for as long as a watch may wait: its
+/// connection is silent, and another host has a change for a while.
 #[tokio::test(start_paused = true)]
-async fn test_follow_lists_when_other_hosts_are_ahead() {
-    let kv = Arc::new(SilentWatches {
-        memory: KvMemory::new(),
-        watches: AtomicU64::new(1),
-    });
-    let monitor = ConfigMonitor::default();
-    monitor.set_own_version(6);
-    let events: Arc<Mutex<Vec<String>>> = Arc::default();
-    let follower = PrefixFollower::new(kv.clone(), "a/", view()).with_refresh(monitor.refresh());
-    let recorded = events.clone();
-    tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
+async fn test_follow_checks_when_another_host_is_ahead() {
+    let kv = ScriptedKv::new(WatchBehaviour::Silent);
+    let view = view();
+    let events = kv.follow(view.clone());
     tokio::time::sleep(Duration::from_millis(50)).await;
-    let value = Bytes::from_static(b"value");
-    kv.put("a/1", value, Expect::Any, None).await.unwrap();
-    let began = Instant::now();
-    while events.lock().unwrap().len() < 2 {
-        for version in [7, 6, 0] {
-            monitor.apply(version, Instant::now());
+    kv.put_value("a/1").await;
+    for (as_of, last_change) in [(0, 0), (1, 0), (1, 1)] {
+        let notice = ViewNotice {
+            view: ViewKind::Configuration,
+            as_of: KvVersion(as_of),
+            last_change: KvVersion(last_change),
+            is_exact: true,
+            age_ms: 0,
+        };
+        view.apply(&notice, Instant::now());
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(*events.lock().unwrap(), ["listed 0", "put a/1"]);
+}
+
+/// Guards against a host that follows an old state for as long as a silent watch waits.
+#[tokio::test(start_paused = true)]
+async fn test_follow_reports_a_change_while_watches_are_silent() {
+    for hanging_checks in 0..2 {
+        let kv = ScriptedKv::new(WatchBehaviour::Silent);
+        let events = kv.follow(view());
+        for number in 1..4 {
+            tokio::time::sleep(Duration::from_millis(1_300)).await;
+            // A check whose answer never comes must not hold up those after it.
+            kv.hanging_checks.store(hanging_checks, Ordering::Relaxed);
+            let key = format!("a/{number}");
+            kv.put_value(&key).await;
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let event = events.lock().unwrap().last().unwrap().clone();
+            assert_eq!(event, format!("put {key}"));
         }
-        tokio::time::sleep(Duration::from_millis(30)).await;
-        assert!(began.elapsed() < Duration::from_secs(1));
     }
+}
+
+/// Guards against calls without pause, and against a watch that is trusted although it brings nothing.
+#[tokio::test(start_paused = true)]
+async fn test_follow_bears_watches_that_always_answer_empty() {
+    let kv = ScriptedKv::new(WatchBehaviour::EmptyAtOnce);
+    let events = kv.follow(view());
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let calls = kv.calls.load(Ordering::Relaxed);
+    assert!(calls <= 50, "{calls} calls in 10 s");
+    kv.put_value("a/1").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(*events.lock().unwrap(), ["listed 0", "put a/1"]);
+}
+
+/// Guards against an answer on its way for long that brings an older state back.
+#[tokio::test(start_paused = true)]
+async fn test_follow_ignores_changes_that_were_overtaken() {
+    let kv = ScriptedKv::new(WatchBehaviour::Late(Duration::from_millis(560)));
+    let events = kv.follow(view());
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    kv.put_value("a/1").await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    kv.memory().delete("a/1", Expect::Any).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(events.lock().unwrap().last().unwrap(), "deleted a/1");
+    let puts = events.lock().unwrap().clone();
+    let puts = puts.iter().filter(|event| *event == "put a/1").count();
+    assert!(puts <= 1, "{puts} times");
+}
+
+/// Guards against a view that waits for revisions that a restored service reaches much later.
+#[tokio::test(start_paused = true)]
+async fn test_follow_lists_a_restored_service() {
+    let kv = ScriptedKv::new(WatchBehaviour::Silent);
+    for number in 0..9 {
+        kv.put_value(&format!("a/{number}")).await;
+    }
+    let events = kv.follow(view());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let restored = KvMemory::new();
+    let value = Bytes::from_static(b"value");
+    restored.put("a/1", value, Expect::Any, None).await.unwrap();
+    *kv.memory.lock().unwrap() = restored;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(*events.lock().unwrap(), ["listed 9", "listed 1"]);
+}
+
+/// Guards against changes that are missed as the service has dropped them.
+#[tokio::test(start_paused = true)]
+async fn test_follow_lists_after_the_history_was_dropped() {
+    let kv = ScriptedKv::new(WatchBehaviour::Silent);
+    let events = kv.follow(view());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    kv.put_value("a/1").await;
+    kv.memory().forget_history();
+    tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(*events.lock().unwrap(), ["listed 0", "listed 1"]);
 }
 
-/// Hosts learn of a version one after the other, which is no reason to read the configuration again.
+/// Guards against a sound watch that a check ends, and against a check where the watch has brought all.
 #[tokio::test(start_paused = true)]
-async fn test_monitor_waits_for_versions_that_are_on_their_way() {
-    let monitor = ConfigMonitor::default();
-    let refresh = monitor.refresh();
-    for version in 1..20 {
-        monitor.apply(version, Instant::now());
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        monitor.set_own_version(version);
+async fn test_follow_keeps_a_sound_watch_open() {
+    let kv = ScriptedKv::new(WatchBehaviour::Late(Duration::ZERO));
+    let log = EventLog::disabled();
+    let max_age = Duration::from_secs(1);
+    let events = kv.follow(ViewHandle::new(
+        ViewKind::Upstreams,
+        max_age,
+        1,
+        log.clone(),
+    ));
+    for number in 0..20 {
+        tokio::time::sleep(Duration::from_millis(730)).await;
+        kv.put_value(&format!("a/{number}")).await;
     }
-    let notified = tokio::time::timeout(Duration::from_secs(1), refresh.notified()).await;
-    assert!(notified.is_err());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(events.lock().unwrap().len(), 21);
+    let text = log.metrics().text();
+    assert!(!text.contains("watch_replaced"), "{text}");
 }
 
 /// Guards against a host that has heard nothing for long and looks as if nothing had changed.
 #[tokio::test(start_paused = true)]
 async fn test_view_age_tells_silence_from_no_changes() {
-    let kv = Arc::new(SilentWatches {
-        memory: KvMemory::new(),
-        watches: AtomicU64::new(1),
-    });
+    let kv = ScriptedKv::new(WatchBehaviour::Silent);
     let log = EventLog::disabled();
     let max_age = Duration::from_secs(1);
-    let view = ViewHandle::new(ViewKind::Configuration, max_age, log.clone());
+    let view = ViewHandle::new(ViewKind::Configuration, max_age, 1, log.clone());
     let follower = PrefixFollower::new(kv.clone(), "a/", view.clone());
     let following = tokio::spawn(follower.run(|_| {}));
     tokio::time::sleep(Duration::from_millis(900)).await;
     following.abort();
     let follower = PrefixFollower::new(kv.clone(), "a/", view.clone());
-    kv.memory.faults.down.store(true, Ordering::Relaxed);
+    kv.memory().faults.down.store(true, Ordering::Relaxed);
     tokio::spawn(follower.run(|_| {}));
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert!(view.age() > Duration::from_secs(2), "{:?}", view.age());
@@ -272,32 +408,9 @@
     ] {
         assert!(text.contains(line), "{line} is missing of {text}");
     }
-    kv.memory.faults.down.store(false, Ordering::Relaxed);
+    kv.memory().faults.down.store(false, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(900)).await;
     assert!(view.age() < Duration::from_millis(900), "{:?}", view.age());
     let line = "parsleywall_log_events_total{event=\"view_proved\"} 1";
     assert!(log.metrics().text().contains(line));
 }
-
-/// Guards against a host that follows an old state for as long as a silent watch waits.
-#[tokio::test(start_paused = true)]
-async fn test_follow_reports_a_change_while_watches_are_silent() {
-    let kv = Arc::new(SilentWatches {
-        memory: KvMemory::new(),
-        watches: AtomicU64::new(1),
-    });
-    let events: Arc<Mutex<Vec<String>>> = Arc::default();
-    let follower = PrefixFollower::new(kv.clone(), "a/", view());
-    let recorded = events.clone();
-    tokio::spawn(follower.run(move |event| recorded.lock().unwrap().push(name(&event))));
-    for number in 1..4 {
-        tokio::time::sleep(Duration::from_millis(1_300)).await;
-        let (key, value) = (format!("a/{number}"), Bytes::from_static(b"value"));
-        kv.put(&key, value, Expect::Any, None).await.unwrap();
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        assert_eq!(
-            events.lock().unwrap().last().unwrap(),
-            &format!("put {key}")
-        );
-    }
-}
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -228,6 +228,7 @@
             self.revision += 1;
             self.record(KvChange::Deleted {
                 key: key.to_owned(),
+                version: KvVersion(self.revision),
             });
         }
     }
@@ -265,7 +266,7 @@
     fn changes(&self, prefix: &str, after: KvVersion) -> KvChanges {
         let has_prefix = |change: &KvChange| match change {
             KvChange::Put(entry) => entry.key.starts_with(prefix),
-            KvChange::Deleted { key } => key.starts_with(prefix),
+            KvChange::Deleted { key, .. } => key.starts_with(prefix),
         };
         let changes = self
             .log
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -132,7 +132,9 @@
 fn event(change: &KvChange, view: &ValueView) -> Value {
     match change {
         KvChange::Put(entry) => item(entry, view),
-        KvChange::Deleted { key } => json!({ "key": key, "rev": 0, "removed": true }),
+        KvChange::Deleted { key, version } => {
+            json!({ "key": key, "rev": version.0, "removed": true })
+        }
     }
 }
 
