edges: read the key-value service over new connections when open ones are silent

Hosts that `serve` had what the platform's client had: a read over a dead connection failed after 3 s, the next one took the next dead connection, and watches of the terms and of cancelled jobs went on over dead connections for 17 and 32 s. With several addresses, a read failed while the second address answered.

`HttpKv` sends its calls through `ServiceConnections`, one for each address, and a read goes to the next address when one does not answer it. Writes are sent to one address, once. The time-out of a response's body is a bound of the connections, as the two clients differ in it.

The stand-in link whose connections go silent moves to the stand-ins, as two test programs use it now.

Before, with the earlier constructor in the test, both tests in `test_silent_kv` failed:

test_reads_answer_and_watches_end_when_open_connections_are_silent: called `Result::unwrap()` on an `Err` value: Unknown("no answer in time") test_read_goes_to_the_next_address_when_the_first_is_silent: called `Result::unwrap()` on an `Err` value: Unknown("no answer in time")

--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -16,14 +16,23 @@
 use serde::de::DeserializeOwned;
 use url::Url;
 
-use crate::http::client::ClientError;
-use crate::http::client::HttpClient;
+use crate::http::service_connections::CallError;
+use crate::http::service_connections::CallKind;
+use crate::http::service_connections::ConnectionBounds;
+use crate::http::service_connections::ServiceCall;
+use crate::http::service_connections::ServiceConnections;
 
 /// Largest value that the service accepts.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+const CONNECTION_BOUNDS: ConnectionBounds = ConnectionBounds {
+    max_idle: 16,
+    connect_timeout: Duration::from_secs(1),
+    body_timeout: CALL_TIMEOUT,
+    idle_time: Duration::from_secs(20),
+};
 
 /// Version of a key: the revision of the store at the key's last write. Never zero for a key that
 /// exists.
@@ -312,18 +321,22 @@
 
 /// Client of the key-value service over HTTP.
 pub struct HttpKv {
-    client: HttpClient,
-    urls: Vec<Url>,
+    services: Vec<(Url, ServiceConnections)>,
 }
 
 impl HttpKv {
-    /// Returns a client that sends each call to the first of `urls` that it can connect to.
-    pub fn new(client: HttpClient, urls: Vec<Url>) -> Self {
-        Self { client, urls }
+    /// Returns a client that sends each call to the first of `urls` that it can connect to, and reads to
+    /// the first that answers.
+    pub fn new(urls: Vec<Url>) -> Self {
+        let with_connections = |url| (url, ServiceConnections::new(CONNECTION_BOUNDS));
+        Self {
+            services: urls.into_iter().map(with_connections).collect(),
+        }
     }
 
     async fn call<T: DeserializeOwned>(
         &self,
+        kind: CallKind,
         method: Method,
         path: &str,
         query: &[(&str, String)],
@@ -331,18 +344,67 @@
         timeout: Duration,
     ) -> Result<T, KvError> {
         let mut last = KvError::Unavailable("no address is configured".to_owned());
-        for base in &self.urls {
-            let url = call_url(base, path, query);
-            let call = self.client.call(method.clone(), url.as_str(), body.clone());
-            last = match tokio::time::timeout(timeout, call).await {
-                Ok(Ok((status, answer))) => return decode_response(status, &answer),
-                Ok(Err(ClientError::NotSent(cause))) => KvError::Unavailable(cause),
-                Ok(Err(ClientError::Broken(cause))) => return Err(KvError::Unknown(cause)),
-                Err(_) => return Err(KvError::Unknown("no answer in time".to_owned())),
+        for (base, connections) in &self.services {
+            let call = ServiceCall {
+                kind,
+                method: method.clone(),
+                url: call_url(base, path, query).into(),
+                body: body.clone(),
+                timeout,
+            };
+            last = match connections.call(&call).await {
+                Ok(answer) => return decode_response(answer.status, &answer.body),
+                Err(err @ (CallError::NotSent(_) | CallError::Discarded)) => {
+                    KvError::Unavailable(err.to_string())
+                }
+                Err(err) if kind == CallKind::Repeatable => KvError::Unknown(err.to_string()),
+                Err(err) => return Err(KvError::Unknown(err.to_string())),
             };
         }
         Err(last)
     }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &[(&str, String)],
+    ) -> Result<T, KvError> {
+        self.call(
+            CallKind::Repeatable,
+            Method::GET,
+            path,
+            query,
+            Bytes::new(),
+            CALL_TIMEOUT,
+        )
+        .await
+    }
+
+    async fn write<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        query: &[(&str, String)],
+        body: Bytes,
+    ) -> Result<T, KvError> {
+        self.call(CallKind::Once, method, path, query, body, CALL_TIMEOUT)
+            .await
+    }
+
+    async fn lease_call(&self, method: Method, lease: LeaseId) -> Result<(), KvError> {
+        let path = format!("/leases/{}", lease.0);
+        let _: PutAnswer = self
+            .call(
+                CallKind::Repeatable,
+                method,
+                &path,
+                &[],
+                Bytes::new(),
+                CALL_TIMEOUT,
+            )
+            .await?;
+        Ok(())
+    }
 }
 
 fn call_url(base: &Url, path: &str, query: &[(&str, String)]) -> Url {
@@ -354,6 +416,14 @@
     url
 }
 
+fn watch_query(prefix: &str, after: KvVersion, wait: Duration) -> [(&'static str, String); 3] {
+    [
+        ("prefix", prefix.to_owned()),
+        ("after", after.0.to_string()),
+        ("wait_ms", wait.as_millis().to_string()),
+    ]
+}
+
 fn decode_response<T: DeserializeOwned>(status: StatusCode, answer: &[u8]) -> Result<T, KvError> {
     match status {
         StatusCode::OK => serde_json::from_slice(answer)
@@ -387,8 +457,7 @@
 impl KvStore for HttpKv {
     async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
         let path = format!("/kv/{key}");
-        self.call(Method::GET, &path, &[], Bytes::new(), CALL_TIMEOUT)
-            .await
+        self.read(&path, &[]).await
     }
 
     async fn list(
@@ -402,8 +471,7 @@
             ("after", after.unwrap_or_default().to_owned()),
             ("limit", limit.to_string()),
         ];
-        self.call(Method::GET, "/list", &query, Bytes::new(), CALL_TIMEOUT)
-            .await
+        self.read("/list", &query).await
     }
 
     async fn put(
@@ -422,9 +490,7 @@
             lease,
         });
         let path = format!("/kv/{key}");
-        let answer: PutAnswer = self
-            .call(Method::PUT, &path, &[], body, CALL_TIMEOUT)
-            .await?;
+        let answer: PutAnswer = self.write(Method::PUT, &path, &[], body).await?;
         answer
             .version
             .ok_or_else(|| KvError::Unknown("the answer names no version".to_owned()))
@@ -437,7 +503,7 @@
             query.push(("expect", version.0.to_string()));
         }
         let _: PutAnswer = self
-            .call(Method::DELETE, &path, &query, Bytes::new(), CALL_TIMEOUT)
+            .write(Method::DELETE, &path, &query, Bytes::new())
             .await?;
         Ok(())
     }
@@ -451,9 +517,7 @@
             return Err(KvError::TooLarge);
         }
         let body = to_json(&commit);
-        let answer: PutAnswer = self
-            .call(Method::POST, "/commits", &[], body, CALL_TIMEOUT)
-            .await?;
+        let answer: PutAnswer = self.write(Method::POST, "/commits", &[], body).await?;
         answer
             .version
             .ok_or_else(|| KvError::Unknown("the answer names no version".to_owned()))
@@ -465,13 +529,21 @@
         after: KvVersion,
         wait: Duration,
     ) -> Result<KvChanges, KvError> {
-        let query = [
-            ("prefix", prefix.to_owned()),
-            ("after", after.0.to_string()),
-            ("wait_ms", wait.as_millis().to_string()),
-        ];
+        let query = watch_query(prefix, after, wait);
         let timeout = wait + WATCH_TIMEOUT_MARGIN;
-        self.call(Method::GET, "/watch", &query, Bytes::new(), timeout)
+        self.call(
+            CallKind::Waiting,
+            Method::GET,
+            "/watch",
+            &query,
+            Bytes::new(),
+            timeout,
+        )
+        .await
+    }
+
+    async fn changes_since(&self, prefix: &str, after: KvVersion) -> Result<KvChanges, KvError> {
+        self.read("/watch", &watch_query(prefix, after, Duration::ZERO))
             .await
     }
 
@@ -479,26 +551,16 @@
         let body = to_json(&LeaseBody {
             ttl_ms: ttl.as_millis() as u64,
         });
-        let answer: LeaseAnswer = self
-            .call(Method::POST, "/leases", &[], body, CALL_TIMEOUT)
-            .await?;
+        let answer: LeaseAnswer = self.write(Method::POST, "/leases", &[], body).await?;
         Ok(answer.lease)
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
-        let path = format!("/leases/{}", lease.0);
-        let _: PutAnswer = self
-            .call(Method::POST, &path, &[], Bytes::new(), CALL_TIMEOUT)
-            .await?;
-        Ok(())
+        self.lease_call(Method::POST, lease).await
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError> {
-        let path = format!("/leases/{}", lease.0);
-        let _: PutAnswer = self
-            .call(Method::DELETE, &path, &[], Bytes::new(), CALL_TIMEOUT)
-            .await?;
-        Ok(())
+        self.lease_call(Method::DELETE, lease).await
     }
 }
 
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -302,8 +302,7 @@
     fn new(settings: Arc<Settings>, counters: Arc<CounterSet>) -> Self {
         let client = HttpClient::new();
         let decisions = Arc::new(DecisionRing::new(settings.host.clone()));
-        let kv: Arc<dyn KvStore> =
-            Arc::new(HttpKv::new(HttpClient::new(), settings.kv_urls.clone()));
+        let kv: Arc<dyn KvStore> = Arc::new(HttpKv::new(settings.kv_urls.clone()));
         let host_list: Arc<dyn HostList> = Arc::new(HttpHostList::new(
             HttpClient::new(),
             settings.host_list_url.clone(),
--- a/lib/src/http/service_connections.rs
+++ b/lib/src/http/service_connections.rs
@@ -21,21 +21,21 @@
 use crate::http::client::HttpClient;
 use crate::http::client::collect;
 
-/// Time from a response's head to its end.
-const BODY_TIMEOUT: Duration = Duration::from_millis(1_500);
 const MIN_REPEAT_DELAY: Duration = Duration::from_millis(250);
 /// Delay of the second request, in mean response times.
 const REPEAT_DELAY_FACTOR: f64 = 3.0;
 /// Weight of the newest response time in the mean.
 const MEAN_WEIGHT: f64 = 0.25;
 
-/// Bounds of a pool of connections.
+/// Bounds of a pool of connections and of the responses on them.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionBounds {
     /// Idle connections that are kept.
     pub max_idle: usize,
     /// Time after which opening a connection is given up.
     pub connect_timeout: Duration,
+    /// Longest time from a response's head to its end.
+    pub body_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_time: Duration,
 }
@@ -176,6 +176,7 @@
 /// Connections that were opened since the last time that all were discarded.
 struct ConnectionSet {
     client: HttpClient,
+    body_timeout: Duration,
     discarded: CancellationToken,
 }
 
@@ -185,6 +186,7 @@
             HttpClient::with_bounds(bounds.max_idle, bounds.connect_timeout, bounds.idle_time);
         Arc::new(Self {
             client,
+            body_timeout: bounds.body_timeout,
             discarded: CancellationToken::new(),
         })
     }
@@ -196,7 +198,7 @@
                 .call_streaming(call.method.clone(), &call.url, call.body.clone())
                 .await?;
             let status = response.status();
-            let body = tokio::time::timeout(BODY_TIMEOUT, collect(response.into_body()));
+            let body = tokio::time::timeout(self.body_timeout, collect(response.into_body()));
             let body = body.await.map_err(|_| CallError::Silent)??;
             Ok(ServiceAnswer {
                 status,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod host_list;
 pub mod kv;
 pub mod kv_link;
+pub mod link;
 pub mod opaque;
 pub mod platform_store;
 pub mod platform_worker;
--- a/platform/tests/link/mod.rs
+++ b/standins/src/link.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -11,12 +13,12 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-const DRIP_INTERVAL: std::time::Duration = std::time::Duration::from_millis(50);
+const DRIP_INTERVAL: Duration = Duration::from_millis(50);
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// What happens to the bytes of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LinkState {
+pub enum LinkState {
     /// They are passed on.
     Open,
     /// They are taken and dropped in both directions; the connection stays open.
@@ -40,59 +42,64 @@
 }
 
 /// Link to a server: clients connect to its address.
-pub(crate) struct Link {
+pub struct Link {
     address: SocketAddr,
     connections: Arc<Mutex<LinkConnections>>,
     accepting: JoinHandle<()>,
 }
 
 impl Link {
-    /// Returns a link to the server at `target`, on a free loopback port.
-    pub(crate) async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
+    /// Starts a link to the server at `target`, on a free loopback port.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
         let connections = Arc::<Mutex<LinkConnections>>::default();
-        Self {
+        Ok(Self {
             address,
             accepting: tokio::spawn(accept(listener, target, connections.clone())),
             connections,
-        }
+        })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Address at which clients connect.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Changes the state of all connections that are open now.
-    pub(crate) fn set_open(&self, state: LinkState) {
-        for connection in &self.connections.lock().unwrap().open {
+    pub fn set_open(&self, state: LinkState) {
+        for connection in &self.lock().open {
             connection.state.send_replace(state);
         }
     }
 
     /// Sets the state of the connections that are opened from now on.
-    pub(crate) fn set_new(&self, state: LinkState) {
-        self.connections.lock().unwrap().state_of_new = Some(state);
+    pub fn set_new(&self, state: LinkState) {
+        self.lock().state_of_new = Some(state);
     }
 
     /// Refuses new connections from now on. Open ones stay.
-    pub(crate) async fn refuse_new(&mut self) {
+    pub async fn refuse_new(&mut self) {
         self.accepting.abort();
         let _ = (&mut self.accepting).await;
     }
 
     /// Number of requests whose first line contains `text`, for each connection in the order in which
     /// they were opened.
-    pub(crate) fn requests(&self, text: &str) -> Vec<usize> {
-        let connections = self.connections.lock().unwrap();
+    pub fn requests(&self, text: &str) -> Vec<usize> {
+        let connections = self.lock();
         let count = |connection: &LinkConnection| {
-            let received = connection.received.lock().unwrap();
+            let received = connection.received.lock().expect("link bytes lock");
             let received = String::from_utf8_lossy(&received);
             let first_lines = received.lines().filter(|line| line.ends_with("HTTP/1.1"));
             first_lines.filter(|line| line.contains(text)).count()
         };
         connections.open.iter().map(count).collect()
     }
+
+    fn lock(&self) -> MutexGuard<'_, LinkConnections> {
+        self.connections.lock().expect("link lock")
+    }
 }
 
 impl Drop for Link {
@@ -107,10 +114,12 @@
     connections: Arc<Mutex<LinkConnections>>,
 ) {
     loop {
-        let (client, _) = listener.accept().await.unwrap();
-        let server = TcpStream::connect(target).await.unwrap();
+        let (client, _) = listener.accept().await.expect("accept a connection");
+        let Ok(server) = TcpStream::connect(target).await else {
+            continue;
+        };
         let received = Arc::default();
-        let mut connections = connections.lock().unwrap();
+        let mut connections = connections.lock().expect("link lock");
         let (state, states) = watch::channel(connections.state_of_new.unwrap_or(LinkState::Open));
         let connection = LinkConnection {
             state,
@@ -133,7 +142,10 @@
     let requests = async move {
         let mut bytes = [0; 4096];
         while let Ok(count @ 1..) = from_client.read(&mut bytes).await {
-            received.lock().unwrap().extend_from_slice(&bytes[..count]);
+            received
+                .lock()
+                .expect("link bytes lock")
+                .extend_from_slice(&bytes[..count]);
             if *request_states.borrow() != LinkState::Silent
                 && to_server.write_all(&bytes[..count]).await.is_err()
             {
