terms, batch: ask for changes beside a watch

Two hosts of each data centre watch the terms, and every host watches the hints of cancelled jobs. If only a watch's connection is dead, no other call fails, and the host takes silence for no change: new terms come into force up to 17 s late in a data centre where both watches are silent (2 s is the aim), and a host that missed the announcement of a cancellation runs the job's items for up to 32 s.

`watch_checked` asks for changes beside the watch, by a call that answers at once and goes out again on a new connection if the first is silent: a watcher of the terms each second, a host each 10 s for cancelled jobs. If that call fails, so does the watch, and the followers list again.

--- a/lib/src/batch/tracker.rs
+++ b/lib/src/batch/tracker.rs
@@ -32,6 +32,7 @@
 use crate::edges::kv::KvChange;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvVersion;
+use crate::edges::kv::watch_checked;
 use crate::ids::HostId;
 use crate::ids::JobId;
 use crate::ids::WorkspaceName;
@@ -48,6 +49,8 @@
 const MIN_ORPHAN_MARKER_AGE_MS: u64 = 10 * 60 * 1000;
 /// Longest wait of one watch for hints of cancellations.
 const CANCEL_WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which a host asks for cancelled jobs beside its watch.
+const CANCEL_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a failed listing or watch, before jitter.
 const STORE_RETRY_BACKOFF: Duration = Duration::from_secs(2);
 /// Longest delay of the first listing after the start, so that hosts that start together don't list
@@ -319,9 +322,14 @@
 
     async fn watch_cancels_once(&self, after: KvVersion) -> Result<Option<KvVersion>, KvError> {
         let kv = self.dependencies.store.kv();
-        let changes = kv
-            .watch(CANCELS_PREFIX, after, CANCEL_WATCH_TIMEOUT)
-            .await?;
+        let changes = watch_checked(
+            kv.as_ref(),
+            CANCELS_PREFIX,
+            after,
+            CANCEL_WATCH_TIMEOUT,
+            CANCEL_CHECK_INTERVAL,
+        )
+        .await?;
         for change in &changes.changes {
             if let KvChange::Put(entry) = change {
                 self.apply_cancel_hint(&entry.key);
--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -319,6 +319,30 @@
     }
 }
 
+/// Waits up to `wait` for changes to keys with `prefix` after revision `after`, and asks for them beside
+/// the watch at each `check_interval`, as a watch whose connection is dead brings none.
+pub async fn watch_checked(
+    kv: &dyn KvStore,
+    prefix: &str,
+    after: KvVersion,
+    wait: Duration,
+    check_interval: Duration,
+) -> Result<KvChanges, KvError> {
+    let check = async {
+        loop {
+            tokio::time::sleep(check_interval).await;
+            let changes = kv.changes_since(prefix, after).await?;
+            if changes.compacted || !changes.changes.is_empty() {
+                return Ok(changes);
+            }
+        }
+    };
+    tokio::select! {
+        changes = kv.watch(prefix, after, wait) => changes,
+        changes = check => changes,
+    }
+}
+
 /// Client of the key-value service over HTTP.
 pub struct HttpKv {
     services: Vec<(Url, ServiceConnections)>,
--- a/lib/src/terms/follower.rs
+++ b/lib/src/terms/follower.rs
@@ -13,6 +13,7 @@
 use crate::counters::RetryReason;
 use crate::edges::kv::KvChange;
 use crate::edges::kv::KvVersion;
+use crate::edges::kv::watch_checked;
 use crate::ids::HostId;
 use crate::ids::Revision;
 use crate::membership::HostView;
@@ -30,6 +31,8 @@
 /// Hosts of each data centre that watch the key-value service.
 const WATCHERS_PER_DATA_CENTRE: usize = 2;
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
+/// Interval at which a watcher asks for changes beside its watch.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks of whether this host is one of the watchers.
 const WATCH_ROLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Mean time between two reads of the key-value service on a host that does not watch it.
@@ -264,8 +267,8 @@
             }
             return Ok(page.revision);
         }
-        let changes = store.kv().watch(TERMS_KEY, after, WATCH_TIMEOUT).await;
-        let changes = changes.map_err(kv_error)?;
+        let changes = watch_checked(store.kv(), TERMS_KEY, after, WATCH_TIMEOUT, CHECK_INTERVAL);
+        let changes = changes.await.map_err(kv_error)?;
         if changes.compacted {
             return Ok(KvVersion(0));
         }
