edges: read the host list over new connections when open ones are silent

Hosts that `serve` read the platform's list of hosts each 0.5 s over a kept connection. Over a dead one a read failed after 2 s, so that upstreams that leave or join were seen that much later.

`HttpHostList` sends its reads through `ServiceConnections`: a second request goes out on a new connection after 250 ms, or three mean response times.

Before, with the earlier constructor in the test:

test_host_list_is_read_when_open_connections_are_silent: called `Result::unwrap()` on an `Err` value: HostListError("no answer in time")

--- a/lib/src/edges/host_list.rs
+++ b/lib/src/edges/host_list.rs
@@ -12,12 +12,21 @@
 use serde::Serialize;
 use url::Url;
 
-use crate::http::client::HttpClient;
+use crate::http::service_connections::CallKind;
+use crate::http::service_connections::ConnectionBounds;
+use crate::http::service_connections::ServiceCall;
+use crate::http::service_connections::ServiceConnections;
 use crate::ids::DataCentre;
 use crate::ids::ServiceName;
 use crate::ids::UpstreamId;
 
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECTION_BOUNDS: ConnectionBounds = ConnectionBounds {
+    max_idle: 1,
+    connect_timeout: Duration::from_secs(1),
+    body_timeout: LIST_TIMEOUT,
+    idle_time: Duration::from_secs(20),
+};
 
 /// Kind of process that runs on a listed host.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -70,30 +79,35 @@
 
 /// Client of the host list over HTTP.
 pub struct HttpHostList {
-    client: HttpClient,
+    connections: ServiceConnections,
     url: Url,
 }
 
 impl HttpHostList {
     /// Returns a client of the list at `url`.
-    pub fn new(client: HttpClient, url: Url) -> Self {
-        Self { client, url }
+    pub fn new(url: Url) -> Self {
+        Self {
+            connections: ServiceConnections::new(CONNECTION_BOUNDS),
+            url,
+        }
     }
 }
 
 #[async_trait]
 impl HostList for HttpHostList {
     async fn read(&self) -> Result<Vec<ListedHost>, HostListError> {
-        let call = self
-            .client
-            .call(Method::GET, self.url.as_str(), Bytes::new());
-        let (status, body) = tokio::time::timeout(LIST_TIMEOUT, call)
-            .await
-            .map_err(|_| HostListError("no answer in time".to_owned()))?
-            .map_err(|err| HostListError(err.to_string()))?;
-        if status != StatusCode::OK {
-            return Err(HostListError(format!("status {status}")));
+        let call = ServiceCall {
+            kind: CallKind::Repeatable,
+            method: Method::GET,
+            url: self.url.to_string(),
+            body: Bytes::new(),
+            timeout: LIST_TIMEOUT,
+        };
+        let answer = self.connections.call(&call).await;
+        let answer = answer.map_err(|err| HostListError(err.to_string()))?;
+        if answer.status != StatusCode::OK {
+            return Err(HostListError(format!("status {}", answer.status)));
         }
-        serde_json::from_slice(&body).map_err(|err| HostListError(err.to_string()))
+        serde_json::from_slice(&answer.body).map_err(|err| HostListError(err.to_string()))
     }
 }
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -303,10 +303,8 @@
         let client = HttpClient::new();
         let decisions = Arc::new(DecisionRing::new(settings.host.clone()));
         let kv: Arc<dyn KvStore> = Arc::new(HttpKv::new(settings.kv_urls.clone()));
-        let host_list: Arc<dyn HostList> = Arc::new(HttpHostList::new(
-            HttpClient::new(),
-            settings.host_list_url.clone(),
-        ));
+        let host_list: Arc<dyn HostList> =
+            Arc::new(HttpHostList::new(settings.host_list_url.clone()));
         let engine: Arc<dyn ModelEngine> = Arc::new(HttpEngine::new(client.clone()));
         let terms = ActiveTerms::new(kv.clone(), counters.clone(), decisions.clone())
             .with_bootstrap_operator(settings.operator_key_digest.clone());
