tests: notices of checks between hosts, and their age at the receiver

`test_exchange_carries_checks_of_views` guards the way of a check's result over datagrams, which only the stand-in of `test_view_monitor.rs` went before. The fleets of that file now take each notice for 100 ms older, as an exchange does that doesn't know how long a datagram waited; the bounds are the same and hold. No fault was found.

--- a/lib/tests/test_view_monitor.rs
+++ b/lib/tests/test_view_monitor.rs
@@ -2,17 +2,30 @@
 
 use std::time::Duration;
 
+use parsleywall::balancer::BalancerState;
+use parsleywall::balancer::HostDatagram;
+use parsleywall::balancer::LoadBalancer;
+use parsleywall::balancer::LoadExchange;
+use parsleywall::balancer::PeerAddresses;
 use parsleywall::edges::kv::KvVersion;
+use parsleywall::event_log::EventLog;
+use parsleywall::host_views::HostViews;
+use parsleywall::host_views::ViewAges;
+use parsleywall::ids::DataCentre;
+use parsleywall::ids::HostId;
 use parsleywall::view_monitor::CheckReason;
 use parsleywall::view_monitor::LastChange;
 use parsleywall::view_monitor::ViewAnswer;
+use parsleywall::view_monitor::ViewCall;
 use parsleywall::view_monitor::ViewKind;
 use parsleywall::view_monitor::ViewMonitor;
 use parsleywall::view_monitor::ViewNotice;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 const MAX_AGE: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(1);
@@ -20,6 +33,8 @@
 const CALL_TIME: Duration = Duration::from_millis(20);
 /// Time from an answer to the arrival of its notice at other hosts.
 const NOTICE_TIME: Duration = Duration::from_millis(5);
+/// Time for which a datagram may have waited at its receiver, as far as that knows.
+const ARRIVAL_DOUBT: Duration = Duration::from_millis(100);
 /// Checks a second of all hosts together while nothing changes.
 const MAX_CHECKS_PER_SECOND: f64 = 10.0;
 
@@ -109,7 +124,7 @@
         for (_, sender, notice) in due as Vec<(Instant, usize, ViewNotice)> {
             for (number, host) in self.hosts.iter_mut().enumerate() {
                 if number != sender && !self.rng.random_bool(self.lost_notices) {
-                    host.monitor.apply(&notice, now, now);
+                    host.monitor.apply(&notice, now - ARRIVAL_DOUBT, now);
                 }
             }
         }
@@ -331,3 +346,48 @@
     monitor.apply(&notice(41, 40, 10), last, last);
     assert_eq!(monitor.age(last), Duration::from_millis(10));
 }
+
+/// Guards against checks that other hosts don't learn of, and against notices that are not applied.
+#[tokio::test(start_paused = true)]
+async fn test_exchange_carries_checks_of_views() {
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let (other_address, own_address) = (other.local_addr().unwrap(), socket.local_addr().unwrap());
+    let state = BalancerState::new(HostId::new("host-a"), DataCentre::new("west"));
+    let views = HostViews::new(ViewAges::default(), 1, &EventLog::disabled());
+    let exchange = LoadExchange::new(
+        socket,
+        LoadBalancer::new(state),
+        "host-a".to_owned(),
+        1,
+        CancellationToken::new(),
+    )
+    .with_views(views.clone());
+    let peers = move || PeerAddresses {
+        all: vec![other_address],
+        ..PeerAddresses::default()
+    };
+    tokio::spawn(exchange.run(peers, Vec::new, |_: &str, _: &[String]| {}));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let started = Instant::now();
+    let answer = ViewAnswer {
+        started,
+        as_of: KvVersion(6),
+        last_change: LastChange::At(KvVersion(5)),
+    };
+    views.configuration.note_answer(ViewCall::Check, answer, 1);
+    views.configuration.tell();
+    let mut buffer = [0; 1024];
+    let told = loop {
+        let length = other.recv(&mut buffer).await.unwrap();
+        if let Some(HostDatagram::View(notice)) = HostDatagram::decode(&buffer[..length]) {
+            break notice;
+        }
+    };
+    assert_eq!((told.as_of, told.last_change), (KvVersion(6), KvVersion(5)));
+    let behind = HostDatagram::View(notice(9, 8, 0)).encode();
+    other.send_to(&behind, own_address).await.unwrap();
+    while views.configuration.check_due(Some(started)).await != CheckReason::Behind {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
