--- a/lib/src/host_views.rs
+++ b/lib/src/host_views.rs
@@ -87,6 +87,11 @@
         self.state().monitor.age(Instant::now())
     }
 
+    /// Whether the view has reached its greatest age, so that it may miss changes.
+    pub fn is_overdue(&self) -> bool {
+        self.age() >= self.max_age()
+    }
+
     /// Records an answer of `call` that brought `changes` changes, or keys if it is a listing.
     pub fn note_answer(&self, call: ViewCall, answer: ViewAnswer, changes: usize) {
         let age = {
