follow: a check lasts long enough for a client's second request

What would happen: on a connection that brings nothing, a client that sends a read again on a new connection after 0.25 s never got to it, as the first check of a view was dropped after 0.25 s too; a service that takes 0.3 s for an answer had each first check fail. The view then passed its greatest age before it was proved.

Cause: the time-out was a quarter of the greatest age, and dropping a check drops its second request. It is four tenths now, and 0.4 s at least. A host that hears nobody, whose check is answered by the second request, still proves its view within the age: 0.7 s + 0.25 s and the call. Where the second request fails too, it takes longer, and is logged.

--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -35,8 +35,9 @@
 /// Time for which a watch may take to bring what a check has brought.
 const WATCH_GRACE: Duration = Duration::from_millis(100);
 /// First time-out of a check, as a fraction of the view's greatest age; it doubles with each one that
-/// passes, up to [`MAX_CHECK_TIMEOUT`].
-const CHECK_TIMEOUT_SHARE: f64 = 0.25;
+/// passes, up to [`MAX_CHECK_TIMEOUT`]. It leaves time for a client's second request on a new connection.
+const CHECK_TIMEOUT_SHARE: f64 = 0.4;
+const MIN_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before the first retry; it doubles with each consecutive failure, up to [`MAX_RETRY_DELAY`].
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -239,7 +240,7 @@
         let first_timeout = self.view.max_age().mul_f64(CHECK_TIMEOUT_SHARE);
         let timeout = first_timeout * 2u32.pow(self.slow_checks.min(8));
         let answer = async move { kv.changes_since(&prefix, after).await };
-        let timeout = timeout.min(MAX_CHECK_TIMEOUT);
+        let timeout = timeout.clamp(MIN_CHECK_TIMEOUT, MAX_CHECK_TIMEOUT);
         let call = PendingCall::new(ViewCall::Check, after, timeout, answer);
         PendingCall { is_told, ..call }
     }
--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -414,3 +414,21 @@
     let line = "parsleywall_log_events_total{event=\"view_proved\"} 1";
     assert!(log.metrics().text().contains(line));
 }
+
+/// Guards against a check that is cut off before its client's second request on a new connection.
+#[tokio::test(start_paused = true)]
+async fn test_follow_waits_for_a_check_that_is_sent_twice() {
+    let kv = ScriptedKv::new(WatchBehaviour::Silent);
+    let log = EventLog::disabled();
+    let max_age = Duration::from_secs(1);
+    let view = ViewHandle::new(ViewKind::Configuration, max_age, 1, log.clone());
+    kv.follow(view.clone());
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    kv.memory().faults.delay_ms.store(300, Ordering::Relaxed);
+    for _ in 0..50 {
+        tokio::time::sleep(Duration::from_millis(90)).await;
+        assert!(view.age() < max_age, "{:?}", view.age());
+    }
+    let text = log.metrics().text();
+    assert!(!text.contains("outcome=\"failed\""), "{text}");
+}
