soak: seeds with only what hides changes from fronts

Every seventh seed that is not one of planned work draws silent watches, restarts under the same name, and planned work only.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -16,6 +16,10 @@
 /// are checked only while no unplanned fault is in effect.
 const PLANNED_ONE_IN: u64 = 3;
 
+/// One in this many of the other seeds has only faults that hide a change, and planned maintenance,
+/// as the guarantees about changes are checked only while no other fault is in effect.
+const HIDDEN_ONE_IN: u64 = 7;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -109,6 +113,14 @@
         )
     }
 
+    /// Whether the fault leaves all in working order, and only hides later changes from fronts.
+    pub fn hides_changes(self) -> bool {
+        matches!(
+            self,
+            Self::ConfigWatchSilent | Self::EntryWatchSilent | Self::WorkerRestarted
+        )
+    }
+
     /// Whether the fault impairs the store itself, and not the ways to it.
     pub fn is_at_store(self) -> bool {
         matches!(
@@ -194,9 +206,13 @@
     pub fn new(seed: u64, time: Duration, fronts: usize, workers: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let planned_only = seed.is_multiple_of(PLANNED_ONE_IN);
-        let kinds: Vec<FaultKind> = FaultKind::iter()
-            .filter(|kind| !planned_only || kind.is_planned())
-            .collect();
+        let hidden_only = seed.is_multiple_of(HIDDEN_ONE_IN);
+        let is_drawn = |kind: &FaultKind| match (planned_only, hidden_only) {
+            (true, _) => kind.is_planned(),
+            (false, true) => kind.is_planned() || kind.hides_changes(),
+            (false, false) => true,
+        };
+        let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
         let scopes: Vec<FaultScope> = FaultScope::iter().collect();
         let mut faults = Vec::new();
         let mut at = Duration::from_millis(rng.random_range(0..FIRST_FAULT_MS));
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use soak::fleet::FleetConfig;
+use soak::plan::FaultKind;
 use soak::plan::FaultPlan;
 use soak::plan::FaultScope;
 use soak::run::SoakConfig;
@@ -46,7 +47,11 @@
     assert_eq!(draw(4), draw(4));
     assert_ne!(draw(4), draw(5));
     assert!(draw(6).faults.iter().all(|fault| fault.kind.is_planned()));
-    assert!(draw(7).faults.iter().any(|fault| !fault.kind.is_planned()));
+    assert!(draw(8).faults.iter().any(|fault| !fault.kind.is_planned()));
+    let hidden = draw(7).faults;
+    assert!(hidden.iter().any(|fault| fault.kind.hides_changes()));
+    let is_drawn = |kind: FaultKind| kind.is_planned() || kind.hides_changes();
+    assert!(hidden.iter().all(|fault| is_drawn(fault.kind)));
 }
 
 #[test]
