jobs: items begin anew where no upstream of their version is identified

Accepted items did not end: an item with the first part of its output goes on only at a process that is known to be of its version.

Cause: an item began anew only where no slot of its version was free.

An item that met an unidentified upstream and was not placed now drops its part and begins anew, which needs no identity.

--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -398,6 +398,9 @@
     match opened {
         Ok(OpenedAnswer::Stream { .. }) => {}
         Ok(OpenedAnswer::Whole { status, .. }) => return status_outcome(status, progress),
+        Err(RelayFailure::NotRun) if run.has_met_unidentified() => {
+            return ItemOutcome::Unplaced(ItemProgress::default());
+        }
         Err(RelayFailure::NotRun | RelayFailure::Convicted(_)) => {
             return ItemOutcome::Unplaced(progress);
         }
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -176,6 +176,8 @@
     open: Option<OpenStream>,
     /// Whether the last event before the latest fault of a stream may be incomplete.
     is_last_event_doubtful: bool,
+    /// Whether an upstream was passed by as its process could not be identified.
+    has_met_unidentified: bool,
     first_step: Option<StreamStep>,
 }
 
@@ -200,6 +202,7 @@
             heard_at: Instant::now(),
             open: None,
             is_last_event_doubtful: false,
+            has_met_unidentified: false,
             first_step: None,
         }
     }
@@ -229,6 +232,12 @@
         }
     }
 
+    /// Whether an upstream was passed by as its process could not be identified, so that the answer may be
+    /// able to begin anew where it can't go on.
+    pub(crate) fn has_met_unidentified(&self) -> bool {
+        self.has_met_unidentified
+    }
+
     /// Progress of the dispatch so far.
     pub fn state(&self) -> DispatchState {
         DispatchState {
@@ -447,6 +456,7 @@
                 AttemptOutcome::Retry
             }
             Ok(Err(SendError::Unidentified(cause))) => {
+                self.has_met_unidentified = true;
                 self.record_unidentified(&permit, None, Some(cause));
                 AttemptOutcome::Retry
             }
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -943,6 +943,32 @@
     }
 }
 
+/// Guards against items that wait without end for an upstream which does not tell its start time.
+#[tokio::test(start_paused = true)]
+async fn test_items_begin_anew_where_upstreams_are_not_identified() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::BreaksAfter(6));
+        fleet.transport.set_start(name, None);
+    }
+    assert_eq!(
+        host.keeper.submit(job("j1", 10)).await,
+        SubmitOutcome::Accepted
+    );
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::Serves);
+    }
+    let reading = tokio::time::timeout(Duration::from_secs(30), read_all(&host, "j1"));
+    let results = reading.await.expect("items end");
+    assert_complete(&fleet.transport, &results);
+    for number in 0..10 {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        assert!(runs.iter().all(|run| run.resume_after.is_none()));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_items_are_preempted_by_online_work_and_resume() {
     use parsleywall::ids::ServiceName;
