--- a/lib/src/balancer/departures.rs
+++ b/lib/src/balancer/departures.rs
@@ -32,9 +32,9 @@
         }
     }
 
-    /// Records that the process of an upstream has ended, as its address refuses connections or another process
-    /// answers there. Whatever answers there before the entry changes may run other software. Returns whether this was not
-    /// known before.
+    /// Records that the process of an upstream has ended, as its address refuses connections or another
+    /// process answers there. Whatever answers there before the entry changes may run other software.
+    /// Returns whether this was not known before.
     pub fn note_ended(&mut self, incarnation: UpstreamIncarnation, now: Instant) -> bool {
         let is_new = self.ended.record_own(incarnation, now);
         self.mark_ended(incarnation);
