--- a/lib/src/batch/sweeper.rs
+++ b/lib/src/batch/sweeper.rs
@@ -21,9 +21,9 @@
 use crate::batch::stored::MARKER_FORMAT;
 use crate::batch::stored::UploadMarker;
 use crate::batch::stored::decode;
+use crate::clock::unix_millis;
 use crate::collections::HashSet;
 use crate::counters::RetryReason;
-use crate::decisions::unix_millis;
 use crate::edges::kv::Expect;
 use crate::ids::FileId;
 
--- a/lib/src/decisions.rs
+++ b/lib/src/decisions.rs
@@ -2,12 +2,11 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::unix_millis;
 use crate::ids::HostId;
 use crate::peers::PeerMessage;
 
@@ -102,13 +101,6 @@
     }
 }
 
-/// Milliseconds since the Unix epoch by the system clock. For display only, as that clock may jump.
-pub fn unix_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
-
 /// Peer call that returns the decisions of one host about a subject, oldest first.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExplainCall {
--- a/lib/src/event_log.rs
+++ b/lib/src/event_log.rs
@@ -13,8 +13,8 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::clock::unix_millis;
 use crate::events::LogEvent;
-use crate::events::unix_millis;
 use crate::metrics::RelayMetrics;
 
 /// Capacity of the queue to the writer thread, in lines; further lines are dropped and counted.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -1,8 +1,6 @@
 //! Events of the structured log: one for each decision, with the inputs that it was based on.
 
 use std::collections::BTreeMap;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use serde::Serialize;
 
@@ -362,9 +360,3 @@
         }
     }
 }
-
-/// Current time by the host's clock in milliseconds since 1970; 0 for a clock set before 1970.
-pub fn unix_millis() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map(|now| now.as_millis() as u64).unwrap_or_default()
-}
--- a/lib/src/host.rs
+++ b/lib/src/host.rs
@@ -606,7 +606,7 @@
 fn own_host(settings: &Settings) -> PeerHost {
     PeerHost {
         id: settings.host.clone(),
-        incarnation: crate::decisions::unix_millis(),
+        incarnation: crate::clock::unix_millis(),
         data_centre: settings.data_centre.clone(),
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
--- a/lib/src/idempotency/log.rs
+++ b/lib/src/idempotency/log.rs
@@ -9,9 +9,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::clock::unix_millis;
 use crate::counters::CounterSet;
 use crate::counters::RetryReason;
-use crate::decisions::unix_millis;
 use crate::edges::kv::Expect;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
--- a/lib/src/membership/agent.rs
+++ b/lib/src/membership/agent.rs
@@ -9,12 +9,12 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::unix_millis;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
 use crate::counters::RetryReason;
 use crate::decisions::DecisionKind;
 use crate::decisions::DecisionRing;
-use crate::decisions::unix_millis;
 use crate::membership::Membership;
 use crate::membership::message::MembershipCall;
 use crate::membership::protocol::GossipEvent;
--- a/lib/src/peers/auth.rs
+++ b/lib/src/peers/auth.rs
@@ -5,8 +5,8 @@
 use hmac::Mac;
 use sha2::Sha256;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
+
+use crate::clock::unix_millis;
 
 /// Header of the upgrade request that carries the proof.
 pub(crate) const PROOF_HEADER: &str = "x-parsleywall-proof";
@@ -52,7 +52,5 @@
 }
 
 fn unix_seconds() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_secs())
+    unix_millis() / 1000
 }
--- a/lib/src/suspects/keeper.rs
+++ b/lib/src/suspects/keeper.rs
@@ -295,7 +295,7 @@
         let record = ConvictionRecord {
             format: CONVICTION_FORMAT,
             upstream: run.upstream.clone(),
-            at_ms: crate::decisions::unix_millis(),
+            at_ms: crate::clock::unix_millis(),
         };
         while self.store_conviction(fingerprint, &record).await.is_err() {
             self.dependencies.counters.retry(RetryReason::StoreFailed);
--- a/lib/src/terms/keeper.rs
+++ b/lib/src/terms/keeper.rs
@@ -10,12 +10,12 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::clock::unix_millis;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
 use crate::counters::RetryReason;
 use crate::decisions::DecisionKind;
 use crate::decisions::DecisionRing;
-use crate::decisions::unix_millis;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
 use crate::ids::Revision;
