--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -42,6 +42,9 @@
 /// Delay before the first retry; it doubles with each consecutive failure, up to [`MAX_RETRY_DELAY`].
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Greatest random part of these delays, as a fraction, so that hosts whose calls failed at the same moment
+/// don't retry at the same moment.
+const RETRY_JITTER: f64 = 0.5;
 /// Number of consecutive failures that count as an outage of the service. A single one may be a
 /// watch whose connection was cut.
 const OUTAGE_FAILURES: u32 = 2;
@@ -382,7 +385,8 @@
     /// Delay before the next call.
     fn retry_delay(&self) -> Duration {
         let delay = FIRST_RETRY_DELAY * 2u32.pow(self.failures.clamp(1, 4) - 1);
-        delay.min(MAX_RETRY_DELAY)
+        let share = 1.0 - RETRY_JITTER * self.view.draw_share();
+        delay.min(MAX_RETRY_DELAY).mul_f64(share)
     }
 }
 
--- a/lib/src/host_views.rs
+++ b/lib/src/host_views.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// A random number from 0 to 1, which follows from the seed.
+    pub(crate) fn draw_share(&self) -> f64 {
+        self.state().monitor.draw_share()
+    }
+
     /// Has other hosts told of the last check.
     pub fn tell(&self) {
         self.state().is_untold = true;
--- a/lib/src/view_monitor.rs
+++ b/lib/src/view_monitor.rs
@@ -177,6 +177,11 @@
         self.hosts = hosts.max(1);
     }
 
+    /// A random number from 0 to 1, which follows from the seed.
+    pub(crate) fn draw_share(&mut self) -> f64 {
+        self.rng.random()
+    }
+
     /// Age that the view should not reach.
     pub fn max_age(&self) -> Duration {
         self.max_age
--- a/lib/tests/test_follow.rs
+++ b/lib/tests/test_follow.rs
@@ -432,3 +432,42 @@
     let text = log.metrics().text();
     assert!(!text.contains("outcome=\"failed\""), "{text}");
 }
+
+/// Guards against hosts that all list the keys again at the same moment after one failure.
+#[tokio::test(start_paused = true)]
+async fn test_follow_spreads_retries_of_many_hosts() {
+    const HOSTS: u64 = 40;
+    let kv = KvMemory::new();
+    let regained: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    for seed in 0..HOSTS {
+        let max_age = Duration::from_secs(1);
+        let view = ViewHandle::new(ViewKind::Configuration, max_age, seed, EventLog::disabled());
+        let follower = PrefixFollower::new(kv.clone(), "a/", view);
+        let regained = regained.clone();
+        tokio::spawn(follower.run(move |event| {
+            if matches!(event, PrefixEvent::Regained(_)) {
+                regained.lock().unwrap().push(Instant::now());
+            }
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    kv.faults.down.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    kv.faults.down.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut regained = regained.lock().unwrap().clone();
+    assert_eq!(regained.len() as u64, HOSTS);
+    regained.sort();
+    let busiest = regained.iter().map(|at| {
+        let window = *at..*at + Duration::from_millis(20);
+        regained
+            .iter()
+            .filter(|other| window.contains(other))
+            .count()
+    });
+    let busiest = busiest.max().unwrap_or(0);
+    assert!(
+        busiest <= 10,
+        "{busiest} of {HOSTS} hosts list within 20 ms"
+    );
+}
