jobs: closed jobs are removed by the sweeper's own clock

A job closed by a host ahead was kept for as much longer.

The value stays for display. After a restart of all hosts jobs are kept from their start.

The fleet of job keepers moves into a module of its own, to be used by more test programs.

--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -28,6 +28,7 @@
 use crate::registry::HostEntry;
 use crate::registry::HostRegistry;
 use crate::relay::RequestRelay;
+use crate::revision_ages::RevisionAges;
 use crate::routes::RouteTable;
 
 /// Logged outcome of a job that has all of its results committed.
@@ -42,6 +43,10 @@
 const STOP_TIMEOUT: Duration = Duration::from_millis(200);
 /// Polling interval of that wait.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Shortest interval between samples of the store's revision, by which ages of jobs are measured.
+const AGE_STEP: Duration = Duration::from_secs(2);
+/// Age of a job beyond which it is only known to be about that old, if jobs are not kept for longer.
+const MAX_AGE: Duration = Duration::from_secs(6 * 3_600);
 /// Timeout of a call that offers a job to another host.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of hosts that a leaving host offers a job to.
@@ -107,6 +112,8 @@
     pub(super) orphans: Mutex<OrphanTracker>,
     /// Cache of the hosts that own other jobs, from scans, announcements and lookups.
     pub(super) owner_cache: Mutex<HashMap<String, CachedOwner>>,
+    /// Revisions that scans and sweeps saw.
+    pub(super) ages: Mutex<RevisionAges>,
     pub(super) host_names: HostNameCache,
     pub(super) announcer: OwnershipAnnouncer,
     pub(super) results_committed: Notify,
@@ -146,6 +153,7 @@
             result_cache: ResultCache::default(),
             orphans: Mutex::default(),
             owner_cache: Mutex::default(),
+            ages: Mutex::new(RevisionAges::new(AGE_STEP, MAX_AGE.max(config.keep_time))),
             host_names: HostNameCache::default(),
             announcer: OwnershipAnnouncer::default(),
             results_committed: Notify::new(),
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -5,18 +5,20 @@
 
 use tokio::time::Instant;
 
-use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
+use crate::edges::kv::KvVersion;
 use crate::events::LogEvent;
 use crate::jobs::keeper::FINISHED_OUTCOME;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::ItemCheckpoint;
+use crate::jobs::store::ClosedJobListing;
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
 use crate::jobs::store::OpenJobListing;
 use crate::membership::rendezvous_score;
 use crate::registry::HostEntry;
+use crate::revision_ages::RevisionAges;
 
 /// Maximum number of jobs claimed in one scan. Without a limit, the host that scans first would
 /// take all jobs of a lost host.
@@ -79,6 +81,7 @@
                 self.end_owned(&job).await;
             }
             if let Ok(open) = self.shared.store.open_jobs().await {
+                self.record_revision(open.revision);
                 self.process_scan(&open).await;
             }
             tokio::time::sleep(self.scan_interval()).await;
@@ -176,20 +179,16 @@
         }
     }
 
-    /// Periodically removes jobs that were closed more than `keep_time` ago. Each job is removed by
-    /// the host of rank 0 for it.
+    /// Periodically removes jobs that were closed more than `keep_time` ago, by this host's own clock.
+    /// Each job is removed by the host of rank 0 for it.
     pub(super) async fn run_sweeps(&self) {
         loop {
             tokio::time::sleep(self.shared.config.sweep_interval).await;
             let Ok(closed) = self.shared.store.closed_jobs().await else {
                 continue;
             };
-            let keep_ms = self.shared.config.keep_time.as_millis() as u64;
-            let oldest = steady_unix_millis().saturating_sub(keep_ms);
-            let old = closed
-                .into_iter()
-                .filter(|(_, closed_ms)| *closed_ms < oldest);
-            for (id, _) in old.filter(|(id, _)| self.rank_for(id) == 0) {
+            self.record_revision(closed.revision);
+            for id in self.removable_jobs(closed) {
                 if self.shared.store.remove(&id).await.is_ok() {
                     self.log_job(&id, "removed", 0, 0);
                 }
@@ -197,6 +196,27 @@
         }
     }
 
+    /// The closed jobs that have been kept long enough and are this host's to remove.
+    fn removable_jobs(&self, closed: ClosedJobListing) -> Vec<String> {
+        let keep_time = self.shared.config.keep_time;
+        let now = Instant::now();
+        let mut jobs = closed.jobs;
+        self.with_ages(|ages| {
+            jobs.retain(|(_, version)| ages.is_older_than(*version, keep_time, now))
+        });
+        let ids = jobs.into_iter().map(|(id, _)| id);
+        ids.filter(|id| self.rank_for(id) == 0).collect()
+    }
+
+    /// Records that a listing which was answered just now had `revision`.
+    fn record_revision(&self, revision: KvVersion) {
+        self.with_ages(|ages| ages.record(revision, Instant::now()));
+    }
+
+    fn with_ages<T>(&self, act: impl FnOnce(&mut RevisionAges) -> T) -> T {
+        act(&mut self.shared.ages.lock().expect("revision ages lock"))
+    }
+
     /// Rank of this host, from 0, among all hosts in the rendezvous order of `key`.
     fn rank_for(&self, key: &str) -> u32 {
         rank_of(&self.shared.identity.host, &self.other_hosts(), key)
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -8,7 +8,8 @@
 //! - `job/J/end`: marks a job that was ended
 //! - `open/J`: exists until all results are committed or the job is ended
 //! - `open/J/owner`: current owner, bound to the owner's lease
-//! - `closed/J`: time at which the job was closed; exists until all of its keys are removed
+//! - `closed/J`: time at which the job was closed, by the clock of the host that closed it and only for
+//!   display; exists until all of its keys are removed
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -104,6 +105,14 @@
     pub(crate) revision: KvVersion,
 }
 
+/// All closed jobs that are not removed yet, as of a revision of the key-value service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClosedJobListing {
+    /// Identifiers, and the versions of the `closed` keys.
+    pub(crate) jobs: Vec<(String, KvVersion)>,
+    pub(crate) revision: KvVersion,
+}
+
 /// Stored state of a job except for its items.
 #[derive(Clone, Debug)]
 pub(crate) struct StoredJob {
@@ -370,16 +379,19 @@
         }
     }
 
-    /// Lists closed jobs with the times at which they were closed, in milliseconds since 1970;
+    /// Lists closed jobs with the versions of their `closed` keys, and the revision of the listing;
     /// possibly as of some seconds ago (a stale read).
-    pub(crate) async fn closed_jobs(&self) -> Result<Vec<(String, u64)>, KvError> {
+    pub(crate) async fn closed_jobs(&self) -> Result<ClosedJobListing, KvError> {
         let kv = self.kv.as_ref();
-        let (entries, _) = list_all(kv, CLOSED_PREFIX, Freshness::Stale).await?;
+        let (entries, revision) = list_all(kv, CLOSED_PREFIX, Freshness::Stale).await?;
         let jobs = entries.iter().filter_map(|entry| {
             let id = entry.key.strip_prefix(CLOSED_PREFIX)?;
-            Some((id.to_owned(), decode(&entry.value)?))
+            Some((id.to_owned(), entry.version))
         });
-        Ok(jobs.collect())
+        Ok(ClosedJobListing {
+            jobs: jobs.collect(),
+            revision,
+        })
     }
 
     /// Deletes all keys of a closed job. The `closed` key goes last, so that a removal that failed
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -1,243 +1,39 @@
 //! Tests batch jobs of opaque items: storage, execution, results committed once, and takeover by
 //! other hosts.
 
+mod job_fleet;
 mod opaque;
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use bytes::Bytes;
-use opaque::HOST;
-use opaque::new_relay;
-use opaque::table;
+use job_fleet::JobFleet;
+use job_fleet::UPSTREAMS;
+use job_fleet::assert_complete;
+use job_fleet::job;
+use job_fleet::read;
+use job_fleet::read_all;
 use parsleywall::balancer::SlotRequest;
 use parsleywall::balancer::UpstreamEntry;
 use parsleywall::balancer::UpstreamState;
-use parsleywall::clock::steady_unix_millis;
-use parsleywall::edges::kv::KvStore;
-use parsleywall::event_log::EventLog;
 use parsleywall::ids::ServiceName;
 use parsleywall::jobs::BodyOutcome;
 use parsleywall::jobs::EndOutcome;
-use parsleywall::jobs::JobCall;
 use parsleywall::jobs::JobConfig;
-use parsleywall::jobs::JobItem;
-use parsleywall::jobs::JobKeeper;
-use parsleywall::jobs::JobPeerClient;
-use parsleywall::jobs::JobReply;
 use parsleywall::jobs::JobSpec;
-use parsleywall::jobs::JobStore;
 use parsleywall::jobs::ReadOutcome;
-use parsleywall::jobs::ResultPage;
 use parsleywall::jobs::ResultState;
 use parsleywall::jobs::SubmitOutcome;
 use parsleywall::limits::RateLimit;
-use parsleywall::registry::HostEntry;
-use parsleywall::registry::HostReadiness;
-use parsleywall::registry::HostRegistry;
-use parsleywall::registry::RegistryConfig;
 use parsleywall::routes::CallerLimits;
 use parsleywall::routes::Route;
 use parsleywall::routes::RouteKind;
 use parsleywall::routes::RouteTable;
 use parsleywall::routes::ServiceWeight;
-use parsleywall_standins::kv::KvMemory;
-use parsleywall_standins::kv_link::KvLink;
 use parsleywall_standins::opaque::OpaqueBehaviour;
-use parsleywall_standins::opaque::OpaqueUpstreams;
-use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
-
-const EVENTS_PER_ITEM: u64 = 50;
-const UPSTREAMS: [&str; 3] = ["a", "b", "c"];
-
-#[derive(Default)]
-struct LocalJobClient {
-    hosts: Mutex<Vec<(String, JobKeeper)>>,
-}
-
-#[async_trait]
-impl JobPeerClient for LocalJobClient {
-    async fn call(
-        &self,
-        host: &HostEntry,
-        call: JobCall,
-        _timeout: Duration,
-    ) -> Result<JobReply, String> {
-        let keeper = {
-            let hosts = self.hosts.lock().unwrap();
-            let found = hosts.iter().rev().find(|(name, _)| *name == host.host);
-            found.map(|(_, keeper)| keeper.clone())
-        };
-        match keeper {
-            Some(keeper) => Ok(keeper.answer(call).await),
-            None => Err("no such host".to_owned()),
-        }
-    }
-}
-
-struct JobHost {
-    keeper: JobKeeper,
-    registry: HostRegistry,
-    relay: parsleywall::relay::RequestRelay,
-    routes: watch::Sender<Arc<RouteTable>>,
-    stop: CancellationToken,
-}
-
-impl JobHost {
-    /// Stops the host's tasks without a handover, as a crash would.
-    fn kill(&self) {
-        self.stop.cancel();
-    }
-}
-
-struct JobFleet {
-    kv: Arc<KvMemory>,
-    transport: Arc<OpaqueUpstreams>,
-    peers: Arc<LocalJobClient>,
-    incarnations: u64,
-}
-
-impl JobFleet {
-    fn new() -> Self {
-        let (first, gap) = (Duration::from_millis(60), Duration::from_millis(20));
-        Self {
-            kv: KvMemory::new(),
-            transport: OpaqueUpstreams::new(EVENTS_PER_ITEM, first, gap),
-            peers: Arc::default(),
-            incarnations: 0,
-        }
-    }
-
-    async fn host(&mut self, name: &str) -> JobHost {
-        self.host_with(name, JobConfig::default()).await
-    }
-
-    async fn host_with(&mut self, name: &str, jobs: JobConfig) -> JobHost {
-        let kv = self.kv.clone();
-        self.host_on(name, jobs, kv).await
-    }
-
-    /// Starts a host that reaches the key-value service through a link which the test can cut.
-    async fn linked_host(&mut self, name: &str) -> (JobHost, Arc<KvLink>) {
-        let link = KvLink::new(self.kv.clone());
-        let host = self.host_on(name, JobConfig::default(), link.clone()).await;
-        (host, link)
-    }
-
-    async fn host_on(&mut self, name: &str, jobs: JobConfig, kv: Arc<dyn KvStore>) -> JobHost {
-        self.incarnations += 1;
-        let entry = HostEntry {
-            host: name.to_owned(),
-            incarnation: self.incarnations,
-            data_centre: "west".to_owned(),
-            callers: Some("127.0.0.1:1".parse().unwrap()),
-            peers: "127.0.0.1:2".parse().unwrap(),
-            state: HostReadiness::Ready,
-        };
-        let log = EventLog::disabled();
-        let config = RegistryConfig::default();
-        let registry = HostRegistry::new(kv.clone(), log.clone(), entry, config);
-        let relay = new_relay(name, self.transport.clone(), &UPSTREAMS);
-        let (routes, table) = watch::channel(Arc::new(table(1, RouteKind::Batch)));
-        let keeper = JobKeeper::new(
-            JobStore::new(kv),
-            relay.clone(),
-            table,
-            registry.clone(),
-            self.peers.clone(),
-            log,
-            name.to_owned(),
-            self.incarnations,
-            jobs,
-        );
-        let stop = CancellationToken::new();
-        tokio::spawn({
-            let (registry, stop) = (registry.clone(), stop.clone());
-            async move { registry.run(stop).await }
-        });
-        tokio::spawn({
-            let (keeper, stop) = (keeper.clone(), stop.clone());
-            async move { keeper.run(stop).await }
-        });
-        let reachable = (name.to_owned(), keeper.clone());
-        self.peers.hosts.lock().unwrap().push(reachable);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        JobHost {
-            keeper,
-            registry,
-            relay,
-            routes,
-            stop,
-        }
-    }
-}
-
-fn job(id: &str, items: usize) -> JobSpec {
-    let now = steady_unix_millis();
-    let items = (0..items).map(|number| JobItem {
-        id: format!("{id}-{number}"),
-        target: "/ask/item".to_owned(),
-        headers: vec![("model".to_owned(), "m".to_owned())],
-        body: Bytes::from(format!("body of {number}")),
-    });
-    JobSpec {
-        id: id.to_owned(),
-        host: HOST.to_owned(),
-        submitted_ms: now,
-        due_ms: now + 18_000,
-        retention_ms: now + 60_000,
-        attempts: 3,
-        version: 1,
-        items: items.collect(),
-    }
-}
-
-async fn read(host: &JobHost, job: &str, after: usize) -> ResultPage {
-    match host.keeper.read(job, after, Duration::from_millis(0)).await {
-        ReadOutcome::Page(page) => page,
-        outcome => panic!("{outcome:?}"),
-    }
-}
-
-/// Reads until all results are committed, and checks that the positions of results do not change.
-async fn read_all(host: &JobHost, job: &str) -> ResultPage {
-    let mut before = ResultPage::default();
-    for _ in 0..600 {
-        let page = read(host, job, 0).await;
-        assert!(
-            page.results.starts_with(&before.results),
-            "positions have changed"
-        );
-        if page.results.len() == page.total {
-            return page;
-        }
-        before = page;
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-    panic!(
-        "{} of {} results are committed",
-        before.results.len(),
-        before.total
-    );
-}
-
-fn assert_complete(transport: &OpaqueUpstreams, page: &ResultPage) {
-    for result in &page.results {
-        assert_eq!(result.state, ResultState::Done, "{}", result.id);
-        assert_eq!(result.output, transport.text(&result.id), "{}", result.id);
-    }
-    let ids: std::collections::BTreeSet<&str> = page
-        .results
-        .iter()
-        .map(|result| result.id.as_str())
-        .collect();
-    assert_eq!(ids.len(), page.total, "each item has one result");
-}
 
 #[tokio::test(start_paused = true)]
 async fn test_job_runs_and_is_read_anywhere() {
