jobs: retention and due times count by the owner's own clock

A host that took it over compared them with its own: an owner whose clock was 400 s ahead gave waiting items up at once (dead letters before `retentionS`, a broken promise), one behind kept them too long.

The next owner shifts the times to its own clock when it loads the job. The retention time counts from the least age of the `open/J` version by `RevisionAges`, never early and late after restarts; the due time, which orders items, from the difference of the clocks, clamped to what the ages allow. A host that stores a job for another one accepts it at that moment by its own clock. The stored format stays.

Before: test_items_are_not_given_up_early_by_an_owner_with_another_clock and test_items_are_given_up_by_an_owner_with_another_clock assertion `left == right` failed: the job is taken over left: 0 right: 3 (its three items were given up by then), and test_forwarded_job_is_kept_by_the_clock_of_the_host_that_stores_it assertion `left == right` failed: j1-0 left: DeadLetter right: Done All pass now.

--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvVersion;
@@ -12,6 +13,7 @@
 use crate::jobs::keeper::FINISHED_OUTCOME;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::ItemCheckpoint;
+use crate::jobs::spec::JobAge;
 use crate::jobs::store::ClosedJobListing;
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::OpenJob;
@@ -213,6 +215,15 @@
         self.with_ages(|ages| ages.record(revision, Instant::now()));
     }
 
+    /// Age of a job whose `open` key has `version`.
+    fn job_age(&self, version: KvVersion) -> JobAge {
+        let now = Instant::now();
+        self.with_ages(|ages| JobAge {
+            least: ages.least_age(version, now),
+            greatest: ages.greatest_age(version, now),
+        })
+    }
+
     fn with_ages<T>(&self, act: impl FnOnce(&mut RevisionAges) -> T) -> T {
         act(&mut self.shared.ages.lock().expect("revision ages lock"))
     }
@@ -304,6 +315,7 @@
         ) else {
             return;
         };
+        let spec = spec.timed_at(steady_unix_millis(), self.job_age(claim.open_version));
         self.log_job(id, "taken_over", spec.items.len(), stored.results.len());
         self.shared.announcer.add(id);
         self.cache_owner(id, None);
--- a/lib/src/jobs/spec.rs
+++ b/lib/src/jobs/spec.rs
@@ -1,5 +1,7 @@
 //! Specification of a job as submitted, its results, and their encoding.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -25,7 +27,8 @@
     pub id: String,
     /// Value of the `Host` header of all requests of the job; selects their routes.
     pub host: String,
-    /// Time of submission, in milliseconds since 1970.
+    /// Time of submission, in milliseconds since 1970 by the clock of the host that accepted the job, as are
+    /// the other times.
     pub submitted_ms: u64,
     /// Due time of the results, in milliseconds since 1970. Items still run after it, behind those
     /// that can finish in time.
@@ -41,6 +44,46 @@
     pub items: Vec<JobItem>,
 }
 
+/// What a host knows by its own clock about the time since a job was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct JobAge {
+    pub(crate) least: Duration,
+    /// `None` if the job may be of any age from `least` on.
+    pub(crate) greatest: Option<Duration>,
+}
+
+impl JobAge {
+    /// Age of a job that is accepted right now.
+    pub(crate) const NEW: Self = Self {
+        least: Duration::ZERO,
+        greatest: Some(Duration::ZERO),
+    };
+}
+
+impl JobSpec {
+    /// Returns the job with its times by the clock of this host, which has `now_ms`, whatever the clock
+    /// of the host that accepted it was.
+    ///
+    /// The due time, which only orders items, counts from the time between the two clocks as far as
+    /// `age` allows it. The retention time counts from the least age, so that no item is given up early.
+    pub(crate) fn timed_at(self, now_ms: u64, age: JobAge) -> Self {
+        let least_ms = age.least.as_millis() as u64;
+        let greatest_ms = age.greatest.map_or(u64::MAX, |age| age.as_millis() as u64);
+        let shown_ms = now_ms.saturating_sub(self.submitted_ms);
+        let age_ms = shown_ms.clamp(least_ms, greatest_ms.max(least_ms));
+        let submitted_ms = now_ms.saturating_sub(age_ms);
+        let due_after_ms = self.due_ms.saturating_sub(self.submitted_ms);
+        let kept_ms = self.retention_ms.saturating_sub(self.submitted_ms);
+        let kept_from_ms = now_ms.saturating_sub(least_ms);
+        Self {
+            submitted_ms,
+            due_ms: submitted_ms.saturating_add(due_after_ms),
+            retention_ms: kept_from_ms.saturating_add(kept_ms),
+            ..self
+        }
+    }
+}
+
 /// Final state of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -12,12 +12,14 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::task::JoinHandle;
 
+use crate::clock::steady_unix_millis;
 use crate::edges::kv::KvError;
 use crate::edges::kv::LeaseId;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::keeper::STORE_RETRY_DELAY;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
+use crate::jobs::spec::JobAge;
 use crate::jobs::spec::JobSpec;
 use crate::registry::HostEntry;
 
@@ -108,11 +110,13 @@
         }
     }
 
-    /// Answers another host that asks this one to store a job.
+    /// Answers another host that asks this one to store a job, which this host then accepts by its own
+    /// clock.
     pub(super) async fn answer_submission(&self, spec: JobSpec) -> JobReply {
         if self.shared.is_leaving.is_cancelled() || self.shared.registry.has_outage() {
             return JobReply::NotStored;
         }
+        let spec = spec.timed_at(steady_unix_millis(), JobAge::NEW);
         match self.store_once(&Arc::new(spec)).await {
             StoreOutcome::Stored => JobReply::Stored,
             StoreOutcome::TooLarge | StoreOutcome::NotStored => JobReply::NotStored,
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -36,9 +36,9 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Upper bound of that backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
-/// Largest difference that is expected between the clocks of two hosts, in milliseconds. The retention
-/// time counts from the clock of the host that accepted the job.
-const CLOCK_TOLERANCE_MS: u64 = 5_000;
+/// Time in milliseconds for which items are kept beyond the retention time, as clocks run at different
+/// rates.
+const RETENTION_MARGIN_MS: u64 = 5_000;
 /// Delay before a segment is written again after a write that may have failed.
 const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -110,9 +110,9 @@
         self.committed.len() == self.owned_items.len()
     }
 
-    /// Whether items that have not succeeded are given up, by the clock of any host.
+    /// Whether items that have not succeeded are given up.
     fn is_retention_over(&self, now_ms: u64) -> bool {
-        now_ms > self.spec.retention_ms.saturating_add(CLOCK_TOLERANCE_MS)
+        now_ms > self.spec.retention_ms.saturating_add(RETENTION_MARGIN_MS)
     }
 
     /// Sets the result of an item, to be committed.
--- a/lib/tests/test_job_ages.rs
+++ b/lib/tests/test_job_ages.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use job_fleet::JobFleet;
 use job_fleet::JobHost;
+use job_fleet::UPSTREAMS;
 use job_fleet::assert_complete;
 use job_fleet::job;
 use job_fleet::read;
@@ -17,8 +18,11 @@
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
 use parsleywall::jobs::JobConfig;
+use parsleywall::jobs::JobSpec;
 use parsleywall::jobs::ReadOutcome;
+use parsleywall::jobs::ResultState;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall_standins::opaque::OpaqueBehaviour;
 use tokio::time::Instant;
 
 const KEEP_TIME: Duration = Duration::from_secs(60);
@@ -124,3 +128,98 @@
     // A scan each 1.5 s, a listing of hosts each second or a little more often, and six sweeps.
     assert!(reads <= 40 + 75 + 6, "{reads} reads");
 }
+
+/// Rewrites the stored times of `job`, as a host with a clock that differs by `error_ms` would have
+/// written them when it accepted the job.
+async fn shift_times(fleet: &JobFleet, job: &str, error_ms: i64) {
+    let key = format!("spec/{job}/000");
+    let stored = fleet.kv.value(&key).unwrap();
+    let mut spec: JobSpec = ciborium::from_reader(stored.as_ref()).unwrap();
+    for time in [
+        &mut spec.submitted_ms,
+        &mut spec.due_ms,
+        &mut spec.retention_ms,
+    ] {
+        *time = time.saturating_add_signed(error_ms);
+    }
+    let mut value = Vec::new();
+    ciborium::into_writer(&spec, &mut value).unwrap();
+    let written = fleet.kv.put(&key, Bytes::from(value), Expect::Any, None);
+    written.await.unwrap();
+}
+
+/// A job whose items have no upstream yet, accepted by a host that has died since.
+async fn taken_over_job(fleet: &mut JobFleet, error_ms: i64) -> (JobHost, Instant) {
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::Unreachable);
+    }
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    submit(&host_a, "j1").await;
+    let accepted = Instant::now();
+    shift_times(fleet, "j1", error_ms).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    host_a.kill();
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    assert_eq!(host_b.keeper.open_item_count(), 3, "the job is taken over");
+    (host_b, accepted)
+}
+
+/// Guards against items that are given up early as the clock of the host that accepted their job is
+/// behind that of its owner.
+#[tokio::test(start_paused = true)]
+async fn test_items_are_not_given_up_early_by_an_owner_with_another_clock() {
+    for error_ms in CLOCK_ERRORS_MS {
+        let mut fleet = JobFleet::new();
+        let (host_b, accepted) = taken_over_job(&mut fleet, error_ms).await;
+        tokio::time::sleep_until(accepted + Duration::from_secs(58)).await;
+        let results = read(&host_b, "j1", 0).await.results;
+        assert!(
+            results.is_empty(),
+            "clock differs by {error_ms} ms: {results:?}"
+        );
+        for name in UPSTREAMS {
+            fleet.transport.set(name, OpaqueBehaviour::Serves);
+        }
+        assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    }
+}
+
+/// Items that no upstream ever ran end, whatever the clock of the host that accepted their job.
+#[tokio::test(start_paused = true)]
+async fn test_items_are_given_up_by_an_owner_with_another_clock() {
+    for error_ms in CLOCK_ERRORS_MS {
+        let mut fleet = JobFleet::new();
+        let (host_b, accepted) = taken_over_job(&mut fleet, error_ms).await;
+        tokio::time::sleep_until(accepted + Duration::from_secs(75)).await;
+        let results = read(&host_b, "j1", 0).await.results;
+        assert_eq!(results.len(), 3, "clock differs by {error_ms} ms");
+        let mut states = results.iter().map(|result| result.state);
+        assert!(states.all(|state| state == ResultState::DeadLetter));
+    }
+}
+
+/// A host that is cut off from the key-value service has another one store its job, which counts the
+/// times from then on by its own clock.
+#[tokio::test(start_paused = true)]
+async fn test_forwarded_job_is_kept_by_the_clock_of_the_host_that_stores_it() {
+    for error_ms in CLOCK_ERRORS_MS {
+        let mut fleet = JobFleet::new();
+        let (cut_off, link) = fleet.linked_host("host-a").await;
+        let host_b = fleet.host("host-b").await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        link.set_cut(true);
+        let mut spec = job("j1", 3);
+        for time in [
+            &mut spec.submitted_ms,
+            &mut spec.due_ms,
+            &mut spec.retention_ms,
+        ] {
+            *time = time.saturating_add_signed(error_ms);
+        }
+        let outcome = cut_off.keeper.submit(spec).await;
+        assert_eq!(outcome, SubmitOutcome::Accepted);
+        assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    }
+}
