--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod registry;
 pub mod relay;
 pub mod relay_host;
+pub mod revision_ages;
 pub mod routes;
 pub mod settings;
 pub mod suspects;
