peers: a call needs no clocks that agree

A host whose clock was wrong by more than 120 s could call no other host and be called by none: all claims, reads, ends and hand-overs of jobs between it and the others failed.

The proof of the WebSocket upgrade holds for 120 s around the verifier's time, and the client made it for its own. A proof that was made with the secret but for another time is now refused with the verifier's time in `x-parsleywall-time`; the client proves once more for that, and remembers by how much that clock is ahead. How long a recorded proof can be replayed still follows from the verifier's clock alone.

What a liar gains: a client that believed any time could be made to prove for a time to come, so that a recorded proof would hold then. The told time therefore has a MAC of its own, with the client's websocket key, which is random and used once. Without the secret, what a host told another time doesn't serve either. A host of the earlier release tells no time and ignores the header; its proofs have the same form.

Tests: test_hosts_call_each_other_whatever_their_clocks_tell (400 s, 30 days and a clock at the epoch, all pairs), replayed proofs, a wrong secret, told times that are forged or old, a server without the header.

--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -12,6 +12,9 @@
 
 use tokio::time::Instant;
 
+/// Tells the time of day in milliseconds since the Unix epoch, as [`unix_millis`] does.
+pub type TimeOfDay = fn() -> u64;
+
 /// Milliseconds by which [`unix_millis`] differs from the system's time of day.
 static TIME_SHIFT_MS: AtomicI64 = AtomicI64::new(0);
 
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -164,6 +164,9 @@
     HostJoined,
     /// A message between hosts failed authentication or decoding.
     PeerMessageRejected,
+    /// A peer proved that it knows the secret, but for a time that this host's clock doesn't tell. It
+    /// learns this host's time from the refusal.
+    PeerClockDiffers,
     /// An upstream was ejected after errors and gets no requests for a while.
     UpstreamEjected,
     /// An ejected upstream is used again.
--- a/lib/src/peers/client.rs
+++ b/lib/src/peers/client.rs
@@ -12,9 +12,12 @@
 use tokio::sync::oneshot;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite::Error as SocketError;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
 
+use crate::clock::TimeOfDay;
+use crate::clock::unix_millis;
 use crate::collections::HashMap;
 use crate::ids::HostId;
 use crate::peers::auth;
@@ -64,17 +67,43 @@
 struct ClientShared {
     host: HostId,
     secret: String,
+    time_of_day: TimeOfDay,
     connections: Mutex<HashMap<SocketAddr, mpsc::Sender<PendingCall>>>,
+    /// By how many seconds the clocks of peers are ahead of this host's, where they told so.
+    clock_leads: Mutex<HashMap<SocketAddr, i64>>,
+}
+
+impl ClientShared {
+    fn clock_lead(&self, address: SocketAddr) -> i64 {
+        let leads = self.clock_leads.lock().expect("clock leads lock");
+        leads.get(&address).copied().unwrap_or_default()
+    }
+
+    fn set_clock_lead(&self, address: SocketAddr, lead: i64) {
+        let mut leads = self.clock_leads.lock().expect("clock leads lock");
+        match lead {
+            0 => leads.remove(&address),
+            _ => leads.insert(address, lead),
+        };
+    }
 }
 
 impl PeerClient {
     /// Returns a client without connections that calls as `host` and authenticates by `secret`.
     pub fn new(host: HostId, secret: String) -> Self {
+        Self::with_time_of_day(host, secret, unix_millis)
+    }
+
+    /// Returns such a client whose proofs are for the times that `time_of_day` tells, unless a peer tells
+    /// another time.
+    pub fn with_time_of_day(host: HostId, secret: String, time_of_day: TimeOfDay) -> Self {
         Self {
             shared: Arc::new(ClientShared {
                 host,
                 secret,
+                time_of_day,
                 connections: Mutex::new(HashMap::default()),
+                clock_leads: Mutex::new(HashMap::default()),
             }),
         }
     }
@@ -151,32 +180,78 @@
     }
 }
 
+/// Why no connection was opened.
+enum OpenError {
+    /// The peer refused the proof. Holds by how many seconds its clock is ahead, if it told its time.
+    Refused(Option<i64>),
+    /// Anything else. Holds the cause.
+    Failed(String),
+}
+
+impl OpenError {
+    fn failed(err: impl std::fmt::Display) -> Self {
+        Self::Failed(err.to_string())
+    }
+}
+
+/// Opens a connection. A proof that is refused is made once more if the peer's clock differs from what
+/// the proof supposed; one that tells no time may be of an earlier release, which judges by its own.
 async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, String> {
+    let refused = "the peer refused the proof".to_owned();
+    let supposed = shared.clock_lead(address);
+    let lead = match try_open(shared, address, supposed).await {
+        Ok(socket) => return Ok(socket),
+        Err(OpenError::Failed(cause)) => return Err(cause),
+        Err(OpenError::Refused(lead)) => lead.unwrap_or_default(),
+    };
+    shared.set_clock_lead(address, lead);
+    if lead == supposed {
+        return Err(refused);
+    }
+    match try_open(shared, address, lead).await {
+        Ok(socket) => Ok(socket),
+        Err(OpenError::Failed(cause)) => Err(cause),
+        Err(OpenError::Refused(_)) => Err(refused),
+    }
+}
+
+/// Opens a connection to a peer whose clock is ahead by `lead` seconds.
+async fn try_open(
+    shared: &ClientShared,
+    address: SocketAddr,
+    lead: i64,
+) -> Result<PeerSocket, OpenError> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(|err| err.to_string())?;
+        .map_err(OpenError::failed)?;
     let _ = stream.set_nodelay(true);
     let mut request = format!("ws://{address}/peer")
         .into_client_request()
-        .map_err(|err| err.to_string())?;
-    let key = request
-        .headers()
-        .get("sec-websocket-key")
-        .and_then(|key| key.to_str().ok())
-        .unwrap_or_default();
-    let proof = auth::prove(&shared.secret, key);
+        .map_err(OpenError::failed)?;
+    let key = request.headers().get("sec-websocket-key");
+    let key = key.and_then(|key| key.to_str().ok()).unwrap_or_default();
+    let key = key.to_owned();
+    let seconds = (shared.time_of_day)() / 1000;
+    let proof = auth::prove(&shared.secret, &key, seconds.saturating_add_signed(lead));
     let proof = proof.parse().expect("proofs are ASCII");
     request.headers_mut().insert(auth::PROOF_HEADER, proof);
-    let (mut socket, _) = client_async_with_config(request, stream, Some(socket_limits()))
-        .await
-        .map_err(|err| err.to_string())?;
+    let opened = client_async_with_config(request, stream, Some(socket_limits())).await;
+    let (mut socket, _) = opened.map_err(|err| match err {
+        SocketError::Http(response) if response.status() == http::StatusCode::UNAUTHORIZED => {
+            let told = response.headers().get(auth::TIME_HEADER);
+            let told = told.and_then(|told| told.to_str().ok()).unwrap_or_default();
+            let told = auth::told_time(&shared.secret, &key, told);
+            OpenError::Refused(told.map(|told| told.wrapping_sub(seconds) as i64))
+        }
+        err => OpenError::failed(err),
+    })?;
     let hello = PeerFrame::Hello {
         host: shared.host.clone(),
     };
     socket
         .send(Message::binary(hello.encode()))
         .await
-        .map_err(|err| err.to_string())?;
+        .map_err(OpenError::failed)?;
     Ok(socket)
 }
 
--- a/lib/src/peers/mod.rs
+++ b/lib/src/peers/mod.rs
@@ -9,6 +9,8 @@
 mod handlers;
 mod message;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub use client::PeerClient;
 pub use client::PeerError;
--- a/lib/src/peers/server.rs
+++ b/lib/src/peers/server.rs
@@ -15,9 +15,12 @@
 use tokio_tungstenite::tungstenite::handshake::server::Response;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::TimeOfDay;
+use crate::clock::unix_millis;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
 use crate::peers::auth;
+use crate::peers::auth::ProofVerdict;
 use crate::peers::handlers::PeerHandlers;
 use crate::peers::message::PeerFrame;
 use crate::peers::message::socket_limits;
@@ -32,6 +35,7 @@
     listener: TcpListener,
     secret: String,
     counters: Arc<CounterSet>,
+    time_of_day: TimeOfDay,
 }
 
 impl PeerServer {
@@ -42,6 +46,15 @@
             listener,
             secret,
             counters,
+            time_of_day: unix_millis,
+        }
+    }
+
+    /// Replaces the clock by which the server judges how old proofs are.
+    pub fn with_time_of_day(self, time_of_day: TimeOfDay) -> Self {
+        Self {
+            time_of_day,
+            ..self
         }
     }
 
@@ -58,11 +71,12 @@
             let _ = stream.set_nodelay(true);
             let secret = self.secret.clone();
             let counters = self.counters.clone();
+            let time_of_day = self.time_of_day;
             let handlers = handlers.clone();
             let stop = stop.clone();
             tokio::spawn(async move {
                 tokio::select! {
-                    () = serve_peer(stream, secret, counters, handlers) => {}
+                    () = serve_peer(stream, secret, counters, time_of_day, handlers) => {}
                     () = stop.cancelled() => {}
                 }
             });
@@ -74,10 +88,13 @@
     stream: TcpStream,
     secret: String,
     counters: Arc<CounterSet>,
+    time_of_day: TimeOfDay,
     handlers: PeerHandlers,
 ) {
     #[allow(clippy::result_large_err)] // The callback's signature is tungstenite's.
-    let check = |request: &Request, response: Response| check_proof(&secret, request, response);
+    let check = |request: &Request, response: Response| {
+        check_proof(&secret, time_of_day() / 1000, &counters, request, response)
+    };
     let handshake = accept_hdr_async_with_config(stream, check, Some(socket_limits()));
     let Ok(Ok(socket)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         counters.event(CounterEvent::PeerMessageRejected);
@@ -133,6 +150,8 @@
 #[allow(clippy::result_large_err)] // The signature is tungstenite's.
 fn check_proof(
     secret: &str,
+    now_seconds: u64,
+    counters: &CounterSet,
     request: &Request,
     response: Response,
 ) -> Result<Response, ErrorResponse> {
@@ -142,13 +161,19 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
     };
-    let proof = header(auth::PROOF_HEADER);
-    match auth::verify(secret, header("sec-websocket-key"), proof) {
-        true => Ok(response),
-        false => {
-            let mut refusal = ErrorResponse::new(None);
-            *refusal.status_mut() = http::StatusCode::UNAUTHORIZED;
+    let (key, proof) = (header("sec-websocket-key"), header(auth::PROOF_HEADER));
+    let verdict = auth::verify(secret, key, proof, now_seconds);
+    let mut refusal = ErrorResponse::new(None);
+    *refusal.status_mut() = http::StatusCode::UNAUTHORIZED;
+    match verdict {
+        ProofVerdict::Valid => Ok(response),
+        ProofVerdict::OtherTime => {
+            counters.event(CounterEvent::PeerClockDiffers);
+            let told = auth::tell_time(secret, key, now_seconds);
+            let told = told.parse().expect("told times are ASCII");
+            refusal.headers_mut().insert(auth::TIME_HEADER, told);
             Err(refusal)
         }
+        ProofVerdict::Invalid => Err(refusal),
     }
 }
