origins: when a version ended is measured, not read

Where the host that wrote them had another clock, a version was forgotten too early, so that a stream that it may have begun was taken for one of the only version that is left and went on there (rule ORDER); or it was never forgotten, and all such take-ups were refused. Also, a version that had ended stayed in the stored history for ever: each write put back what other hosts had stored.

Ages are now counted by the host's monotonic clock from when it saw a version end, or read it as ended; what is stored and not seen to serve may have served until it was read. The stored time only tells one end from another. A writer leaves out what it has known as ended for the 120 s for which versions are kept.

A host that starts is more careful than before: for the age of a stream and 5 s, no take-up rests on the only version if another one is stored as ended.

--- a/lib/src/origins/archive.rs
+++ b/lib/src/origins/archive.rs
@@ -1,14 +1,18 @@
 //! Keeps the history of versions in the key-value service.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::Instant;
 
+use crate::clock::steady_unix_millis;
 use crate::edges::kv::Expect;
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvStore;
 use crate::edges::kv::KvVersion;
+use crate::origins::history::StoredVersions;
 use crate::origins::history::VersionHistory;
 use crate::origins::keeper::OriginKeeper;
 
@@ -23,12 +27,17 @@
 pub struct VersionArchive {
     kv: Arc<dyn KvStore>,
     keeper: OriginKeeper,
+    stored: Mutex<StoredVersions>,
 }
 
 impl VersionArchive {
     /// Returns the archive of the history that `keeper` holds.
     pub fn new(kv: Arc<dyn KvStore>, keeper: OriginKeeper) -> Self {
-        Self { kv, keeper }
+        Self {
+            kv,
+            keeper,
+            stored: Mutex::default(),
+        }
     }
 
     /// Reads the history, repeatedly until the service answers.
@@ -47,8 +56,7 @@
             let Ok((stored, version)) = self.read().await else {
                 return false;
             };
-            let mut merged = self.keeper.history();
-            merged.merge(&stored);
+            let merged = self.merge(&stored);
             if merged == stored {
                 return true;
             }
@@ -56,7 +64,10 @@
             let expect = version.map_or(Expect::Absent, Expect::Version);
             let put = self.kv.put(HISTORY_KEY, Bytes::from(value), expect, None);
             match put.await {
-                Ok(_) => return true,
+                Ok(_) => {
+                    self.note(&merged);
+                    return true;
+                }
                 Err(KvError::Conflict { .. }) => {}
                 Err(_) => return false,
             }
@@ -64,12 +75,32 @@
         false
     }
 
+    /// Whether the stored history has versions that ended long ago, which the next [`Self::store`] leaves
+    /// out.
+    pub fn has_expired(&self) -> bool {
+        let stored = self.stored.lock().expect("stored versions lock");
+        stored.has_expired(&self.keeper.seen_versions(), Instant::now())
+    }
+
+    fn merge(&self, stored: &VersionHistory) -> VersionHistory {
+        let known = self.stored.lock().expect("stored versions lock");
+        let seen = self.keeper.seen_versions();
+        known.merge(&seen, stored, Instant::now(), steady_unix_millis())
+    }
+
+    fn note(&self, history: &VersionHistory) {
+        let mut stored = self.stored.lock().expect("stored versions lock");
+        stored.note(history, Instant::now());
+    }
+
     async fn read(&self) -> Result<(VersionHistory, Option<KvVersion>), KvError> {
         let Some(entry) = self.kv.get(HISTORY_KEY).await? else {
+            self.note(&VersionHistory::default());
             return Ok((VersionHistory::default(), None));
         };
         // A record in an unknown format tells nothing; the next write replaces it.
         let history = serde_json::from_slice(&entry.value).unwrap_or_default();
+        self.note(&history);
         Ok((history, Some(entry.version)))
     }
 }
--- a/lib/src/origins/keeper.rs
+++ b/lib/src/origins/keeper.rs
@@ -10,11 +10,11 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::clock::steady_unix_millis;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::ids::ServiceName;
 use crate::ids::SoftwareVersion;
+use crate::origins::history::SeenVersions;
 use crate::origins::history::VersionHistory;
 use crate::origins::message::OriginReply;
 use crate::origins::message::StreamOrigin;
@@ -57,7 +57,7 @@
 #[derive(Default)]
 struct OriginState {
     table: OriginTable,
-    history: VersionHistory,
+    history: SeenVersions,
     /// Whether the history holds what the key-value service has of the time before this process.
     is_history_loaded: bool,
     /// Whether this host does not follow the entries of upstreams, so that there may be newer versions.
@@ -99,7 +99,7 @@
     ) {
         let mut state = self.state();
         if version.is_unknown() {
-            state.history.note_unknown(service, steady_unix_millis());
+            state.history.note_unknown(service, Instant::now());
             state.has_unsaved = true;
         }
         state.table.record(tag, version.clone(), Instant::now());
@@ -153,8 +153,7 @@
         if !state.is_history_loaded || state.is_outdated {
             return None;
         }
-        let now_ms = steady_unix_millis();
-        state.history.sole_version(service, age, now_ms)
+        state.history.sole_version(service, age, Instant::now())
     }
 
     /// Asks the registrars of a stream, and returns what they replied in time.
@@ -250,7 +249,7 @@
         let mut state = self.state();
         if state.serving_revision != Some(revision) {
             state.serving_revision = Some(revision);
-            state.has_unsaved |= state.history.update(&serving(), steady_unix_millis());
+            state.has_unsaved |= state.history.update(&serving(), Instant::now());
         }
     }
 
@@ -272,13 +271,13 @@
     /// Adds what the key-value service has of the versions that served.
     pub fn load_history(&self, stored: &VersionHistory) {
         let mut state = self.state();
-        state.history.merge(stored);
+        state.history.add_stored(stored, Instant::now());
         state.is_history_loaded = true;
         state.serving_revision = None;
     }
 
-    /// The versions of each service that served lately.
-    pub fn history(&self) -> VersionHistory {
+    /// The versions of each service that served lately, as this host has seen it.
+    pub(crate) fn seen_versions(&self) -> SeenVersions {
         self.state().history.clone()
     }
 }
--- a/lib/src/origins/mod.rs
+++ b/lib/src/origins/mod.rs
@@ -14,6 +14,7 @@
 mod table;
 
 pub use archive::VersionArchive;
+pub use history::SeenVersions;
 pub use history::VersionHistory;
 pub use keeper::OriginKeeper;
 pub(crate) use keeper::REGISTRARS;
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -273,7 +273,9 @@
                 let state = self.balancer.state();
                 state.is_nearest_heard(VERSION_WRITER_POSITION, Instant::now())
             };
-            if origins.take_unsaved() && is_writer && !archive.store().await {
+            let is_unsaved = origins.take_unsaved();
+            let is_due = is_writer && (is_unsaved || archive.has_expired());
+            if is_due && !archive.store().await {
                 origins.set_unsaved();
             }
             tokio::time::sleep(VERSION_INTERVAL).await;
--- a/lib/tests/test_origins.rs
+++ b/lib/tests/test_origins.rs
@@ -2,20 +2,26 @@
 
 mod opaque;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use opaque::all_events;
 use opaque::read_stream;
 use opaque::request;
 use opaque::route;
 use opaque::spawn_origin_exchange;
 use opaque::upstream_with;
+use parsleywall::clock::unix_millis;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
 use parsleywall::ids::RequestId;
 use parsleywall::ids::ServiceName;
 use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::origins::OriginKeeper;
+use parsleywall::origins::SeenVersions;
 use parsleywall::origins::VersionArchive;
 use parsleywall::origins::VersionHistory;
 use parsleywall::relay::RelayAnswer;
@@ -26,11 +32,14 @@
 use parsleywall_standins::kv::KvMemory;
 use parsleywall_standins::opaque::OpaqueBehaviour;
 use parsleywall_standins::opaque::OpaqueUpstreams;
+use tokio::time::Instant;
 
 const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
 const EVENTS: u64 = 20;
 const HOSTS: usize = 6;
-const SECOND_MS: u64 = 1_000;
+const DAY_MS: i64 = 24 * 3600 * 1000;
+/// Key of the stored history of versions.
+const HISTORY_KEY: &str = "versions/history";
 
 fn upstreams() -> Arc<OpaqueUpstreams> {
     OpaqueUpstreams::new(EVENTS, Duration::from_millis(60), Duration::from_millis(20))
@@ -337,35 +346,160 @@
     exchange.abort();
 }
 
+/// What a host reads of a version that has ended, by a clock that is wrong by `shift_ms`.
+fn stored_history(shift_ms: i64) -> Bytes {
+    let end = unix_millis().saturating_add_signed(shift_ms);
+    let text = format!(r#"{{"services":{{"desk":{{"v1":{end},"v2":null}}}}}}"#);
+    Bytes::from(text)
+}
+
+/// The versions of the service in the stored history, with their ends.
+async fn stored_versions(kv: &KvMemory) -> BTreeMap<String, Option<u64>> {
+    let entry = kv.get(HISTORY_KEY).await.unwrap().unwrap();
+    let stored: serde_json::Value = serde_json::from_slice(&entry.value).unwrap();
+    serde_json::from_value(stored["services"]["desk"].clone()).unwrap()
+}
+
+/// Guards against streams that are joined from two versions, or refused for ever, as a host believes the
+/// clock of another one, or its own before a restart, about when a version ended (issue 44).
+#[tokio::test(start_paused = true)]
+async fn test_version_that_a_wrong_clock_ended_may_have_served_until_the_store_was_read() {
+    for shift_ms in [-30 * DAY_MS, -400_000, 0, 400_000, 30 * DAY_MS] {
+        let kv = KvMemory::new();
+        let stored = stored_history(shift_ms);
+        let written = kv.put(HISTORY_KEY, stored, Expect::Absent, None);
+        written.await.unwrap();
+        // All hosts have restarted.
+        let transport = upstreams();
+        let relay = opaque::new_relay("host-a", transport.clone(), &[]);
+        let exchange = spawn_origin_exchange(vec![relay.clone()]);
+        put(&relay, &["v2-a", "v2-b"]);
+        let archive = VersionArchive::new(kv.clone(), relay.origins().clone());
+        archive.load().await;
+        let early = relay.relay(take_up("t1", "r1", 5)).await;
+        assert!(is_not_resumable(&early), "clock off by {shift_ms} ms");
+        assert!(transport.runs("t1").is_empty());
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        let late = relay.relay(take_up("t2", "r2", 5)).await;
+        assert!(read_stream(late).await.1, "clock off by {shift_ms} ms");
+        exchange.abort();
+    }
+}
+
+/// Versions leave the stored history once a writer has known of their end for the retention time, whatever
+/// time the host wrote that stored it.
+#[tokio::test(start_paused = true)]
+async fn test_versions_that_ended_leave_the_stored_history() {
+    for shift_ms in [-30 * DAY_MS, -400_000, 0, 400_000, 30 * DAY_MS] {
+        let kv = KvMemory::new();
+        let stored = stored_history(shift_ms);
+        let written = kv.put(HISTORY_KEY, stored, Expect::Absent, None);
+        written.await.unwrap();
+        let keeper = OriginKeeper::default();
+        let archive = VersionArchive::new(kv.clone(), keeper.clone());
+        archive.load().await;
+        let read_at = Instant::now();
+        keeper.update_history(1, || vec![(service(), version("v2"))]);
+        let names = |versions: BTreeMap<String, _>| versions.into_keys().collect::<Vec<_>>();
+        while read_at.elapsed() < Duration::from_secs(119) {
+            assert!(!archive.has_expired(), "{:?}", read_at.elapsed());
+            assert!(archive.store().await);
+            assert_eq!(names(stored_versions(&kv).await), ["v1", "v2"]);
+            tokio::time::sleep(Duration::from_secs(10)).await;
+        }
+        assert!(archive.has_expired(), "clock off by {shift_ms} ms");
+        assert!(archive.store().await);
+        assert_eq!(names(stored_versions(&kv).await), ["v2"]);
+        assert!(!archive.has_expired());
+    }
+}
+
+/// An end that another host stored lately is kept, though this one knew of an earlier end of the version
+/// for long.
+#[tokio::test(start_paused = true)]
+async fn test_later_end_of_a_version_is_kept_for_the_whole_time() {
+    let kv = KvMemory::new();
+    let hosts = [0, 1].map(|_| {
+        let keeper = OriginKeeper::default();
+        (VersionArchive::new(kv.clone(), keeper.clone()), keeper)
+    });
+    let [(one, keeper_one), (other, keeper_other)] = &hosts;
+    let serving = |names: &[&str]| -> Vec<_> {
+        let versions = names.iter().map(|name| (service(), version(name)));
+        versions.collect()
+    };
+    for (archive, keeper) in &hosts {
+        archive.load().await;
+        keeper.update_history(1, || serving(&["v1", "v2"]));
+        keeper.update_history(2, || serving(&["v2"]));
+        assert!(archive.store().await);
+    }
+    let first = stored_versions(&kv).await["v1"].unwrap();
+    assert!(
+        first.abs_diff(unix_millis()) < 60_000,
+        "a time of day, for the earlier release"
+    );
+    tokio::time::sleep(Duration::from_secs(100)).await;
+    // The version comes back, and ends again.
+    keeper_one.update_history(3, || serving(&["v1", "v2"]));
+    assert!(one.store().await);
+    assert_eq!(stored_versions(&kv).await["v1"], None);
+    keeper_one.update_history(4, || serving(&["v2"]));
+    assert!(one.store().await);
+    tokio::time::sleep(Duration::from_secs(50)).await;
+    keeper_other.update_history(5, || serving(&["v2", "v3"]));
+    assert!(other.store().await);
+    assert!(stored_versions(&kv).await.contains_key("v1"));
+    tokio::time::sleep(Duration::from_secs(71)).await;
+    assert!(one.has_expired());
+    assert!(one.store().await);
+    assert!(!stored_versions(&kv).await.contains_key("v1"));
+}
+
 #[test]
 fn test_history_tells_the_sole_version_of_a_time() {
     let both = [(service(), version("v1")), (service(), version("v2"))];
     let age = Duration::from_secs(5);
-    let mut history = VersionHistory::default();
-    assert_eq!(history.sole_version(&service(), age, SECOND_MS), None);
-    assert!(history.update(&both[..1], SECOND_MS));
-    assert!(!history.update(&both[..1], 2 * SECOND_MS));
-    let sole = |history: &VersionHistory, at| history.sole_version(&service(), age, at);
-    assert_eq!(sole(&history, 3 * SECOND_MS), Some(version("v1")));
-    assert!(history.update(&both, 100 * SECOND_MS));
-    assert_eq!(sole(&history, 100 * SECOND_MS), None);
-    assert!(history.update(&both[1..], 200 * SECOND_MS));
-    assert_eq!(sole(&history, 209 * SECOND_MS), None);
-    assert_eq!(sole(&history, 211 * SECOND_MS), Some(version("v2")));
+    let began = Instant::now();
+    let after = |seconds| began + Duration::from_secs(seconds);
+    let mut seen = SeenVersions::default();
+    assert_eq!(seen.sole_version(&service(), age, after(1)), None);
+    assert!(seen.update(&both[..1], after(1)));
+    assert!(!seen.update(&both[..1], after(2)));
+    let sole = |seen: &SeenVersions, at| seen.sole_version(&service(), age, after(at));
+    assert_eq!(sole(&seen, 3), Some(version("v1")));
+    assert!(seen.update(&both, after(100)));
+    assert_eq!(sole(&seen, 100), None);
+    assert!(seen.update(&both[1..], after(200)));
+    assert_eq!(sole(&seen, 209), None);
+    assert_eq!(sole(&seen, 211), Some(version("v2")));
     // The version comes back.
-    assert!(history.update(&both, 212 * SECOND_MS));
-    assert_eq!(sole(&history, 212 * SECOND_MS), None);
+    assert!(seen.update(&both, after(212)));
+    assert_eq!(sole(&seen, 212), None);
 }
 
-#[test]
-fn test_merged_history_has_the_versions_of_both() {
-    let mut one = VersionHistory::default();
-    one.update(&[(service(), version("v1"))], SECOND_MS);
-    let mut other = VersionHistory::default();
-    other.update(&[(service(), version("v2"))], SECOND_MS);
-    one.merge(&other);
+#[tokio::test(start_paused = true)]
+async fn test_merged_history_has_the_versions_of_both() {
+    let kv = KvMemory::new();
+    let other = OriginKeeper::default();
+    other.update_history(1, || vec![(service(), version("v2"))]);
+    assert!(VersionArchive::new(kv.clone(), other).store().await);
+    let one = OriginKeeper::default();
+    one.update_history(1, || vec![(service(), version("v1"))]);
+    let archive = VersionArchive::new(kv.clone(), one.clone());
+    assert!(archive.store().await);
+    let both = BTreeMap::from(["v1", "v2"].map(|name| (name.to_owned(), None)));
+    assert_eq!(stored_versions(&kv).await, both);
+
+    let mut seen = SeenVersions::default();
+    let began = Instant::now();
+    seen.update(&[(service(), version("v1"))], began);
+    let entry = kv.get(HISTORY_KEY).await.unwrap().unwrap();
+    let stored = serde_json::from_slice(&entry.value).unwrap();
+    seen.add_stored(&stored, began + Duration::from_secs(1));
     let age = Duration::from_secs(5);
-    assert_eq!(one.sole_version(&service(), age, 2 * SECOND_MS), None);
+    let now = began + Duration::from_secs(2);
+    assert_eq!(seen.sole_version(&service(), age, now), None);
 }
 
 /// Without the identifier of the stream, only the time tells which version began it.
