soak: count runs of one item or stream beside one another

Each run now names the attempt that it continues. The verdict counts pairs of runs of one item, or of one stream and what takes it up, of which the earlier one is still under way when 400 ms have passed since the later one began, and items that begin to run after a client has read all results of their job. Both are excused by unplanned faults up to three seconds before, unless the fault says that it excuses neither. Two positions of an item and changed positions were counted already; the decision is now testable without a fleet. Requests may say how long their answers take.

Tests: test_check_items_beside_one_another, test_check_items_beside_one_another_during_faults, test_check_streams_beside_their_take_ups, test_check_items_that_run_again and test_check_positions_of_results each break one promise in a made-up run and expect just that rule.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -14,7 +14,8 @@
 use crate::history::Records;
 use crate::jobs::CANCEL_EFFECT_TIME;
 use crate::jobs::JobRecord;
-use crate::workers::EVENT_INTERVAL;
+use crate::overlap;
+use crate::overlap::is_overlap_undisturbed;
 
 /// Time without an unplanned fault after which fronts and the store count as reachable again.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -52,6 +53,8 @@
     let executions = executions_by_id(&records.executions);
     check_calls(records, &executions, &mut violations);
     check_executions(records, jobs, &mut violations);
+    check_overlaps(records, &mut violations);
+    check_repeated_items(records, jobs, &executions, &mut violations);
     check_cancelled_calls(records, &executions, &mut violations);
     check_leaving_workers(records, &mut violations);
     check_moved_route(records, &executions, &mut violations);
@@ -157,6 +160,50 @@
     }
 }
 
+/// Checks that no stream or item goes on in another run while the run before still works on it.
+fn check_overlaps(records: &Records, violations: &mut Vec<String>) {
+    let streams = records.calls.iter();
+    let streams = streams.filter(|call| call.kind == CallKind::Stream);
+    let streams: std::collections::BTreeSet<&str> = streams.map(|call| call.id.as_str()).collect();
+    for pair in overlap::pairs(&records.executions) {
+        let is_judged =
+            pair.request.starts_with(content::ITEM_PREFIX) || streams.contains(pair.request);
+        if is_judged && !pair.is_excused(&records.faults) {
+            let (earlier, later) = (pair.earlier, pair.later);
+            let ended = match earlier.ended_at {
+                Some(ended) => format!("until {ended:.2?}"),
+                None => "without end".to_owned(),
+            };
+            violations.push(format!(
+                "TWICE: {} ran at {} {ended} beside its run at {} from {:.2?} on",
+                pair.request, earlier.worker, later.worker, later.began_at
+            ));
+        }
+    }
+}
+
+/// Checks that no item begins to run once a client has read all results of its job.
+fn check_repeated_items(
+    records: &Records,
+    jobs: &[JobRecord],
+    executions: &BTreeMap<&str, Vec<&ExecutionRecord>>,
+    violations: &mut Vec<String>,
+) {
+    for (job, completed_at) in jobs.iter().filter_map(|job| Some((job, job.completed_at?))) {
+        let items = job.items.iter();
+        let runs = items.flat_map(|id| executions.get(id.as_str()).into_iter().flatten());
+        for run in runs.filter(|run| run.began_at > completed_at) {
+            if is_overlap_undisturbed(&records.faults, run.began_at, run.began_at) {
+                let after = run.began_at - completed_at;
+                violations.push(format!(
+                    "TWICE: item ran again after its job was complete: {} at {}, {after:.1?} after",
+                    run.id, run.worker
+                ));
+            }
+        }
+    }
+}
+
 /// Checks that workers soon stop most executions of clients that closed their connection.
 fn check_cancelled_calls(
     records: &Records,
@@ -176,7 +223,8 @@
         }
         for execution in executions.get(call.id.as_str()).into_iter().flatten() {
             let events = content::event_count(&execution.id) - execution.resume_after;
-            if execution.began_at + EVENT_INTERVAL * events as u32 <= limit {
+            let work_time = content::event_interval(&execution.id) * events as u32;
+            if execution.began_at + work_time <= limit {
                 continue;
             }
             all += 1;
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -4,6 +4,7 @@
 //! names the version of the software that wrote it.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,6 +20,13 @@
 pub const CANCEL_SUFFIX: &str = "leaves";
 /// Suffix of the identifiers of other requests and batch items with long answers.
 pub const LONG_SUFFIX: &str = "long";
+/// Time between two events of an answer.
+const EVENT_INTERVAL: Duration = Duration::from_millis(8);
+/// Text before the length in seconds at the end of the identifiers of requests whose answers take so
+/// long.
+const LENGTH_MARK: &str = "-for-";
+/// Time between two events of these answers.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(50);
 /// Text between the data of an event and the version that wrote it.
 const VERSION_MARK: &str = " by ";
 /// One in this many batch items is rejected by every worker.
@@ -31,9 +39,30 @@
     format!("work of {id}")
 }
 
+/// Identifier that begins with `name`, of a request whose answer takes `seconds`.
+pub fn lasting(name: &str, seconds: u64) -> String {
+    format!("{name}{LENGTH_MARK}{seconds}")
+}
+
+/// Seconds that the answer to `id` takes, if the identifier says so.
+fn length_s(id: &str) -> Option<u64> {
+    id.rsplit_once(LENGTH_MARK)?.1.parse().ok()
+}
+
+/// Time between two events of the answer to `id`.
+pub fn event_interval(id: &str) -> Duration {
+    match length_s(id) {
+        Some(_) => SLOW_EVENT_INTERVAL,
+        None => EVENT_INTERVAL,
+    }
+}
+
 /// Number of events of the complete answer to request `id`.
 pub fn event_count(id: &str) -> u64 {
     let hash = xxh3_64(id.as_bytes());
+    if let Some(seconds) = length_s(id) {
+        return seconds * 1000 / SLOW_EVENT_INTERVAL.as_millis() as u64;
+    }
     if id.ends_with(CANCEL_SUFFIX) || id.ends_with(LONG_SUFFIX) {
         return LONG_EVENTS;
     }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -71,6 +71,8 @@
 pub struct ExecutionRecord {
     /// Identifier of the client's attempt or of the batch item.
     pub id: String,
+    /// Identifier of the attempt whose answer it continues, if the request names another one.
+    pub resumes: Option<String>,
     /// Name of the worker that executed it.
     pub worker: String,
     /// Service of that worker.
@@ -98,6 +100,8 @@
     pub planned: bool,
     /// Whether it impairs the store itself, and not the ways to it.
     pub at_store: bool,
+    /// Whether runs of one request beside one another may follow from it.
+    pub excuses_overlap: bool,
     /// When the injection began.
     pub from: Duration,
     /// When the fault was removed; [`Duration::MAX`] until then.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -100,6 +100,7 @@
                 name: fault.kind.to_string(),
                 planned: fault.kind.is_planned(),
                 at_store: fault.kind.is_at_store(),
+                excuses_overlap: !fault.kind.is_planned(),
                 from,
                 to: Duration::MAX,
             });
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -51,6 +51,8 @@
     pub cancel_sent: bool,
     /// Results in the order of the listing, which must never change.
     pub results: Vec<ItemResult>,
+    /// When the client had read the results of all items, if it did.
+    pub completed_at: Option<Duration>,
 }
 
 impl JobRecord {
@@ -58,6 +60,49 @@
     pub fn is_complete(&self) -> bool {
         self.results.len() == self.items.len()
     }
+
+    /// Notes the result that a page lists at `position`; returns the rules that it breaks, and by what.
+    pub fn note_result(
+        &mut self,
+        position: usize,
+        result: ItemResult,
+    ) -> Vec<(&'static str, String)> {
+        let id = &self.id;
+        match self.results.get(position) {
+            Some(known) if *known == result => return Vec::new(),
+            Some(known) => {
+                let detail = format!("{id} at {position}: {known:?}, then {result:?}");
+                return vec![("TWICE", detail)];
+            }
+            None => {}
+        }
+        let mut broken = Vec::new();
+        if self.results.iter().any(|known| known.id == result.id) {
+            let detail = format!("{} of {id} is listed at two positions", result.id);
+            broken.push(("TWICE", detail));
+        }
+        if !self.items.contains(&result.id) {
+            let detail = format!("{id} lists {}, which is none of its items", result.id);
+            broken.push(("MIXED", detail));
+        }
+        let versions = content::versions(&result.output);
+        if versions.len() > 1 {
+            let detail = format!("{} is joined from {versions:?}", result.id);
+            broken.push(("ORDER", detail));
+        }
+        let version = versions.first().copied().unwrap_or_default();
+        let whole = result.output == content::whole_output(&result.id, version);
+        let is_right = match result.state.as_str() {
+            "done" => whole && !content::is_poison(&result.id),
+            _ => true,
+        };
+        if !is_right {
+            let detail = format!("{} is done with {:?}", result.id, result.output);
+            broken.push(("MIXED", detail));
+        }
+        self.results.push(result);
+        broken
+    }
 }
 
 /// Result of one item, as a page of results listed it.
@@ -71,6 +116,18 @@
     pub output: String,
 }
 
+impl ItemResult {
+    /// Returns the result that `row` of a page of results holds.
+    pub fn from_row(row: &Value) -> Self {
+        let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+        Self {
+            id: text("id"),
+            state: text("state"),
+            output: text("output"),
+        }
+    }
+}
+
 /// A client that submits one batch job and reads its results.
 pub struct JobClient {
     fleet: Arc<SoakFleet>,
@@ -187,51 +244,14 @@
         }
         let rows = page["results"].as_array().cloned().unwrap_or_default();
         for (offset, row) in rows.iter().enumerate() {
-            let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
-            let result = ItemResult {
-                id: text("id"),
-                state: text("state"),
-                output: text("output"),
-            };
-            self.check_result(after + offset, result);
-        }
-    }
-
-    fn check_result(&mut self, position: usize, result: ItemResult) {
-        let job = &mut self.job;
-        let id = job.id.clone();
-        match job.results.get(position) {
-            Some(known) if *known == result => return,
-            Some(known) => {
-                let detail = format!("{id} at {position}: {known:?}, then {result:?}");
-                return self.history.record_violation("TWICE", &detail);
+            let result = ItemResult::from_row(row);
+            for (rule, detail) in self.job.note_result(after + offset, result) {
+                self.history.record_violation(rule, &detail);
             }
-            None => {}
-        }
-        if job.results.iter().any(|known| known.id == result.id) {
-            let detail = format!("{} of {id} is listed at two positions", result.id);
-            self.history.record_violation("TWICE", &detail);
-        }
-        if !job.items.contains(&result.id) {
-            let detail = format!("{id} lists {}, which is none of its items", result.id);
-            self.history.record_violation("MIXED", &detail);
         }
-        let versions = content::versions(&result.output);
-        if versions.len() > 1 {
-            let detail = format!("{} is joined from {versions:?}", result.id);
-            self.history.record_violation("ORDER", &detail);
-        }
-        let version = versions.first().copied().unwrap_or_default();
-        let whole = result.output == content::whole_output(&result.id, version);
-        let is_right = match result.state.as_str() {
-            "done" => whole && !content::is_poison(&result.id),
-            _ => true,
-        };
-        if !is_right {
-            let detail = format!("{} is done with {:?}", result.id, result.output);
-            self.history.record_violation("MIXED", &detail);
+        if self.job.is_complete() && self.job.completed_at.is_none() {
+            self.job.completed_at = Some(self.history.now());
         }
-        job.results.push(result);
     }
 
     fn check_missing(&self, status: StatusCode, sent: Duration) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod history;
 pub mod inject;
 pub mod jobs;
+pub mod overlap;
 pub mod peer_link;
 pub mod plan;
 pub mod play;
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -41,8 +41,8 @@
 use crate::history::SoakHistory;
 use crate::proxy::LinkProxy;
 
-/// Time between two events of a worker's stream.
-pub const EVENT_INTERVAL: Duration = Duration::from_millis(8);
+/// Time that a worker takes for an answer that is no stream.
+const WORK_TIME: Duration = Duration::from_millis(8);
 /// Service of all routes in the first manifest.
 pub const DESK: &str = "desk";
 /// Service to which a later manifest may move a route.
@@ -174,7 +174,7 @@
         tokio::time::sleep(DRAIN_TIME).await;
         let _ = self.kv.delete(&entry_key(&name), Expect::Any).await;
         while worker.process.active.load(Ordering::Relaxed) > 0 {
-            tokio::time::sleep(EVENT_INTERVAL).await;
+            tokio::time::sleep(WORK_TIME).await;
         }
     }
 
@@ -427,7 +427,8 @@
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
         // What continues the answer to another attempt has the content of that answer.
-        let content_id = text(&headers, "resumes").unwrap_or_else(|| id.clone());
+        let resumes = text(&headers, "resumes");
+        let content_id = resumes.clone().unwrap_or_else(|| id.clone());
         let execution = ExecutionRecord {
             worker: self.name.clone(),
             service: self.service.to_owned(),
@@ -439,6 +440,7 @@
                 && path.ends_with(&content_id)
                 && body == content::body(&content_id).as_bytes(),
             budget_ms: text(&headers, "time-budget-ms").and_then(|ms| ms.parse().ok()),
+            resumes,
             id: id.clone(),
         };
         active.begin(execution);
@@ -450,7 +452,7 @@
             _ if fails => empty(StatusCode::INTERNAL_SERVER_ERROR),
             Some("ask" | "lot") => events(content_id, self.version.clone(), resume_after, active),
             _ => {
-                tokio::time::sleep(EVENT_INTERVAL).await;
+                tokio::time::sleep(WORK_TIME).await;
                 let output = content::whole_output(&id, &self.version);
                 Response::new(Full::new(Bytes::from(output)).boxed_unsync())
             }
@@ -484,12 +486,12 @@
 }
 
 fn events(id: String, version: String, resume_after: u64, active: ActiveGuard) -> StandinReply {
-    let count = content::event_count(&id);
+    let (count, interval) = (content::event_count(&id), content::event_interval(&id));
     let events = stream::iter(resume_after + 1..=count).then(move |number| {
         let data = content::event_data(&id, number, &version);
         let _held_until_sent = &active;
         async move {
-            tokio::time::sleep(EVENT_INTERVAL).await;
+            tokio::time::sleep(interval).await;
             let event = format!("id: {number}\ndata: {data}\n\n");
             Ok(Frame::data(Bytes::from(event)))
         }
--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -37,6 +37,7 @@
 fn execution(id: &str) -> ExecutionRecord {
     ExecutionRecord {
         id: id.to_owned(),
+        resumes: None,
         worker: "w".to_owned(),
         service: "desk".to_owned(),
         version: "v1".to_owned(),
@@ -53,6 +54,7 @@
         name: "fault".to_owned(),
         planned,
         at_store: false,
+        excuses_overlap: !planned,
         from: at(19.0),
         to: at(19.5),
     }
@@ -205,6 +207,155 @@
     assert_eq!(rules(&records, &[ended]), ["UNASKED"; 2]);
 }
 
+/// A run of `id` at `worker` from `began` to `ended`.
+fn run_at(id: &str, worker: &str, began: f64, ended: Option<f64>) -> ExecutionRecord {
+    ExecutionRecord {
+        worker: worker.to_owned(),
+        began_at: at(began),
+        ended_at: ended.map(at),
+        ..execution(id)
+    }
+}
+
+/// A correct run in which item `item-c` of a complete job ran once more, from 21 s on, while its first
+/// run lasted until `ended`.
+fn overlapping_items(ended: Option<f64>) -> (Records, Vec<JobRecord>) {
+    let (mut records, mut jobs) = correct_run();
+    jobs[0].items.push("item-c".to_owned());
+    let result = ItemResult {
+        id: "item-c".to_owned(),
+        state: "done".to_owned(),
+        output: content::whole_output("item-c", "v1"),
+    };
+    assert_eq!(jobs[0].note_result(2, result), []);
+    let runs = [
+        run_at("item-c", "w", 20.0, ended),
+        run_at("item-c", "w2", 21.0, Some(22.0)),
+    ];
+    records.executions.extend(runs);
+    (records, jobs)
+}
+
+#[test]
+fn test_check_items_beside_one_another() {
+    let cases = [
+        (Some(20.9), vec![]),
+        (Some(21.3), vec![]),
+        (Some(21.5), vec!["TWICE"]),
+        (None, vec!["TWICE"]),
+    ];
+    for (ended, expected) in cases {
+        let (records, jobs) = overlapping_items(ended);
+        assert_eq!(rules(&records, &jobs), expected, "{ended:?}");
+    }
+    let (mut records, jobs) = overlapping_items(Some(22.0));
+    for run in &mut records.executions {
+        run.worker = "w".to_owned();
+    }
+    assert_eq!(rules(&records, &jobs), ["TWICE"], "at one worker");
+}
+
+#[test]
+fn test_check_items_beside_one_another_during_faults() {
+    // From, excuses, expected.
+    let cases = [
+        (19.0, true, vec![]),
+        (21.2, true, vec![]),
+        (21.2, false, vec!["TWICE"]),
+        (16.0, true, vec!["TWICE"]),
+        (21.5, true, vec!["TWICE"]),
+    ];
+    for (from, excuses_overlap, expected) in cases {
+        let (mut records, jobs) = overlapping_items(Some(22.0));
+        records.faults.push(FaultRecord {
+            excuses_overlap,
+            from: at(from),
+            to: at(from + 0.5),
+            ..fault(false)
+        });
+        let broken = rules(&records, &jobs);
+        assert_eq!(broken, expected, "{from} {excuses_overlap}");
+    }
+}
+
+/// A correct run with stream `call-2`, which its client takes up under other identifiers at 20.3 s and
+/// 20.4 s.
+fn taken_up_streams(ended: [f64; 3]) -> (Records, Vec<JobRecord>) {
+    let (mut records, jobs) = correct_run();
+    let ids = ["call-2", "call-2-again", "call-2-once-more"];
+    for (number, (id, ended)) in ids.into_iter().zip(ended).enumerate() {
+        let began = [20.0, 20.3, 20.4][number];
+        records
+            .calls
+            .push(call(id, CallKind::Stream, CallOutcome::Served));
+        let mut run = run_at(id, &format!("w{number}"), began, Some(ended));
+        run.resumes = number.checked_sub(1).map(|before| ids[before].to_owned());
+        records.executions.push(run);
+    }
+    (records, jobs)
+}
+
+#[test]
+fn test_check_streams_beside_their_take_ups() {
+    let cases = [
+        ([20.3, 20.4, 21.0], 0),
+        ([20.6, 20.7, 21.0], 0),
+        ([20.75, 20.7, 21.0], 1),
+        ([20.3, 20.9, 21.0], 1),
+        ([20.9, 20.9, 21.0], 3),
+    ];
+    for (ended, expected) in cases {
+        let (records, jobs) = taken_up_streams(ended);
+        assert_eq!(rules(&records, &jobs), vec!["TWICE"; expected], "{ended:?}");
+    }
+    // What may be repeated is no stream.
+    let (mut records, jobs) = taken_up_streams([20.9, 20.9, 21.0]);
+    for call in &mut records.calls[1..] {
+        call.kind = CallKind::Repeatable;
+    }
+    assert_eq!(rules(&records, &jobs), Vec::<String>::new());
+}
+
+#[test]
+fn test_check_items_that_run_again() {
+    for (began, expected) in [(20.9, vec![]), (21.1, vec!["TWICE"])] {
+        let (mut records, mut jobs) = correct_run();
+        jobs[0].completed_at = Some(at(21.0));
+        let again = run_at("item-a", "w2", began, Some(began + 0.3));
+        records.executions.push(again);
+        assert_eq!(rules(&records, &jobs), expected, "{began}");
+
+        let mut frozen = fault(false);
+        frozen.to = at(20.8);
+        records.faults.push(frozen);
+        assert_eq!(rules(&records, &jobs), Vec::<String>::new());
+    }
+}
+
+#[test]
+fn test_check_positions_of_results() {
+    let result = |id: &str, output: &str| ItemResult {
+        id: id.to_owned(),
+        state: "dead_letter".to_owned(),
+        output: output.to_owned(),
+    };
+    let cases = [
+        (0, "item-a", "", vec![]),
+        (1, "item-b", "", vec![]),
+        (1, "item-a", "", vec!["TWICE"]),
+        (0, "item-a", "other", vec!["TWICE"]),
+        (0, "item-b", "", vec!["TWICE"]),
+        (1, "item-x", "", vec!["MIXED"]),
+    ];
+    for (position, id, output, expected) in cases {
+        let mut job = job(0);
+        assert_eq!(job.note_result(0, result("item-a", "")), []);
+        let broken = job.note_result(position, result(id, output));
+        let broken: Vec<&str> = broken.iter().map(|(rule, _)| *rule).collect();
+        assert_eq!(broken, expected, "{id} at {position}");
+    }
+}
+
 #[test]
 fn test_check_recovery() {
     let (mut records, jobs) = correct_run();
@@ -268,6 +419,7 @@
             name: "config_watch_silent".to_owned(),
             planned: false,
             at_store: false,
+            excuses_overlap: true,
             from: at(silent_at),
             to: at(silent_at),
         });
