soak: plays of second processes, wrong clocks and silent callers

Each is now a play with real processes of a given build: a second process of a host's name (five ways of starting it), a host with a wrong clock under jobs that are sent once more, callers that are gone without closing their connections (at another host, at the same one, with the first host cut off), and an owner that stands still. A play reports runs, pairs beside one another for over 400 ms, the longest of these, items that ran again, and changes of owners.

The soak's binary shifts its time of day as a front by SOAK_CLOCK_SHIFT_MS.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -53,6 +55,9 @@
     pub fronts: usize,
     /// Number and size of the workers.
     pub workers: WorkerConfig,
+    /// Milliseconds by which the time of day of each front is shifted, by number of the front; those
+    /// that have none are right.
+    pub clock_shifts_ms: Vec<i64>,
     /// Binary that is run with the arguments `platform front`.
     pub binary: PathBuf,
     /// Folder for settings files and logs.
@@ -62,6 +67,9 @@
     pub network: [u8; 2],
 }
 
+/// Environment variable that holds the milliseconds by which the time of day of a front is shifted.
+pub const CLOCK_VARIABLE: &str = "SOAK_CLOCK_SHIFT_MS";
+
 impl FleetConfig {
     fn ip(&self, number: usize) -> IpAddr {
         let [second, third] = self.network;
@@ -71,7 +79,9 @@
 
 /// One front process under test. Dropping it kills the process.
 pub struct SoakProcess {
-    number: usize,
+    /// Name of its files.
+    name: String,
+    clock_shift_ms: i64,
     config: FleetConfig,
     child: Option<Child>,
     started: Instant,
@@ -79,14 +89,25 @@
 
 impl SoakProcess {
     fn settings(&self) -> PathBuf {
-        self.config.out.join(format!("front-{}.toml", self.number))
+        self.config.out.join(format!("{}.toml", self.name))
     }
 
     fn log(&self) -> PathBuf {
-        self.config.out.join(format!("front-{}.log", self.number))
+        self.config.out.join(format!("{}.log", self.name))
+    }
+
+    fn new(name: String, clock_shift_ms: i64, config: FleetConfig) -> Self {
+        Self {
+            name,
+            clock_shift_ms,
+            config,
+            child: None,
+            started: Instant::now(),
+        }
     }
 
-    fn spawn(&mut self) -> std::io::Result<()> {
+    /// Starts the process, which must not run.
+    pub fn spawn(&mut self) -> std::io::Result<()> {
         let log = OpenOptions::new()
             .create(true)
             .append(true)
@@ -94,6 +115,7 @@
         let child = Command::new(&self.config.binary)
             .args(["platform", "front"])
             .env("PARSLEYWALL_NODE_FILE", self.settings())
+            .env(CLOCK_VARIABLE, self.clock_shift_ms.to_string())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -114,9 +136,7 @@
 
     /// Kills the process (SIGKILL) and restarts it after a short delay.
     pub async fn kill_and_restart(&mut self) -> std::io::Result<()> {
-        if let Some(mut child) = self.child.take() {
-            child.kill().await?;
-        }
+        self.kill().await?;
         tokio::time::sleep(RESTART_DELAY).await;
         self.spawn()
     }
@@ -124,6 +144,28 @@
     /// Stops the process (SIGTERM, and SIGKILL after [`STOP_GRACE`]) and restarts it after a short
     /// delay.
     pub async fn stop_and_restart(&mut self) -> std::io::Result<()> {
+        self.stop().await?;
+        tokio::time::sleep(RESTART_DELAY).await;
+        self.spawn()
+    }
+
+    /// Restarts the process as [`SoakProcess::stop_and_restart`] does, with a time of day that is
+    /// shifted by `shift_ms` from then on.
+    pub async fn restart_with_clock(&mut self, shift_ms: i64) -> std::io::Result<()> {
+        self.clock_shift_ms = shift_ms;
+        self.stop_and_restart().await
+    }
+
+    /// Kills the process (SIGKILL), if it runs.
+    pub async fn kill(&mut self) -> std::io::Result<()> {
+        match self.child.take() {
+            Some(mut child) => child.kill().await,
+            None => Ok(()),
+        }
+    }
+
+    /// Stops the process (SIGTERM, and SIGKILL after [`STOP_GRACE`]), if it runs.
+    pub async fn stop(&mut self) -> std::io::Result<()> {
         self.signal(Signal::TERM);
         if let Some(mut child) = self.child.take() {
             let ended = tokio::time::timeout(STOP_GRACE, child.wait()).await;
@@ -131,14 +173,23 @@
                 child.kill().await?;
             }
         }
-        tokio::time::sleep(RESTART_DELAY).await;
-        self.spawn()
+        Ok(())
     }
 
     /// Suspends the process for `time` (SIGSTOP, SIGCONT).
     pub async fn pause(&mut self, time: Duration) {
-        self.signal(Signal::STOP);
+        self.suspend();
         tokio::time::sleep(time).await;
+        self.resume();
+    }
+
+    /// Suspends the process (SIGSTOP).
+    pub fn suspend(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Resumes the process (SIGCONT).
+    pub fn resume(&self) {
         self.signal(Signal::CONT);
     }
 
@@ -173,6 +224,9 @@
     pub caller_links: Vec<LinkProxy>,
     /// Proxies between the other fronts and each front, by number of the front.
     pub peer_links: Vec<PeerLink>,
+    /// Further processes that have the name of each front, by number of the front; one that ended counts
+    /// a little longer.
+    pub doubled: Vec<AtomicUsize>,
     /// The workers.
     pub workers: Arc<WorkerPool>,
     config: FleetConfig,
@@ -206,6 +260,7 @@
             fronts: Vec::new(),
             store_links: Vec::new(),
             caller_links: Vec::new(),
+            doubled: (0..config.fronts).map(|_| AtomicUsize::new(0)).collect(),
             peer_links: peer_links.into_iter().map(|(_, link)| link).collect(),
             config,
             _store: store,
@@ -216,14 +271,12 @@
             let link = LinkProxy::start(platform_ip, fleet._store.address()).await?;
             let callers = SocketAddr::new(ip, CALLER_PORT);
             let caller_link = LinkProxy::start(platform_ip, callers).await?;
-            let mut process = SoakProcess {
-                number,
-                config: fleet.config.clone(),
-                child: None,
-                started: Instant::now(),
-            };
+            let shift_ms = fleet.config.clock_shifts_ms.get(number);
+            let shift_ms = shift_ms.copied().unwrap_or(0);
+            let name = format!("front-{number}");
+            let mut process = SoakProcess::new(name, shift_ms, fleet.config.clone());
             let _ = std::fs::remove_file(process.log());
-            std::fs::write(process.settings(), settings(number, ip, link.address()))?;
+            std::fs::write(process.settings(), fleet.settings(number, ip, &link))?;
             process.spawn()?;
             fleet.store_links.push(link);
             fleet.caller_links.push(caller_link);
@@ -232,6 +285,47 @@
         Ok(fleet)
     }
 
+    /// Returns a process, not started yet, with the name of front `number` in the fleet. The process
+    /// serves the addresses of that front, or if `address` is given those of another machine that
+    /// processes of the same `address` and of no other share.
+    pub fn namesake(&self, number: usize, address: Option<usize>) -> std::io::Result<SoakProcess> {
+        let suffix = address.map_or("same-address".to_owned(), |address| address.to_string());
+        let name = format!("front-{number}-namesake-{suffix}");
+        let process = SoakProcess::new(name, 0, self.config.clone());
+        let ip = address.map_or(number, |address| self.config.fronts + 1 + address);
+        let settings = self.settings(number, self.config.ip(ip), &self.store_links[number]);
+        std::fs::write(process.settings(), settings)?;
+        Ok(process)
+    }
+
+    /// Whether another process has the name of front `number`, so that either of them may end itself.
+    pub fn is_doubled(&self, number: usize) -> bool {
+        self.doubled[number].load(Ordering::Relaxed) > 0
+    }
+
+    /// Cuts front `number` off from the other fronts for good: their connections to it and the datagrams in
+    /// both directions are lost. The connections that it opens itself are not.
+    pub fn cut_off(&self, number: usize) {
+        for (other, link) in self.peer_links.iter().enumerate() {
+            match other == number {
+                true => link.set_cut(true),
+                false => link.lose_from(self.config.ip(number)),
+            }
+        }
+    }
+
+    fn settings(&self, number: usize, ip: IpAddr, store: &LinkProxy) -> String {
+        format!(
+            "node = \"front-{number}\"\nmachineClass = \"front\"\nip = \"{ip}\"\nzone = \"west\"\n\
+             portRange = [{PEER_PORT},7735]\n\
+             [listen]\nfront = \"{ip}:{CALLER_PORT}\"\nreadyAddr = \"{ip}:{READY_PORT}\"\n\
+             directory = \"{ip}:{DIRECTORY_PORT}\"\n\
+             [bounds]\ngraceS = {}\n[provider]\naddress = \"{}\"\n",
+            STOP_GRACE.as_secs(),
+            store.address(),
+        )
+    }
+
     /// Writes `manifest`; returns whether the store acknowledged it.
     pub async fn put_manifest(&self, manifest: &Manifest) -> bool {
         let text = manifest.to_json().to_string();
@@ -258,17 +352,6 @@
     }
 }
 
-fn settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
-    format!(
-        "node = \"front-{number}\"\nmachineClass = \"front\"\nip = \"{ip}\"\nzone = \"west\"\n\
-         portRange = [{PEER_PORT},7735]\n\
-         [listen]\nfront = \"{ip}:{CALLER_PORT}\"\nreadyAddr = \"{ip}:{READY_PORT}\"\n\
-         directory = \"{ip}:{DIRECTORY_PORT}\"\n\
-         [bounds]\ngraceS = {}\n[provider]\naddress = \"{store}\"\n",
-        STOP_GRACE.as_secs()
-    )
-}
-
 /// Path prefix of the route that manifests move between services.
 pub const MOVED_PREFIX: &str = "/often/";
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use soak::fleet::CLOCK_VARIABLE;
 use soak::fleet::FleetConfig;
 use soak::play::PlayConfig;
 use soak::play::PlayKind;
@@ -73,6 +74,7 @@
 fn main() -> ExitCode {
     // The processes under test run this binary too, so that they are of the same build.
     if std::env::args().nth(1).as_deref() == Some("platform") {
+        shift_clock();
         return parsleywall_cli::run_from_env();
     }
     let args: SoakArgs = argh::from_env();
@@ -101,6 +103,14 @@
     }
 }
 
+/// Shifts the time of day of this process as the environment says.
+fn shift_clock() {
+    let shift = std::env::var(CLOCK_VARIABLE).unwrap_or_default();
+    if let Ok(shift_ms) = shift.parse() {
+        parsleywall::clock::shift_time_of_day(shift_ms);
+    }
+}
+
 /// Runs a play several times; returns how many of the runs broke a rule.
 async fn run_plays(args: &SoakArgs, play: &PlayArgs) -> std::io::Result<u64> {
     let mut broken = 0;
@@ -112,6 +122,7 @@
             fleet: FleetConfig {
                 fronts: play.fronts,
                 workers: WorkerConfig::default(),
+                clock_shifts_ms: Vec::new(),
                 binary: match &play.program {
                     Some(program) => program.clone(),
                     None => std::env::current_exe()?,
@@ -148,6 +159,7 @@
                     desk: args.workers,
                     ..WorkerConfig::default()
                 },
+                clock_shifts_ms: Vec::new(),
                 binary: std::env::current_exe()?,
                 out: args.out.join(format!("seed-{seed}")),
                 network: [100 + (std::process::id() % 100) as u8, (seed % 250) as u8],
--- /dev/null
+++ b/soak/src/owner_watch.rs
@@ -0,0 +1,70 @@
+//! Counts how often batch jobs change owners, by the owners' keys in the store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parsleywall::edges::kv::KvChange;
+use parsleywall::edges::kv::KvStore;
+use parsleywall::edges::kv::KvVersion;
+use parsleywall_standins::kv::KvMemory;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+/// Prefix of the keys of open jobs.
+const OPEN_PREFIX: &str = "open/";
+const OWNER_SUFFIX: &str = "/owner";
+const WATCH_TIME: Duration = Duration::from_secs(1);
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Counts changes of owners until dropped.
+pub struct OwnerWatch {
+    changes: Arc<AtomicUsize>,
+    _stop: DropGuard,
+}
+
+impl OwnerWatch {
+    /// Watches the owners' keys in `kv` from now on.
+    pub fn start(kv: Arc<KvMemory>) -> Self {
+        let (changes, stop) = (Arc::new(AtomicUsize::new(0)), CancellationToken::new());
+        let (counted, stopped) = (changes.clone(), stop.clone());
+        tokio::spawn(async move { stopped.run_until_cancelled(count(&kv, &counted)).await });
+        Self {
+            changes,
+            _stop: stop.drop_guard(),
+        }
+    }
+
+    /// How often the key of a job's owner got another value than the last one that it had; the first owner
+    /// of a job is no change.
+    pub fn changes(&self) -> usize {
+        self.changes.load(Ordering::Relaxed)
+    }
+}
+
+async fn count(kv: &KvMemory, counted: &AtomicUsize) {
+    let mut owners: BTreeMap<String, Bytes> = BTreeMap::new();
+    let mut after = KvVersion(0);
+    loop {
+        let Ok(changes) = kv.watch(OPEN_PREFIX, after, WATCH_TIME).await else {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+            continue;
+        };
+        after = changes.revision;
+        for change in changes.changes {
+            let KvChange::Put(entry) = change else {
+                continue;
+            };
+            if !entry.key.ends_with(OWNER_SUFFIX) {
+                continue;
+            }
+            let before = owners.insert(entry.key, entry.value.clone());
+            if before.is_some_and(|before| before != entry.value) {
+                counted.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
--- a/soak/src/peer_link.rs
+++ b/soak/src/peer_link.rs
@@ -7,6 +7,9 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use parsleywall_standins::platform_store::ValueView;
@@ -23,10 +26,26 @@
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 const BIND_ATTEMPTS: usize = 20;
 
+/// Datagrams that a proxy loses.
+#[derive(Default)]
+struct DatagramLosses {
+    loses_all: AtomicBool,
+    /// Sender whose datagrams are lost.
+    sender: Mutex<Option<IpAddr>>,
+}
+
+impl DatagramLosses {
+    fn loses(&self, sender: IpAddr) -> bool {
+        let lost = *self.sender.lock().expect("losses lock");
+        self.loses_all.load(Ordering::Relaxed) || lost == Some(sender)
+    }
+}
+
 /// Proxy in front of the address at which a front serves the other fronts. Faults affect its
-/// connections; datagrams always pass.
+/// connections; datagrams pass unless it is cut.
 pub struct PeerLink {
     connections: LinkProxy,
+    losses: Arc<DatagramLosses>,
     _stop: DropGuard,
 }
 
@@ -45,7 +64,9 @@
             }
         };
         let stop = CancellationToken::new();
+        let losses = Arc::new(DatagramLosses::default());
         let relay = DatagramRelay {
+            losses: losses.clone(),
             socket: Arc::new(datagrams),
             front,
             stop: stop.clone(),
@@ -54,6 +75,7 @@
         tokio::spawn(async move { stopped.run_until_cancelled(relay.run()).await });
         Ok(Self {
             connections,
+            losses,
             _stop: stop.drop_guard(),
         })
     }
@@ -67,10 +89,26 @@
     pub fn set(&self, fault: LinkFault) {
         self.connections.set(fault);
     }
+
+    /// Withholds bytes on all connections and loses all datagrams to the front, and the replies to them,
+    /// from now on or no more.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.losses.loses_all.store(is_cut, Ordering::Relaxed);
+        self.connections.set(match is_cut {
+            true => LinkFault::StallBoth,
+            false => LinkFault::None,
+        });
+    }
+
+    /// Loses the datagrams of `sender` to the front, and the replies to it, from now on.
+    pub fn lose_from(&self, sender: IpAddr) {
+        *self.losses.sender.lock().expect("losses lock") = Some(sender);
+    }
 }
 
 /// Forwards datagrams to a front, and its replies to their senders.
 struct DatagramRelay {
+    losses: Arc<DatagramLosses>,
     socket: Arc<UdpSocket>,
     front: SocketAddr,
     stop: CancellationToken,
@@ -91,6 +129,9 @@
                     Err(_) => continue,
                 },
             };
+            if self.losses.loses(sender.ip()) {
+                continue;
+            }
             // A front that is away loses datagrams.
             let _ = relay.send(&buffer[..length]).await;
         }
@@ -101,10 +142,13 @@
         let relay = Arc::new(UdpSocket::bind((self.front.ip(), 0)).await?);
         relay.connect(self.front).await?;
         let (replies, socket, stop) = (relay.clone(), self.socket.clone(), self.stop.clone());
+        let losses = self.losses.clone();
         tokio::spawn(async move {
             let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
             while let Some(received) = stop.run_until_cancelled(replies.recv(&mut buffer)).await {
-                if let Ok(length) = received {
+                if let Ok(length) = received
+                    && !losses.loses(sender.ip())
+                {
                     let _ = socket.send_to(&buffer[..length], sender).await;
                 }
             }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -26,6 +26,7 @@
 use crate::play_clients;
 use crate::play_clients::BrokenStream;
 use crate::play_clients::StreamEnd;
+use crate::play_overlaps::OverlapReport;
 use crate::proxy::Direction;
 use crate::proxy::LinkFault;
 use crate::workers::ANNEX;
@@ -50,9 +51,9 @@
 const OBSERVED_MS: std::ops::RangeInclusive<u64> = 7_000..=32_000;
 /// Time without a late request after which a play ends.
 const CALM_TIME: Duration = Duration::from_secs(4);
-const STREAMS: usize = 12;
+pub(crate) const STREAMS: usize = 12;
 /// Time for which streams run before they break or their workers restart.
-const STREAM_TIME: Duration = Duration::from_millis(300);
+pub(crate) const STREAM_TIME: Duration = Duration::from_millis(300);
 const CANCEL_TIME: Duration = Duration::from_millis(200);
 const TAKE_UP_DELAY: Duration = Duration::from_millis(200);
 const RESTART_GAP_MS: std::ops::RangeInclusive<u64> = 200..=300;
@@ -105,6 +106,34 @@
     BegunMeanwhile,
     /// All fronts are killed while items run; both workers restart with another version meanwhile.
     RestartsWithItems,
+    /// A second process of the name of a front that owns running items starts at another address, and both
+    /// live for 15 s.
+    SecondProcess,
+    /// As `SecondProcess`, with short items beside online load.
+    SecondProcessOnline,
+    /// As `SecondProcess`, at the addresses of the first process.
+    SecondProcessPorts,
+    /// As `SecondProcess`; the first process stands still from 2 s before to 7 s after the second one's
+    /// start.
+    SecondProcessFrozen,
+    /// Two or three processes of one name start at the same moment; then jobs are submitted.
+    SecondProcessSameMoment,
+    /// The clock of the front that closes jobs is behind; they are sent once more after a sweep.
+    WrongClockBehind,
+    /// As `WrongClockBehind`; the clock of another front is ahead.
+    WrongClockAhead,
+    /// As `WrongClockBehind`; all clocks agree.
+    ClocksAgree,
+    /// Callers go without closing their connections, and take their streams up at another front.
+    SilentCaller,
+    /// As `SilentCaller`; the connections close.
+    ClosedCaller,
+    /// As `SilentCaller`, taken up at the same front.
+    SilentCallerOwnFront,
+    /// As `SilentCaller`; the first front is cut off from the other fronts at the same moment.
+    SilentCallerCut,
+    /// The owner of running items stands still for 9 s.
+    FrozenOwner,
 }
 
 /// Configuration of a play.
@@ -140,12 +169,17 @@
     pub streams: Vec<StreamEnd>,
     /// Watches that were stalled, if the play stalls some.
     pub stalled: usize,
+    /// Runs of the streams and items.
+    pub overlap: OverlapReport,
 }
 
 impl PlayReport {
     /// Whether a rule was broken.
     pub fn is_broken(&self) -> bool {
-        self.config[1] > 0 || self.drain[1] > 0 || self.count(StreamEnd::Joined) > 0
+        self.config[1] > 0
+            || self.drain[1] > 0
+            || self.count(StreamEnd::Joined) > 0
+            || self.overlap.is_broken()
     }
 
     fn count(&self, end: StreamEnd) -> usize {
@@ -154,7 +188,7 @@
 
     /// The report of a run of `config` as one JSON object.
     pub fn to_json(&self, config: &PlayConfig) -> Value {
-        json!({
+        let mut report = json!({
             "play": config.kind.to_string(), "fronts": config.fleet.fronts, "harmed": config.harmed,
             "run": config.run, "broken": self.is_broken(), "stalled": self.stalled,
             "requests": self.requests[0], "unserved": self.requests[1],
@@ -164,7 +198,12 @@
             "streams": self.streams.len(), "joined": self.count(StreamEnd::Joined),
             "whole": self.count(StreamEnd::Whole), "refused": self.count(StreamEnd::Refused),
             "cut": self.count(StreamEnd::CutOff), "other": self.count(StreamEnd::Mismatched),
-        })
+        });
+        let mut overlap = self.overlap.to_json();
+        if let (Some(report), Some(overlap)) = (report.as_object_mut(), overlap.as_object_mut()) {
+            report.append(overlap);
+        }
+        report
     }
 }
 
@@ -177,6 +216,7 @@
             annex: 2,
             slots: 2 * STREAMS as u64,
         },
+        clock_shifts_ms: config.kind.clock_shifts_ms(),
         ..config.fleet.clone()
     };
     let play = Play {
@@ -189,10 +229,11 @@
     play.run().await
 }
 
-struct Play {
-    config: PlayConfig,
-    fleet: Arc<SoakFleet>,
-    history: SoakHistory,
+/// A play under way.
+pub(crate) struct Play {
+    pub(crate) config: PlayConfig,
+    pub(crate) fleet: Arc<SoakFleet>,
+    pub(crate) history: SoakHistory,
     rng: StdRng,
     stalled: usize,
 }
@@ -200,7 +241,15 @@
 impl Play {
     async fn run(mut self) -> std::io::Result<PlayReport> {
         play_clients::wait_ready(&self.fleet, READY_TIMEOUT).await?;
-        let report = self.play().await?;
+        let mut report = self.play().await?;
+        let (records, now) = (self.history.records(), self.history.now());
+        report.overlap.count_runs(&records, now);
+        if !self.config.kind.judges_overlaps() {
+            report.overlap.unexcused = 0;
+        }
+        if self.config.kind.doubles_a_name() {
+            return Ok(report);
+        }
         for front in &self.fleet.fronts {
             if let Some(status) = front.lock().await.exit_status() {
                 return Err(std::io::Error::other(format!("a front ended: {status}")));
@@ -218,6 +267,7 @@
             PlayKind::OpenStreams => self.play_open_streams().await,
             PlayKind::BegunMeanwhile => self.play_begun_meanwhile().await,
             PlayKind::RestartsWithItems => self.play_items().await,
+            kind if kind.judges_overlaps() => self.play_overlaps().await,
             _ => self.play_changes().await,
         }
     }
@@ -386,8 +436,9 @@
 
     async fn take_up(&self, streams: Vec<BrokenStream>) -> PlayReport {
         let front = 1 % self.fleet.fronts.len();
+        let take_ups = play_clients::take_up_streams(&self.fleet, front, &streams).await;
         PlayReport {
-            streams: play_clients::take_up_streams(&self.fleet, front, streams).await,
+            streams: take_ups.iter().map(|take_up| take_up.end).collect(),
             ..PlayReport::default()
         }
     }
@@ -463,10 +514,8 @@
 
     fn report(&self, stable_from: Duration) -> PlayReport {
         let records = self.history.records();
-        let unserved = records.calls.iter();
-        let unserved = unserved.filter(|call| call.outcome != crate::history::CallOutcome::Served);
         let mut report = PlayReport {
-            requests: [records.calls.len(), unserved.count()],
+            requests: count_requests(&records),
             stalled: self.stalled,
             ..PlayReport::default()
         };
@@ -502,6 +551,13 @@
     }
 }
 
+/// Number of requests, and of those among them that were not served.
+pub(crate) fn count_requests(records: &Records) -> [usize; 2] {
+    let unserved = records.calls.iter();
+    let unserved = unserved.filter(|call| call.outcome != crate::history::CallOutcome::Served);
+    [records.calls.len(), unserved.count()]
+}
+
 fn count_drain(records: &Records, stable_from: Duration, report: &mut PlayReport) {
     let Some(leave) = records.leaves.last() else {
         return;
--- a/soak/src/play_clients.rs
+++ b/soak/src/play_clients.rs
@@ -11,6 +11,8 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::Instant;
@@ -66,6 +68,8 @@
 /// A stream that its client has broken off, to go on with it elsewhere.
 pub struct BrokenStream {
     id: String,
+    /// Connection of a client that is gone without having closed it.
+    _held: Option<OpenAnswer>,
     /// Complete events that the client has, as they were sent.
     read: Vec<u8>,
     last_event: u64,
@@ -141,6 +145,16 @@
     status: u16,
     read: Vec<u8>,
     whole: bool,
+    /// When the first bytes of the body came.
+    first_at: Option<Instant>,
+    /// The connection, and the body once it has begun.
+    open: Option<OpenAnswer>,
+}
+
+/// Connection on which an answer comes. Dropping it closes the connection.
+struct OpenAnswer {
+    sender: SendRequest<Full<Bytes>>,
+    body: Option<Incoming>,
 }
 
 impl ReadAnswer {
@@ -185,9 +199,10 @@
 
     /// Reads into `answer`, so that a caller that stops waiting keeps what came.
     async fn read(&self, fleet: &SoakFleet, answer: &mut ReadAnswer) {
-        let Some(mut sender) = callers::connect(fleet, self.front).await else {
+        let Some(sender) = callers::connect(fleet, self.front).await else {
             return;
         };
+        let open = answer.open.insert(OpenAnswer { sender, body: None });
         let body = content::body(self.id);
         let path = format!("{}{}", self.prefix, self.id);
         let mut request = callers::request(Method::POST, &path, body.clone())
@@ -207,14 +222,17 @@
             request = request.header("resumes", self.id);
         }
         let request = request.body(Bytes::from(body).into()).expect("valid parts");
-        let Ok(response) = sender.send_request(request).await else {
+        let Ok(response) = open.sender.send_request(request).await else {
             return;
         };
         answer.status = response.status().as_u16();
-        let mut body = response.into_body();
+        let body = open.body.insert(response.into_body());
         loop {
             match body.frame().await {
-                Some(Ok(frame)) => answer.read.extend(frame.into_data().unwrap_or_default()),
+                Some(Ok(frame)) => {
+                    answer.first_at.get_or_insert_with(Instant::now);
+                    answer.read.extend(frame.into_data().unwrap_or_default());
+                }
                 Some(Err(_)) => return,
                 None => break,
             }
@@ -226,6 +244,21 @@
 impl BrokenStream {
     /// Begins stream `id` at `front` and breaks it off after `time`.
     pub(crate) async fn begin(fleet: &SoakFleet, front: usize, id: &str, time: Duration) -> Self {
+        let stream = Self::begin_and_hold(fleet, front, id, time).await;
+        Self {
+            _held: None,
+            ..stream
+        }
+    }
+
+    /// Begins stream `id` at `front` and stops to read it after `time`; its connection stays open until
+    /// the stream is dropped.
+    pub(crate) async fn begin_and_hold(
+        fleet: &SoakFleet,
+        front: usize,
+        id: &str,
+        time: Duration,
+    ) -> Self {
         let mut answer = ReadAnswer::default();
         let request = LoadRequest::stream(front, id);
         let _ = tokio::time::timeout(time, request.read(fleet, &mut answer)).await;
@@ -237,6 +270,7 @@
             id: id.to_owned(),
             last_event: events.count() as u64,
             read: answer.read,
+            _held: answer.open,
         }
     }
 
@@ -248,6 +282,17 @@
         front: usize,
         attempt: &str,
     ) -> CallOutcome {
+        self.take_up_timed(fleet, front, attempt).await.0
+    }
+
+    /// As [`BrokenStream::take_up`]; returns the time to the first event, too.
+    async fn take_up_timed(
+        &self,
+        fleet: &SoakFleet,
+        front: usize,
+        attempt: &str,
+    ) -> (CallOutcome, Option<Duration>) {
+        let began = Instant::now();
         let request = LoadRequest {
             attempt,
             resume_after: Some(self.last_event).filter(|event| *event > 0),
@@ -255,10 +300,20 @@
         };
         let mut answer = request.read_in_time(fleet).await;
         answer.read.splice(..0, self.read.iter().copied());
-        answer.outcome(CallKind::Stream, &self.id)
+        let first = answer.first_at.filter(|_| answer.status == 200);
+        let first = first.map(|first| first - began);
+        (answer.outcome(CallKind::Stream, &self.id), first)
     }
 }
 
+/// How a stream went on that was taken up.
+pub struct TakeUp {
+    /// How both parts together ended.
+    pub end: StreamEnd,
+    /// Time from the first attempt to its first event, if one came.
+    pub first_event: Option<Duration>,
+}
+
 /// Begins `count` streams at `front` and breaks them off after `time`.
 pub async fn begin_streams(
     fleet: &SoakFleet,
@@ -277,19 +332,26 @@
 pub async fn take_up_streams(
     fleet: &SoakFleet,
     front: usize,
-    streams: Vec<BrokenStream>,
-) -> Vec<StreamEnd> {
-    let streams = streams.into_iter().map(|stream| async move {
-        let mut outcome = CallOutcome::CutOff;
+    streams: &[BrokenStream],
+) -> Vec<TakeUp> {
+    let streams = streams.iter().map(|stream| async move {
+        let began = Instant::now();
+        let (mut outcome, mut first_event) = (CallOutcome::CutOff, None);
         for number in 0..TAKE_UP_ATTEMPTS {
             let attempt = format!("{}-again-{number}", stream.id);
-            outcome = stream.take_up(fleet, front, &attempt).await;
+            let before = began.elapsed();
+            let taken_up = stream.take_up_timed(fleet, front, &attempt).await;
+            outcome = taken_up.0;
+            first_event = taken_up.1.map(|first| before + first);
             if !matches!(outcome, CallOutcome::Refused(_)) {
                 break;
             }
             tokio::time::sleep(TAKE_UP_INTERVAL).await;
         }
-        StreamEnd::new(&outcome)
+        TakeUp {
+            end: StreamEnd::new(&outcome),
+            first_event,
+        }
     });
     join_all(streams).await
 }
@@ -363,7 +425,7 @@
     }
 }
 
-fn item(id: &str) -> Value {
+pub(crate) fn item(id: &str) -> Value {
     json!({
         "id": id,
         "path": format!("/lot/{id}"),
@@ -373,7 +435,8 @@
     })
 }
 
-async fn call(
+/// Sends a request to `front` on a new connection; returns nothing if it fails or times out.
+pub(crate) async fn call(
     fleet: &SoakFleet,
     front: usize,
     method: Method,
