soak: random second processes, wrong clocks and silent callers

Seeds from 1000 on draw these three kinds, beside planned work only in two of three of them, as most other faults excuse such runs. The three excuse neither runs beside one another nor items that run again. Jobs are sent once more after their end in these seeds. A front that ends by itself while another process has its name is no fault.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -160,27 +160,14 @@
         let time = Duration::from_millis(self.rng.random_range(STREAM_TIME_MS));
         let sent = self.history.now();
         let stream = BrokenStream::begin(&self.fleet, *first, &id, time).await;
-        self.record_stream(&id, *first, sent, CallOutcome::Cancelled);
+        self.history
+            .record_stream(&id, *first, sent, CallOutcome::Cancelled);
         let pause = self.rng.random_range(TAKE_UP_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         let attempt = format!("{id}-again");
         let sent = self.history.now();
         let outcome = stream.take_up(&self.fleet, *second, &attempt).await;
-        self.record_stream(&attempt, *second, sent, outcome);
-    }
-
-    fn record_stream(&self, id: &str, front: usize, sent: Duration, outcome: CallOutcome) {
-        let record = CallRecord {
-            id: id.to_owned(),
-            kind: CallKind::Stream,
-            prefix: "/ask/".to_owned(),
-            front,
-            sent,
-            ended: self.history.now(),
-            outcome,
-            route_acknowledged_at: Duration::ZERO,
-        };
-        self.history.update(|records| records.calls.push(record));
+        self.history.record_stream(&attempt, *second, sent, outcome);
     }
 
     fn draw_route(&mut self) -> (CallKind, String, Duration) {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -182,6 +182,21 @@
         });
     }
 
+    /// Records the attempt `id` at a stream that was sent to `front` and ends now.
+    pub fn record_stream(&self, id: &str, front: usize, sent: Duration, outcome: CallOutcome) {
+        let record = CallRecord {
+            id: id.to_owned(),
+            kind: CallKind::Stream,
+            prefix: "/ask/".to_owned(),
+            front,
+            sent,
+            ended: self.now(),
+            outcome,
+            route_acknowledged_at: Duration::ZERO,
+        };
+        self.update(|records| records.calls.push(record));
+    }
+
     /// Returns a copy of all records.
     pub fn records(&self) -> Records {
         self.records.lock().expect("records lock").clone()
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::task::JoinSet;
 
+use crate::content;
 use crate::fleet::Manifest;
 use crate::fleet::SoakFleet;
+use crate::history::CallOutcome;
 use crate::history::FaultRecord;
 use crate::history::MoveRecord;
 use crate::history::SoakHistory;
@@ -17,6 +20,7 @@
 use crate::plan::PlannedFault;
 use crate::play::CONFIG_WATCH;
 use crate::play::ENTRY_WATCH;
+use crate::play_clients::BrokenStream;
 use crate::proxy::Direction;
 use crate::proxy::LinkFault;
 use crate::proxy::LinkProxy;
@@ -32,6 +36,16 @@
 const MANIFEST_WRITE_ATTEMPTS: usize = 40;
 const MANIFEST_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Further machines for processes that have the name of a front, used in turn.
+const MAX_NAMESAKES: usize = 20;
+/// Time after the end of a process in which the other process of its name may still end itself.
+const NAMESAKE_NOTICE_TIME: Duration = Duration::from_secs(3);
+/// Number of callers that fall silent at once.
+const SILENT_CALLERS: usize = 3;
+/// Seconds that the streams of these callers take, and the time for which they read them.
+const SILENT_STREAM_S: u64 = 3;
+const SILENT_STREAM_TIME: Duration = Duration::from_millis(300);
+
 /// A route that a fault added to the manifest.
 #[derive(Clone, Debug)]
 pub struct AddedRoute {
@@ -46,6 +60,8 @@
     fleet: Arc<SoakFleet>,
     history: SoakHistory,
     added: Mutex<Vec<AddedRoute>>,
+    namesakes: AtomicUsize,
+    silent_groups: AtomicUsize,
     /// Manifest that was last sent to the store, locked while it is changed.
     manifest: tokio::sync::Mutex<Manifest>,
 }
@@ -57,6 +73,8 @@
             fleet,
             history,
             added: Mutex::default(),
+            namesakes: AtomicUsize::new(0),
+            silent_groups: AtomicUsize::new(0),
             manifest: tokio::sync::Mutex::new(Manifest::new(1)),
         })
     }
@@ -100,7 +118,7 @@
                 name: fault.kind.to_string(),
                 planned: fault.kind.is_planned(),
                 at_store: fault.kind.is_at_store(),
-                excuses_overlap: !fault.kind.is_planned(),
+                excuses_overlap: !fault.kind.is_planned() && !fault.kind.doubles_runs(),
                 from,
                 to: Duration::MAX,
             });
@@ -242,10 +260,55 @@
             FaultKind::WorkerReplaced => fleet.workers.replace(target).await,
             FaultKind::ManifestChanged => self.add_route().await,
             FaultKind::RouteMoved => self.move_route().await,
+            FaultKind::NamesakeStarted => self.start_namesake(fault).await?,
+            FaultKind::ClockWrong => {
+                let mut front = fleet.fronts[target].lock().await;
+                front.restart_with_clock(fault.clock_shift_ms()).await?;
+            }
+            FaultKind::CallersGone => self.leave_silently(target).await,
         }
         Ok(())
     }
 
+    /// Starts a second process of the name of a front, and ends it after the length of the fault.
+    async fn start_namesake(&self, fault: PlannedFault) -> std::io::Result<()> {
+        let address = self.namesakes.fetch_add(1, Ordering::Relaxed) % MAX_NAMESAKES;
+        let mut namesake = self.fleet.namesake(fault.target, Some(address))?;
+        let doubled = &self.fleet.doubled[fault.target];
+        doubled.fetch_add(1, Ordering::Relaxed);
+        namesake.spawn()?;
+        tokio::time::sleep(fault.length).await;
+        let ended = match fault.ends_by_kill() {
+            true => namesake.kill().await,
+            false => namesake.stop().await,
+        };
+        tokio::time::sleep(NAMESAKE_NOTICE_TIME).await;
+        doubled.fetch_sub(1, Ordering::Relaxed);
+        ended
+    }
+
+    /// Begins streams at front `target`, whose callers leave without closing their connections and take
+    /// the streams up at the next front.
+    async fn leave_silently(&self, target: usize) {
+        let fleet = &self.fleet;
+        let second = (target + 1) % fleet.fronts.len();
+        let group = self.silent_groups.fetch_add(1, Ordering::Relaxed);
+        let streams = (0..SILENT_CALLERS).map(|number| async move {
+            let name = format!("gone-{group}-{number}");
+            let id = content::lasting(&name, SILENT_STREAM_S);
+            let sent = self.history.now();
+            let stream = BrokenStream::begin_and_hold(fleet, target, &id, SILENT_STREAM_TIME).await;
+            let both = [Direction::ToServer, Direction::ToClient];
+            fleet.caller_links[target].stall_requests(&id, &both);
+            self.history
+                .record_stream(&id, target, sent, CallOutcome::CutOff);
+            let (attempt, sent) = (format!("{id}-again"), self.history.now());
+            let outcome = stream.take_up(fleet, second, &attempt).await;
+            self.history.record_stream(&attempt, second, sent, outcome);
+        });
+        futures_util::future::join_all(streams).await;
+    }
+
     async fn kill_all(&self) -> std::io::Result<()> {
         let restarts = self
             .fleet
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -21,6 +21,7 @@
 use crate::content;
 use crate::fleet::SoakFleet;
 use crate::history::SoakHistory;
+use crate::plan::FIRST_DOUBLED_SEED;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const SUBMIT_ATTEMPTS: usize = 8;
@@ -31,6 +32,10 @@
 const CANCEL_ONE_IN: u32 = 8;
 /// One in this many reads repeats results that the client has, from an earlier position.
 const REREAD_ONE_IN: u32 = 5;
+/// Time from the end of a job until it is submitted once more; within the time for which results stay
+/// readable.
+const SEND_AGAIN_MS: std::ops::Range<u64> = 500..75_000;
+const READS_AGAIN: usize = 4;
 /// Time after an acknowledged cancellation from which no item of the job may begin to execute.
 pub const CANCEL_EFFECT_TIME: Duration = Duration::from_secs(3);
 
@@ -134,6 +139,8 @@
     history: SoakHistory,
     rng: StdRng,
     job: JobRecord,
+    /// Whether the job is submitted once more after its end.
+    sends_again: bool,
 }
 
 impl JobClient {
@@ -153,6 +160,7 @@
             history,
             rng,
             job,
+            sends_again: seed >= FIRST_DOUBLED_SEED,
         }
     }
 
@@ -178,17 +186,27 @@
             reads_left = usize::saturating_sub(reads_left, 1);
             self.read_next().await;
         }
+        if self.sends_again && self.job.is_complete() {
+            end.run_until_cancelled(self.send_again()).await;
+        }
         self.job
     }
 
+    /// Submits the complete job once more after a while, and reads its results again.
+    async fn send_again(&mut self) {
+        let pause = self.rng.random_range(SEND_AGAIN_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        self.post().await;
+        for _ in 0..READS_AGAIN {
+            tokio::time::sleep(READ_INTERVAL).await;
+            self.read_next().await;
+        }
+    }
+
     async fn submit(&mut self) {
-        let items: Vec<Value> = self.job.items.iter().map(|id| item(id)).collect();
-        let body = json!({ "items": items }).to_string();
-        let path = format!("/lot/{}", self.job.id);
         self.job.refused = true;
         for _ in 0..SUBMIT_ATTEMPTS {
-            let answer = self.call(Method::POST, &path, &body).await;
-            match answer.map(|answer| answer.0) {
+            match self.post().await {
                 Some(StatusCode::ACCEPTED) => {
                     self.job.accepted_at = Some(self.history.now());
                     self.job.refused = false;
@@ -206,6 +224,15 @@
         }
     }
 
+    /// Sends the job to a random front; returns the status of the answer, if one came.
+    async fn post(&mut self) -> Option<StatusCode> {
+        let items: Vec<Value> = self.job.items.iter().map(|id| item(id)).collect();
+        let body = json!({ "items": items }).to_string();
+        let path = format!("/lot/{}", self.job.id);
+        let answer = self.call(Method::POST, &path, &body).await;
+        answer.map(|answer| answer.0)
+    }
+
     async fn cancel_job(&mut self) {
         let path = format!("/lots/{}", self.job.id);
         self.job.cancel_sent = true;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -20,6 +20,24 @@
 /// as the guarantees about changes are checked only while no other fault is in effect.
 const HIDDEN_ONE_IN: u64 = 7;
 
+/// First seed of the plans with faults that may double runs. The plans of lower seeds have none, so that
+/// they stay as they were when these seeds found a fault.
+pub const FIRST_DOUBLED_SEED: u64 = 1000;
+/// One in this many of these seeds has all kinds, and the others have planned maintenance and faults that
+/// may double runs only, as most other faults excuse runs beside one another.
+const ALL_KINDS_ONE_IN: u64 = 3;
+/// Times of day of [`FaultKind::ClockWrong`] less the right one.
+const CLOCK_SHIFTS_MS: [i64; 8] = [
+    -172_800_000,
+    -400_000,
+    -90_000,
+    -4_000,
+    4_000,
+    90_000,
+    400_000,
+    172_800_000,
+];
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -97,6 +115,13 @@
     ManifestChanged,
     /// A route is moved to another service in the manifest.
     RouteMoved,
+    /// A second process with the name of a front starts at another address, and is stopped or killed.
+    NamesakeStarted,
+    /// A front is stopped gracefully and restarted with a wrong time of day, which it keeps.
+    ClockWrong,
+    /// Callers of a front fall silent without closing their connections, and take their streams up at
+    /// another front.
+    CallersGone,
 }
 
 impl FaultKind {
@@ -121,6 +146,15 @@
         )
     }
 
+    /// Whether the fault may make hosts run a request twice, which it excuses as little as planned
+    /// maintenance does.
+    pub fn doubles_runs(self) -> bool {
+        matches!(
+            self,
+            Self::NamesakeStarted | Self::ClockWrong | Self::CallersGone
+        )
+    }
+
     /// Whether the fault impairs the store itself, and not the ways to it.
     pub fn is_at_store(self) -> bool {
         matches!(
@@ -150,6 +184,9 @@
                 | Self::CallersReset
                 | Self::CallersCutBack
                 | Self::CallersOldSilent
+                | Self::NamesakeStarted
+                | Self::ClockWrong
+                | Self::CallersGone
         )
     }
 }
@@ -194,6 +231,18 @@
     pub scope: FaultScope,
 }
 
+impl PlannedFault {
+    /// Milliseconds by which a wrong clock is shifted.
+    pub fn clock_shift_ms(&self) -> i64 {
+        CLOCK_SHIFTS_MS[self.at.as_millis() as usize % CLOCK_SHIFTS_MS.len()]
+    }
+
+    /// Whether a process ends by SIGKILL, and not by SIGTERM.
+    pub fn ends_by_kill(&self) -> bool {
+        self.at.as_millis().is_multiple_of(2)
+    }
+}
+
 /// Schedule of the faults of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FaultPlan {
@@ -201,18 +250,29 @@
     pub faults: Vec<PlannedFault>,
 }
 
+/// Whether plans of `seed` have faults of `kind`.
+fn is_drawn(kind: FaultKind, seed: u64) -> bool {
+    if seed >= FIRST_DOUBLED_SEED {
+        let all_kinds = seed.is_multiple_of(ALL_KINDS_ONE_IN);
+        return all_kinds || kind.is_planned() || kind.doubles_runs();
+    }
+    let planned_only = seed.is_multiple_of(PLANNED_ONE_IN);
+    let hidden_only = seed.is_multiple_of(HIDDEN_ONE_IN);
+    match (planned_only, hidden_only) {
+        _ if kind.doubles_runs() => false,
+        (true, _) => kind.is_planned(),
+        (false, true) => kind.is_planned() || kind.hides_changes(),
+        (false, false) => true,
+    }
+}
+
 impl FaultPlan {
     /// Draws faults that begin within `time`, at random as `seed` determines.
     pub fn new(seed: u64, time: Duration, fronts: usize, workers: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let planned_only = seed.is_multiple_of(PLANNED_ONE_IN);
-        let hidden_only = seed.is_multiple_of(HIDDEN_ONE_IN);
-        let is_drawn = |kind: &FaultKind| match (planned_only, hidden_only) {
-            (true, _) => kind.is_planned(),
-            (false, true) => kind.is_planned() || kind.hides_changes(),
-            (false, false) => true,
-        };
-        let kinds: Vec<FaultKind> = FaultKind::iter().filter(is_drawn).collect();
+        let kinds: Vec<FaultKind> = FaultKind::iter()
+            .filter(|kind| is_drawn(*kind, seed))
+            .collect();
         let scopes: Vec<FaultScope> = FaultScope::iter().collect();
         let mut faults = Vec::new();
         let mut at = Duration::from_millis(rng.random_range(0..FIRST_FAULT_MS));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -138,8 +138,10 @@
                 continue;
             };
             if let Some(status) = front.exit_status() {
-                let detail = format!("front {number} ended by itself: {status}");
-                history.record_violation("FAULT", &detail);
+                if !fleet.is_doubled(number) {
+                    let detail = format!("front {number} ended by itself: {status}");
+                    history.record_violation("FAULT", &detail);
+                }
                 let _ = front.kill_and_restart().await;
             }
         }
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use soak::fleet::FleetConfig;
+use soak::plan::FIRST_DOUBLED_SEED;
 use soak::plan::FaultKind;
 use soak::plan::FaultPlan;
 use soak::plan::FaultScope;
@@ -55,6 +56,64 @@
     assert!(hidden.iter().all(|fault| is_drawn(fault.kind)));
 }
 
+/// Guards against new kinds of faults that change what seeds draw which once found a fault.
+#[test]
+fn test_soak_plans_of_early_seeds_stay() {
+    let cases = [
+        (
+            2,
+            "worker_replaced 594 2, store_down 1511 3, fronts_rolled 3277 1, store_slow 4017 3, \
+             store_old_silent 5020 2, manifest_changed 5376 4, callers_reset 6534 2, \
+             callers_reset 7707 2",
+        ),
+        (
+            3,
+            "route_moved 190 1, fronts_rolled 1554 2, front_stopped 3003 4, worker_replaced 4127 0, \
+             worker_replaced 4556 4, route_moved 5333 3, front_stopped 7310 1",
+        ),
+        (
+            5,
+            "store_down 684 2, worker_silent 1312 2, all_old_silent 2785 4, \
+             worker_old_silent 3757 2, callers_old_silent 5365 1, manifest_changed 7523 2",
+        ),
+        (
+            7,
+            "fronts_rolled 60 0, settings_changed 1459 2, entry_watch_silent 2098 3, \
+             front_stopped 3024 1, manifest_changed 4444 5, entry_watch_silent 6409 0, \
+             front_stopped 7303 3",
+        ),
+    ];
+    for (seed, expected) in cases {
+        let plan = FaultPlan::new(seed, Duration::from_secs(8), FRONTS, WORKERS);
+        let faults = plan.faults.iter().map(|fault| {
+            let at = fault.at.as_millis();
+            format!("{} {at} {}", fault.kind, fault.target)
+        });
+        let faults: Vec<String> = faults.collect();
+        assert_eq!(faults.join(", "), expected, "{seed}");
+    }
+}
+
+#[test]
+fn test_soak_plans_that_double_runs() {
+    let time = Duration::from_secs(60);
+    let kinds = |seed| -> Vec<FaultKind> {
+        let plan = FaultPlan::new(seed, time, FRONTS, WORKERS);
+        plan.faults.iter().map(|fault| fault.kind).collect()
+    };
+    for seed in 0..100 {
+        let doubles = kinds(seed).into_iter().any(FaultKind::doubles_runs);
+        assert!(!doubles, "{seed}");
+    }
+    for seed in FIRST_DOUBLED_SEED..FIRST_DOUBLED_SEED + 10 {
+        let kinds = kinds(seed);
+        assert!(kinds.iter().any(|kind| kind.doubles_runs()), "{seed}");
+        let is_other = |kind: &FaultKind| !kind.doubles_runs() && !kind.is_planned();
+        let has_all_kinds = seed.is_multiple_of(3);
+        assert_eq!(kinds.iter().any(is_other), has_all_kinds, "{seed}");
+    }
+}
+
 #[test]
 fn test_soak_fault_scope() {
     assert_eq!(FaultScope::One.fronts(4, 5), [4]);
