--- a/soak/src/owner_watch.rs
+++ b/soak/src/owner_watch.rs
@@ -45,8 +45,28 @@
     }
 }
 
+/// The last owner of each job, by the owner's key.
+#[derive(Debug, Default)]
+pub struct LastOwners {
+    owners: BTreeMap<String, Bytes>,
+}
+
+impl LastOwners {
+    /// Notes a change in the store; returns whether it gives a job another owner than its last one.
+    pub fn note(&mut self, change: KvChange) -> bool {
+        let KvChange::Put(entry) = change else {
+            return false;
+        };
+        if !entry.key.ends_with(OWNER_SUFFIX) {
+            return false;
+        }
+        let before = self.owners.insert(entry.key, entry.value.clone());
+        before.is_some_and(|before| before != entry.value)
+    }
+}
+
 async fn count(kv: &KvMemory, counted: &AtomicUsize) {
-    let mut owners: BTreeMap<String, Bytes> = BTreeMap::new();
+    let mut owners = LastOwners::default();
     let mut after = KvVersion(0);
     loop {
         let Ok(changes) = kv.watch(OPEN_PREFIX, after, WATCH_TIME).await else {
@@ -55,16 +75,7 @@
         };
         after = changes.revision;
         for change in changes.changes {
-            let KvChange::Put(entry) = change else {
-                continue;
-            };
-            if !entry.key.ends_with(OWNER_SUFFIX) {
-                continue;
-            }
-            let before = owners.insert(entry.key, entry.value.clone());
-            if before.is_some_and(|before| before != entry.value) {
-                counted.fetch_add(1, Ordering::Relaxed);
-            }
+            counted.fetch_add(usize::from(owners.note(change)), Ordering::Relaxed);
         }
     }
 }
--- a/soak/src/play_overlaps.rs
+++ b/soak/src/play_overlaps.rs
@@ -48,10 +48,10 @@
 const JOB_TIME: Duration = Duration::from_secs(20);
 const LONG_JOB_TIME: Duration = Duration::from_secs(45);
 /// Time from the completion of jobs until they are sent once more: that of a sweep, and some more.
-const SWEEP_TIME: Duration = Duration::from_secs(72);
+const SWEEP_TIME: Duration = Duration::from_secs(62);
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
 /// Time in which jobs that were sent once more may run.
-const AGAIN_TIME: Duration = Duration::from_secs(8);
+const AGAIN_TIME: Duration = Duration::from_secs(5);
 /// Seconds that the streams of silent callers take.
 const STREAM_S: u64 = 3;
 /// Time after the last take-up has ended in which the runs before are observed.
--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -316,6 +316,16 @@
     assert_eq!(rules(&records, &jobs), Vec::<String>::new());
 }
 
+#[test]
+fn test_answers_of_a_given_length() {
+    for (name, seconds) in [("item-a", 12), ("stream-1", 3)] {
+        let id = content::lasting(name, seconds);
+        let length = content::event_interval(&id) * content::event_count(&id) as u32;
+        assert_eq!(length, Duration::from_secs(seconds), "{id}");
+        assert!(id.starts_with(name), "{id}");
+    }
+}
+
 #[test]
 fn test_check_items_that_run_again() {
     for (began, expected) in [(20.9, vec![]), (21.1, vec!["TWICE"])] {
