registry: at most one process of a host's name acts

Cause: a host took the owner of a job for an ended process of its own because the name was equal and the incarnation was not, and it wrote hosts/NAME unconditionally, so that neither process learned of the other.

Change: the key-value service orders the starts. A process writes its entry conditionally; writing over another process's entry is a start, and the later start wins. The earlier process is displaced for good: it learns of it by a call, a write of its own that conflicts, or a listing that a read confirms, ends its lease and its load reports, and surrenders its jobs without a write. Claims are conditional on the version of the claimant's entry, so that a displaced process that doesn't know it yet claims nothing. An earlier process that no call reaches loses its lease, which its next renewal shows, and the later one claims nothing until then. Entries name the processes that they replaced until these are known to have stopped, as the process that replaced them may end before it could tell them.

--- a/bench/src/scenarios/backlog.rs
+++ b/bench/src/scenarios/backlog.rs
@@ -123,6 +123,9 @@
     let entry = HostEntry {
         host: "host-0".to_owned(),
         incarnation: 1,
+        process: 0,
+        lease: None,
+        replaced: Vec::new(),
         data_centre: "west".to_owned(),
         callers: Some(address),
         peers: address,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -30,6 +30,30 @@
         /// Number of in-flight requests.
         open: usize,
     },
+    /// Another process of this host's name has started after this one, which acts for the name no more.
+    HostDisplaced {
+        /// Name of the host.
+        name: String,
+        /// Incarnation of this process.
+        incarnation: u64,
+        /// Incarnation of the other process.
+        other_incarnation: u64,
+        /// Address of the other process for other hosts.
+        address: String,
+        /// How this process learned of it: `call`, `write` or `listing`.
+        via: String,
+    },
+    /// This process has replaced the entry of an earlier process of its host's name.
+    NameTaken {
+        /// Name of the host.
+        name: String,
+        /// Incarnation of the earlier process.
+        incarnation: u64,
+        /// Address of the earlier process for other hosts.
+        address: String,
+        /// What is known of the earlier process: `told`, `ended` or `not_reached`.
+        outcome: String,
+    },
     /// The settings file was read again.
     Reloaded {
         /// Outcome of the reload: what has changed, or why it failed.
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -130,6 +130,7 @@
         let identity = JobOwner {
             host,
             incarnation,
+            process: registry.own_process(),
             peers: Some(registry.own_address()),
         };
         let shared = KeeperState {
@@ -158,7 +159,8 @@
     }
 
     /// Runs the background tasks (dispatching, committing, scanning, sweeping) until `stop` is
-    /// cancelled, and then cancels the running items.
+    /// cancelled, and then cancels the running items. If the registry says that another process of this
+    /// host's name has displaced this one, it [surrenders](Self::surrender) and returns.
     pub async fn run(&self, stop: CancellationToken) {
         let work = async {
             tokio::join!(
@@ -171,10 +173,26 @@
         tokio::select! {
             () = work => {}
             () = stop.cancelled() => {}
+            () = self.shared.registry.displaced().cancelled() => self.surrender(),
         }
         self.shared.running.stop_all();
     }
 
+    /// Stops all items and drops all jobs for good, without a write to the key-value service: another
+    /// process of this host's name acts now. No job is accepted, claimed or taken over any more.
+    pub fn surrender(&self) {
+        self.shared.is_leaving.cancel();
+        let claims = self.with_table(|table| {
+            table.close();
+            table.claims()
+        });
+        self.shared.running.close();
+        for (job, _) in claims {
+            self.drop_job(&job, "displaced");
+        }
+        self.shared.relay.balancer().state().set_waiting(Vec::new());
+    }
+
     /// Number of items of this host's jobs that wait or run.
     pub fn open_item_count(&self) -> usize {
         self.with_table(|table| table.open_item_count())
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -111,9 +111,7 @@
                 None => ownerless.push(job),
                 // The owner is an earlier process of this host, which has ended, so that the job
                 // can be claimed before its lease expires.
-                Some((owner, _))
-                    if owner.host == own.host && owner.incarnation != own.incarnation =>
-                {
+                Some((owner, _)) if owner.host == own.host && owner != own => {
                     claims.push(job);
                 }
                 // The store names this process as the owner, though it does not run the job: the
@@ -166,7 +164,7 @@
             .owner
             .as_ref()
             .is_some_and(|(owner, _)| *owner == self.shared.identity);
-        if is_own {
+        if is_own && self.shared.registry.holds_name() {
             let claim = JobClaim {
                 open_version: job.version,
                 owner_version: job.owner.map(|(_, version)| version),
@@ -233,13 +231,14 @@
     }
 
     pub(super) async fn claim(&self, job: &OpenJob) {
-        let Some(lease) = self.shared.registry.lease() else {
+        let registry = &self.shared.registry;
+        let (Some(lease), Some(fence)) = (registry.lease(), registry.name_fence()) else {
             return;
         };
         let claim = match self
             .shared
             .store
-            .claim(job, &self.shared.identity, lease)
+            .claim(job, &self.shared.identity, lease, fence)
             .await
         {
             Ok(claim) => claim,
--- a/lib/src/jobs/running.rs
+++ b/lib/src/jobs/running.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -22,6 +23,8 @@
 #[derive(Default)]
 pub(super) struct RunningItems {
     items: Mutex<HashMap<BalancerKey, Vec<RunningItem>>>,
+    /// Whether items are stopped as soon as they are added.
+    is_closed: AtomicBool,
 }
 
 impl RunningItems {
@@ -37,7 +40,12 @@
             events,
             stop: stop.clone(),
         };
-        self.lock().entry(upstream_key).or_default().push(item);
+        let mut items = self.lock();
+        items.entry(upstream_key).or_default().push(item);
+        if self.is_closed.load(Ordering::Relaxed) {
+            stop.cancel();
+        }
+        drop(items);
         stop
     }
 
@@ -90,6 +98,15 @@
         }
     }
 
+    /// Cancels all items, and those that are added from now on.
+    pub(super) fn close(&self) {
+        let items = self.lock();
+        self.is_closed.store(true, Ordering::Relaxed);
+        for item in items.values().flatten() {
+            item.stop.cancel();
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<BalancerKey, Vec<RunningItem>>> {
         self.items.lock().expect("running items lock")
     }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -34,7 +34,9 @@
 use crate::jobs::spec::decode;
 use crate::jobs::spec::encode;
 use crate::registry::HostEntry;
+use crate::registry::HostProcess;
 use crate::registry::HostReadiness;
+use crate::registry::NameFence;
 
 /// Size in bytes of one part of an encoded specification; leaves room below the limit for a value.
 const PART_BYTES: usize = MAX_VALUE_BYTES * 3 / 4;
@@ -52,6 +54,9 @@
     pub host: String,
     /// Incarnation of the host's process; distinguishes it from earlier processes of the host.
     pub incarnation: u64,
+    /// Random number of the process; 0 from an earlier release.
+    #[serde(default)]
+    pub process: u64,
     /// Address of the host for other hosts, which may not have it in their lists yet; `None` from an
     /// earlier release.
     #[serde(default)]
@@ -60,16 +65,26 @@
 
 impl PartialEq for JobOwner {
     fn eq(&self, other: &Self) -> bool {
-        (&self.host, self.incarnation) == (&other.host, other.incarnation)
+        self.host == other.host && self.process_id().is_same(other.process_id())
     }
 }
 
 impl JobOwner {
+    fn process_id(&self) -> HostProcess {
+        HostProcess {
+            incarnation: self.incarnation,
+            process: self.process,
+        }
+    }
+
     /// Entry by which another host reaches the owner; `None` if its address is not known.
     pub(crate) fn entry(&self) -> Option<HostEntry> {
         Some(HostEntry {
             host: self.host.clone(),
             incarnation: self.incarnation,
+            process: self.process,
+            lease: None,
+            replaced: Vec::new(),
             data_centre: String::new(),
             callers: None,
             peers: self.peers?,
@@ -186,12 +201,14 @@
     }
 
     /// Claims an open job that has no owner, or is owned by an earlier process of this host. Fails
-    /// with [`KvError::Conflict`] if the job or its owner has changed since `job` was read.
+    /// with [`KvError::Conflict`] if the job or its owner has changed since `job` was read, or if
+    /// another process has replaced the entry of the host that `fence` names.
     pub(crate) async fn claim(
         &self,
         job: &OpenJob,
         owner: &JobOwner,
         lease: LeaseId,
+        fence: NameFence,
     ) -> Result<JobClaim, KvError> {
         let key = owner_key(&job.id);
         let before = job.owner.as_ref().map(|(_, version)| *version);
@@ -199,6 +216,7 @@
             expect: vec![
                 (open_key(&job.id), Some(job.version)),
                 (key.clone(), before),
+                (fence.key, Some(fence.version)),
             ],
             puts: vec![KvPut {
                 key,
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -40,7 +40,7 @@
     Accepted,
     /// The job is not stored, and no item of it runs.
     Refused {
-        /// Cause, as logged: `memory`, `too_large` or `key_value_service`.
+        /// Cause, as logged: `memory`, `too_large`, `key_value_service` or `displaced`.
         reason: &'static str,
         /// Delay after which the caller may submit the job again.
         retry_after: Duration,
@@ -80,6 +80,9 @@
     /// job too. While it is known not to answer, the job is refused at once unless another host
     /// stores it.
     pub async fn submit(&self, spec: JobSpec) -> SubmitOutcome {
+        if self.shared.registry.is_displaced() {
+            return self.refuse(&spec, "displaced", Duration::ZERO);
+        }
         let size: usize = spec.items.iter().map(|item| item.body.len()).sum();
         let stored = self.with_table(|table| table.body_bytes());
         if stored + size > self.shared.config.memory_bytes {
@@ -185,8 +188,11 @@
         }
     }
 
-    /// Makes one attempt to store a job that this host then owns.
+    /// Makes one attempt to store a job that this host then owns. A displaced process makes none.
     async fn store_once(&self, spec: &Arc<JobSpec>) -> StoreOutcome {
+        if self.shared.registry.is_displaced() {
+            return StoreOutcome::NotStored;
+        }
         let lease = self.lease_for_new_job();
         let created = self.shared.store.create(spec, &self.shared.identity, lease);
         match created.await {
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -192,11 +192,13 @@
     estimator: DurationEstimator,
     /// The table that the routes of items were selected from.
     routes: Arc<RouteTable>,
+    /// Whether jobs are no longer added.
+    is_closed: bool,
 }
 
 impl JobTable {
     /// Adds a job of which the results `committed`, in `segments` segments, are committed already.
-    /// All other items wait to run.
+    /// All other items wait to run. Does nothing once the table is closed.
     pub(crate) fn insert(
         &mut self,
         spec: Arc<JobSpec>,
@@ -204,6 +206,9 @@
         committed: Vec<JobResult>,
         segments: usize,
     ) {
+        if self.is_closed {
+            return;
+        }
         let owned_items = spec.items.iter().map(|_| OwnedItem {
             state: ItemState::Waiting,
             route: None,
@@ -229,6 +234,11 @@
         self.jobs.insert(job.spec.id.clone(), job);
     }
 
+    /// Adds no job from now on.
+    pub(crate) fn close(&mut self) {
+        self.is_closed = true;
+    }
+
     /// Removes a job; returns whether it was present. The caller stops its running items.
     pub(crate) fn remove(&mut self, job: &str) -> bool {
         self.jobs.remove(job).is_some()
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -36,6 +36,7 @@
     requests: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
+    name_changes: IntCounterVec,
     first_event_seconds: Histogram,
     request_seconds: Histogram,
     store_call_seconds: HistogramVec,
@@ -46,6 +47,7 @@
     view_age: GaugeVec,
     view_calls: IntCounterVec,
     convictions: IntGauge,
+    displaced: IntGauge,
     limited_upstreams: IntGauge,
     limit_age: Gauge,
     grants: IntCounterVec,
@@ -96,6 +98,12 @@
                 &["outcome"],
             ),
             jobs: counter("job_changes_total", "Changes of batch jobs.", &["outcome"]),
+            name_changes: counter(
+                "name_changes_total",
+                "Processes of this host's name that displaced this one, by how it learned of it, or that \
+                 it displaced, by what is known of them.",
+                &["change", "detail"],
+            ),
             first_event_seconds: Histogram::with_opts(latency(
                 "first_event_seconds",
                 "Time from a request's arrival to the first event or the whole answer.",
@@ -137,6 +145,11 @@
                 "Subjects that are convicted of crashing upstreams.",
             )
             .expect("metric names are valid"),
+            displaced: IntGauge::new(
+                "parsleywall_displaced",
+                "1 once another process of this host's name has started after this one.",
+            )
+            .expect("metric names are valid"),
             limited_upstreams: IntGauge::new(
                 "parsleywall_limited_upstreams",
                 "Upstreams that are known to limit the requests a second.",
@@ -185,6 +198,7 @@
             &self.requests,
             &self.item_runs,
             &self.jobs,
+            &self.name_changes,
             &self.grants,
             &self.view_calls,
         ];
@@ -199,6 +213,7 @@
         all.push(Box::new(self.config_age.clone()));
         all.push(Box::new(self.view_age.clone()));
         all.push(Box::new(self.convictions.clone()));
+        all.push(Box::new(self.displaced.clone()));
         all.push(Box::new(self.limited_upstreams.clone()));
         all.push(Box::new(self.limit_age.clone()));
         for collector in all {
@@ -239,6 +254,14 @@
                 self.misidentified.with_label_values(&[process]).inc();
             }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
+            LogEvent::HostDisplaced { via, .. } => {
+                let counter = self.name_changes.with_label_values(&["displaced", via]);
+                counter.inc();
+            }
+            LogEvent::NameTaken { outcome, .. } => {
+                let counter = self.name_changes.with_label_values(&["taken", outcome]);
+                counter.inc();
+            }
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
             _ => {}
         }
@@ -281,6 +304,16 @@
         self.convictions.set(count as i64);
     }
 
+    /// Sets whether another process of this host's name has displaced this one.
+    pub fn set_displaced(&self, is_displaced: bool) {
+        self.displaced.set(i64::from(is_displaced));
+    }
+
+    /// Counts a refusal that has no line in the log.
+    pub fn count_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
     /// Sets the number of upstreams with a known limit, and the age of the oldest one.
     pub fn set_limits(&self, limits: &[KnownLimit]) {
         let oldest = limits.iter().map(|known| known.age).max();
--- a/lib/src/peers/client.rs
+++ b/lib/src/peers/client.rs
@@ -35,6 +35,8 @@
 /// Why a call to a peer has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerError {
+    /// The address refused the connection, so that no process listens there. Holds the cause.
+    Refused(String),
     /// The call was definitely not sent, so the peer has not run it. Holds the cause.
     NotSent(String),
     /// The peer may have received and run the call. Holds the cause.
@@ -44,6 +46,7 @@
 impl std::fmt::Display for PeerError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::Refused(cause) => write!(f, "connection refused: {cause}"),
             Self::NotSent(cause) => write!(f, "call not sent: {cause}"),
             Self::NoReply(cause) => write!(f, "no reply: {cause}"),
         }
@@ -81,8 +84,8 @@
 
     /// Calls the peer at `address` and waits up to `timeout` for its reply.
     ///
-    /// Errors: [`PeerError::NotSent`] if the connection's queue is full or no connection could be
-    /// opened; [`PeerError::NoReply`] after the time-out, if the connection broke, or if the peer
+    /// Errors: [`PeerError::Refused`] if nothing listens at `address`; [`PeerError::NotSent`] if the
+    /// connection's queue is full or no connection could be opened; [`PeerError::NoReply`] after the time-out, if the connection broke, or if the peer
     /// has no handler for the call or its reply can't be decoded.
     pub async fn call<M: PeerMessage>(
         &self,
@@ -142,7 +145,7 @@
             let cause = ConnectionTask::new(socket).run(&mut calls).await;
             PeerError::NotSent(cause)
         }
-        Ok(Err(cause)) => PeerError::NotSent(cause),
+        Ok(Err(failure)) => failure,
         Err(_) => PeerError::NotSent("timed out opening the connection".to_owned()),
     };
     calls.close();
@@ -151,10 +154,23 @@
     }
 }
 
-async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, String> {
+async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, PeerError> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(|err| err.to_string())?;
+        .map_err(|err| match err.kind() {
+            std::io::ErrorKind::ConnectionRefused => PeerError::Refused(err.to_string()),
+            _ => PeerError::NotSent(err.to_string()),
+        })?;
+    let socket = upgrade(shared, address, stream).await;
+    socket.map_err(PeerError::NotSent)
+}
+
+/// Authenticates to the peer at `address` over a new connection.
+async fn upgrade(
+    shared: &ClientShared,
+    address: SocketAddr,
+    stream: TcpStream,
+) -> Result<PeerSocket, String> {
     let _ = stream.set_nodelay(true);
     let mut request = format!("ws://{address}/peer")
         .into_client_request()
--- a/lib/src/registry/entry.rs
+++ b/lib/src/registry/entry.rs
@@ -9,11 +9,16 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::edges::kv::LeaseId;
+use crate::registry::name_hold::HostProcess;
 
 /// Time for which callers are still told of a host whose entry vanished: its lease may only have
 /// expired during an outage of the key-value service.
 const VANISHED_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Number of replaced processes that an entry names.
+const MAX_REPLACED: usize = 8;
+
 /// Whether a host accepts new callers, as its entry says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -24,6 +29,19 @@
     Leaving,
 }
 
+/// A process whose entry another process of its host's name has replaced.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacedProcess {
+    /// Start time of the process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Random number of the process; 0 if it runs an earlier release.
+    pub process: u64,
+    /// Lease of the process, if its entry named it.
+    pub lease: Option<LeaseId>,
+    /// Address of the process for other hosts.
+    pub peers: SocketAddr,
+}
+
 /// Entry of one host in the registry, stored as JSON.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostEntry {
@@ -31,6 +49,18 @@
     pub host: String,
     /// Start time of the host's process, in milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// Random number of the process, as two processes of a name may start in the same millisecond;
+    /// 0 from an earlier release.
+    #[serde(default)]
+    pub process: u64,
+    /// Lease of the process, which another process of its name ends when it has replaced the entry
+    /// and can't tell the process; `None` from an earlier release.
+    #[serde(default)]
+    pub lease: Option<LeaseId>,
+    /// Processes of the name before this one that are not known to have stopped, the last one first.
+    /// A process that replaces this entry tells them too, as this one may have had no time to.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaced: Vec<ReplacedProcess>,
     /// Data centre in which the host runs.
     pub data_centre: String,
     /// Address at which the host accepts callers; `None` for hosts that accept none.
@@ -42,6 +72,28 @@
 }
 
 impl HostEntry {
+    /// The process that the entry is of.
+    pub(crate) fn process_id(&self) -> HostProcess {
+        HostProcess {
+            incarnation: self.incarnation,
+            process: self.process,
+        }
+    }
+
+    /// The process of this entry and those before it that it names, as replaced by another one.
+    pub(crate) fn into_replaced(self) -> Vec<ReplacedProcess> {
+        let process = ReplacedProcess {
+            incarnation: self.incarnation,
+            process: self.process,
+            lease: self.lease,
+            peers: self.peers,
+        };
+        let mut replaced = vec![process];
+        replaced.extend(self.replaced);
+        replaced.truncate(MAX_REPLACED);
+        replaced
+    }
+
     /// Encodes the entry as JSON.
     pub(crate) fn encode(&self) -> Bytes {
         Bytes::from(serde_json::to_vec(self).expect("host entries serialize to JSON"))
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -43,11 +42,16 @@
 use crate::jobs::JobStore;
 use crate::origins::VersionArchive;
 use crate::peers::PeerClient;
+use crate::peers::PeerError;
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
 use crate::registry::HostEntry;
 use crate::registry::HostReadiness;
 use crate::registry::HostRegistry;
+use crate::registry::NameCall;
+use crate::registry::NameCallError;
+use crate::registry::NamePeerClient;
+use crate::registry::NameReply;
 use crate::registry::RegistryConfig;
 use crate::registry::fleet_secret;
 use crate::relay::RequestRelay;
@@ -127,14 +131,18 @@
         let entry = HostEntry {
             host: config.host.clone(),
             incarnation: config.incarnation,
+            process: 0,
+            lease: None,
+            replaced: Vec::new(),
             data_centre: config.data_centre.clone(),
             callers: Some(config.callers),
             peers: config.peers,
             state: HostReadiness::Ready,
         };
-        let registry = HostRegistry::new(kv.clone(), log.clone(), entry, RegistryConfig::default());
-        let (routes, table) = watch::channel(Arc::new(RouteTable::default()));
         let peer_client = Arc::new(DeferredPeerClient::default());
+        let registry = HostRegistry::new(kv.clone(), log.clone(), entry, RegistryConfig::default())
+            .with_peers(peer_client.clone());
+        let (routes, table) = watch::channel(Arc::new(RouteTable::default()));
         let jobs = JobKeeper::new(
             JobStore::new(kv.clone()),
             relay.clone(),
@@ -184,11 +192,13 @@
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
+        let displaced = self.registry.displaced().clone();
         let record_jobs = move |host: &str, jobs: &[String]| recorder.record_owner(host, jobs);
         tokio::spawn(async move {
             tokio::select! {
                 () = exchange.run(peers, || announcer.announced_jobs(), record_jobs) => {}
                 () = stop.cancelled() => {}
+                () = displaced.cancelled() => {}
             }
         });
         let (registry, stop) = (self.registry.clone(), self.stop.clone());
@@ -250,6 +260,17 @@
             let jobs = jobs.clone();
             async move { jobs.answer(call).await }
         });
+        let (registry, jobs) = (self.registry.clone(), self.jobs.clone());
+        let handlers = handlers.with(move |_, call: NameCall| {
+            let (registry, jobs) = (registry.clone(), jobs.clone());
+            async move {
+                let reply = registry.answer(call).await;
+                if reply == NameReply::Displaced {
+                    jobs.surrender();
+                }
+                reply
+            }
+        });
         server.run(self.stop.clone(), handlers).await;
     }
 
@@ -263,7 +284,8 @@
         }
     }
 
-    /// Follows the versions that serve. One host of the fleet stores their changes.
+    /// Follows the versions that serve. One host of the fleet stores their changes; a displaced one
+    /// stores none.
     async fn follow_versions(&self, archive: VersionArchive) {
         archive.load().await;
         let origins = self.relay.origins();
@@ -271,7 +293,8 @@
             self.relay.update_versions();
             let is_writer = {
                 let state = self.balancer.state();
-                state.is_nearest_heard(VERSION_WRITER_POSITION, Instant::now())
+                !self.is_displaced()
+                    && state.is_nearest_heard(VERSION_WRITER_POSITION, Instant::now())
             };
             if origins.take_unsaved() && is_writer && !archive.store().await {
                 origins.set_unsaved();
@@ -396,16 +419,29 @@
         metrics.set_convictions(self.relay.crashes().convictions());
         metrics.set_config_version(table.version(), self.views.configuration.age());
         self.views.set_gauges(&self.log);
+        metrics.set_displaced(self.is_displaced());
         metrics.text()
     }
 
-    /// Whether the host is ready for callers: it has a route table and is not leaving.
+    /// Cancelled once another process of this host's name has started after this one, which then takes
+    /// no new requests.
+    pub fn displaced(&self) -> &CancellationToken {
+        self.registry.displaced()
+    }
+
+    /// Whether another process of this host's name has started after this one.
+    pub fn is_displaced(&self) -> bool {
+        self.registry.is_displaced()
+    }
+
+    /// Whether the host is ready for callers: it has a route table, is not leaving and not displaced.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.is_cancelled() && self.routes.borrow().version() > 0
+        let is_staying = !self.leaving.is_cancelled() && !self.is_displaced();
+        is_staying && self.routes.borrow().version() > 0
     }
 
     /// Addresses of the hosts that callers should use. A leaving host lists itself only if it is
-    /// the only one; a ready host lists itself if there is no other.
+    /// the only one, a displaced one never; a ready host lists itself if there is no other.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let balancer_state = self.balancer.state();
         let mut addresses = self.registry.with_list(|list| {
@@ -417,7 +453,8 @@
                 .filter(|entry| usable.contains(&entry.host.as_str()));
             usable.filter_map(|entry| entry.callers).collect::<Vec<_>>()
         });
-        if self.leaving.is_cancelled() && addresses.len() > 1 {
+        let is_alone = addresses.len() == 1;
+        if self.is_displaced() || (self.leaving.is_cancelled() && !is_alone) {
             addresses.retain(|address| *address != self.config.callers);
         }
         if addresses.is_empty() && self.is_ready() {
@@ -463,12 +500,19 @@
 /// then.
 #[derive(Default)]
 struct DeferredPeerClient {
-    peer_client: OnceLock<PeerClient>,
+    peer_client: watch::Sender<Option<PeerClient>>,
 }
 
 impl DeferredPeerClient {
     fn set(&self, peer_client: PeerClient) {
-        let _ = self.peer_client.set(peer_client);
+        self.peer_client.send_replace(Some(peer_client));
+    }
+
+    /// Waits until the connections are set.
+    async fn wait(&self) -> Option<PeerClient> {
+        let mut receiver = self.peer_client.subscribe();
+        let set = receiver.wait_for(Option::is_some).await.ok()?;
+        set.clone()
     }
 }
 
@@ -480,11 +524,33 @@
         call: JobCall,
         timeout: Duration,
     ) -> Result<JobReply, String> {
-        let peer_client = self
-            .peer_client
-            .get()
-            .ok_or("the fleet secret has not been read yet")?;
+        let peer_client = self.peer_client.borrow().clone();
+        let peer_client = peer_client.ok_or("the fleet secret has not been read yet")?;
         let reply = peer_client.call(host.peers, call, timeout).await;
         reply.map_err(|err| err.to_string())
     }
 }
+
+#[async_trait]
+impl NamePeerClient for DeferredPeerClient {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        call: NameCall,
+        timeout: Duration,
+    ) -> Result<NameReply, NameCallError> {
+        let until = Instant::now() + timeout;
+        let no_reply = |cause: &str| NameCallError::NoReply(cause.to_owned());
+        let peer_client = tokio::time::timeout_at(until, self.wait())
+            .await
+            .ok()
+            .flatten()
+            .ok_or_else(|| no_reply("the fleet secret has not been read yet"))?;
+        let left = until.saturating_duration_since(Instant::now());
+        match peer_client.call(address, call, left).await {
+            Ok(reply) => Ok(reply),
+            Err(PeerError::Refused(_)) => Err(NameCallError::Refused),
+            Err(err) => Err(no_reply(&err.to_string())),
+        }
+    }
+}
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -134,6 +134,9 @@
         let entry = HostEntry {
             host: name.to_owned(),
             incarnation: self.incarnations,
+            process: 0,
+            lease: None,
+            replaced: Vec::new(),
             data_centre: "west".to_owned(),
             callers: Some("127.0.0.1:1".parse().unwrap()),
             peers: "127.0.0.1:2".parse().unwrap(),
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -1,6 +1,8 @@
 //! A host's connection to the key-value service, which tests can cut.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,11 +22,25 @@
 /// Time after which a call over a cut link fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Fault of one commit over a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommitFault {
+    /// It is executed at once, but its answer is lost.
+    LosesAnswer,
+    /// It is executed at once, but its answer is lost, and the link is cut.
+    CutsLink,
+    /// It has no answer, and is executed after this time if its conditions still hold.
+    ExecutesAfter(Duration),
+}
+
 /// Link from one host to a key-value service. While it is cut, calls have no effect and fail with
 /// an unknown outcome after 1.5 s.
 pub struct KvLink {
     store: Arc<dyn KvStore>,
     is_cut: AtomicBool,
+    next_commit: Mutex<Option<CommitFault>>,
+    /// The first pages of stale listings, by prefix, while they are held.
+    held_pages: Mutex<Option<HashMap<String, KvPage>>>,
 }
 
 impl KvLink {
@@ -33,6 +49,8 @@
         Arc::new(Self {
             store,
             is_cut: AtomicBool::new(false),
+            next_commit: Mutex::default(),
+            held_pages: Mutex::default(),
         })
     }
 
@@ -41,6 +59,21 @@
         self.is_cut.store(is_cut, Ordering::Relaxed);
     }
 
+    /// Lets the next commit meet `fault`.
+    pub fn set_next_commit(&self, fault: CommitFault) {
+        *self.next_commit.lock().expect("link lock") = Some(fault);
+    }
+
+    /// Answers stale listings from now on as the first one after this call, or no longer so.
+    pub fn hold_listings(&self, is_held: bool) {
+        *self.held_pages.lock().expect("link lock") = is_held.then(HashMap::new);
+    }
+
+    fn held_page(&self, prefix: &str) -> Option<KvPage> {
+        let held = self.held_pages.lock().expect("link lock");
+        held.as_ref()?.get(prefix).cloned()
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -79,8 +112,44 @@
         self.pass().await?.delete(key, expect).await
     }
 
+    async fn list_stale(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<KvPage, KvError> {
+        let store = self.pass().await?;
+        if let Some(page) = self.held_page(prefix) {
+            return Ok(page);
+        }
+        let page = store.list_stale(prefix, after, limit).await?;
+        if let Some(held) = &mut *self.held_pages.lock().expect("link lock") {
+            held.insert(prefix.to_owned(), page.clone());
+        }
+        Ok(page)
+    }
+
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
-        self.pass().await?.commit(commit).await
+        let store = self.pass().await?;
+        let fault = self.next_commit.lock().expect("link lock").take();
+        match fault {
+            None => return store.commit(commit).await,
+            Some(CommitFault::LosesAnswer) => {
+                let _ = store.commit(commit).await;
+            }
+            Some(CommitFault::CutsLink) => {
+                let _ = store.commit(commit).await;
+                self.set_cut(true);
+            }
+            Some(CommitFault::ExecutesAfter(delay)) => {
+                let store = self.store.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let _ = store.commit(commit).await;
+                });
+            }
+        }
+        Err(KvError::Unknown("answer lost".to_owned()))
     }
 
     async fn watch(
