balancer: the order of a host's processes by arrival

What callers saw: the work of a host that was restarted with its clock set back was not counted at the others until the last report of its process before had expired, a second later, and its heartbeats were ignored.

Cause: reports were ordered by the incarnation, another host's time of day.

Change: a report of another process than the last one counts, unless that process has reported before the last one.

Evidence: test_reports_of_a_host_that_restarted_with_its_clock_set_back, which fails before with "assertion failed: balancer.apply_report(sent_by(5_000, 1, 1), now)".

--- a/lib/src/balancer/peer_loads.rs
+++ b/lib/src/balancer/peer_loads.rs
@@ -14,6 +14,8 @@
 
 /// Time after which the work in a host's last report is dropped.
 const REPORT_TTL: Duration = Duration::from_millis(1_000);
+/// Earlier processes of a host whose late reports are recognised.
+const MAX_EARLIER_PROCESSES: usize = 4;
 
 /// Numbers of running online requests and batch items at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -62,11 +64,25 @@
 struct PeerLoad {
     incarnation: u64,
     sequence: u64,
+    /// Incarnations of the host's processes that reported before this one, the last one first.
+    earlier: Vec<u64>,
     received_at: Instant,
     loads: Vec<UpstreamLoad>,
     waiting: Vec<WaitingItems>,
 }
 
+impl PeerLoad {
+    /// Incarnations of the processes before the one that reports now, `incarnation`.
+    fn earlier_for(&self, incarnation: u64) -> Vec<u64> {
+        let mut earlier = self.earlier.clone();
+        if self.incarnation != incarnation {
+            earlier.insert(0, self.incarnation);
+            earlier.truncate(MAX_EARLIER_PROCESSES);
+        }
+        earlier
+    }
+}
+
 /// Work of all other hosts that report to this one.
 ///
 /// Guarantees that the sums by upstream equal those of the last report of each host. The cost of
@@ -144,9 +160,15 @@
 
     /// Whether the last known report of the same host is as new as `report`, or newer. Datagrams
     /// may be duplicated or reordered.
+    ///
+    /// Incarnations have no order, as the host's clock may have been set back before its restart: the
+    /// process from which a report arrives first is the earlier one.
     pub(crate) fn is_stale(&self, report: &HostLoadReport) -> bool {
         self.peers.get(&report.host).is_some_and(|known| {
-            (known.incarnation, known.sequence) >= (report.incarnation, report.sequence)
+            match known.incarnation == report.incarnation {
+                true => known.sequence >= report.sequence,
+                false => known.earlier.contains(&report.incarnation),
+            }
         })
     }
 
@@ -159,13 +181,17 @@
                 self.last_progress.insert(load.0, now);
             }
         }
-        let before = self.peers.remove(&report.host);
-        let before = before.map_or_else(Vec::new, |peer| peer.loads);
+        let known = self.peers.remove(&report.host);
+        let earlier = known
+            .as_ref()
+            .map_or_else(Vec::new, |known| known.earlier_for(report.incarnation));
+        let before = known.map_or_else(Vec::new, |peer| peer.loads);
         self.subtract(&before);
         let has_changed = !is_same_work(&before, &report.loads);
         let peer = PeerLoad {
             incarnation: report.incarnation,
             sequence: report.sequence,
+            earlier,
             received_at: now,
             loads: report.loads,
             waiting: report.waiting,
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -792,6 +792,27 @@
     assert_eq!(indices_by_distance(0.3, 0).count(), 0);
 }
 
+/// A host's clock was set back before its process was started again, so that the incarnation is lower.
+#[tokio::test(start_paused = true)]
+async fn test_reports_of_a_host_that_restarted_with_its_clock_set_back() {
+    let now = Instant::now();
+    let mut balancer = balancer(&["a"]);
+    let sent_by = |incarnation, sequence, online| HostLoadReport {
+        incarnation,
+        ..report("host-2", sequence, &[("a", online, 0)])
+    };
+    assert!(balancer.apply_report(sent_by(9_000, 40, 3), now));
+    assert_eq!(balancer.running_work(&service()), (3, 0));
+    assert!(balancer.apply_report(sent_by(5_000, 1, 1), now));
+    assert_eq!(balancer.running_work(&service()), (1, 0));
+    // Late and repeated datagrams.
+    assert!(!balancer.apply_report(sent_by(9_000, 41, 3), now));
+    assert!(!balancer.apply_report(sent_by(5_000, 1, 1), now));
+    assert_eq!(balancer.running_work(&service()), (1, 0));
+    assert!(balancer.apply_report(sent_by(5_000, 2, 2), now));
+    assert_eq!(balancer.running_work(&service()), (2, 0));
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_peer_loads_sum_what_the_last_reports_say() {
     let now = Instant::now();
