--- a/lib/src/peers/client.rs
+++ b/lib/src/peers/client.rs
@@ -38,6 +38,8 @@
 /// Why a call to a peer has no reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PeerError {
+    /// The address refused the connection, so that no process listens there. Holds the cause.
+    Refused(String),
     /// The call was definitely not sent, so the peer has not run it. Holds the cause.
     NotSent(String),
     /// The peer may have received and run the call. Holds the cause.
@@ -47,6 +49,7 @@
 impl std::fmt::Display for PeerError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::Refused(cause) => write!(f, "connection refused: {cause}"),
             Self::NotSent(cause) => write!(f, "call not sent: {cause}"),
             Self::NoReply(cause) => write!(f, "no reply: {cause}"),
         }
@@ -110,8 +113,8 @@
 
     /// Calls the peer at `address` and waits up to `timeout` for its reply.
     ///
-    /// Errors: [`PeerError::NotSent`] if the connection's queue is full or no connection could be
-    /// opened; [`PeerError::NoReply`] after the time-out, if the connection broke, or if the peer
+    /// Errors: [`PeerError::Refused`] if nothing listens at `address`; [`PeerError::NotSent`] if the
+    /// connection's queue is full or no connection could be opened; [`PeerError::NoReply`] after the time-out, if the connection broke, or if the peer
     /// has no handler for the call or its reply can't be decoded.
     pub async fn call<M: PeerMessage>(
         &self,
@@ -171,7 +174,7 @@
             let cause = ConnectionTask::new(socket).run(&mut calls).await;
             PeerError::NotSent(cause)
         }
-        Ok(Err(cause)) => PeerError::NotSent(cause),
+        Ok(Err(failure)) => failure,
         Err(_) => PeerError::NotSent("timed out opening the connection".to_owned()),
     };
     calls.close();
@@ -183,35 +186,44 @@
 /// Why no connection was opened.
 enum OpenError {
     /// The peer refused the proof. Holds by how many seconds its clock is ahead, if it told its time.
-    Refused(Option<i64>),
-    /// Anything else. Holds the cause.
-    Failed(String),
+    ProofRefused(Option<i64>),
+    /// Anything else.
+    Failed(PeerError),
 }
 
 impl OpenError {
     fn failed(err: impl std::fmt::Display) -> Self {
-        Self::Failed(err.to_string())
+        Self::Failed(PeerError::NotSent(err.to_string()))
+    }
+
+    fn not_connected(err: std::io::Error) -> Self {
+        match err.kind() {
+            std::io::ErrorKind::ConnectionRefused => {
+                Self::Failed(PeerError::Refused(err.to_string()))
+            }
+            _ => Self::failed(err),
+        }
     }
 }
 
 /// Opens a connection. A proof that is refused is made once more if the peer's clock differs from what
 /// the proof supposed; one that tells no time may be of an earlier release, which judges by its own.
-async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, String> {
-    let refused = "the peer refused the proof".to_owned();
+async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, PeerError> {
+    let refused = || PeerError::NotSent("the peer refused the proof".to_owned());
     let supposed = shared.clock_lead(address);
     let lead = match try_open(shared, address, supposed).await {
         Ok(socket) => return Ok(socket),
-        Err(OpenError::Failed(cause)) => return Err(cause),
-        Err(OpenError::Refused(lead)) => lead.unwrap_or_default(),
+        Err(OpenError::Failed(err)) => return Err(err),
+        Err(OpenError::ProofRefused(lead)) => lead.unwrap_or_default(),
     };
     shared.set_clock_lead(address, lead);
     if lead == supposed {
-        return Err(refused);
+        return Err(refused());
     }
     match try_open(shared, address, lead).await {
         Ok(socket) => Ok(socket),
-        Err(OpenError::Failed(cause)) => Err(cause),
-        Err(OpenError::Refused(_)) => Err(refused),
+        Err(OpenError::Failed(err)) => Err(err),
+        Err(OpenError::ProofRefused(_)) => Err(refused()),
     }
 }
 
@@ -223,7 +235,7 @@
 ) -> Result<PeerSocket, OpenError> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(OpenError::failed)?;
+        .map_err(OpenError::not_connected)?;
     let _ = stream.set_nodelay(true);
     let mut request = format!("ws://{address}/peer")
         .into_client_request()
@@ -241,7 +253,7 @@
             let told = response.headers().get(auth::TIME_HEADER);
             let told = told.and_then(|told| told.to_str().ok()).unwrap_or_default();
             let told = auth::told_time(&shared.secret, &key, told);
-            OpenError::Refused(told.map(|told| told.wrapping_sub(seconds) as i64))
+            OpenError::ProofRefused(told.map(|told| told.wrapping_sub(seconds) as i64))
         }
         err => OpenError::failed(err),
     })?;
