origins: a take-up ends the run before it, at whatever host

Callers saw nothing, but their streams ran at two upstreams at once: a caller whose link had gone silent took its stream up at another host, and the first host took it for present while its connection was open.

The host of a take-up becomes the holder at once, tells the registrars and the host before, which it repeats until that one confirms, and does not wait for it. Registrars that knew another holder tell that one too. Runs are ordered by a number and the attempt, so that late, repeated and reordered notices end nothing later, and of racing take-ups one survives. The run is ended from outside of the caller's task, which hyper does not poll while the caller reads nothing: the body is dropped with the upstream's connection and the slot, without a fault, and the caller's answer breaks off.

A request that names a stream without Last-Event-Id begins anew: it is now recorded under its own identifier, by which its caller takes it up, and no longer under that of the stream before.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -19,8 +19,8 @@
 use crate::events::LogEvent;
 use crate::host_views::HostViews;
 use crate::host_views::ViewAges;
+use crate::origins::HostTag;
 use crate::origins::OriginKeeper;
-use crate::origins::OriginNotice;
 use crate::origins::OriginQuery;
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
@@ -282,7 +282,14 @@
                     self.balancer.notify_waiters();
                 }
             }
-            Some(HostDatagram::Origins(notice)) => self.origins.apply(notice.origins),
+            Some(HostDatagram::Origins(notice)) => self.origins.apply(&notice),
+            Some(HostDatagram::TakeUp(notice)) => {
+                if let Some(reply) = self.origins.apply_take_up(&notice) {
+                    let to = self.address_of(notice.host).unwrap_or(sender);
+                    self.send(&HostDatagram::TakeUpReply(reply), &[to]).await;
+                }
+            }
+            Some(HostDatagram::TakeUpReply(reply)) => self.origins.apply_take_up_reply(&reply),
             Some(HostDatagram::OriginQuery(query)) => {
                 let reply = self.origins.reply(query.tag, &self.report.host);
                 self.send(&HostDatagram::OriginReply(reply), &[sender])
@@ -327,13 +334,20 @@
         }
     }
 
-    /// Tells registrars of streams that have begun here, and asks them about others.
+    /// Tells registrars of streams that have begun here, and asks them about others. Tells hosts that ran
+    /// streams of their take-ups.
     async fn send_origins(&self) {
-        for origin in self.origins.take_origins() {
-            let registrars = self.registrars(origin.0);
-            let origins = vec![origin];
-            let notice = HostDatagram::Origins(OriginNotice { origins });
-            self.send(&notice, &registrars).await;
+        for notice in self.origins.take_notices() {
+            let tag = notice.origins.first().map(|origin| origin.0);
+            let registrars = tag.map(|tag| self.registrars(tag));
+            let notice = HostDatagram::Origins(notice);
+            self.send(&notice, &registrars.unwrap_or_default()).await;
+        }
+        for (host, notice) in self.origins.take_take_ups() {
+            // Without an address, the take-up is not confirmed.
+            if let Some(address) = self.address_of(host) {
+                self.send(&HostDatagram::TakeUp(notice), &[address]).await;
+            }
         }
         for tag in self.origins.take_queries() {
             let registrars = self.registrars(tag);
@@ -343,6 +357,12 @@
         }
     }
 
+    fn address_of(&self, host: HostTag) -> Option<SocketAddr> {
+        let mut hosts = self.peers.by_name.iter();
+        let (_, address) = hosts.find(|(name, _)| HostTag::new(name) == host)?;
+        Some(*address)
+    }
+
     fn registrars(&self, tag: StreamTag) -> Vec<SocketAddr> {
         let hosts = self.balancer.state().hosts_near(tag.position(), REGISTRARS);
         let addresses = hosts.iter().filter_map(|host| self.peers.by_name.get(host));
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -13,6 +13,8 @@
 use crate::origins::OriginNotice;
 use crate::origins::OriginQuery;
 use crate::origins::OriginReply;
+use crate::origins::TakeUpNotice;
+use crate::origins::TakeUpReply;
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
 
@@ -108,7 +110,7 @@
     /// Reply to a request for a grant.
     #[serde(rename = "g")]
     GrantReply(GrantReply),
-    /// Versions of streams that have begun, to their registrars.
+    /// Versions and holders of streams, to their registrars.
     #[serde(rename = "o")]
     Origins(OriginNotice),
     /// Question about a stream, to one of its registrars.
@@ -117,6 +119,12 @@
     /// Reply of a registrar.
     #[serde(rename = "z")]
     OriginReply(OriginReply),
+    /// A stream was taken up, to a host that ran it before.
+    #[serde(rename = "u")]
+    TakeUp(TakeUpNotice),
+    /// Confirmation of a take-up.
+    #[serde(rename = "x")]
+    TakeUpReply(TakeUpReply),
     /// Result of a check of a view, for all hosts.
     #[serde(rename = "w")]
     View(ViewNotice),
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -45,6 +45,7 @@
 use crate::limits::KnownLimit;
 use crate::limits::LimitTable;
 use crate::limits::ReturnSchedule;
+use crate::origins::HostTag;
 use crate::suspects::FleetSize;
 
 /// Number of reporting hosts from which each request chooses among a random sample of the
@@ -432,6 +433,14 @@
         near.map(str::to_owned).collect()
     }
 
+    /// Name of the host with this tag, which may be this one; `None` if there is none.
+    pub fn host_name(&self, tag: HostTag) -> Option<String> {
+        let others = self.tracker.near(1.0);
+        let mut hosts = others.chain([self.host()]);
+        let host = hosts.find(|host| HostTag::new(host) == tag)?;
+        Some(host.to_owned())
+    }
+
     /// Whether this host is the nearest to `position` on the ring among those that it hears.
     pub fn is_nearest_heard(&self, position: f64, now: Instant) -> bool {
         self.tracker.is_nearest_heard(position, now)
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -290,7 +290,7 @@
     RequestEnded {
         /// Identifier of the request.
         request: String,
-        /// Outcome, such as `served`, `refused`, `lost` or `caller_left`.
+        /// Outcome, such as `served`, `refused`, `lost`, `caller_left` or `taken_up`.
         outcome: String,
         /// Number of attempts that may have run at an upstream.
         runs: u32,
@@ -304,6 +304,28 @@
         /// Time in milliseconds for which that upstream had sent nothing.
         quiet_ms: Option<u64>,
     },
+    /// A request has taken a stream up, or begun it anew, and the run before was to end.
+    StreamTakenUp {
+        /// Identifier of the request.
+        request: String,
+        /// Identifier of the request that began the stream, if the caller named it.
+        began: Option<String>,
+        /// Host of the run before; absent if it is unknown.
+        before_host: Option<String>,
+        /// What became of that run: `ended`, `gone`, `unknown` or `unanswered`.
+        outcome: String,
+        /// Time in milliseconds until that was known.
+        waited_ms: u64,
+    },
+    /// A request was ended as another one has taken up its stream.
+    StreamGivenUp {
+        /// Identifier of the request that was ended.
+        request: String,
+        /// Host at which the stream was taken up; absent if it is unknown.
+        by_host: Option<String>,
+        /// Number of events that were passed on for the request that was ended.
+        events: u64,
+    },
     /// A batch job was accepted, refused, taken over, ended, finished, dropped or removed.
     Job {
         /// Identifier of the job.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -34,6 +34,7 @@
     ejections: IntCounterVec,
     misidentified: IntCounterVec,
     requests: IntCounterVec,
+    take_ups: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
     first_event_seconds: Histogram,
@@ -90,6 +91,11 @@
                 "Ended requests, by outcome.",
                 &["outcome"],
             ),
+            take_ups: counter(
+                "take_ups_total",
+                "Streams taken up, by what became of the run before.",
+                &["outcome"],
+            ),
             item_runs: counter(
                 "item_runs_total",
                 "Ended runs of items, by outcome.",
@@ -183,6 +189,7 @@
             &self.ejections,
             &self.misidentified,
             &self.requests,
+            &self.take_ups,
             &self.item_runs,
             &self.jobs,
             &self.grants,
@@ -238,6 +245,9 @@
                 let process = started_ms.map_or("unknown", |_| "other");
                 self.misidentified.with_label_values(&[process]).inc();
             }
+            LogEvent::StreamTakenUp { outcome, .. } => {
+                self.take_ups.with_label_values(&[outcome]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
             _ => {}
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -23,7 +23,6 @@
 use crate::events::LogEvent;
 use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
-use crate::ids::WorkClass;
 use crate::relay::event::EventReader;
 use crate::relay::event::StreamEvent;
 use crate::relay::event::StreamFault;
@@ -38,7 +37,6 @@
 use crate::relay::transport::UpstreamAnswer;
 use crate::relay::transport::UpstreamBody;
 use crate::relay::witness::CrashWitness;
-use crate::routes::RouteKind;
 use crate::suspects::CrashRefusal;
 
 /// Largest whole answer that is buffered.
@@ -218,6 +216,11 @@
         self.software.as_ref()
     }
 
+    /// The relay that the request is dispatched by.
+    pub(crate) fn relay(&self) -> &RequestRelay {
+        &self.relay
+    }
+
     /// Decides which requests are taken while the host shuts down, from the times of earlier ones.
     pub(crate) fn stop_gate(&self) -> &StopGate {
         self.relay.stop_gate()
@@ -813,8 +816,7 @@
 
 /// Records which version of the software began the stream of an online request that may be taken up.
 fn record_origin(relay: &RequestRelay, request: &RelayRequest, version: &SoftwareVersion) {
-    let is_resumable = matches!(request.route.kind, RouteKind::Stream { resumable: true });
-    if is_resumable && request.class == WorkClass::Online {
+    if request.is_resumable() {
         let tag = request.stream_tag();
         relay.origins().record_begun(tag, &request.service, version);
     }
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod request;
 mod request_relay;
 mod stop_gate;
+mod take_up;
 mod timeout;
 mod transport;
 mod witness;
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -13,6 +13,7 @@
 use crate::ids::WorkClass;
 use crate::origins::StreamTag;
 use crate::routes::Route;
+use crate::routes::RouteKind;
 use crate::suspects::CrashSubject;
 use crate::suspects::Fingerprint;
 
@@ -60,9 +61,20 @@
         Fingerprint::opaque(&self.route.host, method, target, &self.body)
     }
 
-    /// Tag of the stream that the request begins, or takes up.
+    /// Tag of the stream that the request begins, or takes up. One that begins anew brings a first event of
+    /// its own, which later take-ups name.
     pub(crate) fn stream_tag(&self) -> StreamTag {
-        StreamTag::new(self.resumes.as_ref().unwrap_or(&self.id))
+        let began = self
+            .resumes
+            .as_ref()
+            .filter(|_| self.resume_after.is_some());
+        StreamTag::new(began.unwrap_or(&self.id))
+    }
+
+    /// Whether a caller may take up the stream that the request begins.
+    pub(crate) fn is_resumable(&self) -> bool {
+        let is_resumable = matches!(self.route.kind, RouteKind::Stream { resumable: true });
+        is_resumable && self.class == WorkClass::Online
     }
 
     /// Everything about the request that may crash an upstream.
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -18,7 +18,10 @@
 use crate::host_views::HostViews;
 use crate::host_views::ViewHandle;
 use crate::memory_budget::MemoryBudget;
+use crate::origins::EndableBody;
 use crate::origins::OriginKeeper;
+use crate::origins::RunEnd;
+use crate::origins::RunRegistration;
 use crate::relay::answered::AnsweredRequests;
 use crate::relay::dispatch::OpenedAnswer;
 use crate::relay::dispatch::RelayFailure;
@@ -30,6 +33,7 @@
 use crate::relay::load_shedding::decide_shedding;
 use crate::relay::request::RelayRequest;
 use crate::relay::stop_gate::StopGate;
+use crate::relay::take_up;
 use crate::relay::transport::UpstreamTransport;
 use crate::routes::Route;
 use crate::routes::RouteKind;
@@ -45,6 +49,8 @@
 const ANSWER_MEMORY_BYTES: usize = 64 * 1024 * 1024;
 /// Logged outcome of a request whose answer was delivered completely.
 const SERVED_OUTCOME: &str = "served";
+/// Logged outcome of a request whose stream was taken up by another one.
+const TAKEN_UP_OUTCOME: &str = "taken_up";
 /// Upper bound of the retry delay for a request that no upstream accepted.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay for a request that takes up a stream which can't go on.
@@ -134,7 +140,7 @@
             answered: Arc::default(),
             stop_gate: StopGate::default(),
             crashes: CrashKeeper::new(&host, log.clone()),
-            origins: OriginKeeper::default(),
+            origins: OriginKeeper::new(&host),
             log,
         }
     }
@@ -239,16 +245,20 @@
     }
 
     /// Relays `request` and returns its answer. A streamed answer makes progress, and is resumed
-    /// at another upstream after a failure, only while its body is polled.
+    /// at another upstream after a failure, only while its body is polled. It breaks off when the
+    /// stream is taken up by another request, here or at another host.
     pub async fn relay(&self, mut request: RelayRequest) -> RelayAnswer {
-        if let Err(reason) = self.set_origin(&mut request).await {
-            let load = self.load(&request);
-            self.log_refusal(&request, reason, load, NOT_RESUMABLE_RETRY_DELAY, None);
-            return RelayAnswer::Refused {
-                retry_after: NOT_RESUMABLE_RETRY_DELAY,
-                reason: RelayRefusal::NotResumable,
-            };
-        }
+        let taken_up = match self.set_origin(&mut request).await {
+            Ok(taken_up) => taken_up,
+            Err(reason) => {
+                let load = self.load(&request);
+                self.log_refusal(&request, reason, load, NOT_RESUMABLE_RETRY_DELAY, None);
+                return RelayAnswer::Refused {
+                    retry_after: NOT_RESUMABLE_RETRY_DELAY,
+                    reason: RelayRefusal::NotResumable,
+                };
+            }
+        };
         let load = self.load(&request);
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
@@ -270,7 +280,19 @@
         let policy = online_policy(&request.route);
         let run = RequestDispatch::new(self.clone(), request.clone(), policy);
         let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone());
-        match dispatch.run.start().await {
+        let started = match &taken_up {
+            None => dispatch.run.start().await,
+            Some(registration) => {
+                let end = registration.handle().run_end().clone();
+                dispatch.run_end = Some(end.clone());
+                tokio::select! {
+                    biased;
+                    () = end.ended() => return RelayAnswer::Lost,
+                    started = dispatch.run.start() => started,
+                }
+            }
+        };
+        match started {
             Ok(OpenedAnswer::Whole {
                 status,
                 headers,
@@ -286,10 +308,11 @@
             }
             Ok(OpenedAnswer::Stream { status, headers }) => {
                 dispatch.record_first();
+                let registration = taken_up.or_else(|| self.register_run(&request));
                 RelayAnswer::Stream {
                     status,
                     headers,
-                    body: stream_body(dispatch),
+                    body: stream_body(dispatch, registration),
                 }
             }
             Err(RelayFailure::NotRun) if self.is_version_gone(&request) => {
@@ -341,23 +364,37 @@
         }
     }
 
-    /// Finds the version of the software at which a stream has to go on that the request takes up. The
-    /// error is the reason why there is none.
-    async fn set_origin(&self, request: &mut RelayRequest) -> Result<(), &'static str> {
+    /// Registers the run of a stream that begins, if a caller may take it up.
+    fn register_run(&self, request: &RelayRequest) -> Option<RunRegistration> {
+        let tag = request.stream_tag();
+        let is_resumable = request.is_resumable();
+        is_resumable.then(|| self.origins.register_first(tag))
+    }
+
+    /// Finds the version of the software at which a stream has to go on that the request takes up, and has
+    /// the run before ended. Returns the run that takes the stream up. The error is the reason why there is
+    /// no version.
+    async fn set_origin(
+        &self,
+        request: &mut RelayRequest,
+    ) -> Result<Option<RunRegistration>, &'static str> {
         if request.resume_after.is_none() {
-            return Ok(());
+            take_up::leave_run(self, request);
+            return Ok(None);
         }
         self.update_versions();
         let age = request.route.timeout;
         let tag = request.stream_tag();
         let version = self.origins.resolve(tag, &request.service, age).await;
         let version = version.ok_or("origin_unknown")?;
+        // Whether the stream can go on or not: the caller has left the run before.
+        let run = take_up::end_run_before(self, request, &version);
         let is_served = self
             .balancer
             .state()
             .serves_version(&request.service, &version);
         request.software = Some(version);
-        is_served.then_some(()).ok_or("version_gone")
+        is_served.then_some(run).ok_or("version_gone")
     }
 
     /// Whether a request goes on at a version of the software that no upstream serves any more.
@@ -413,12 +450,28 @@
     }
 }
 
-/// Body that reads the next event from the upstream when the caller polls for it.
-fn stream_body(dispatch: LoggedDispatch) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
+/// Body that reads the next event from the upstream when the caller polls for it, until another request
+/// takes the stream up.
+fn stream_body(
+    mut dispatch: LoggedDispatch,
+    registration: Option<RunRegistration>,
+) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
+    let Some(registration) = registration else {
+        return event_body(dispatch);
+    };
+    let handle = registration.handle().clone();
+    dispatch.run_end = Some(handle.run_end().clone());
+    EndableBody::new(handle, event_body(dispatch), registration).boxed()
+}
+
+fn event_body(dispatch: LoggedDispatch) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
     let events = stream::unfold(Some(dispatch), |dispatch| async move {
         let mut dispatch = dispatch?;
         match dispatch.run.next_step().await {
-            StreamStep::Event(event) => Some((Ok(event.raw), Some(dispatch))),
+            StreamStep::Event(event) => {
+                dispatch.events += 1;
+                Some((Ok(event.raw), Some(dispatch)))
+            }
             StreamStep::End => {
                 dispatch.finish(SERVED_OUTCOME);
                 None
@@ -444,6 +497,10 @@
     log: EventLog,
     request: Arc<RelayRequest>,
     first: Option<Instant>,
+    /// Number of events that were passed on.
+    events: u64,
+    /// Tells whether the run was ended as its stream was taken up; `None` if it can't be.
+    run_end: Option<RunEnd>,
     logged: bool,
 }
 
@@ -454,6 +511,8 @@
             log,
             request,
             first: None,
+            events: 0,
+            run_end: None,
             logged: false,
         }
     }
@@ -493,8 +552,19 @@
 
 impl Drop for LoggedDispatch {
     fn drop(&mut self) {
-        if !self.logged {
-            self.finish("caller_left");
+        if self.logged {
+            return;
         }
+        let Some(host) = self.run_end.as_ref().and_then(RunEnd::by_host) else {
+            return self.finish("caller_left");
+        };
+        let balancer = self.run.relay().balancer();
+        let by_host = balancer.state().host_name(host);
+        self.log.write(LogEvent::StreamGivenUp {
+            request: self.request.id.to_string(),
+            by_host,
+            events: self.events,
+        });
+        self.finish(TAKEN_UP_OUTCOME);
     }
 }
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -110,7 +110,7 @@
     /// Time in milliseconds from arrival to end; 0 if the request was refused or its end is not
     /// logged.
     pub total_ms: u64,
-    /// Last fault or refusal logged for the request, or else for how long its upstream had been
+    /// Last fault, refusal or take-up logged for the request, or else for how long its upstream had been
     /// silent; `None` if the logs hold neither.
     pub reason: Option<String>,
 }
@@ -249,6 +249,9 @@
                 "sending_failed" => {
                     reasons.insert(request, fault_reason(line));
                 }
+                "stream_given_up" => {
+                    reasons.insert(request, take_up_reason(line));
+                }
                 "request_refused" => {
                     reasons.insert(request, refusal_reason(line));
                     open.remove(&run);
@@ -324,6 +327,12 @@
     )
 }
 
+fn take_up_reason(line: &TraceLine) -> String {
+    let host = line.text("by_host").unwrap_or("another host");
+    let events = number_or_unknown(line.number("events"));
+    format!("taken up at {host} after {events} events")
+}
+
 /// Reason for the end of a request without a logged fault: how long its upstream had been silent.
 fn silence_reason(line: &TraceLine) -> Option<String> {
     let upstream = line.text("upstream")?;
--- a/lib/tests/opaque/mod.rs
+++ b/lib/tests/opaque/mod.rs
@@ -21,6 +21,7 @@
 use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
 use parsleywall::ids::WorkClass;
+use parsleywall::origins::HostTag;
 use parsleywall::origins::StreamTag;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
@@ -82,8 +83,17 @@
     }
 }
 
-/// Lets the hosts of `relays` exchange the versions at which streams began until the task is aborted.
+/// Lets the hosts of `relays` exchange the versions at which streams began, and where they run, until the
+/// task is aborted.
 pub(crate) fn spawn_origin_exchange(relays: Vec<RequestRelay>) -> tokio::task::JoinHandle<()> {
+    spawn_partial_exchange(relays, true)
+}
+
+/// Does the same, but loses all news of take-ups unless `tells_take_ups`.
+pub(crate) fn spawn_partial_exchange(
+    relays: Vec<RequestRelay>,
+    tells_take_ups: bool,
+) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
         let name = |number: usize| relays[number].balancer().state().host().to_owned();
         loop {
@@ -96,9 +106,21 @@
                         .hosts_near(tag.position(), 3);
                     (0..relays.len()).filter(move |other| near.contains(&name(*other)))
                 };
-                for origin in origins.take_origins() {
-                    for other in registrars(origin.0) {
-                        relays[other].origins().apply(vec![origin.clone()]);
+                for notice in origins.take_notices() {
+                    for other in registrars(notice.origins[0].0) {
+                        relays[other].origins().apply(&notice);
+                    }
+                }
+                for (host, notice) in origins.take_take_ups() {
+                    if !tells_take_ups {
+                        continue;
+                    }
+                    let host_at =
+                        |tag| (0..relays.len()).find(|at| HostTag::new(&name(*at)) == tag);
+                    let told = host_at(host).map(|at| relays[at].origins());
+                    let reply = told.and_then(|told| told.apply_take_up(&notice));
+                    if let (Some(reply), Some(from)) = (reply, host_at(notice.host)) {
+                        relays[from].origins().apply_take_up_reply(&reply);
                     }
                 }
                 for tag in origins.take_queries() {
@@ -138,12 +160,22 @@
     host: &str,
     wire: Arc<dyn UpstreamTransport>,
     upstreams: &[&str],
+) -> RequestRelay {
+    new_logged_relay(host, wire, upstreams, EventLog::disabled())
+}
+
+/// Returns a relay that writes its decisions to `log`.
+pub(crate) fn new_logged_relay(
+    host: &str,
+    wire: Arc<dyn UpstreamTransport>,
+    upstreams: &[&str],
+    log: EventLog,
 ) -> RequestRelay {
     let mut book = BalancerState::new(HostId::new(host), DataCentre::new("west"));
     for name in upstreams {
         book.put(upstream(name));
     }
-    RequestRelay::new(wire, LoadBalancer::new(book), EventLog::disabled())
+    RequestRelay::new(wire, LoadBalancer::new(book), log)
 }
 
 pub(crate) fn request(id: &str, route: Route) -> RelayRequest {
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -278,6 +278,24 @@
     );
 }
 
+/// A stream that was taken up at another host: the first attempt's identifier finds both ends.
+#[test]
+fn test_trace_shows_a_take_up_at_both_hosts() {
+    let given_up = ",\"request\":\"r1\",\"by_host\":\"host-b\",\"events\":9";
+    let ended = ",\"request\":\"r1\",\"outcome\":\"taken_up\",\"runs\":1,\"total_ms\":800,\"upstream\":\"u1\",\"quiet_ms\":5";
+    let taken_up = ",\"request\":\"t1\",\"began\":\"r1\",\"before_host\":\"host-a\",\"outcome\":\"ended\",\"waited_ms\":3";
+    let lines = [
+        line("host-a", 1_000, "stream_given_up", given_up),
+        line("host-a", 1_000, "request_ended", ended),
+        line("host-b", 1_002, "stream_taken_up", taken_up),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    assert_eq!(trace.events_about("r1").len(), 3);
+    let unserved = trace.unserved_requests();
+    let reason = unserved[0].reason.as_deref();
+    assert_eq!(reason, Some("taken up at host-b after 9 events"));
+}
+
 #[test]
 fn test_trace_explains_unserved_requests() {
     let left = ",\"request\":\"r1\",\"outcome\":\"caller_left\",\"runs\":1,\"total_ms\":3000,\"upstream\":\"u1\",\"quiet_ms\":2400";
