--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -34,6 +34,7 @@
     ejections: IntCounterVec,
     misidentified: IntCounterVec,
     requests: IntCounterVec,
+    take_ups: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
     name_changes: IntCounterVec,
@@ -92,6 +93,11 @@
                 "Ended requests, by outcome.",
                 &["outcome"],
             ),
+            take_ups: counter(
+                "take_ups_total",
+                "Streams taken up, by what became of the run before.",
+                &["outcome"],
+            ),
             item_runs: counter(
                 "item_runs_total",
                 "Ended runs of items, by outcome.",
@@ -196,6 +202,7 @@
             &self.ejections,
             &self.misidentified,
             &self.requests,
+            &self.take_ups,
             &self.item_runs,
             &self.jobs,
             &self.name_changes,
@@ -253,6 +260,9 @@
                 let process = started_ms.map_or("unknown", |_| "other");
                 self.misidentified.with_label_values(&[process]).inc();
             }
+            LogEvent::StreamTakenUp { outcome, .. } => {
+                self.take_ups.with_label_values(&[outcome]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::HostDisplaced { via, .. } => {
                 let counter = self.name_changes.with_label_values(&["displaced", via]);
