batch: records are removed by their measured age

A clock that was wrong by an hour had the segments of an upload removed while its file was being stored, so that its job failed later; one that was wrong by ten minutes had the marker of a job deleted while it was being accepted, so that nobody found the job after its owner was gone.

Markers are now as old as the time since a listing of this host had their revision. Jobs are kept for longer than hosts run: one host counts the time that passes, by its monotonic clock, in the record `batch/retention`, with the revisions that the store had meanwhile. Two hosts that both take themselves for the one that counts don't count twice, as each count replaces the version that was read before. One read an hour of each host, and one write an hour of the fleet. Hosts of the earlier release beside still believe the times, which are written as before.

--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -23,6 +23,7 @@
 use crate::batch::message::JobAnnouncement;
 use crate::batch::message::WorkItem;
 use crate::batch::message::WorkReport;
+use crate::batch::retention::RetentionCounter;
 use crate::batch::run::JobRun;
 use crate::batch::store::BatchStore;
 use crate::batch::store::VersionedJob;
@@ -39,6 +40,7 @@
 use crate::inference::InferenceRunner;
 use crate::membership::Membership;
 use crate::peers::PeerClient;
+use crate::revision_ages::RevisionAges;
 use crate::terms::ActiveTerms;
 
 /// Timeout of one announcement to one host, and the wait after a failed segment load.
@@ -48,6 +50,10 @@
 const MAX_UNCOMMITTED_BYTES: usize = 32 * 1024 * 1024;
 /// Most ended jobs whose records are cached; a full cache is cleared.
 const MAX_ENDED_JOBS: usize = 256;
+/// Least time between two revisions of the store that are remembered, for the ages of markers.
+const REVISION_STEP: Duration = Duration::from_secs(60);
+/// Ages of markers above this need not be told apart.
+const MAX_MARKER_AGE: Duration = Duration::from_secs(2 * 3600);
 
 /// A job that has not ended, as last announced to this host or read by it.
 pub(crate) struct KnownJob {
@@ -169,6 +175,8 @@
     /// Wakes the tracker loop when an owner has released a job.
     pub(crate) tracker_wakeup: Notify,
     state: Mutex<CoordinatorState>,
+    revisions: Mutex<RevisionAges>,
+    pub(crate) retention: tokio::sync::Mutex<RetentionCounter>,
 }
 
 impl BatchCoordinator {
@@ -184,9 +192,26 @@
             worker_wakeup: Notify::new(),
             tracker_wakeup: Notify::new(),
             state: Mutex::new(state),
+            revisions: Mutex::new(RevisionAges::new(REVISION_STEP, MAX_MARKER_AGE)),
+            retention: tokio::sync::Mutex::default(),
         })
     }
 
+    fn revisions(&self) -> MutexGuard<'_, RevisionAges> {
+        self.revisions.lock().expect("revision ages lock")
+    }
+
+    /// Records that a listing has just had `revision`.
+    pub(crate) fn note_revision(&self, revision: KvVersion) {
+        self.revisions().record(revision, Instant::now());
+    }
+
+    /// Whether what was last written at `version` is at least `age` old, as far as this host has seen.
+    pub(crate) fn is_older_than(&self, version: KvVersion, age: Duration) -> bool {
+        let now = Instant::now();
+        self.revisions().is_older_than(version, age, now)
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, CoordinatorState> {
         self.state.lock().expect("batch coordinator lock")
     }
--- a/lib/src/batch/mod.rs
+++ b/lib/src/batch/mod.rs
@@ -16,6 +16,7 @@
 mod object;
 mod outcome;
 mod results;
+mod retention;
 mod run;
 mod service;
 mod store;
--- a/lib/src/batch/service.rs
+++ b/lib/src/batch/service.rs
@@ -226,7 +226,8 @@
 
     /// Lists the jobs of a workspace, newest first.
     pub async fn jobs(&self, workspace: &WorkspaceName) -> Result<Vec<JobObject>, BatchError> {
-        let mut jobs = self.store().jobs(workspace).await?;
+        let jobs = self.store().jobs(workspace).await?.into_iter();
+        let mut jobs: Vec<JobRecord> = jobs.map(|job| job.record).collect();
         jobs.sort_by(|a, b| b.created_ms.cmp(&a.created_ms).then(b.id.cmp(&a.id)));
         Ok(jobs.iter().map(JobRecord::object).collect())
     }
--- a/lib/src/batch/store.rs
+++ b/lib/src/batch/store.rs
@@ -9,6 +9,7 @@
 //! | `open/{job}` | marker of a job that may be open |
 //! | `packs/{job}/{epoch}-{number}` | a pack of results |
 //! | `cancels/{job}` | hint that the job was cancelled |
+//! | `batch/retention` | counted time, by which ended jobs are removed |
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -164,7 +165,7 @@
     pub(crate) async fn jobs(
         &self,
         workspace: &WorkspaceName,
-    ) -> Result<Vec<JobRecord>, BatchError> {
+    ) -> Result<Vec<VersionedJob>, BatchError> {
         let mut jobs = Vec::new();
         let prefix = format!("jobs/{workspace}/");
         let mut after: Option<String> = None;
@@ -174,7 +175,10 @@
                 .list(&prefix, after.as_deref(), JOB_PAGE_LIMIT)
                 .await?;
             for entry in &page.entries {
-                jobs.push(decode_job(&entry.value)?);
+                jobs.push(VersionedJob {
+                    record: decode_job(&entry.value)?,
+                    version: entry.version,
+                });
             }
             match page.entries.last() {
                 Some(last) if page.more => after = Some(last.key.clone()),
--- a/lib/src/batch/stored.rs
+++ b/lib/src/batch/stored.rs
@@ -66,6 +66,7 @@
 pub(crate) struct OpenMarker {
     pub(crate) format: u32,
     pub(crate) workspace: WorkspaceName,
+    /// Time of day by the clock of the host that wrote it, which hosts of the earlier release believe.
     pub(crate) created_ms: u64,
 }
 
@@ -75,6 +76,7 @@
     pub(crate) format: u32,
     pub(crate) workspace: WorkspaceName,
     pub(crate) segments: u32,
+    /// Time of day by the clock of the host that wrote it, which hosts of the earlier release believe.
     pub(crate) created_ms: u64,
 }
 
--- a/lib/src/batch/sweeper.rs
+++ b/lib/src/batch/sweeper.rs
@@ -1,5 +1,8 @@
 //! Deletes unfinished uploads, and jobs with their files and results after the retention time.
 //!
+//! Ages are measured, by the revisions of the store: the times of day in the records are those of other
+//! hosts, whose clocks may differ by any amount.
+//!
 //! Rendezvous hashing assigns each workspace and upload to one host, which sweeps it. Deletions may
 //! be repeated after a failure: the record that lists the other keys is deleted last.
 
@@ -11,8 +14,11 @@
 use crate::batch::coordinator::BatchCoordinator;
 use crate::batch::ledger::JobRecord;
 use crate::batch::object::BatchError;
+use crate::batch::retention::RETENTION_KEY;
+use crate::batch::retention::RetentionRecord;
 use crate::batch::store::PAGE_LIMIT;
 use crate::batch::store::UPLOADS_PREFIX;
+use crate::batch::store::VersionedJob;
 use crate::batch::store::file_key;
 use crate::batch::store::jittered;
 use crate::batch::store::job_key;
@@ -21,7 +27,6 @@
 use crate::batch::stored::MARKER_FORMAT;
 use crate::batch::stored::UploadMarker;
 use crate::batch::stored::decode;
-use crate::clock::unix_millis;
 use crate::collections::HashSet;
 use crate::counters::RetryReason;
 use crate::edges::kv::Expect;
@@ -29,10 +34,10 @@
 
 /// Interval between sweeps; jittered down to half of it.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(3600);
-/// Age of a marker after which its upload counts as failed, in milliseconds.
-const UPLOAD_LIMIT_MS: u64 = 60 * 60 * 1000;
-/// Time for which a job and its results are kept after its end, in milliseconds.
-const RETENTION_MS: u64 = 30 * 24 * 60 * 60 * 1000;
+/// Age of a marker after which its upload counts as failed.
+const UPLOAD_TIME: Duration = Duration::from_secs(3600);
+/// Time for which a job and its results are kept after its end.
+const RETENTION_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
 
 impl BatchCoordinator {
     /// Sweeps every half to full [`SWEEP_INTERVAL`] until `stop`.
@@ -42,27 +47,28 @@
                 () = tokio::time::sleep(jittered(SWEEP_INTERVAL)) => {}
                 () = stop.cancelled() => return,
             }
-            if self.sweep_once(unix_millis()).await.is_err() {
+            if self.sweep_once().await.is_err() {
                 self.dependencies.counters.retry(RetryReason::StoreFailed);
             }
         }
     }
 
-    /// Deletes the failed uploads and expired jobs that are assigned to this host. `now_ms` is the
-    /// time in milliseconds since the Unix epoch.
-    pub async fn sweep_once(&self, now_ms: u64) -> Result<(), BatchError> {
-        self.sweep_uploads(now_ms).await?;
+    /// Deletes the failed uploads and expired jobs that are assigned to this host.
+    pub async fn sweep_once(&self) -> Result<(), BatchError> {
+        self.sweep_uploads().await?;
+        let retention = self.read_retention().await?;
         let terms = self.dependencies.terms.view();
         for workspace in terms.workspaces() {
             if !self.is_sweeping_host(workspace.name.as_str()) {
                 continue;
             }
             let jobs = self.dependencies.store.jobs(&workspace.name).await?;
-            let (old, kept): (Vec<_>, Vec<_>) =
-                jobs.into_iter().partition(|job| is_expired(job, now_ms));
-            let needed: HashSet<&FileId> =
-                kept.iter().map(|job| &job.request.input_file_id).collect();
-            for record in &old {
+            let (old, kept): (Vec<_>, Vec<_>) = jobs
+                .into_iter()
+                .partition(|job| is_expired(job, &retention));
+            let kept = kept.iter().map(|job| &job.record);
+            let needed: HashSet<&FileId> = kept.map(|job| &job.request.input_file_id).collect();
+            for VersionedJob { record, .. } in &old {
                 let removes_input = !needed.contains(&record.request.input_file_id);
                 self.remove_job(record, removes_input).await?;
             }
@@ -76,15 +82,24 @@
             .is_some_and(|sweeping_host| sweeping_host.id == self.dependencies.host)
     }
 
-    async fn sweep_uploads(&self, now_ms: u64) -> Result<(), BatchError> {
+    async fn read_retention(&self) -> Result<RetentionRecord, BatchError> {
+        let store = &self.dependencies.store;
+        let counts = self.is_sweeping_host(RETENTION_KEY);
+        let mut counter = self.retention.lock().await;
+        counter.read(store, counts, RETENTION_TIME).await
+    }
+
+    async fn sweep_uploads(&self) -> Result<(), BatchError> {
         let kv = self.dependencies.store.kv();
         let page = kv.list(UPLOADS_PREFIX, None, PAGE_LIMIT).await?;
+        self.note_revision(page.revision);
         for entry in &page.entries {
             let id = FileId::new(entry.key.trim_start_matches(UPLOADS_PREFIX));
             let Ok(marker) = decode::<UploadMarker>(&entry.value, MARKER_FORMAT) else {
                 continue;
             };
-            if marker.created_ms + UPLOAD_LIMIT_MS >= now_ms || !self.is_sweeping_host(id.as_str())
+            if !self.is_older_than(entry.version, UPLOAD_TIME)
+                || !self.is_sweeping_host(id.as_str())
             {
                 continue;
             }
@@ -132,7 +147,7 @@
     }
 }
 
-fn is_expired(record: &JobRecord, now_ms: u64) -> bool {
-    let ended = record.ended_ms.filter(|_| record.state.is_final());
-    ended.is_some_and(|ended| ended + RETENTION_MS < now_ms)
+fn is_expired(job: &VersionedJob, retention: &RetentionRecord) -> bool {
+    // Nothing is written to the record of a job after its end.
+    job.record.state.is_final() && retention.is_older_than(job.version, RETENTION_TIME)
 }
--- a/lib/src/batch/tracker.rs
+++ b/lib/src/batch/tracker.rs
@@ -24,7 +24,6 @@
 use crate::batch::stored::MARKER_FORMAT;
 use crate::batch::stored::OpenMarker;
 use crate::batch::stored::decode;
-use crate::clock::unix_millis;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
 use crate::counters::RetryReason;
@@ -44,9 +43,9 @@
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_secs(8);
 /// Time without a write to the record after which a claim has lapsed, if its owner is not live.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(20);
-/// Age at which a marker without a job is deleted, in milliseconds. A younger one may belong to a
-/// submission whose record is still being written.
-const MIN_ORPHAN_MARKER_AGE_MS: u64 = 10 * 60 * 1000;
+/// Age at which a marker without a job is deleted. A younger one may belong to a submission whose record
+/// is still being written.
+const MIN_ORPHAN_MARKER_AGE: Duration = Duration::from_secs(10 * 60);
 /// Longest wait of one watch for hints of cancellations.
 const CANCEL_WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval at which a host asks for cancelled jobs beside its watch.
@@ -125,13 +124,14 @@
         tracker.marked_jobs.clear();
         loop {
             let page = kv.list(OPEN_PREFIX, after.as_deref(), PAGE_LIMIT).await?;
+            self.note_revision(page.revision);
             for entry in &page.entries {
                 let id = JobId::new(entry.key.trim_start_matches(OPEN_PREFIX));
                 let Ok(marker) = decode::<OpenMarker>(&entry.value, MARKER_FORMAT) else {
                     continue;
                 };
                 if !self.lock().open_jobs.contains_key(&id) {
-                    self.load_unknown_job(&id, &marker).await;
+                    self.load_unknown_job(&id, &marker, entry.version).await;
                 }
                 tracker.marked_jobs.insert(id, marker.workspace);
             }
@@ -145,12 +145,17 @@
     /// Loads a job that this host knows only by its marker. Claims it at once if the claim is by an
     /// earlier process of this host; deletes the marker if the job has ended, or is missing and the
     /// marker is old.
-    async fn load_unknown_job(self: &Arc<Self>, id: &JobId, marker: &OpenMarker) {
+    async fn load_unknown_job(
+        self: &Arc<Self>,
+        id: &JobId,
+        marker: &OpenMarker,
+        version: KvVersion,
+    ) {
         let Ok(job) = self.dependencies.store.job(&marker.workspace, id).await else {
             return;
         };
         let Some(job) = job else {
-            if marker.created_ms + MIN_ORPHAN_MARKER_AGE_MS < unix_millis() {
+            if self.is_older_than(version, MIN_ORPHAN_MARKER_AGE) {
                 let _ = self
                     .dependencies
                     .store
--- a/lib/tests/scripted/mod.rs
+++ b/lib/tests/scripted/mod.rs
@@ -1,4 +1,5 @@
 //! In-memory model engines that behave as scripted, and an inference runner over them.
+#![allow(dead_code)] // Each test program uses some of it.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -394,7 +395,7 @@
     }
 }
 
-fn own_host(host: &HostId) -> PeerHost {
+pub(crate) fn own_host(host: &HostId) -> PeerHost {
     PeerHost {
         id: host.clone(),
         incarnation: 1,
--- /dev/null
+++ b/lib/tests/test_batch_ages.rs
@@ -0,0 +1,213 @@
+//! Batch records are removed by their measured age, whatever the clocks of hosts tell.
+
+mod scripted;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parsleywall::batch::BatchCoordinator;
+use parsleywall::batch::BatchDependencies;
+use parsleywall::batch::BatchStore;
+use parsleywall::batch::ItemSet;
+use parsleywall::batch::JOB_FORMAT;
+use parsleywall::batch::JobRecord;
+use parsleywall::batch::JobRequest;
+use parsleywall::batch::JobState;
+use parsleywall::batch::RequestCounts;
+use parsleywall::clock::unix_millis;
+use parsleywall::counters::CounterSet;
+use parsleywall::decisions::DecisionRing;
+use parsleywall::edges::engine::Endpoint;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
+use parsleywall::ids::FileId;
+use parsleywall::ids::HostId;
+use parsleywall::ids::JobId;
+use parsleywall::ids::WorkspaceName;
+use parsleywall::membership::Membership;
+use parsleywall::peers::PeerClient;
+use parsleywall::terms::ActiveTerms;
+use parsleywall_standins::kv::KvMemory;
+use parsleywall_standins::terms::DEMO_WORKSPACE;
+use parsleywall_standins::terms::demo_terms;
+use scripted::ScriptedFleet;
+use scripted::own_host;
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+const DAY: Duration = Duration::from_secs(24 * 3600);
+const DAY_MS: i64 = 24 * 3600 * 1000;
+/// By how much the clock of the host that wrote a record was wrong, in milliseconds.
+const CLOCK_SHIFTS: [i64; 5] = [-40 * DAY_MS, -400_000, 0, 400_000, 40 * DAY_MS];
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1800);
+
+/// A marker as it is stored, of an upload or of an open job.
+#[derive(Serialize)]
+struct StoredMarker {
+    format: u32,
+    workspace: String,
+    segments: u32,
+    created_ms: u64,
+}
+
+fn time_of_day(shift_ms: i64) -> u64 {
+    unix_millis().saturating_add_signed(shift_ms)
+}
+
+/// A host that has just started, the only one.
+async fn start_host(kv: &Arc<KvMemory>, fleet: &ScriptedFleet) -> Arc<BatchCoordinator> {
+    let host = HostId::new("host-0");
+    let counters = Arc::new(CounterSet::new());
+    let decisions = Arc::new(DecisionRing::new(host.clone()));
+    let terms = ActiveTerms::new(kv.clone(), counters.clone(), decisions.clone());
+    terms.replace(None, demo_terms(), "setup").await.unwrap();
+    BatchCoordinator::new(BatchDependencies {
+        host: host.clone(),
+        store: BatchStore::new(kv.clone()),
+        runner: fleet.runner.clone(),
+        terms: Arc::new(terms),
+        membership: Arc::new(Membership::new(own_host(&host))),
+        peers: PeerClient::new(host, "batch-ages-secret".to_owned()),
+        counters,
+        decisions,
+    })
+}
+
+async fn put_marker(kv: &KvMemory, key: &str, shift_ms: i64) {
+    let marker = StoredMarker {
+        format: 1,
+        workspace: DEMO_WORKSPACE.to_owned(),
+        segments: 1,
+        created_ms: time_of_day(shift_ms),
+    };
+    let mut value = Vec::new();
+    ciborium::into_writer(&marker, &mut value).unwrap();
+    let put = kv.put(key, Bytes::from(value), Expect::Absent, None);
+    put.await.unwrap();
+}
+
+/// A job that has ended, by a clock that is wrong.
+fn ended_job(shift_ms: i64) -> JobRecord {
+    JobRecord {
+        format: JOB_FORMAT,
+        id: JobId::new("batch_1"),
+        workspace: WorkspaceName::new(DEMO_WORKSPACE),
+        request: JobRequest {
+            input_file_id: FileId::new("file_1"),
+            endpoint: Endpoint::Chat,
+            completion_window: "24h".to_owned(),
+            metadata: BTreeMap::new(),
+        },
+        fingerprint: String::new(),
+        created_ms: time_of_day(shift_ms),
+        expires_ms: time_of_day(shift_ms + DAY_MS),
+        ended_ms: Some(time_of_day(shift_ms)),
+        state: JobState::Completed,
+        claim: None,
+        epoch: 1,
+        writes: 2,
+        segments: Vec::new(),
+        inline_input: true,
+        counts: RequestCounts::default(),
+        output_bytes: 0,
+        error_bytes: 0,
+        done: ItemSet::new(),
+        packs: Vec::new(),
+        attempts: BTreeMap::new(),
+        faults: Vec::new(),
+    }
+}
+
+/// Has `host` sweep as often as in operation, for `time`.
+async fn sweep_for(host: &BatchCoordinator, time: Duration) {
+    for _ in 0..time.div_duration_f64(SWEEP_INTERVAL) as u64 {
+        tokio::time::advance(SWEEP_INTERVAL).await;
+        host.sweep_once().await.unwrap();
+    }
+}
+
+/// Guards against results that are forgotten early, or kept for ever, as the sweeping host believes the
+/// clock of the one at which the job ended (issue 44).
+#[tokio::test(start_paused = true)]
+async fn test_ended_job_is_kept_for_the_retention_time_whatever_clocks_tell() {
+    let fleet = ScriptedFleet::start(0).await;
+    for shift_ms in CLOCK_SHIFTS {
+        let kv = KvMemory::new();
+        let host = start_host(&kv, &fleet).await;
+        let job = ended_job(shift_ms);
+        let store = BatchStore::new(kv.clone());
+        store.create_job(&job).await.unwrap();
+        let is_kept = async || store.job(&job.workspace, &job.id).await.unwrap().is_some();
+        sweep_for(&host, 15 * DAY).await;
+        // What a host has counted outlasts it.
+        let host = start_host(&kv, &fleet).await;
+        sweep_for(&host, 14 * DAY).await;
+        assert!(is_kept().await, "clock off by {shift_ms} ms");
+        sweep_for(&host, 2 * DAY).await;
+        assert!(!is_kept().await, "clock off by {shift_ms} ms");
+    }
+}
+
+/// Two hosts that both believe to count the time don't count it twice.
+#[tokio::test(start_paused = true)]
+async fn test_time_is_counted_once_by_two_hosts() {
+    let fleet = ScriptedFleet::start(0).await;
+    let kv = KvMemory::new();
+    let hosts = [start_host(&kv, &fleet).await, start_host(&kv, &fleet).await];
+    let store = BatchStore::new(kv.clone());
+    let job = ended_job(0);
+    store.create_job(&job).await.unwrap();
+    for _ in 0..29 * 48 {
+        tokio::time::advance(SWEEP_INTERVAL).await;
+        for host in &hosts {
+            host.sweep_once().await.unwrap();
+        }
+    }
+    let kept = store.job(&job.workspace, &job.id).await.unwrap();
+    assert!(kept.is_some());
+}
+
+/// Guards against an upload that is taken for a failed one while its file is being stored.
+#[tokio::test(start_paused = true)]
+async fn test_upload_is_removed_an_hour_after_it_began_whatever_clocks_tell() {
+    let fleet = ScriptedFleet::start(0).await;
+    for shift_ms in CLOCK_SHIFTS {
+        let kv = KvMemory::new();
+        let host = start_host(&kv, &fleet).await;
+        put_marker(&kv, "uploads/file_1", shift_ms).await;
+        kv.put("segments/file_1/000000", Bytes::new(), Expect::Absent, None)
+            .await
+            .unwrap();
+        sweep_for(&host, Duration::from_secs(3600)).await;
+        let segment = kv.value("segments/file_1/000000");
+        assert!(segment.is_some(), "clock off by {shift_ms} ms");
+        sweep_for(&host, Duration::from_secs(3600)).await;
+        for key in ["segments/file_1/000000", "uploads/file_1"] {
+            assert!(kv.value(key).is_none(), "{key}, off by {shift_ms} ms");
+        }
+    }
+}
+
+/// Guards against a job that nobody finds any more once its owner is gone, as its marker was deleted while
+/// the job was being accepted.
+#[tokio::test(start_paused = true)]
+async fn test_marker_of_a_job_that_is_being_accepted_is_kept_whatever_clocks_tell() {
+    let fleet = ScriptedFleet::start(0).await;
+    for shift_ms in CLOCK_SHIFTS {
+        let kv = KvMemory::new();
+        let host = start_host(&kv, &fleet).await;
+        put_marker(&kv, "open/batch_1", shift_ms).await;
+        let stop = CancellationToken::new();
+        let running = tokio::spawn(host.run(stop.clone()));
+        tokio::time::sleep(Duration::from_secs(9 * 60)).await;
+        let marker = kv.value("open/batch_1");
+        assert!(marker.is_some(), "clock off by {shift_ms} ms");
+        tokio::time::sleep(Duration::from_secs(3 * 60)).await;
+        let marker = kv.value("open/batch_1");
+        assert!(marker.is_none(), "clock off by {shift_ms} ms");
+        stop.cancel();
+        running.await.unwrap();
+    }
+}
