--- a/soak/src/play_overlaps.rs
+++ b/soak/src/play_overlaps.rs
@@ -11,6 +11,7 @@
 
 use crate::content;
 use crate::fleet::SoakProcess;
+use crate::history::CallKind;
 use crate::history::FaultRecord;
 use crate::history::Records;
 use crate::jobs::JobRecord;
@@ -78,6 +79,8 @@
     pub done: usize,
     /// Items that began to run after their job had been read as complete.
     pub again: usize,
+    /// Requests that may run once and ran more than once.
+    pub repeated: usize,
     /// How often a job got another owner.
     pub owner_changes: usize,
     /// Reads of jobs that were answered with 404.
@@ -95,7 +98,7 @@
 impl OverlapReport {
     /// Whether a rule was broken.
     pub(crate) fn is_broken(&self) -> bool {
-        self.unexcused > 0 || self.again > 0 || !self.broken_results.is_empty()
+        self.unexcused > 0 || self.again > 0 || self.repeated > 0 || !self.broken_results.is_empty()
     }
 
     /// The fields of the report of a play.
@@ -103,7 +106,7 @@
         json!({
             "items": self.items, "runs": self.runs, "beside": self.beside,
             "unexcused": self.unexcused, "longest_ms": self.longest.as_millis() as u64,
-            "done": self.done, "again": self.again, "owner_changes": self.owner_changes,
+            "done": self.done, "again": self.again, "repeated": self.repeated, "owner_changes": self.owner_changes,
             "not_found": self.not_found, "accepted_again": self.accepted_again,
             "broken_results": self.broken_results.len(), "first_event_ms": self.first_event_ms,
             "ended": self.ended,
@@ -116,11 +119,14 @@
             request.starts_with(content::ITEM_PREFIX) || request.starts_with(STREAM_PREFIX)
         };
         let requests = overlap::by_request(&records.executions);
-        let requests = requests.iter().filter(|(request, _)| is_counted(request));
-        for (_, runs) in requests {
+        for (_, runs) in requests.iter().filter(|(request, _)| is_counted(request)) {
             self.items += 1;
             self.runs += runs.len();
         }
+        let calls = records.calls.iter();
+        let once = calls.filter(|call| call.kind == CallKind::Once);
+        let runs_of = |id: &str| requests.get(id).map_or(0, Vec::len);
+        self.repeated = once.filter(|call| runs_of(&call.id) > 1).count();
         let pairs = overlap::pairs(&records.executions);
         for pair in pairs.iter().filter(|pair| is_counted(pair.request)) {
             self.beside += 1;
