membership: datagrams are taken whatever clocks tell

A host whose clock was wrong by more than 120 s was taken for dead by all others and took all others for dead, as the datagrams of both were dropped as too old or too new. Its batch jobs were taken from it while it ran them.

A datagram for another time is now answered with a ping, and both sides then repeat the number of the other's last datagram. Only who has just received that one can do so, since the number is sealed and goes with the random number of the process; so the datagram is new whatever time it names, and the receiver knows by how much that clock is ahead. From then on a datagram holds for 120 s around the sender's time so corrected. At most 32 hosts are answered each second.

Tests: three hosts over UDP, one 400 s ahead and one 30 days behind; the seal with clocks 400 s and 30 days apart both ways, replays, datagrams that were held back, restarts, a clock that is set right. The other tests of the seal get the address that a datagram came from as a further argument.

--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -165,7 +165,7 @@
     /// A message between hosts failed authentication or decoding.
     PeerMessageRejected,
     /// A peer proved that it knows the secret, but for a time that this host's clock doesn't tell. It
-    /// learns this host's time from the refusal.
+    /// proves once more that its call or its datagram is new.
     PeerClockDiffers,
     /// An upstream was ejected after errors and gets no requests for a while.
     UpstreamEjected,
--- a/lib/src/membership/agent.rs
+++ b/lib/src/membership/agent.rs
@@ -9,7 +9,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::TimeOfDay;
 use crate::clock::unix_millis;
+use crate::collections::HashSet;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
 use crate::counters::RetryReason;
@@ -19,6 +21,7 @@
 use crate::membership::message::MembershipCall;
 use crate::membership::protocol::GossipEvent;
 use crate::membership::seal::PacketSealer;
+use crate::membership::seal::SealError;
 use crate::membership::seeds::SeedSources;
 use crate::peers::PeerClient;
 
@@ -26,6 +29,10 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Shortest time between two published views; changes within it are published together.
 const MIN_VIEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval in which hosts whose datagrams are for another time are answered once.
+const CLOCK_ANSWER_INTERVAL: Duration = Duration::from_secs(1);
+/// Most such hosts that are answered in one interval.
+const MAX_CLOCK_ANSWERS: usize = 32;
 
 /// Drives the membership protocol of this host: sends and receives its datagrams over UDP, calls it
 /// when a timer is due, publishes changed views and pulls state from peers.
@@ -37,6 +44,9 @@
     peer_client: PeerClient,
     counters: Arc<CounterSet>,
     decisions: Arc<DecisionRing>,
+    time_of_day: TimeOfDay,
+    /// Hosts with other clocks that were answered since a time.
+    clock_answers: (Instant, HashSet<SocketAddr>),
 }
 
 impl MembershipAgent {
@@ -59,6 +69,16 @@
             peer_client,
             counters,
             decisions,
+            time_of_day: unix_millis,
+            clock_answers: (Instant::now(), HashSet::default()),
+        }
+    }
+
+    /// Replaces the clock by which datagrams are sealed and opened.
+    pub fn with_time_of_day(self, time_of_day: TimeOfDay) -> Self {
+        Self {
+            time_of_day,
+            ..self
         }
     }
 
@@ -100,15 +120,34 @@
     }
 
     fn receive(&mut self, datagram: &[u8], source: SocketAddr) {
-        match self.sealer.open(datagram, unix_millis() / 1000) {
+        let seconds = (self.time_of_day)() / 1000;
+        match self.sealer.open(datagram, source, seconds) {
             Ok(packet) => self.membership.receive(packet, source),
-            Err(_) => self.counters.event(CounterEvent::PeerMessageRejected),
+            Err(err) => {
+                self.counters.event(CounterEvent::PeerMessageRejected);
+                if err == SealError::Expired {
+                    self.answer_other_clock(source);
+                }
+            }
+        }
+    }
+
+    /// Sends the host at `source`, whose clock differs, a datagram by which both prove that theirs are new.
+    fn answer_other_clock(&mut self, source: SocketAddr) {
+        self.counters.event(CounterEvent::PeerClockDiffers);
+        let (since, answered) = &mut self.clock_answers;
+        if since.elapsed() >= CLOCK_ANSWER_INTERVAL {
+            *since = Instant::now();
+            answered.clear();
+        }
+        if answered.len() < MAX_CLOCK_ANSWERS && answered.insert(source) {
+            self.membership.contact(source);
         }
     }
 
     async fn send_all(&mut self) {
         for outgoing in self.membership.take_outgoing() {
-            let seconds = unix_millis() / 1000;
+            let seconds = (self.time_of_day)() / 1000;
             let datagram = self.sealer.seal(outgoing.packet, outgoing.to, seconds);
             self.membership.count_sent(datagram.len());
             // The protocol tolerates lost datagrams, so one that cannot be sent counts as lost.
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -2,8 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use parsleywall::clock::TimeOfDay;
+use parsleywall::clock::unix_millis;
+use parsleywall::counters::CounterEvent;
+use parsleywall::counters::CounterSet;
+use parsleywall::decisions::DecisionRing;
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::Revision;
@@ -12,9 +18,16 @@
 use parsleywall::membership::GossipMessage;
 use parsleywall::membership::GossipPacket;
 use parsleywall::membership::HostState;
+use parsleywall::membership::Membership;
+use parsleywall::membership::MembershipAgent;
+use parsleywall::membership::MembershipCall;
 use parsleywall::membership::PacketSealer;
 use parsleywall::membership::PeerHost;
 use parsleywall::membership::SealError;
+use parsleywall::membership::SeedSources;
+use parsleywall::peers::PeerClient;
+use parsleywall::peers::PeerHandlers;
+use parsleywall::peers::PeerServer;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
@@ -25,7 +38,10 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Longest time until every other host has removed a dead host from its view.
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(5);
@@ -475,38 +491,184 @@
         .map(|_| sender.seal(packet(1), address(2), 1000))
         .collect();
     for datagram in datagrams.iter().rev() {
-        assert_eq!(receiver.open(datagram, 1001), Ok(packet(1)));
+        assert_eq!(receiver.open(datagram, address(1), 1001), Ok(packet(1)));
     }
     for datagram in &datagrams {
-        assert_eq!(receiver.open(datagram, 1001), Err(SealError::Replayed));
+        assert_eq!(
+            receiver.open(datagram, address(1), 1001),
+            Err(SealError::Replayed)
+        );
     }
     for _ in 0..200 {
         sender.seal(packet(1), address(2), 1000);
     }
     let newest = sender.seal(packet(1), address(2), 1000);
-    assert!(receiver.open(&newest, 1001).is_ok());
-    assert_eq!(receiver.open(&datagrams[0], 1001), Err(SealError::Replayed));
+    assert!(receiver.open(&newest, address(1), 1001).is_ok());
+    assert_eq!(
+        receiver.open(&datagrams[0], address(1), 1001),
+        Err(SealError::Replayed)
+    );
 }
 
 #[test]
 fn test_membership_seal_rejects_invalid() {
     let (mut sender, mut receiver) = sealers();
     let datagram = sender.seal(packet(1), address(3), 1000);
-    assert_eq!(receiver.open(&datagram, 1000), Err(SealError::Misdirected));
+    assert_eq!(
+        receiver.open(&datagram, address(1), 1000),
+        Err(SealError::Misdirected)
+    );
     let datagram = sender.seal(packet(1), address(2), 1000);
-    assert_eq!(receiver.open(&datagram, 2000), Err(SealError::Expired));
     assert_eq!(
-        receiver.open(&datagram[..7], 1000),
+        receiver.open(&datagram, address(1), 2000),
+        Err(SealError::Expired)
+    );
+    assert_eq!(
+        receiver.open(&datagram[..7], address(1), 1000),
         Err(SealError::Malformed)
     );
     for index in 0..datagram.len() {
         let mut corrupted = datagram.clone();
         corrupted[index] ^= 0x20;
-        assert_eq!(receiver.open(&corrupted, 1000), Err(SealError::Forged));
+        assert_eq!(
+            receiver.open(&corrupted, address(1), 1000),
+            Err(SealError::Forged)
+        );
     }
     let mut other_sealer = PacketSealer::new("another-secret-of-hosts".to_owned(), address(1), 33);
     let datagram = other_sealer.seal(packet(1), address(2), 1000);
-    assert_eq!(receiver.open(&datagram, 1000), Err(SealError::Forged));
+    assert_eq!(
+        receiver.open(&datagram, address(1), 1000),
+        Err(SealError::Forged)
+    );
+}
+
+/// Guards against a host that all others take for dead, and that takes all others for dead, as its clock
+/// is wrong (issue 44).
+#[test]
+fn test_membership_seal_opens_datagrams_of_hosts_whose_clocks_differ() {
+    const DAYS: i64 = 30 * 24 * 3600;
+    for lead in [-DAYS, -400, 400, DAYS] {
+        let (mut one, mut other) = sealers();
+        let [to_one, to_other] = [address(1), address(2)];
+        let begin = 1_700_000_000_u64;
+        let other_time = |now: u64| now.saturating_add_signed(lead);
+        let first = one.seal(packet(1), to_other, begin);
+        let opened = other.open(&first, to_one, other_time(begin));
+        assert_eq!(opened, Err(SealError::Expired), "nothing proves it new");
+        let answer = other.seal(packet(2), to_one, other_time(begin));
+        assert_eq!(one.open(&answer, to_other, begin), Ok(packet(2)));
+        assert_eq!(one.open(&answer, to_other, begin), Err(SealError::Replayed));
+        // From now on, all datagrams are opened, for as long as both live.
+        let mut recorded = Vec::new();
+        for now in (begin..begin + 2000).step_by(100) {
+            let datagram = one.seal(packet(1), to_other, now);
+            let opened = other.open(&datagram, to_one, other_time(now));
+            assert_eq!(opened, Ok(packet(1)), "{lead}");
+            recorded.push(datagram);
+            let datagram = other.seal(packet(2), to_one, other_time(now));
+            assert_eq!(one.open(&datagram, to_other, now), Ok(packet(2)), "{lead}");
+        }
+        let now = begin + 2000;
+        for datagram in recorded.iter().chain([&first]) {
+            let opened = other.open(datagram, to_one, other_time(now));
+            assert!(opened.is_err(), "a replay");
+        }
+        // One that was held back is too old, though its echo was new once.
+        let held_back = one.seal(packet(1), to_other, now);
+        let opened = other.open(&held_back, to_one, other_time(now + 300));
+        assert_eq!(opened, Err(SealError::Expired));
+        // A restarted receiver doesn't take what was meant for the process before, but for what its clock
+        // takes for new.
+        let secret = "a-shared-secret-of-hosts".to_owned();
+        let mut restarted = PacketSealer::new(secret, address(2), 44);
+        for (datagram, sent_at) in recorded.iter().zip((begin..).step_by(100)) {
+            let seems_new = other_time(now).abs_diff(sent_at) <= 120;
+            let opened = restarted.open(datagram, to_one, other_time(now));
+            assert_eq!(opened.is_ok(), seems_new, "{lead}, {opened:?}");
+        }
+        // The other clock is set right.
+        let datagram = other.seal(packet(2), to_one, now);
+        assert_eq!(one.open(&datagram, to_other, now), Ok(packet(2)));
+        let datagram = one.seal(packet(1), to_other, now);
+        assert_eq!(other.open(&datagram, to_one, now), Ok(packet(1)));
+    }
+}
+
+fn ahead_by_400_s() -> u64 {
+    unix_millis() + 400_000
+}
+
+fn behind_by_days() -> u64 {
+    unix_millis() - 30 * 24 * 3600 * 1000
+}
+
+/// Runs the membership of a host whose clock tells `time_of_day`, until `stop`.
+async fn run_host(
+    number: usize,
+    seeds: Vec<SocketAddr>,
+    time_of_day: TimeOfDay,
+    stop: &CancellationToken,
+) -> (Arc<Membership>, Arc<CounterSet>) {
+    const SECRET: &str = "a-shared-secret-of-hosts";
+    let (listener, socket) = loop {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        if let Ok(socket) = UdpSocket::bind(listener.local_addr().unwrap()).await {
+            break (listener, socket);
+        }
+    };
+    let own = PeerHost {
+        peer_address: listener.local_addr().unwrap(),
+        ..host(number, time_of_day())
+    };
+    let membership = Arc::new(Membership::new(own));
+    let counters = Arc::new(CounterSet::new());
+    let peers = PeerClient::with_time_of_day(name(number), SECRET.to_owned(), time_of_day);
+    let agent = MembershipAgent::new(
+        membership.clone(),
+        socket,
+        SECRET.to_owned(),
+        SeedSources::new(seeds),
+        peers,
+        counters.clone(),
+        Arc::new(DecisionRing::new(name(number))),
+    );
+    let server = PeerServer::new(listener, SECRET.to_owned(), counters.clone());
+    let answering = membership.clone();
+    let answer = move |_, _: MembershipCall| std::future::ready(answering.state());
+    let handlers = PeerHandlers::new().with(answer);
+    tokio::spawn(agent.with_time_of_day(time_of_day).run(stop.clone()));
+    let server = server.with_time_of_day(time_of_day);
+    tokio::spawn(server.run(stop.clone(), handlers));
+    (membership, counters)
+}
+
+#[tokio::test]
+async fn test_membership_of_hosts_whose_clocks_differ() {
+    let stop = CancellationToken::new();
+    let clocks: [TimeOfDay; 3] = [unix_millis, ahead_by_400_s, behind_by_days];
+    let mut hosts = Vec::new();
+    let mut seeds = Vec::new();
+    for (number, clock) in clocks.into_iter().enumerate() {
+        let started = run_host(number, seeds.clone(), clock, &stop).await;
+        seeds.push(started.0.own_address());
+        hosts.push(started);
+    }
+    let sees_all = |(membership, _): &(Arc<Membership>, _)| membership.view().hosts.len() == 3;
+    let all_seen = async {
+        while !hosts.iter().all(sees_all) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let joined = tokio::time::timeout(Duration::from_secs(60), all_seen).await;
+    assert!(joined.is_ok(), "they find each other");
+    // Longer than it takes to find a host dead.
+    tokio::time::sleep(MAX_DETECTION_TIME * 2).await;
+    for host in &hosts {
+        assert!(sees_all(host));
+        assert_eq!(host.1.event_count(CounterEvent::HostDead), 0);
+    }
+    stop.cancel();
 }
 
 /// Transitions of the model. A `usize` is the number of a host, and the size of the first side
