batch: a job is due after its time, whatever clocks tell

The owner compared the due time by the clock of the host that had accepted the job with its own clock. If one of the two was ahead by the job's window or more, as 400 s with a window of five minutes, all items that had not run ended as `batch_expired` as soon as another host took the job over; if one was behind, the job stayed open long after it was due.

Owners now count the time for which they have a job open, by their monotonic clocks; the record carries the count to the next one in a new field, and an owner without dispatched items writes it 24 times until the job is due. Time that no owner counts is added to the window. Records of the earlier release have no count, and its owners drop it.

--- a/lib/src/batch/commits.rs
+++ b/lib/src/batch/commits.rs
@@ -74,7 +74,7 @@
         let mut reclaimed = false;
         for run in state.runs.values_mut() {
             reclaimed |= run.reclaim_items(|host| view.hosts.iter().any(|peer| peer.id == *host));
-            if run.record().expires_ms <= now_ms {
+            if run.is_overdue() {
                 run.expire_items();
             }
             if let Some(write) = run.begin_write(all, now_ms) {
--- a/lib/src/batch/ledger.rs
+++ b/lib/src/batch/ledger.rs
@@ -102,8 +102,13 @@
     pub fingerprint: String,
     /// When the job was accepted, in milliseconds since the Unix epoch.
     pub created_ms: u64,
-    /// When the job is due, in milliseconds since the Unix epoch.
+    /// When the job is due, in milliseconds since the Unix epoch, by the clock that `created_ms` is of.
     pub expires_ms: u64,
+    /// Time for which owners had the job open until this write, in milliseconds, by their monotonic clocks.
+    /// The job is due once that is the time from `created_ms` to `expires_ms`. Owners of the earlier
+    /// release count none.
+    #[serde(default)]
+    pub open_ms: u64,
     /// When the state became final, in milliseconds since the Unix epoch.
     pub ended_ms: Option<u64>,
     /// State of the job.
--- a/lib/src/batch/run.rs
+++ b/lib/src/batch/run.rs
@@ -49,6 +49,9 @@
 /// Longest time between writes of a job with dispatched items. Hosts that don't see the owner as
 /// live take the job over when its record stays unchanged for longer than the claim timeout.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(6);
+/// Writes of a job without dispatched items, at least, until it is due. An owner that is gone has left at
+/// most that part of the time uncounted.
+const IDLE_WRITES_UNTIL_DUE: u32 = 24;
 /// Time since the last confirmation of the record's version for which the owner answers reads from
 /// memory. After that the job may have been taken over or cancelled without notice.
 const MAX_UNVERIFIED_AGE: Duration = Duration::from_secs(30);
@@ -103,6 +106,8 @@
     finished_items: ItemSet,
     is_writing: bool,
     written_at: Instant,
+    /// Time for which the job was open before this owner had it, and since when this owner has it.
+    open_before: (Duration, Instant),
     /// When the stored record was last known to have `version`; absent after a stall of the
     /// process.
     verified_at: Option<Instant>,
@@ -113,6 +118,7 @@
     /// yet.
     pub(crate) fn new(job: VersionedJob, claim: JobHolder) -> Self {
         let VersionedJob { record, version } = job;
+        let open_before = Duration::from_millis(record.open_ms);
         Self {
             attempts: record.attempts.clone(),
             finished_items: record.done.clone(),
@@ -130,10 +136,39 @@
             oldest_result_at: None,
             is_writing: false,
             written_at: Instant::now(),
+            open_before: (open_before, Instant::now()),
             verified_at: Some(Instant::now()),
         }
     }
 
+    /// Time for which owners have had the job open.
+    fn open_time(&self) -> Duration {
+        let (before, since) = self.open_before;
+        before.saturating_add(since.elapsed())
+    }
+
+    /// Time for which the job may be open.
+    fn window(&self) -> Duration {
+        let millis = self
+            .record
+            .expires_ms
+            .saturating_sub(self.record.created_ms);
+        Duration::from_millis(millis)
+    }
+
+    /// Whether the job is past due, by the measured time: the clock by which it was accepted may be wrong,
+    /// or this host's.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.open_time() >= self.window()
+    }
+
+    fn heartbeat_interval(&self) -> Duration {
+        match self.leases.is_empty() {
+            true => HEARTBEAT_INTERVAL.max(self.window() / IDLE_WRITES_UNTIL_DUE),
+            false => HEARTBEAT_INTERVAL,
+        }
+    }
+
     /// Record as last written to the key-value service.
     pub(crate) fn record(&self) -> &JobRecord {
         &self.record
@@ -333,7 +368,7 @@
         });
         let write = match due {
             true => self.pack_write(now_ms),
-            false if !self.leases.is_empty() && self.written_at.elapsed() >= HEARTBEAT_INTERVAL => {
+            false if self.written_at.elapsed() >= self.heartbeat_interval() => {
                 self.heartbeat_write()
             }
             false => return None,
@@ -396,9 +431,10 @@
         pack: Option<(PackRef, Bytes)>,
         results: Vec<ItemResult>,
     ) -> JobWrite {
+        let open_ms = self.open_time().as_millis() as u64;
         JobWrite {
             pack,
-            next,
+            next: JobRecord { open_ms, ..next },
             version: self.version,
             results,
         }
--- a/lib/src/batch/service.rs
+++ b/lib/src/batch/service.rs
@@ -504,6 +504,7 @@
         fingerprint,
         created_ms: now_ms,
         expires_ms: now_ms + window_ms,
+        open_ms: 0,
         ended_ms: has_failed.then_some(now_ms),
         state: match has_failed {
             true => JobState::Failed,
--- a/lib/tests/test_batch_ages.rs
+++ b/lib/tests/test_batch_ages.rs
@@ -107,6 +107,7 @@
         fingerprint: String::new(),
         created_ms: time_of_day(shift_ms),
         expires_ms: time_of_day(shift_ms + DAY_MS),
+        open_ms: 0,
         ended_ms: Some(time_of_day(shift_ms)),
         state: JobState::Completed,
         claim: None,
@@ -216,8 +217,8 @@
     }
 }
 
-/// Submits a job of `ITEMS` items that take 30 s each.
-async fn submit_long_items(process: &Arc<BatchCoordinator>) -> JobId {
+/// Submits a job of `ITEMS` items that take 30 s each and are due after `window`.
+async fn submit_long_items(process: &Arc<BatchCoordinator>, window: &str) -> JobId {
     let lines = (0..ITEMS).map(|number| {
         let body = serde_json::json!({
             "model": "demo",
@@ -239,7 +240,7 @@
     let request = JobRequest {
         input_file_id: file.await.unwrap().id,
         endpoint: Endpoint::Chat,
-        completion_window: "24h".to_owned(),
+        completion_window: window.to_owned(),
         metadata: BTreeMap::new(),
     };
     let submission = JobSubmission {
@@ -266,7 +267,7 @@
         let second = second.run(stop.clone());
         let job = match starts_later {
             true => {
-                let job = submit_long_items(&first).await;
+                let job = submit_long_items(&first, "24h").await;
                 tokio::time::sleep(Duration::from_secs(10)).await;
                 tokio::spawn(second);
                 job
@@ -274,7 +275,7 @@
             false => {
                 tokio::spawn(second);
                 tokio::time::sleep(Duration::from_secs(5)).await;
-                submit_long_items(&first).await
+                submit_long_items(&first, "24h").await
             }
         };
         tokio::time::sleep(Duration::from_secs(300)).await;
@@ -288,3 +289,75 @@
         stop.cancel();
     }
 }
+
+/// Has another host, whose clock differs by `shift_ms`, accept a job that is due after ten minutes and leave
+/// it for the host that is returned.
+async fn take_over_job(
+    kv: &Arc<KvMemory>,
+    fleet: &ScriptedFleet,
+    shift_ms: i64,
+    stop: &CancellationToken,
+) -> JobId {
+    let accepting = start_host(kv, fleet).await;
+    let job = submit_long_items(&accepting, "10m").await;
+    let workspace = WorkspaceName::new(DEMO_WORKSPACE);
+    let store = BatchStore::new(kv.clone());
+    let stored = store.job(&workspace, &job).await.unwrap().unwrap();
+    let record = JobRecord {
+        claim: None,
+        created_ms: stored.record.created_ms.saturating_add_signed(shift_ms),
+        expires_ms: stored.record.expires_ms.saturating_add_signed(shift_ms),
+        ..stored.record
+    };
+    store.replace_job(&record, stored.version).await.unwrap();
+    tokio::spawn(start_host(kv, fleet).await.run(stop.clone()));
+    job
+}
+
+/// Guards against items that end as expired before the job is due, or never, as the owner believes the
+/// clock of the host that accepted the job (issue 44).
+#[tokio::test(start_paused = true)]
+async fn test_job_is_due_after_its_time_whatever_clocks_tell() {
+    const MINUTE: Duration = Duration::from_secs(60);
+    let workspace = WorkspaceName::new(DEMO_WORKSPACE);
+    let read = async |kv: &Arc<KvMemory>, job: &JobId| {
+        let store = BatchStore::new(kv.clone());
+        let stored = store.job(&workspace, job).await.unwrap();
+        stored.unwrap().record
+    };
+    let counts = |job: &JobRecord| (job.state, job.counts.completed, job.counts.failed);
+    for shift_ms in [-40 * DAY_MS, -400_000, 400_000, 40 * DAY_MS] {
+        let what = format!("clock off by {shift_ms} ms");
+        let fleet = ScriptedFleet::start(4).await;
+        let kv = KvMemory::new();
+        let stop = CancellationToken::new();
+        let job = take_over_job(&kv, &fleet, shift_ms, &stop).await;
+        tokio::time::sleep(5 * MINUTE).await;
+        let record = read(&kv, &job).await;
+        assert_eq!(counts(&record), (JobState::Completed, ITEMS, 0), "{what}");
+        stop.cancel();
+
+        // No upstream serves.
+        let fleet = ScriptedFleet::start(0).await;
+        let kv = KvMemory::new();
+        let stop = CancellationToken::new();
+        let job = take_over_job(&kv, &fleet, shift_ms, &stop).await;
+        tokio::time::sleep(9 * MINUTE).await;
+        let record = read(&kv, &job).await;
+        assert_eq!(counts(&record), (JobState::InProgress, 0, 0), "{what}");
+        // The next owner goes on with the time that this one has counted.
+        let counted = Duration::from_millis(record.open_ms);
+        assert!(counted > 8 * MINUTE && counted <= 9 * MINUTE, "{counted:?}");
+        stop.cancel();
+        let stop = CancellationToken::new();
+        tokio::spawn(start_host(&kv, &fleet).await.run(stop.clone()));
+        tokio::time::sleep(4 * MINUTE).await;
+        let record = read(&kv, &job).await;
+        assert!(record.counts.failed > 0, "{what}");
+        // Dispatched items wait for an upstream for ten minutes at most.
+        tokio::time::sleep(10 * MINUTE).await;
+        let record = read(&kv, &job).await;
+        assert_eq!(counts(&record), (JobState::Completed, 0, ITEMS), "{what}");
+        stop.cancel();
+    }
+}
--- a/lib/tests/test_batch_ledger.rs
+++ b/lib/tests/test_batch_ledger.rs
@@ -516,6 +516,7 @@
         fingerprint: String::new(),
         created_ms: 0,
         expires_ms: 0,
+        open_ms: 0,
         ended_ms: None,
         state: JobState::InProgress,
         claim: None,
