registry: the writes of a process's own entry in a module of their own

Also bounds the wait of a stop for them: a write that the service doesn't answer holds back the one that says that the host is leaving.

--- a/lib/src/registry/mod.rs
+++ b/lib/src/registry/mod.rs
@@ -10,6 +10,7 @@
 mod interval;
 mod message;
 mod name_hold;
+mod own_entry;
 mod replacement;
 mod secret;
 
--- a/lib/tests/test_host_names.rs
+++ b/lib/tests/test_host_names.rs
@@ -760,6 +760,25 @@
     fleet.assert_entry_of(&second);
 }
 
+/// A stop doesn't wait for the write of a new lease's entry that the store doesn't answer.
+#[tokio::test(start_paused = true)]
+async fn test_leaving_while_the_store_is_silent() {
+    let fleet = NameFleet::new();
+    let process = fleet.start(1, 1_000);
+    wait_for_hold(&process, Duration::from_millis(100)).await;
+    process.link.set_cut(true);
+    let lease = process.registry.lease().unwrap();
+    process.registry.note_lease_lost(lease);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let began = Instant::now();
+    process.registry.leave().await;
+    assert!(
+        began.elapsed() <= Duration::from_millis(1_510),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
 /// A process that is stopped before its start was acknowledged takes the name from nobody.
 #[tokio::test(start_paused = true)]
 async fn test_termination_before_the_start_is_acknowledged() {
