origins: tests of bodies that are ended while read, and of two releases

The body of a run that is ended is dropped whether a task polls it at that moment, waits for its next part or does not poll it at all. Hosts of the earlier release read the notices of this one, and the other way round.

--- a/lib/src/origins/tests.rs
+++ b/lib/src/origins/tests.rs
@@ -1,13 +1,22 @@
 //! Tests of how hosts agree on the latest run of a stream when their messages are late, lost, repeated or
 //! out of order.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
 use proptest::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::balancer::HostDatagram;
 use crate::ids::RequestId;
 use crate::ids::SoftwareVersion;
+use crate::origins::EndableBody;
 use crate::origins::HostTag;
 use crate::origins::OriginKeeper;
 use crate::origins::OriginNotice;
@@ -20,6 +29,7 @@
 use crate::origins::TakeUpNotice;
 use crate::origins::TakeUpOutcome;
 use crate::origins::TakeUpReply;
+use crate::origins::run::RunHandle;
 
 const HOSTS: usize = 6;
 const REGISTRARS: usize = 3;
@@ -244,8 +254,9 @@
         fleet.take_up(2, true),
         RunBefore::At(HostTag::new("host-1"))
     );
+    let own = fleet.messages.clone();
     fleet.deliver_all();
-    for (to, message) in earlier {
+    for (to, message) in earlier.into_iter().chain(own) {
         fleet.deliver(to, message.clone());
         fleet.deliver(2, message);
         fleet.deliver_all();
@@ -357,6 +368,126 @@
     assert!(!reply.has_ended, "it had ended for the take-up before");
 }
 
+/// Counts the bodies that exist.
+struct BodyCount(Arc<AtomicUsize>);
+
+impl BodyCount {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count.clone())
+    }
+}
+
+impl Drop for BodyCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Guards against a body that outlives its run, as it is ended while another task reads it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn test_body_is_dropped_whenever_its_run_is_ended() {
+    let count = Arc::new(AtomicUsize::new(0));
+    for number in 0..2_000 {
+        let guard = BodyCount::new(&count);
+        let parts = stream::unfold(guard, |guard| async move {
+            tokio::task::yield_now().await;
+            Some((Ok(Bytes::from_static(b"part")), guard))
+        });
+        let handle = RunHandle::default();
+        let mut body = EndableBody::new(handle.clone(), parts.boxed(), ());
+        let reading = tokio::spawn(async move {
+            while let Some(part) = body.next().await {
+                if part.is_err() {
+                    return (body.next().await.is_none(), body);
+                }
+            }
+            (false, body)
+        });
+        for _ in 0..number % 50 {
+            tokio::task::yield_now().await;
+        }
+        handle.end(HostTag(1));
+        let (is_broken_off, body) = reading.await.unwrap();
+        assert!(is_broken_off);
+        assert_eq!(count.load(Ordering::SeqCst), 0, "the body is left");
+        drop(body);
+    }
+}
+
+/// A body that nobody reads, and one whose reader waits for its next part.
+#[tokio::test(start_paused = true)]
+async fn test_body_is_dropped_while_nobody_polls_it() {
+    let count = Arc::new(AtomicUsize::new(0));
+    for is_read in [false, true] {
+        let guard = BodyCount::new(&count);
+        let parts = stream::once(async move {
+            let _guard = guard;
+            std::future::pending().await
+        });
+        let handle = RunHandle::default();
+        let mut body = EndableBody::new(handle.clone(), parts.boxed(), ());
+        let (held, reading) = match is_read {
+            true => (None, Some(tokio::spawn(async move { body.next().await }))),
+            false => (Some(body), None),
+        };
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(count.load(Ordering::SeqCst), 1);
+        handle.end(HostTag(1));
+        assert_eq!(count.load(Ordering::SeqCst), 0);
+        let part = match (held, reading) {
+            (Some(mut body), _) => body.next().await,
+            (None, reading) => reading.unwrap().await.unwrap(),
+        };
+        assert!(part.unwrap().is_err());
+    }
+}
+
+/// A notice as hosts of the earlier release know it.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierNotice {
+    #[serde(rename = "o")]
+    origins: Vec<StreamOrigin>,
+}
+
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum EarlierDatagram {
+    #[serde(rename = "o")]
+    Origins(EarlierNotice),
+}
+
+#[test]
+fn test_hosts_of_two_releases_understand_one_another() {
+    let origins = vec![StreamOrigin(tag(), version())];
+    let known = EarlierDatagram::Origins(EarlierNotice {
+        origins: origins.clone(),
+    });
+    let run = StreamRun {
+        turn: 7,
+        attempt: 8,
+    };
+    let notice = HostDatagram::Origins(OriginNotice {
+        origins: origins.clone(),
+        host: Some(HostTag(9)),
+        run: Some(run),
+    });
+    let read: EarlierDatagram = ciborium::from_reader(notice.encode().as_slice()).unwrap();
+    assert_eq!(read, known);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&known, &mut bytes).unwrap();
+    let (host, run) = (None, None);
+    let notice = OriginNotice { origins, host, run };
+    let expected = Some(HostDatagram::Origins(notice));
+    assert_eq!(HostDatagram::decode(&bytes), expected);
+    let take_up = HostDatagram::TakeUp(TakeUpNotice {
+        tag: tag(),
+        host: HostTag(9),
+        run: StreamRun::first(tag()),
+    });
+    let read: Result<EarlierDatagram, _> = ciborium::from_reader(take_up.encode().as_slice());
+    assert!(read.is_err(), "it is ignored");
+}
+
 /// The prices in docs/CAPACITY.md.
 #[test]
 fn test_sizes_of_datagrams() {
