--- a/bench/src/scenarios/backlog.rs
+++ b/bench/src/scenarios/backlog.rs
@@ -30,6 +30,7 @@
 use parsleywall::jobs::JobSpec;
 use parsleywall::jobs::JobStore;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall::peers::PeerError;
 use parsleywall::registry::HostEntry;
 use parsleywall::registry::HostReadiness;
 use parsleywall::registry::HostRegistry;
@@ -66,8 +67,8 @@
 
 #[async_trait]
 impl JobPeerClient for NoPeers {
-    async fn call(&self, _: &HostEntry, _: JobCall, _: Duration) -> Result<JobReply, String> {
-        Err("there is no other host".to_owned())
+    async fn call(&self, _: &HostEntry, _: JobCall, _: Duration) -> Result<JobReply, PeerError> {
+        Err(PeerError::NotSent("there is no other host".to_owned()))
     }
 }
 
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -315,6 +315,37 @@
         /// Number of items with a committed result.
         listed: usize,
     },
+    /// This host has claimed a job, and has had the owner before stop it.
+    JobClaimed {
+        /// Identifier of the job.
+        job: String,
+        /// Version of the owner key, by which this host owns the job.
+        version: u64,
+        /// Why: `lapsed`, `same_name`, `handed_over` or `own_again`.
+        reason: String,
+        /// Host that owned the job before; absent if it is not known.
+        from: Option<String>,
+        /// Incarnation of that host's process.
+        from_incarnation: Option<u64>,
+        /// What that process did: `stopped`, `not_owner`, `not_reached` or `unanswered`; `absent` if it
+        /// was not asked.
+        previous: String,
+    },
+    /// This host has stopped a job that another host has claimed.
+    JobGivenUp {
+        /// Identifier of the job.
+        job: String,
+        /// Host that has claimed it.
+        to: String,
+        /// Incarnation of that host's process.
+        to_incarnation: u64,
+        /// Version of the owner key, by which that host owns the job.
+        version: u64,
+        /// Why: `claimed`.
+        reason: String,
+        /// Identifiers of the items that were running.
+        items: Vec<String>,
+    },
     /// The key-value service rejected a conditional write for a job, as the state that the write
     /// was based on has changed.
     WriteRejected {
@@ -338,6 +369,9 @@
         outcome: String,
         /// Number of events received over all runs.
         events: u64,
+        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up` or `leaving`; absent if
+        /// it did not.
+        reason: Option<String>,
     },
     /// Log lines were dropped since the previous event of this kind, as there were too many or the
     /// reader of the log was too slow.
--- a/lib/src/jobs/acceptance.rs
+++ b/lib/src/jobs/acceptance.rs
@@ -67,12 +67,8 @@
     /// Whether this host has heard of `job`, without asking any other. False if it forgot the job or has
     /// just started.
     pub fn has_heard_of(&self, job: &str) -> bool {
-        let has_owner = || {
-            let owners = self.shared.owner_cache.lock().expect("owner cache lock");
-            owners.contains_key(job)
-        };
         self.with_table(|table| table.owns(job))
             || self.shared.result_cache.contains(job)
-            || has_owner()
+            || self.shared.owners.contains(job)
     }
 }
--- /dev/null
+++ b/lib/src/jobs/changeover.rs
@@ -0,0 +1,177 @@
+//! Changes of a job's owner: the host that claims a job has the owner before stop its items first.
+//!
+//! An owner whose lease lapsed may be alive and at work. The claim fences its writes, but not the
+//! items that it runs at upstreams.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::edges::kv::KvVersion;
+use crate::events::LogEvent;
+use crate::jobs::keeper::JobKeeper;
+use crate::jobs::message::GivenUpJob;
+use crate::jobs::message::ItemCheckpoint;
+use crate::jobs::message::JobCall;
+use crate::jobs::message::JobReply;
+use crate::jobs::running::StopReason;
+use crate::jobs::store::JobClaim;
+use crate::jobs::store::JobOwner;
+use crate::peers::PeerError;
+
+/// Longest wait for the owner before to give a job up; longer than it waits for its items.
+const GIVE_UP_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for stopped items to return their partial output.
+const STOP_TIMEOUT: Duration = Duration::from_millis(200);
+/// Polling interval of that wait.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Why a host claims a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum ClaimReason {
+    /// The owner key lapsed with the lease of the owner, or was deleted.
+    Lapsed,
+    /// The owner is an earlier process of this host.
+    SameName,
+    /// The owner released the job and offered it.
+    HandedOver,
+    /// This process is still at work on the job, or stored it before.
+    OwnAgain,
+}
+
+/// Way in which a job comes to this host.
+#[derive(Debug)]
+pub(super) struct Takeover {
+    pub(super) reason: ClaimReason,
+    /// Owner before, as far as this host knows.
+    pub(super) previous: Option<JobOwner>,
+    /// Partial output of items that the owner before handed over.
+    pub(super) checkpoints: Vec<ItemCheckpoint>,
+}
+
+/// What the owner before did about a job that was claimed.
+#[derive(Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum PreviousOwner {
+    /// There was none, it is not known, or it has ended.
+    Absent,
+    /// It handed the job over of its own accord, or has stopped it now.
+    Stopped(GivenUpJob),
+    /// It does not have the job.
+    NotOwner,
+    /// No connection to it could be opened.
+    NotReached,
+    /// It may be at work on the job: it did not answer in time, or does not know the call, as a host of an
+    /// earlier release.
+    Unanswered,
+}
+
+impl JobKeeper {
+    /// Has the owner before stop the items of a job that this host has claimed, and waits until it has.
+    pub(super) async fn displace(
+        &self,
+        job: &str,
+        claim: &JobClaim,
+        takeover: &Takeover,
+    ) -> PreviousOwner {
+        let own = &self.shared.identity;
+        let is_asked = |owner: &&JobOwner| *owner != own && owner.peers != own.peers;
+        let entry = match takeover.reason {
+            ClaimReason::HandedOver => None,
+            _ => takeover.previous.as_ref().filter(is_asked),
+        };
+        let Some(entry) = entry.and_then(JobOwner::entry) else {
+            return PreviousOwner::Absent;
+        };
+        let call = JobCall::GiveUp {
+            job: job.to_owned(),
+            owner_version: claim.version().0,
+            host: own.host.clone(),
+            incarnation: own.incarnation,
+        };
+        match self.shared.peers.call(&entry, call, GIVE_UP_TIMEOUT).await {
+            Ok(JobReply::GivenUp(given_up)) => PreviousOwner::Stopped(given_up),
+            Ok(JobReply::NotOwner) => PreviousOwner::NotOwner,
+            Err(PeerError::NotSent(_)) => PreviousOwner::NotReached,
+            Ok(_) | Err(PeerError::NoReply(_)) => PreviousOwner::Unanswered,
+        }
+    }
+
+    /// Logs the claim of a job, and how the owner before was displaced.
+    pub(super) fn log_claimed(
+        &self,
+        job: &str,
+        claim: &JobClaim,
+        takeover: &Takeover,
+        outcome: &PreviousOwner,
+    ) {
+        let previous = takeover.previous.as_ref();
+        let reason: &str = takeover.reason.into();
+        let outcome: &str = outcome.into();
+        self.shared.log.write(LogEvent::JobClaimed {
+            job: job.to_owned(),
+            version: claim.version().0,
+            reason: reason.to_owned(),
+            from: previous.map(|owner| owner.host.clone()),
+            from_incarnation: previous.map(|owner| owner.incarnation),
+            previous: outcome.to_owned(),
+        });
+    }
+
+    /// Answers a host that has claimed a job with the owner key at `version`: stops the job's items if
+    /// the claim of this host is an earlier one, and returns what they have got so far. `None` if this
+    /// host does not have the job, or by a later claim.
+    pub(super) async fn give_up(
+        &self,
+        job: &str,
+        version: KvVersion,
+        to: JobOwner,
+    ) -> Option<GivenUpJob> {
+        // Also keeps a claim that is being loaded from beginning the job's items.
+        self.shared.owners.see(job, &to, version);
+        if !self.is_claim_before(job, version) {
+            return None;
+        }
+        self.with_table(|table| table.hold(job));
+        let items = self.with_table(|table| table.running_items(job));
+        self.shared.running.stop_job(job, StopReason::GivenUp);
+        self.wait_for_stopped_items(Some(job)).await;
+        if !self.is_claim_before(job, version) {
+            return None;
+        }
+        let given_up = self.with_table(|table| GivenUpJob {
+            progress: table.checkpoints(job),
+            results: table.uncommitted_results(job),
+        });
+        self.shared.log.write(LogEvent::JobGivenUp {
+            job: job.to_owned(),
+            to: to.host,
+            to_incarnation: to.incarnation,
+            version: version.0,
+            reason: "claimed".to_owned(),
+            items,
+        });
+        self.drop_job(job, "claimed_elsewhere");
+        Some(given_up)
+    }
+
+    fn is_claim_before(&self, job: &str, version: KvVersion) -> bool {
+        let claim = self.with_table(|table| table.claim(job));
+        claim.is_some_and(|claim| claim.version() < version)
+    }
+
+    /// Waits up to `STOP_TIMEOUT` until the stopped items, of one job or of all, have returned what they
+    /// have got.
+    pub(super) async fn wait_for_stopped_items(&self, job: Option<&str>) {
+        let until = Instant::now() + STOP_TIMEOUT;
+        let running = || match job {
+            Some(job) => self.with_table(|table| table.running_items(job).len()),
+            None => self.with_table(|table| table.running_item_count()),
+        };
+        while running() > 0 && Instant::now() < until {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
+}
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -11,7 +11,6 @@
 use http::Method;
 use http::StatusCode;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 use crate::balancer::SlotPermit;
 use crate::balancer::SlotRequest;
@@ -23,10 +22,12 @@
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
 use crate::ids::WorkClass;
+use crate::jobs::changeover::ClaimReason;
 use crate::jobs::keeper::FINISHED_OUTCOME;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::progress::ItemProgress;
 use crate::jobs::progress::RunProgress;
+use crate::jobs::running::RunStop;
 use crate::jobs::store::SEGMENT_BYTES;
 use crate::jobs::table::ItemDispatch;
 use crate::jobs::table::ItemOutcome;
@@ -45,7 +46,7 @@
 use crate::routes::RouteTable;
 
 /// Deadline of one run of an item.
-const RUN_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const RUN_TIMEOUT: Duration = Duration::from_secs(60);
 /// Longest wait for the first event at an upstream with a free slot.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest wait for the first event at an upstream whose slots are all taken.
@@ -129,6 +130,7 @@
                 job,
                 outcome: "overdue".to_owned(),
                 events: 0,
+                reason: None,
             });
         }
     }
@@ -207,9 +209,13 @@
         version: u64,
         permit: SlotPermit,
     ) -> bool {
-        let Some(mut dispatch) = self.with_table(|table| table.begin_run(head)) else {
+        let Some(mut dispatch) = self.with_table(|table| table.begin_run(head, Instant::now()))
+        else {
             return false;
         };
+        if dispatch.is_doubtful {
+            self.shared.log.metrics().count_doubtful_run();
+        }
         let software = &permit.choice.software;
         if software.is_unknown() || dispatch.progress.software.as_ref() != Some(software) {
             dispatch.progress = ItemProgress::default();
@@ -232,7 +238,7 @@
     /// configuration.
     fn handle_missing_route(&self, head: &RouteHead, routes: &RouteTable, now: Instant) -> bool {
         self.with_table(|table| {
-            let Some(dispatch) = table.begin_run(head) else {
+            let Some(dispatch) = table.begin_run(head, now) else {
                 return false;
             };
             let outcome = match routes.version() >= head.spec.version && routes.version() > 0 {
@@ -253,7 +259,7 @@
         version: u64,
         permit: SlotPermit,
         events: Arc<AtomicU64>,
-        stop: CancellationToken,
+        stop: RunStop,
     ) {
         let upstream_key = permit.choice.key;
         let request = item_request(&dispatch, route, service, version);
@@ -269,6 +275,8 @@
         self.shared.running.remove(upstream_key, &stop);
         let name = outcome_name(&outcome);
         let events = outcome_events(&outcome);
+        let is_stopped = matches!(outcome, ItemOutcome::Stopped(_));
+        let reason = stop.reason().filter(|_| is_stopped);
         let job = &dispatch.spec.id;
         let ended = |table: &mut JobTable| {
             table.finish_run(
@@ -285,6 +293,7 @@
             job: job.clone(),
             outcome: name.to_owned(),
             events,
+            reason: reason.map(|reason| <&str>::from(reason).to_owned()),
         });
         if state == Some(ItemState::Waiting) {
             self.shared.work_available.notify_one();
@@ -377,7 +386,7 @@
             (false, Some(open)) => match &open.owner {
                 Some((owner, _)) if *owner != self.shared.identity => self.drop_job(job, "lost"),
                 Some(_) => self.load_owned(job).await,
-                None => self.claim(&open).await,
+                None => self.claim(&open, ClaimReason::OwnAgain).await,
             },
         }
     }
@@ -389,11 +398,11 @@
     mut run: RequestDispatch,
     progress: ItemProgress,
     events: &AtomicU64,
-    stop: &CancellationToken,
+    stop: &RunStop,
 ) -> ItemOutcome {
     let opened = tokio::select! {
         opened = run.start() => opened,
-        () = stop.cancelled() => return ItemOutcome::Stopped(progress),
+        () = stop.stopped() => return ItemOutcome::Stopped(progress),
     };
     match opened {
         Ok(OpenedAnswer::Stream { .. }) => {}
@@ -410,7 +419,7 @@
     loop {
         let step = tokio::select! {
             step = run.next_step() => step,
-            () = stop.cancelled() => {
+            () = stop.stopped() => {
                 return ItemOutcome::Stopped(received.finish(run.is_last_event_doubtful()));
             }
         };
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::collections::HashMap;
+use crate::edges::kv::KvVersion;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::jobs::acceptance::HostNameCache;
@@ -18,10 +18,11 @@
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobPeerClient;
 use crate::jobs::message::JobReply;
-use crate::jobs::ownership::CachedOwner;
+use crate::jobs::owners::OwnerCache;
 use crate::jobs::ownership::OrphanTracker;
 use crate::jobs::read::ResultCache;
 use crate::jobs::running::RunningItems;
+use crate::jobs::running::StopReason;
 use crate::jobs::store::JobOwner;
 use crate::jobs::store::JobStore;
 use crate::jobs::table::JobTable;
@@ -39,10 +40,6 @@
 pub(super) const STORE_RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Timeout of a call that asks a job's owner to end it.
 const END_CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest wait for cancelled items to return their partial output when the host leaves.
-const STOP_TIMEOUT: Duration = Duration::from_millis(200);
-/// Polling interval of that wait.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Shortest interval between samples of the store's revision, by which ages of jobs are measured.
 const AGE_STEP: Duration = Duration::from_secs(2);
 /// Age of a job beyond which it is only known to be about that old, if jobs are not kept for longer.
@@ -110,8 +107,7 @@
     pub(super) running: RunningItems,
     pub(super) result_cache: ResultCache,
     pub(super) orphans: Mutex<OrphanTracker>,
-    /// Cache of the hosts that own other jobs, from scans, announcements and lookups.
-    pub(super) owner_cache: Mutex<HashMap<String, CachedOwner>>,
+    pub(super) owners: OwnerCache,
     /// Revisions that scans and sweeps saw.
     pub(super) ages: Mutex<RevisionAges>,
     pub(super) host_names: HostNameCache,
@@ -152,7 +148,7 @@
             running: RunningItems::default(),
             result_cache: ResultCache::default(),
             orphans: Mutex::default(),
-            owner_cache: Mutex::default(),
+            owners: OwnerCache::default(),
             ages: Mutex::new(RevisionAges::new(AGE_STEP, MAX_AGE.max(config.keep_time))),
             host_names: HostNameCache::default(),
             announcer: OwnershipAnnouncer::default(),
@@ -180,7 +176,7 @@
             () = work => {}
             () = stop.cancelled() => {}
         }
-        self.shared.running.stop_all();
+        self.shared.running.stop_all(StopReason::Leaving);
     }
 
     /// Number of items of this host's jobs that wait or run.
@@ -204,7 +200,7 @@
     /// Caches `host` as the owner of `jobs`, as announced in its load report.
     pub fn record_owner(&self, host: &str, jobs: &[String]) {
         for job in jobs {
-            self.cache_owner(job, Some(host.to_owned()));
+            self.cache_owner(job, host);
         }
     }
 
@@ -259,7 +255,7 @@
         // Items stop before the end is stored: if the answer to the write is lost, the end may
         // hold all the same, and nothing may be sent to an upstream after it.
         self.with_table(|table| table.mark_ending(job));
-        self.shared.running.stop_job(job);
+        self.shared.running.stop_job(job, StopReason::JobDropped);
         let outcome = self.store_end(job).await;
         if outcome == EndOutcome::Ended {
             self.drop_job(job, "ended");
@@ -280,7 +276,7 @@
     /// Drops a job that this host owned and logs `outcome`. Its committed results stay readable; if
     /// it is finished, they are also cached here.
     pub(super) fn drop_job(&self, job: &str, outcome: &str) {
-        self.shared.running.stop_job(job);
+        self.shared.running.stop_job(job, StopReason::JobDropped);
         let (items, committed) = self
             .with_table(|table| table.result_counts(job))
             .unwrap_or_default();
@@ -299,8 +295,8 @@
     /// their items. Jobs that no host accepts are claimed by others after their next scans.
     pub async fn leave(&self) {
         self.shared.is_leaving.cancel();
-        self.shared.running.stop_all();
-        self.wait_for_cancelled_items().await;
+        self.shared.running.stop_all(StopReason::Leaving);
+        self.wait_for_stopped_items(None).await;
         self.commit_all_finished().await;
         let claims = self.with_table(|table| table.claims());
         let jobs: Vec<String> = claims.into_iter().map(|(id, _)| id).collect();
@@ -313,14 +309,6 @@
         }
     }
 
-    /// Waits up to `STOP_TIMEOUT` until the cancelled items have returned their partial output.
-    async fn wait_for_cancelled_items(&self) {
-        let until = Instant::now() + STOP_TIMEOUT;
-        while self.with_table(|table| table.running_item_count()) > 0 && Instant::now() < until {
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        }
-    }
-
     /// Offers `job` to other hosts in the order in which they would claim it.
     async fn hand_over(&self, job: &str) {
         let progress = self.with_table(|table| table.checkpoints(job));
@@ -331,7 +319,7 @@
             };
             let reply = self.shared.peers.call(host, call, HAND_OVER_TIMEOUT).await;
             if let Ok(JobReply::Taken) = reply {
-                self.cache_owner(job, Some(host.host.clone()));
+                self.cache_owner(job, &host.host);
                 return;
             }
         }
@@ -362,6 +350,22 @@
                 true => JobReply::Taken,
                 false => JobReply::NotOwner,
             },
+            JobCall::GiveUp {
+                job,
+                owner_version,
+                host,
+                incarnation,
+            } => {
+                let to = JobOwner {
+                    host,
+                    incarnation,
+                    peers: None,
+                };
+                match self.give_up(&job, KvVersion(owner_version), to).await {
+                    Some(given_up) => JobReply::GivenUp(given_up),
+                    None => JobReply::NotOwner,
+                }
+            }
             JobCall::Submit { spec } => self.answer_submission(spec).await,
             JobCall::End { job } => {
                 if !self.with_table(|table| table.owns(&job)) {
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -1,4 +1,5 @@
-//! Messages that hosts exchange about jobs: submitting, reading, handing over and ending them.
+//! Messages that hosts exchange about jobs: submitting, reading, handing over, displacing and ending
+//! them.
 
 use std::time::Duration;
 
@@ -8,8 +9,10 @@
 use serde::Serialize;
 
 use crate::ids::SoftwareVersion;
+use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
+use crate::peers::PeerError;
 use crate::peers::PeerMessage;
 use crate::registry::HostEntry;
 
@@ -30,6 +33,16 @@
     pub software: Option<SoftwareVersion>,
 }
 
+/// What the displaced owner of a job had of items whose results are not committed.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct GivenUpJob {
+    /// Partial output of the items that had begun.
+    pub progress: Vec<ItemCheckpoint>,
+    /// Results of items that had ended.
+    #[serde(default)]
+    pub results: Vec<JobResult>,
+}
+
 /// A call to another host about a job, mostly to the job's owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum JobCall {
@@ -56,6 +69,18 @@
         /// Partial output of the items that had begun.
         progress: Vec<ItemCheckpoint>,
     },
+    /// Has the called host stop a job that the caller has claimed. A host of an earlier release does not
+    /// know the call.
+    GiveUp {
+        /// Identifier of the job.
+        job: String,
+        /// Version of the owner key by which the caller owns the job.
+        owner_version: u64,
+        /// Name of the calling host.
+        host: String,
+        /// Incarnation of the calling host.
+        incarnation: u64,
+    },
     /// Asks the called host to store a new job, as the caller does not reach the key-value service.
     Submit {
         /// The job as it was submitted.
@@ -85,6 +110,8 @@
     Ended,
     /// The called host has claimed the job and owns it now.
     Taken,
+    /// The called host has stopped the job's items, and commits no results of it any more.
+    GivenUp(GivenUpJob),
     /// The called host does not own the job, or did not take the offered one.
     NotOwner,
     /// The called host could not determine the outcome, as the key-value service did not answer.
@@ -94,14 +121,14 @@
 /// Client that sends [`JobCall`]s to other hosts.
 #[async_trait]
 pub trait JobPeerClient: Send + Sync + 'static {
-    /// Calls `host` and waits for its reply up to `timeout`. The error is the cause, as text for
-    /// people; the call may have been carried out all the same.
+    /// Calls `host` and waits for its reply up to `timeout`. Unless the error is that the call was not
+    /// sent, it may have been carried out all the same.
     async fn call(
         &self,
         host: &HostEntry,
         call: JobCall,
         timeout: Duration,
-    ) -> Result<JobReply, String>;
+    ) -> Result<JobReply, PeerError>;
 }
 
 impl PeerMessage for JobCall {
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -7,10 +7,12 @@
 
 mod acceptance;
 mod announcer;
+mod changeover;
 mod dispatch;
 mod estimator;
 mod keeper;
 mod message;
+mod owners;
 mod ownership;
 mod progress;
 mod read;
@@ -24,6 +26,7 @@
 pub use keeper::EndOutcome;
 pub use keeper::JobConfig;
 pub use keeper::JobKeeper;
+pub use message::GivenUpJob;
 pub use message::ItemCheckpoint;
 pub use message::JobCall;
 pub use message::JobPeerClient;
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -10,14 +10,22 @@
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvVersion;
 use crate::events::LogEvent;
+use crate::jobs::changeover::ClaimReason;
+use crate::jobs::changeover::PreviousOwner;
+use crate::jobs::changeover::Takeover;
+use crate::jobs::dispatch::RUN_TIMEOUT;
 use crate::jobs::keeper::FINISHED_OUTCOME;
 use crate::jobs::keeper::JobKeeper;
+use crate::jobs::message::GivenUpJob;
 use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::spec::JobAge;
+use crate::jobs::spec::JobSpec;
 use crate::jobs::store::ClosedJobListing;
 use crate::jobs::store::JobClaim;
+use crate::jobs::store::JobOwner;
 use crate::jobs::store::OpenJob;
 use crate::jobs::store::OpenJobListing;
+use crate::jobs::store::StoredJob;
 use crate::membership::rendezvous_score;
 use crate::registry::HostEntry;
 use crate::revision_ages::RevisionAges;
@@ -37,23 +45,6 @@
 /// first write wins. Claims of all hosts at once would mostly conflict.
 const CLAIMERS_PER_SCAN: u32 = 3;
 
-/// Cached owner of a job, or its last owner if the job is closed.
-#[derive(Clone, Debug)]
-pub(super) struct CachedOwner {
-    pub(super) host: String,
-    seen: Instant,
-}
-
-impl CachedOwner {
-    /// Creates an entry that was seen now.
-    pub(super) fn new(host: String) -> Self {
-        Self {
-            host,
-            seen: Instant::now(),
-        }
-    }
-}
-
 /// Counts, for each job, the scans in a row that found it without an owner.
 #[derive(Debug, Default)]
 pub(super) struct OrphanTracker {
@@ -119,7 +110,7 @@
                 Some((owner, _))
                     if owner.host == own.host && owner.incarnation != own.incarnation =>
                 {
-                    claims.push(job);
+                    claims.push((job, ClaimReason::SameName));
                 }
                 // The store names this process as the owner, though it does not run the job: the
                 // answer to its submission or claim was lost.
@@ -144,14 +135,18 @@
             let seen = counts.get(&job.id).copied().unwrap_or(0);
             // The host that still runs the job claims it again first; the other hosts follow scan
             // by scan in the order of their ranks.
-            if is_owned || seen > 1 + self.claim_rank(&job.id, &other_hosts) / CLAIMERS_PER_SCAN {
-                claims.push(job);
+            if is_owned {
+                claims.push((job, ClaimReason::OwnAgain));
+            } else if seen > 1 + self.claim_rank(&job.id, &other_hosts) / CLAIMERS_PER_SCAN {
+                claims.push((job, ClaimReason::Lapsed));
             }
         }
         claims.truncate(MAX_CLAIMS_PER_SCAN);
-        for job in claims {
-            self.claim(job).await;
-        }
+        // Together, as each may have to wait for the owner before.
+        let claims = claims
+            .into_iter()
+            .map(|(job, reason)| self.claim(job, reason));
+        futures_util::future::join_all(claims).await;
         for job in unknown {
             self.load_owned(&job).await;
         }
@@ -172,12 +167,17 @@
             .as_ref()
             .is_some_and(|(owner, _)| *owner == self.shared.identity);
         if is_own {
+            let takeover = Takeover {
+                reason: ClaimReason::OwnAgain,
+                previous: self.previous_owner(id),
+                checkpoints: Vec::new(),
+            };
             let claim = JobClaim {
                 open_version: job.version,
                 owner_version: job.owner.map(|(_, version)| version),
                 lease: self.shared.registry.lease(),
             };
-            self.load(id, claim).await;
+            self.load(id, claim, takeover).await;
         }
     }
 
@@ -263,7 +263,17 @@
         })
     }
 
-    pub(super) async fn claim(&self, job: &OpenJob) {
+    /// Claims an open job without a living owner, and runs it.
+    pub(super) async fn claim(&self, job: &OpenJob, reason: ClaimReason) {
+        self.claim_with(job, reason, Vec::new()).await;
+    }
+
+    async fn claim_with(
+        &self,
+        job: &OpenJob,
+        reason: ClaimReason,
+        checkpoints: Vec<ItemCheckpoint>,
+    ) {
         let Some(lease) = self.shared.registry.lease() else {
             return;
         };
@@ -285,7 +295,14 @@
             }
             Err(_) => return,
         };
-        self.load(&job.id, claim).await;
+        // Another host may have claimed the job and announced it since it was read.
+        let named = job.owner.as_ref().map(|(owner, _)| owner.clone());
+        let takeover = Takeover {
+            reason,
+            previous: named.or_else(|| self.previous_owner(&job.id)),
+            checkpoints,
+        };
+        self.load(&job.id, claim, takeover).await;
     }
 
     /// Claims a job that its owner hands over, and resumes its items from `checkpoints`. Returns
@@ -295,62 +312,114 @@
             return false;
         }
         match self.shared.store.open_job(id).await {
-            Ok(Some(job)) if job.owner.is_none() => self.claim(&job).await,
+            Ok(Some(job)) if job.owner.is_none() => {
+                let reason = ClaimReason::HandedOver;
+                self.claim_with(&job, reason, checkpoints).await;
+            }
             _ => return false,
         }
-        self.with_table(|table| table.apply_checkpoints(id, checkpoints));
         self.with_table(|table| table.owns(id))
     }
 
-    /// Loads a job that this host has claimed, and queues the items without a committed result. If
-    /// it can't be read, a later scan finds that this host owns a job that it does not run, and
-    /// loads it again.
-    async fn load(&self, id: &str, claim: JobClaim) {
-        if self.with_table(|table| table.owns(id)) {
-            return self.renew_claim(id, claim).await;
-        }
-        let (Ok(Some(spec)), Ok(Some(stored))) = (
-            self.shared.store.load_spec(id).await,
-            self.shared.store.load(id).await,
-        ) else {
+    /// Loads a job that this host has claimed, and queues the items without a committed result once the
+    /// owner before has stopped them. If it can't be read, a later scan finds that this host owns a job
+    /// that it does not run, and loads it again.
+    async fn load(&self, id: &str, claim: JobClaim, takeover: Takeover) {
+        self.shared
+            .owners
+            .see(id, &self.shared.identity, claim.version());
+        self.shared.announcer.add(id);
+        let is_known = self.with_table(|table| table.owns(id));
+        let (previous, stored) = tokio::join!(
+            self.displace(id, &claim, &takeover),
+            self.read_claimed(id, is_known)
+        );
+        self.log_claimed(id, &claim, &takeover, &previous);
+        let is_doubtful = matches!(previous, PreviousOwner::Unanswered);
+        let mut given_up = match previous {
+            PreviousOwner::Stopped(given_up) => given_up,
+            _ => GivenUpJob::default(),
+        };
+        given_up.progress.extend(takeover.checkpoints);
+        let Some((spec, stored)) = stored else {
             return;
         };
+        match spec {
+            Some(spec) => self.insert_claimed(spec, claim, stored, given_up),
+            None => self.renew_claim(id, claim, stored, given_up),
+        }
+        if is_doubtful {
+            let until = Instant::now() + RUN_TIMEOUT;
+            self.with_table(|table| table.set_doubtful(id, until));
+        }
+        self.shared.work_available.notify_one();
+    }
+
+    /// The last seen owner of `job` other than this process.
+    fn previous_owner(&self, job: &str) -> Option<JobOwner> {
+        let own = &self.shared.identity;
+        self.shared.owners.previous(job, own)
+    }
+
+    /// Reads a job that was claimed, without its specification if `is_known`; `None` if that fails.
+    async fn read_claimed(&self, id: &str, is_known: bool) -> Option<(Option<JobSpec>, StoredJob)> {
+        let store = &self.shared.store;
+        let spec = match is_known {
+            true => None,
+            false => Some(store.load_spec(id).await.ok().flatten()?),
+        };
+        let stored = store.load(id).await.ok().flatten()?;
+        Some((spec, stored))
+    }
+
+    /// Adds a job that was claimed, unless another host has claimed it since.
+    fn insert_claimed(
+        &self,
+        spec: JobSpec,
+        claim: JobClaim,
+        stored: StoredJob,
+        given_up: GivenUpJob,
+    ) {
+        let id = spec.id.clone();
+        let newest = self.shared.owners.version(&id).unwrap_or_default();
+        if newest > claim.version() {
+            return;
+        }
         let spec = spec.timed_at(steady_unix_millis(), self.job_age(claim.open_version));
-        self.log_job(id, "taken_over", spec.items.len(), stored.results.len());
-        self.shared.announcer.add(id);
-        self.cache_owner(id, None);
+        self.log_job(&id, "taken_over", spec.items.len(), stored.results.len());
         self.with_table(|table| {
-            if !table.owns(id) {
+            if !table.owns(&id) {
                 table.insert(Arc::new(spec), claim, stored.results, stored.segments);
             }
+            table.apply_checkpoints(&id, given_up.progress);
+            table.adopt_results(&id, given_up.results, Instant::now());
         });
-        self.shared.work_available.notify_one();
     }
 
-    /// Continues a job that this host already runs under a new claim. Its results are read again,
-    /// as another host may have owned the job and committed results in between.
-    async fn renew_claim(&self, id: &str, claim: JobClaim) {
-        if let Ok(Some(stored)) = self.shared.store.load(id).await {
-            let is_complete = self.with_table(|table| {
-                table.set_claim(id, claim);
-                table.replace_committed(id, stored.results, stored.segments, Instant::now())
-            });
-            self.shared.results_committed.notify_waiters();
-            if is_complete {
-                self.drop_job(id, FINISHED_OUTCOME);
-            }
+    /// Continues a job that this host already runs under a new claim. Its results were read again, as
+    /// another host may have owned the job and committed results in between.
+    fn renew_claim(&self, id: &str, claim: JobClaim, stored: StoredJob, given_up: GivenUpJob) {
+        let is_complete = self.with_table(|table| {
+            table.set_claim(id, claim);
+            let now = Instant::now();
+            let is_complete = table.replace_committed(id, stored.results, stored.segments, now);
+            table.apply_checkpoints(id, given_up.progress);
+            table.adopt_results(id, given_up.results, now);
+            is_complete
+        });
+        self.shared.results_committed.notify_waiters();
+        if is_complete {
+            self.drop_job(id, FINISHED_OUTCOME);
         }
     }
 
     fn cache_owners(&self, open: &OpenJobListing) {
-        let mut owners = self.shared.owner_cache.lock().expect("owner cache lock");
-        let now = Instant::now();
         // Entries outlive their jobs' open keys, as the last owner of a finished job has its
         // results cached and spares readers the key-value service.
-        owners.retain(|_, known| now - known.seen < self.shared.config.keep_time);
+        self.shared.owners.forget_old(self.shared.config.keep_time);
         for job in &open.jobs {
-            if let Some((owner, _)) = &job.owner {
-                owners.insert(job.id.clone(), CachedOwner::new(owner.host.clone()));
+            if let Some((owner, version)) = &job.owner {
+                self.shared.owners.see(&job.id, owner, *version);
             }
         }
     }
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -11,9 +11,9 @@
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
-use crate::jobs::ownership::CachedOwner;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::ResultPage;
+use crate::jobs::store::JobOwner;
 use crate::jobs::table::JobTable;
 use crate::jobs::table::page_of;
 use crate::registry::HostEntry;
@@ -133,8 +133,8 @@
             let open = self.shared.store.open_job(job).await;
             match open {
                 Ok(Some(open)) => match &open.owner {
-                    Some((owner, _)) if !self.is_cached_owner(job, &owner.host) => {
-                        self.cache_owner(job, Some(owner.host.clone()));
+                    Some((owner, version)) if !self.is_cached_owner(job, &owner.host) => {
+                        self.shared.owners.see(job, owner, *version);
                     }
                     _ => break,
                 },
@@ -270,13 +270,14 @@
     /// Cached owner of `job`, or its last owner if it is closed; `None` if that is this host, is
     /// unknown, or is no longer in the registry.
     pub(super) fn cached_owner(&self, job: &str) -> Option<HostEntry> {
-        let owners = self.shared.owner_cache.lock().expect("owner cache lock");
-        let owner = owners
-            .get(job)
-            .filter(|owner| owner.host != self.shared.identity.host)?;
-        self.shared
-            .registry
-            .with_list(|list| list.get(&owner.host).cloned())
+        let host = self.shared.owners.host(job)?;
+        match host == self.shared.identity.host {
+            true => None,
+            false => self
+                .shared
+                .registry
+                .with_list(|list| list.get(&host).cloned()),
+        }
     }
 
     /// The other host that owns `job`, looked up in the key-value service if it is not cached. It may be
@@ -286,24 +287,28 @@
             return Some(host);
         }
         let open = self.shared.store.open_job(job).await.ok().flatten()?;
-        let (owner, _) = open.owner?;
+        let (owner, version) = open.owner?;
         let is_own = owner.host == self.shared.identity.host;
         let entry = owner.entry().filter(|_| !is_own);
-        self.cache_owner(job, Some(owner.host));
+        self.shared.owners.see(job, &owner, version);
         self.cached_owner(job).or(entry)
     }
 
     fn is_cached_owner(&self, job: &str, host: &str) -> bool {
-        let owners = self.shared.owner_cache.lock().expect("owner cache lock");
-        owners.get(job).is_some_and(|known| known.host == host)
+        self.shared.owners.host(job).as_deref() == Some(host)
     }
 
-    /// Caches `host` as the owner of a job, or removes the cached owner if it is `None`.
-    pub(super) fn cache_owner(&self, job: &str, host: Option<String>) {
-        let mut owners = self.shared.owner_cache.lock().expect("owner cache lock");
-        match host {
-            Some(host) => owners.insert(job.to_owned(), CachedOwner::new(host)),
-            None => owners.remove(job),
+    /// Caches the host named `host` as the owner of `job`.
+    pub(super) fn cache_owner(&self, job: &str, host: &str) {
+        let entry = self
+            .shared
+            .registry
+            .with_list(|list| list.get(host).cloned());
+        let owner = JobOwner {
+            host: host.to_owned(),
+            incarnation: entry.as_ref().map_or(0, |entry| entry.incarnation),
+            peers: entry.map(|entry| entry.peers),
         };
+        self.shared.owners.see_announced(job, &owner);
     }
 }
--- a/lib/src/jobs/running.rs
+++ b/lib/src/jobs/running.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -11,11 +12,49 @@
 use crate::balancer::BalancerKey;
 use crate::collections::HashMap;
 
+/// Why this host stops an item that runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum StopReason {
+    /// Online work needs the slot.
+    Preempted,
+    /// The job is ended, finished or lost.
+    JobDropped,
+    /// Another host has claimed the job.
+    GivenUp,
+    /// The host stops.
+    Leaving,
+}
+
+/// Cancellation of one run, with the reason of the first one who cancels it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunStop {
+    token: CancellationToken,
+    reason: Arc<OnceLock<StopReason>>,
+}
+
+impl RunStop {
+    fn stop(&self, reason: StopReason) {
+        let _ = self.reason.set(reason);
+        self.token.cancel();
+    }
+
+    /// Completes when the run is stopped.
+    pub(super) async fn stopped(&self) {
+        self.token.cancelled().await;
+    }
+
+    /// Why the run was stopped; `None` if it was not.
+    pub(super) fn reason(&self) -> Option<StopReason> {
+        self.reason.get().copied()
+    }
+}
+
 struct RunningItem {
     job: String,
     /// Number of events received, updated by the run.
     events: Arc<AtomicU64>,
-    stop: CancellationToken,
+    stop: RunStop,
 }
 
 /// Running items of this host, by the upstream that runs them.
@@ -30,8 +69,8 @@
         upstream_key: BalancerKey,
         job: &str,
         events: Arc<AtomicU64>,
-    ) -> CancellationToken {
-        let stop = CancellationToken::new();
+    ) -> RunStop {
+        let stop = RunStop::default();
         let item = RunningItem {
             job: job.to_owned(),
             events,
@@ -41,13 +80,13 @@
         stop
     }
 
-    pub(super) fn remove(&self, upstream_key: BalancerKey, stop: &CancellationToken) {
+    pub(super) fn remove(&self, upstream_key: BalancerKey, stop: &RunStop) {
         // The cancelled token identifies this run. It also drops cancelled runs that have not
         // removed themselves yet.
-        stop.cancel();
+        stop.token.cancel();
         let mut items = self.lock();
         if let Some(at_upstream) = items.get_mut(&upstream_key) {
-            at_upstream.retain(|item| !item.stop.is_cancelled());
+            at_upstream.retain(|item| !item.stop.token.is_cancelled());
             if at_upstream.is_empty() {
                 items.remove(&upstream_key);
             }
@@ -64,29 +103,31 @@
         // Items that are already cancelled count: they hold their slots until they have stopped.
         let stopping = at_upstream
             .iter()
-            .filter(|item| item.stop.is_cancelled())
+            .filter(|item| item.stop.token.is_cancelled())
             .count();
         at_upstream.sort_by_key(|item| item.events.load(Ordering::Relaxed));
-        let running = at_upstream.iter().filter(|item| !item.stop.is_cancelled());
+        let running = at_upstream
+            .iter()
+            .filter(|item| !item.stop.token.is_cancelled());
         for item in running.take(count.saturating_sub(stopping)) {
-            item.stop.cancel();
+            item.stop.stop(StopReason::Preempted);
         }
     }
 
-    pub(super) fn stop_job(&self, job: &str) {
+    pub(super) fn stop_job(&self, job: &str, reason: StopReason) {
         for item in self
             .lock()
             .values()
             .flatten()
             .filter(|item| item.job == job)
         {
-            item.stop.cancel();
+            item.stop.stop(reason);
         }
     }
 
-    pub(super) fn stop_all(&self) {
+    pub(super) fn stop_all(&self, reason: StopReason) {
         for item in self.lock().values().flatten() {
-            item.stop.cancel();
+            item.stop.stop(reason);
         }
     }
 
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -131,6 +131,13 @@
     pub(crate) lease: Option<LeaseId>,
 }
 
+impl JobClaim {
+    /// Version by which the claim is newer or older than another one of the same job.
+    pub(crate) fn version(&self) -> KvVersion {
+        self.owner_version.unwrap_or(self.open_version)
+    }
+}
+
 /// Reads and writes jobs in the key-value service.
 #[derive(Clone)]
 pub struct JobStore {
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -180,7 +180,7 @@
         let call = JobCall::Submit { spec: spec.clone() };
         match self.shared.peers.call(host, call, FORWARD_TIMEOUT).await {
             Ok(JobReply::Stored) => {
-                self.cache_owner(&spec.id, Some(host.host.clone()));
+                self.cache_owner(&spec.id, &host.host);
                 StoreOutcome::Stored
             }
             Ok(JobReply::NotStored) => StoreOutcome::NotStored,
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -83,6 +83,8 @@
     backoff_steps: u32,
     not_before: Option<Instant>,
     result: Option<JobResult>,
+    /// Whether a run has begun under this host.
+    has_begun: bool,
 }
 
 #[derive(Debug)]
@@ -96,9 +98,18 @@
     is_committing: bool,
     commit_not_before: Option<Instant>,
     is_ending: bool,
+    /// Whether another host may own the job by now, so that no item begins and no result is committed.
+    is_held: bool,
+    /// Time until which the owner before may be at work, as it did not answer.
+    doubtful_until: Option<Instant>,
 }
 
 impl OwnedJob {
+    /// Whether items may begin and results be committed.
+    fn is_active(&self) -> bool {
+        !self.is_ending && !self.is_held
+    }
+
     /// Restarts the gathering delay if any finished item is still to be committed.
     fn restart_commit_delay(&mut self, now: Instant) {
         let mut owned_items = self.owned_items.iter();
@@ -165,6 +176,8 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) index: usize,
     pub(crate) progress: ItemProgress,
+    /// Whether the owner before of the job may be at work on the item, of which this is the first run here.
+    pub(crate) is_doubtful: bool,
 }
 
 /// Waiting items of one job that have the same route and are equally urgent.
@@ -212,6 +225,7 @@
             backoff_steps: 0,
             not_before: None,
             result: None,
+            has_begun: false,
         });
         let mut job = OwnedJob {
             owned_items: owned_items.collect(),
@@ -222,6 +236,8 @@
             is_committing: false,
             commit_not_before: None,
             is_ending: false,
+            is_held: false,
+            doubtful_until: None,
             spec,
         };
         job.select_routes(&self.routes);
@@ -261,10 +277,30 @@
             .collect()
     }
 
+    /// The claim that `job` is held by; `None` if this host does not own it.
+    pub(crate) fn claim(&self, job: &str) -> Option<JobClaim> {
+        Some(self.jobs.get(job)?.claim.clone())
+    }
+
+    /// Notes that the owner before of `job`, which did not answer, may be at work until `until`.
+    pub(crate) fn set_doubtful(&mut self, job: &str, until: Instant) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.doubtful_until = Some(until);
+        }
+    }
+
+    /// Begins no item of `job` and commits no result of it until it is claimed again or removed.
+    pub(crate) fn hold(&mut self, job: &str) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.is_held = true;
+        }
+    }
+
     /// Replaces the claim on `job`, as after claiming it again; does nothing if it is not owned.
     pub(crate) fn set_claim(&mut self, job: &str, claim: JobClaim) {
         if let Some(job) = self.jobs.get_mut(job) {
             job.claim = claim;
+            job.is_held = false;
         }
     }
 
@@ -335,7 +371,7 @@
             is_blocked[position(*route)] = true;
         }
         let mut heads: Vec<Option<(DispatchPriority, &OwnedJob)>> = vec![None; is_blocked.len()];
-        for job in self.jobs.values().filter(|job| !job.is_ending) {
+        for job in self.jobs.values().filter(|job| job.is_active()) {
             for (index, owned_item) in job.owned_items.iter().enumerate() {
                 let position = position(owned_item.route);
                 if is_blocked[position] || !owned_item.is_ready(now) {
@@ -373,16 +409,20 @@
 
     /// Marks a waiting item as running, and returns the output to resume from; `None` if it does not
     /// wait any more.
-    pub(crate) fn begin_run(&mut self, head: &RouteHead) -> Option<ItemDispatch> {
-        let owned_item = self.owned_item(&head.spec.id, head.index)?;
+    pub(crate) fn begin_run(&mut self, head: &RouteHead, now: Instant) -> Option<ItemDispatch> {
+        let job = self.jobs.get_mut(&head.spec.id)?;
+        let is_job_doubtful = job.doubtful_until.is_some_and(|until| now < until);
+        let owned_item = job.owned_items.get_mut(head.index)?;
         if owned_item.state != ItemState::Waiting {
             return None;
         }
         owned_item.state = ItemState::Running;
+        let is_first = !std::mem::replace(&mut owned_item.has_begun, true);
         Some(ItemDispatch {
             spec: head.spec.clone(),
             index: head.index,
             progress: owned_item.progress.clone(),
+            is_doubtful: is_job_doubtful && is_first,
         })
     }
 
@@ -391,7 +431,7 @@
     pub(crate) fn give_up_overdue(&mut self, now: Instant, now_ms: u64) -> Vec<(String, String)> {
         let mut given_up = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.is_ending || !job.is_retention_over(now_ms) {
+            if !job.is_active() || !job.is_retention_over(now_ms) {
                 continue;
             }
             for index in 0..job.owned_items.len() {
@@ -416,7 +456,7 @@
     /// The items that are ready to be dispatched, by job and urgency, the most urgent first.
     pub(crate) fn waiting(&self, now: Instant, now_ms: u64) -> Vec<WaitingGroup> {
         let mut groups: Vec<WaitingGroup> = Vec::new();
-        for job in self.jobs.values().filter(|job| !job.is_ending) {
+        for job in self.jobs.values().filter(|job| job.is_active()) {
             let first_of_job = groups.len();
             for owned_item in &job.owned_items {
                 if !owned_item.is_ready(now) {
@@ -528,6 +568,44 @@
         }
     }
 
+    /// Results of items of `job` that are not committed.
+    pub(crate) fn uncommitted_results(&self, job: &str) -> Vec<JobResult> {
+        let Some(job) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        let owned_items = job.owned_items.iter();
+        owned_items
+            .filter_map(|owned_item| owned_item.result.clone())
+            .collect()
+    }
+
+    /// Adopts the results of items that the job's previous owner had not committed. Items that are not
+    /// waiting keep theirs.
+    pub(crate) fn adopt_results(&mut self, job: &str, results: Vec<JobResult>, now: Instant) {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        for result in results {
+            let index = spec.items.iter().position(|item| item.id == result.id);
+            if let Some(index) = index
+                && job.owned_items[index].state == ItemState::Waiting
+            {
+                job.finish_item(index, result.state, result.output.to_vec(), now);
+            }
+        }
+    }
+
+    /// Identifiers of the items of `job` that are running.
+    pub(crate) fn running_items(&self, job: &str) -> Vec<String> {
+        let Some(job) = self.jobs.get(job) else {
+            return Vec::new();
+        };
+        let items = job.spec.items.iter().zip(&job.owned_items);
+        let running = items.filter(|(_, owned_item)| owned_item.state == ItemState::Running);
+        running.map(|(item, _)| item.id.clone()).collect()
+    }
+
     /// Number of items, over all owned jobs, that are running.
     pub(crate) fn running_item_count(&self) -> usize {
         let owned_items = self.jobs.values().flat_map(|job| &job.owned_items);
@@ -541,7 +619,7 @@
     pub(crate) fn take_due_segments(&mut self, now: Instant, now_ms: u64) -> Vec<SegmentWrite> {
         let mut segment_writes = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.is_committing || job.is_ending || !is_commit_due(job, now, now_ms) {
+            if job.is_committing || !job.is_active() || !is_commit_due(job, now, now_ms) {
                 continue;
             }
             job.is_committing = true;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
@@ -36,6 +37,8 @@
     requests: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
+    job_claims: IntCounterVec,
+    doubtful_runs: IntCounter,
     first_event_seconds: Histogram,
     request_seconds: Histogram,
     store_call_seconds: HistogramVec,
@@ -96,6 +99,16 @@
                 &["outcome"],
             ),
             jobs: counter("job_changes_total", "Changes of batch jobs.", &["outcome"]),
+            job_claims: counter(
+                "job_claims_total",
+                "Claims of batch jobs, by reason and by what the owner before did.",
+                &["reason", "previous"],
+            ),
+            doubtful_runs: IntCounter::new(
+                "parsleywall_doubtful_item_runs_total",
+                "First runs of items, soon after a claim, whose job's owner before may be at work.",
+            )
+            .expect("metric names are valid"),
             first_event_seconds: Histogram::with_opts(latency(
                 "first_event_seconds",
                 "Time from a request's arrival to the first event or the whole answer.",
@@ -185,6 +198,7 @@
             &self.requests,
             &self.item_runs,
             &self.jobs,
+            &self.job_claims,
             &self.grants,
             &self.view_calls,
         ];
@@ -195,6 +209,7 @@
         all.push(Box::new(self.store_call_seconds.clone()));
         all.push(Box::new(self.slot_counts.clone()));
         all.push(Box::new(self.items.clone()));
+        all.push(Box::new(self.doubtful_runs.clone()));
         all.push(Box::new(self.config_version.clone()));
         all.push(Box::new(self.config_age.clone()));
         all.push(Box::new(self.view_age.clone()));
@@ -240,6 +255,12 @@
             }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::Job { outcome, .. } => self.jobs.with_label_values(&[outcome]).inc(),
+            LogEvent::JobClaimed {
+                reason, previous, ..
+            } => {
+                let labels = [reason.as_str(), previous.as_str()];
+                self.job_claims.with_label_values(&labels).inc();
+            }
             _ => {}
         }
     }
@@ -250,6 +271,11 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    /// Counts the first run of an item here while the owner of its job before may be at work on it.
+    pub fn count_doubtful_run(&self) {
+        self.doubtful_runs.inc();
+    }
+
     /// Counts a call that reads `view`, by what it is and by outcome.
     pub fn count_view_call(&self, view: &str, via: &str, outcome: &str) {
         let counter = self.view_calls.with_label_values(&[view, via, outcome]);
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -43,6 +43,7 @@
 use crate::jobs::JobStore;
 use crate::origins::VersionArchive;
 use crate::peers::PeerClient;
+use crate::peers::PeerError;
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
 use crate::registry::HostEntry;
@@ -479,12 +480,9 @@
         host: &HostEntry,
         call: JobCall,
         timeout: Duration,
-    ) -> Result<JobReply, String> {
-        let peer_client = self
-            .peer_client
-            .get()
-            .ok_or("the fleet secret has not been read yet")?;
-        let reply = peer_client.call(host.peers, call, timeout).await;
-        reply.map_err(|err| err.to_string())
+    ) -> Result<JobReply, PeerError> {
+        let not_ready = || PeerError::NotSent("the fleet secret has not been read yet".to_owned());
+        let peer_client = self.peer_client.get().ok_or_else(not_ready)?;
+        peer_client.call(host.peers, call, timeout).await
     }
 }
--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet of job keepers on one key-value service and one set of upstreams, without a network.
 #![allow(dead_code)] // Each test program uses a part of this module.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -22,6 +23,7 @@
 use parsleywall::jobs::ReadOutcome;
 use parsleywall::jobs::ResultPage;
 use parsleywall::jobs::ResultState;
+use parsleywall::peers::PeerError;
 use parsleywall::registry::HostEntry;
 use parsleywall::registry::HostReadiness;
 use parsleywall::registry::HostRegistry;
@@ -43,19 +45,40 @@
 
 #[derive(Default)]
 pub(crate) struct LocalJobClient {
-    hosts: Mutex<Vec<(SocketAddr, JobKeeper)>>,
+    hosts: Mutex<Vec<(SocketAddr, String, JobKeeper)>>,
+    faults: Mutex<HashMap<SocketAddr, PeerFault>>,
+}
+
+/// What is wrong with a host's answers to calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerFault {
+    /// Calls reach the host, and no answer comes back.
+    Silent,
+    /// The host does not know calls to give a job up, as one of an earlier release.
+    Earlier,
 }
 
 impl LocalJobClient {
-    fn add(&self, address: SocketAddr, keeper: JobKeeper) {
-        self.lock().push((address, keeper));
+    fn add(&self, address: SocketAddr, host: &str, keeper: JobKeeper) {
+        self.lock().push((address, host.to_owned(), keeper));
+    }
+
+    /// Passes the announcements of each host to the others, as load reports do.
+    fn announce(&self) {
+        let hosts = self.lock();
+        for (from, name, announcer) in hosts.iter() {
+            let jobs = announcer.announced_jobs();
+            for (_, _, keeper) in hosts.iter().filter(|(address, ..)| address != from) {
+                keeper.record_owner(name, &jobs);
+            }
+        }
     }
 
     fn remove(&self, address: SocketAddr) {
-        self.lock().retain(|(known, _)| *known != address);
+        self.lock().retain(|(known, ..)| *known != address);
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, JobKeeper)>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, String, JobKeeper)>> {
         self.hosts.lock().unwrap()
     }
 }
@@ -67,20 +90,29 @@
         host: &HostEntry,
         call: JobCall,
         timeout: Duration,
-    ) -> Result<JobReply, String> {
+    ) -> Result<JobReply, PeerError> {
         let found = {
             let hosts = self.lock();
             let mut found = hosts.iter().rev();
-            found.find(|(address, _)| *address == host.peers).cloned()
+            found.find(|(address, ..)| *address == host.peers).cloned()
         };
-        let Some((_, keeper)) = found else {
-            return Err("connection refused".to_owned());
+        let Some((_, _, keeper)) = found else {
+            return Err(PeerError::NotSent("connection refused".to_owned()));
         };
+        let fault = self.faults.lock().unwrap().get(&host.peers).copied();
+        let is_give_up = matches!(call, JobCall::GiveUp { .. });
+        if fault == Some(PeerFault::Silent) {
+            tokio::time::sleep(timeout).await;
+            return Err(PeerError::NoReply("no reply in time".to_owned()));
+        }
+        if fault == Some(PeerFault::Earlier) && is_give_up {
+            return Err(PeerError::NoReply("no handler for the call".to_owned()));
+        }
         // The called host goes on when the caller stops waiting.
         let answer = tokio::spawn(async move { keeper.answer(call).await });
         match tokio::time::timeout(timeout, answer).await {
-            Ok(answer) => answer.map_err(|err| err.to_string()),
-            Err(_) => Err("no reply in time".to_owned()),
+            Ok(answer) => answer.map_err(|err| PeerError::NoReply(err.to_string())),
+            Err(_) => Err(PeerError::NoReply("no reply in time".to_owned())),
         }
     }
 }
@@ -90,12 +122,30 @@
     pub(crate) registry: HostRegistry,
     pub(crate) relay: parsleywall::relay::RequestRelay,
     pub(crate) routes: watch::Sender<Arc<RouteTable>>,
+    pub(crate) log: EventLog,
     address: SocketAddr,
     peers: Arc<LocalJobClient>,
     stop: CancellationToken,
 }
 
 impl JobHost {
+    /// Makes the host's answers to calls of other hosts faulty.
+    pub(crate) fn set_fault(&self, fault: PeerFault) {
+        let mut faults = self.peers.faults.lock().unwrap();
+        faults.insert(self.address, fault);
+    }
+
+    /// Whether the host's metrics have this line.
+    pub(crate) fn has_metric(&self, line: &str) -> bool {
+        let text = self.log.metrics().text();
+        text.lines().any(|known| known == line)
+    }
+
+    /// Stops the host's tasks, and leaves its address open to calls.
+    pub(crate) fn stop_tasks(&self) {
+        self.stop.cancel();
+    }
+
     /// Stops the host's tasks without a handover, as a crash would. Calls to it are refused from now on.
     pub(crate) fn kill(&self) {
         self.stop.cancel();
@@ -112,7 +162,12 @@
 
 impl JobFleet {
     pub(crate) fn new() -> Self {
-        let (first, gap) = (Duration::from_millis(60), Duration::from_millis(20));
+        Self::with_gap(Duration::from_millis(20))
+    }
+
+    /// Creates a fleet whose upstreams send an event each `gap`.
+    pub(crate) fn with_gap(gap: Duration) -> Self {
+        let first = Duration::from_millis(60);
         Self {
             kv: KvMemory::new(),
             transport: OpaqueUpstreams::new(EVENTS_PER_ITEM, first, gap),
@@ -121,6 +176,17 @@
         }
     }
 
+    /// Passes announcements between the hosts from now on, ten times a second.
+    pub(crate) fn spawn_announcements(&self) {
+        let peers = self.peers.clone();
+        tokio::spawn(async move {
+            loop {
+                peers.announce();
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+
     pub(crate) async fn host(&mut self, name: &str) -> JobHost {
         self.host_with(name, JobConfig::default()).await
     }
@@ -165,7 +231,7 @@
             table,
             registry.clone(),
             self.peers.clone(),
-            log,
+            log.clone(),
             name.to_owned(),
             self.incarnations,
             jobs,
@@ -179,13 +245,14 @@
             let (keeper, stop) = (keeper.clone(), stop.clone());
             async move { keeper.run(stop).await }
         });
-        self.peers.add(address, keeper.clone());
+        self.peers.add(address, name, keeper.clone());
         tokio::time::sleep(Duration::from_millis(50)).await;
         JobHost {
             keeper,
             registry,
             relay,
             routes,
+            log,
             address,
             peers: self.peers.clone(),
             stop,
--- /dev/null
+++ b/lib/tests/test_job_changeover.rs
@@ -0,0 +1,210 @@
+//! Tests that no run of an item begins at a job's new owner before the runs at the owner before have
+//! ended.
+
+mod job_fleet;
+mod opaque;
+
+use std::time::Duration;
+
+use job_fleet::JobFleet;
+use job_fleet::JobHost;
+use job_fleet::PeerFault;
+use job_fleet::assert_complete;
+use job_fleet::job;
+use job_fleet::read_all;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
+use parsleywall::jobs::SubmitOutcome;
+use tokio::time::Instant;
+
+/// More items than run before a job is claimed whose owner key is gone.
+const ITEMS: usize = 90;
+/// Gap between events with which an item runs for 15 s.
+const LONG_GAP: Duration = Duration::from_millis(300);
+
+async fn submit(host: &JobHost, id: &str, items: usize) {
+    let outcome = host.keeper.submit(job(id, items)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+}
+
+async fn delete_owner(fleet: &JobFleet, job: &str) {
+    let key = format!("open/{job}/owner");
+    fleet.kv.delete(&key, Expect::Any).await.unwrap();
+}
+
+/// The items of a job that were executed more than once at the same time.
+fn doubled(fleet: &JobFleet, job: &str, items: usize) -> Vec<String> {
+    let ids = (0..items).map(|number| format!("{job}-{number}"));
+    ids.filter(|id| fleet.transport.most_at_once(id) > 1)
+        .collect()
+}
+
+/// Guards against an item that runs at two upstreams: its job's owner is alive and does not know that it has
+/// been displaced, as the store does not answer it.
+#[tokio::test(start_paused = true)]
+async fn test_displaced_owner_stops_its_items_first() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host_a, link) = fleet.linked_host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    link.set_cut(true);
+    delete_owner(&fleet, "j1").await;
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", 10), [""; 0]);
+    for number in 0..10 {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        assert_eq!(runs.len(), 2);
+        assert!(runs[1].resume_after >= Some(15), "{runs:?}");
+    }
+}
+
+/// An owner that is displaced hands on the results that it could not commit, and the parts of others.
+#[tokio::test(start_paused = true)]
+async fn test_displaced_owner_hands_on_what_it_has() {
+    let mut fleet = JobFleet::new();
+    let (host_a, link) = fleet.linked_host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", ITEMS).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    link.set_cut(true);
+    delete_owner(&fleet, "j1").await;
+    let page = read_all(&host_b, "j1").await;
+    assert_complete(&fleet.transport, &page);
+    assert_eq!(doubled(&fleet, "j1", ITEMS), [""; 0]);
+    assert_eq!(host_a.keeper.open_item_count(), 0);
+    let stopped = r#"parsleywall_job_claims_total{previous="stopped",reason="lapsed"} 1"#;
+    assert!(
+        host_b.has_metric(stopped),
+        "{}",
+        host_b.log.metrics().text()
+    );
+    // What the first owner had is not run again: neither ended items nor parts of others.
+    let runs = (0..ITEMS).map(|number| fleet.transport.runs(&format!("j1-{number}")));
+    let again: Vec<_> = runs.filter(|runs| runs.len() > 1).collect();
+    assert!(
+        !again.is_empty() && again.len() <= 12,
+        "{} items",
+        again.len()
+    );
+    assert!(again.iter().all(|runs| runs[1].resume_after.is_some()));
+}
+
+/// Two processes of one name live at two addresses. Whichever has the job, the other one runs none of its items.
+#[tokio::test(start_paused = true)]
+async fn test_processes_of_one_name_run_no_item_beside_each_other() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", ITEMS).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let again = fleet.host("host-a").await;
+    assert_complete(&fleet.transport, &read_all(&again, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", ITEMS), [""; 0]);
+}
+
+/// An owner that does not answer delays the claim by no more than the wait for it, and the runs that begin
+/// meanwhile are counted.
+#[tokio::test(start_paused = true)]
+async fn test_owner_that_does_not_answer_is_not_waited_for() {
+    for fault in [PeerFault::Silent, PeerFault::Earlier] {
+        let mut fleet = JobFleet::new();
+        let host_a = fleet.host("host-a").await;
+        let host_b = fleet.host("host-b").await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        submit(&host_a, "j1", 30).await;
+        host_a.set_fault(fault);
+        host_a.stop_tasks();
+        let stopped = Instant::now();
+        assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+        // The lease lasts 3.6 s; up to three scans, the wait and the items follow.
+        let most = Duration::from_millis(3_600 + 3 * 1_500 + 400 + 5_500);
+        assert!(
+            stopped.elapsed() < most,
+            "{fault:?}: {:?}",
+            stopped.elapsed()
+        );
+        let unanswered = r#"parsleywall_job_claims_total{previous="unanswered",reason="lapsed"} 1"#;
+        assert!(host_b.has_metric(unanswered), "{fault:?}");
+        assert!(host_b.has_metric("parsleywall_doubtful_item_runs_total 30"));
+    }
+}
+
+/// A host that has ended refuses the connection, which delays no claim.
+#[tokio::test(start_paused = true)]
+async fn test_claim_after_a_crash_is_not_delayed() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for number in 0..8 {
+        submit(&host_a, &format!("j{number}"), 2).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    host_a.kill();
+    let killed = Instant::now();
+    for number in 0..8 {
+        let page = read_all(&host_b, &format!("j{number}")).await;
+        assert_complete(&fleet.transport, &page);
+    }
+    let most = Duration::from_millis(3_600 + 3 * 1_500 + 4 * 1_100);
+    assert!(killed.elapsed() < most, "{:?}", killed.elapsed());
+    let refused = r#"parsleywall_job_claims_total{previous="not_reached",reason="lapsed"} 8"#;
+    assert!(
+        host_b.has_metric(refused),
+        "{}",
+        host_b.log.metrics().text()
+    );
+    assert!(host_b.has_metric("parsleywall_doubtful_item_runs_total 0"));
+}
+
+/// A handover needs no further call: the host that leaves has stopped the items.
+#[tokio::test(start_paused = true)]
+async fn test_handover_asks_nobody() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 12).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // A call to the leaving host would take until it is given up.
+    host_a.set_fault(PeerFault::Silent);
+    let left = Instant::now();
+    host_a.keeper.leave().await;
+    assert!(
+        left.elapsed() < Duration::from_millis(300),
+        "{:?}",
+        left.elapsed()
+    );
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", 12), [""; 0]);
+    let absent = r#"parsleywall_job_claims_total{previous="absent",reason="handed_over"} 1"#;
+    assert!(host_b.has_metric(absent), "{}", host_b.log.metrics().text());
+}
+
+/// An owner that was displaced while it loaded a job that it had claimed does not begin the job's items.
+#[tokio::test(start_paused = true)]
+async fn test_claim_that_is_displaced_while_it_is_loaded_begins_no_items() {
+    use std::sync::atomic::Ordering;
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    let host_c = fleet.host("host-c").await;
+    fleet.spawn_announcements();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    host_a.kill();
+    // Claims take seconds, and the owner key goes again and again.
+    fleet.kv.faults.delay_ms.store(700, Ordering::Relaxed);
+    for _ in 0..20 {
+        delete_owner(&fleet, "j1").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    fleet.kv.faults.delay_ms.store(0, Ordering::Relaxed);
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", 10), [""; 0]);
+    assert_eq!(host_c.keeper.open_item_count(), 0);
+}
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -98,6 +98,8 @@
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
     most_running: HashMap<String, usize>,
+    /// Executions in progress of each request, and the most at any time.
+    executions: HashMap<String, (usize, usize)>,
 }
 
 /// A set of upstreams that answer every request with the same number of events. Clones share their
@@ -188,6 +190,14 @@
         self.lock().attempts.clone()
     }
 
+    /// Returns the largest number of executions of `request` that were in progress at the same time.
+    pub fn most_at_once(&self, request: &str) -> usize {
+        self.lock()
+            .executions
+            .get(request)
+            .map_or(0, |(_, most)| *most)
+    }
+
     /// Returns the attempts at `request` that were executed.
     pub fn runs(&self, request: &str) -> Vec<OpaqueAttempt> {
         let ran = self.attempts().into_iter();
@@ -264,7 +274,8 @@
         options: SendOptions,
         behaviour: OpaqueBehaviour,
     ) -> UpstreamBody {
-        let guard = ExecutionGuard::new(self.state.clone(), to.id.to_string());
+        let (upstream, request_id) = (to.id.to_string(), request.id.to_string());
+        let guard = ExecutionGuard::new(self.state.clone(), upstream, request_id);
         let begin = options.resume_after.unwrap_or(0) + 1;
         let (last, first, gap) = (self.events, self.first, self.gap);
         let is_deadly = self.lock().is_deadly(request);
@@ -442,10 +453,11 @@
 struct ExecutionGuard {
     state: Arc<Mutex<UpstreamState>>,
     upstream: String,
+    request: String,
 }
 
 impl ExecutionGuard {
-    fn new(state: Arc<Mutex<UpstreamState>>, upstream: String) -> Self {
+    fn new(state: Arc<Mutex<UpstreamState>>, upstream: String, request: String) -> Self {
         {
             let mut state = state.lock().expect("upstream state lock");
             let running = state.running.entry(upstream.clone()).or_default();
@@ -453,8 +465,15 @@
             let now = *running;
             let most = state.most_running.entry(upstream.clone()).or_default();
             *most = now.max(*most);
+            let (running, most) = state.executions.entry(request.clone()).or_default();
+            *running += 1;
+            *most = (*running).max(*most);
+        }
+        Self {
+            state,
+            upstream,
+            request,
         }
-        Self { state, upstream }
     }
 }
 
@@ -464,6 +483,9 @@
         if let Some(running) = state.running.get_mut(&self.upstream) {
             *running -= 1;
         }
+        if let Some((running, _)) = state.executions.get_mut(&self.request) {
+            *running -= 1;
+        }
     }
 }
 
