jobs: a release deletes only the owner keys of its own claims

A host that stops deleted the owner keys of its jobs unconditionally: also the key of a host that had claimed a job meanwhile, and, as a write whose answer was lost may be executed seconds later, of whoever owned it by then. The next scans took the job for one without an owner. A host with more than 32 jobs released none of them, as the store accepts 32 entries in a transaction.

Each deletion is conditional on the owner version of the claim, at most 16 jobs go into a transaction, and if one conflicts the others of it are released one by one. The stand-in refuses larger transactions and can execute commits late.

Before: test_late_release_leaves_the_next_owner_alone assertion `left == right` failed: after 11.055s left: None right: Some(b"...host-b...") and test_release_of_many_jobs_spares_those_of_other_hosts panicked at lib/tests/test_job_changeover.rs:244:9: j0 (none of 39 jobs was handed over). Both pass now.

--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -299,12 +299,10 @@
         self.wait_for_stopped_items(None).await;
         self.commit_all_finished().await;
         let claims = self.with_table(|table| table.claims());
-        let jobs: Vec<String> = claims.into_iter().map(|(id, _)| id).collect();
-        if self.shared.store.release(&jobs).await.is_ok() {
-            let hand_overs = jobs.iter().map(|job| self.hand_over(job));
-            futures_util::future::join_all(hand_overs).await;
-        }
-        for job in &jobs {
+        let released = self.shared.store.release(&claims).await;
+        let hand_overs = released.iter().map(|job| self.hand_over(job));
+        futures_util::future::join_all(hand_overs).await;
+        for (job, _) in &claims {
             self.drop_job(job, "given_away");
         }
     }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -41,6 +41,10 @@
 const PART_BYTES: usize = MAX_VALUE_BYTES * 3 / 4;
 /// Size limit in bytes of the item output in one segment; leaves room for the encoding.
 pub(crate) const SEGMENT_BYTES: usize = MAX_VALUE_BYTES / 2;
+/// Number of conditions, writes and deletions that the key-value service accepts in one commit.
+const MAX_COMMIT_ENTRIES: usize = 32;
+/// Entries of a commit that release one job: a condition and a deletion.
+const ENTRIES_PER_RELEASE: usize = 2;
 /// Maximum number of parts of a job. A job is created in one commit, in which the key-value service
 /// allows 32 keys, the other keys of the job included. Also the number of keys in one commit of a
 /// removal.
@@ -231,18 +235,49 @@
         })
     }
 
-    /// Deletes the owner keys of `jobs`, so that other hosts can claim them without waiting for the
-    /// lease to expire.
-    pub(crate) async fn release(&self, jobs: &[String]) -> Result<(), KvError> {
-        if jobs.is_empty() {
-            return Ok(());
+    /// Deletes the owner keys of claimed jobs, so that other hosts can claim them without waiting for the
+    /// lease to expire. Returns the jobs that are released; the others have another owner by now, or may
+    /// be released later.
+    ///
+    /// Each deletion is conditional on the claim, as it may take effect late, after another host has
+    /// claimed the job.
+    pub(crate) async fn release(&self, claims: &[(String, JobClaim)]) -> Vec<String> {
+        let together = claims.chunks(MAX_COMMIT_ENTRIES / ENTRIES_PER_RELEASE);
+        let released = together.map(|claims| self.release_some(claims));
+        let released = futures_util::future::join_all(released).await;
+        released.into_iter().flatten().collect()
+    }
+
+    async fn release_some(&self, claims: &[(String, JobClaim)]) -> Vec<String> {
+        match self.release_together(claims).await {
+            Ok(jobs) => jobs,
+            // A job that another host has claimed must not keep the others from being released.
+            Err(KvError::Conflict { .. }) if claims.len() > 1 => {
+                let each = claims.chunks(1).map(|claims| self.release_together(claims));
+                let released = futures_util::future::join_all(each).await;
+                released.into_iter().flatten().flatten().collect()
+            }
+            Err(_) => Vec::new(),
         }
-        let deletes = jobs.iter().map(|id| owner_key(id)).collect();
-        let commit = KvCommit {
-            deletes,
-            ..KvCommit::default()
-        };
-        self.kv.commit(commit).await.map(|_| ())
+    }
+
+    /// Releases all of these jobs, or none of them.
+    async fn release_together(
+        &self,
+        claims: &[(String, JobClaim)],
+    ) -> Result<Vec<String>, KvError> {
+        let mut commit = KvCommit::default();
+        for (id, claim) in claims {
+            // A claim without an owner key leaves none to delete.
+            if let Some(version) = claim.owner_version {
+                commit.expect.push((owner_key(id), Some(version)));
+                commit.deletes.push(owner_key(id));
+            }
+        }
+        if !commit.deletes.is_empty() {
+            self.kv.commit(commit).await?;
+        }
+        Ok(claims.iter().map(|(id, _)| id.clone()).collect())
     }
 
     /// Appends segment `number` to the results. The last segment also closes the job.
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -208,3 +208,67 @@
     assert_eq!(doubled(&fleet, "j1", 10), [""; 0]);
     assert_eq!(host_c.keeper.open_item_count(), 0);
 }
+
+/// Guards against two owners of a job: a host that stops releases its jobs, the answer is lost, and the write
+/// is executed when the job has another owner.
+#[tokio::test(start_paused = true)]
+async fn test_late_release_leaves_the_next_owner_alone() {
+    const LATENESS: Duration = Duration::from_secs(11);
+    let mut fleet = JobFleet::new();
+    let (host_a, link) = fleet.linked_host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 2 * ITEMS).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    link.set_late(LATENESS);
+    let left = Instant::now();
+    host_a.keeper.leave().await;
+    host_a.kill();
+    while !host_b.keeper.announced_jobs().contains(&"j1".to_owned()) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let owner = fleet.kv.value("open/j1/owner");
+    assert!(owner.is_some() && left.elapsed() < LATENESS);
+    while left.elapsed() < LATENESS + Duration::from_secs(1) {
+        assert_eq!(
+            fleet.kv.value("open/j1/owner"),
+            owner,
+            "after {:?}",
+            left.elapsed()
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(host_b.keeper.open_item_count() > 0, "the job is still open");
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+}
+
+/// A host that stops releases more jobs than fit into one transaction, also if another host has claimed one
+/// of them, whose owner key stays.
+#[tokio::test(start_paused = true)]
+async fn test_release_of_many_jobs_spares_those_of_other_hosts() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for number in 0..40 {
+        submit(&host_a, &format!("j{number}"), 3).await;
+    }
+    // The key is written anew, as by a claim of another host.
+    let claimed = "open/j7/owner";
+    let value = fleet.kv.value(claimed).unwrap();
+    let written = fleet.kv.put(claimed, value, Expect::Any, None);
+    let version = written.await.unwrap();
+    host_a.keeper.leave().await;
+    let entry = fleet.kv.get(claimed).await.unwrap();
+    assert_eq!(entry.map(|entry| entry.version), Some(version));
+    for number in (0..40).filter(|number| *number != 7) {
+        let owner = fleet.kv.value(&format!("open/j{number}/owner"));
+        let is_handed_over = owner.is_some_and(|value| contains(&value, b"host-b"));
+        assert!(is_handed_over, "j{number}");
+    }
+    assert_eq!(host_b.keeper.open_item_count(), 39 * 3);
+}
+
+fn contains(value: &[u8], part: &[u8]) -> bool {
+    value.windows(part.len()).any(|window| window == part)
+}
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -42,6 +42,9 @@
 /// Most changes kept for watches; a watch from before the oldest of them is answered as compacted.
 const MAX_LOG: usize = 10_000;
 
+/// Most conditions, writes and deletions of one commit.
+const MAX_COMMIT_ENTRIES: usize = 32;
+
 /// Faults that tests inject.
 #[derive(Debug, Default)]
 pub struct KvFaults {
@@ -364,6 +367,9 @@
         {
             return Err(KvError::TooLarge);
         }
+        if commit.expect.len() + commit.puts.len() + commit.deletes.len() > MAX_COMMIT_ENTRIES {
+            return Err(KvError::Unknown("status 400: too many entries".to_owned()));
+        }
         let outcome = self.with_state(|state| state.commit(commit));
         self.end_call(outcome)
     }
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 pub struct KvLink {
     store: Arc<dyn KvStore>,
     is_cut: AtomicBool,
+    /// Delay of commits in milliseconds; zero: none.
+    lateness_ms: AtomicU64,
 }
 
 impl KvLink {
@@ -33,6 +36,7 @@
         Arc::new(Self {
             store,
             is_cut: AtomicBool::new(false),
+            lateness_ms: AtomicU64::new(0),
         })
     }
 
@@ -41,6 +45,12 @@
         self.is_cut.store(is_cut, Ordering::Relaxed);
     }
 
+    /// Has commits executed so much later, with no answer, if their conditions still hold by then.
+    pub fn set_late(&self, lateness: Duration) {
+        let millis = lateness.as_millis() as u64;
+        self.lateness_ms.store(millis, Ordering::Relaxed);
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -80,6 +90,16 @@
     }
 
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
+        let lateness = Duration::from_millis(self.lateness_ms.load(Ordering::Relaxed));
+        if lateness > Duration::ZERO {
+            let store = self.store.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(lateness).await;
+                let _ = store.commit(commit).await;
+            });
+            tokio::time::sleep(CALL_TIMEOUT).await;
+            return Err(KvError::Unknown("no answer in time".to_owned()));
+        }
         self.pass().await?.commit(commit).await
     }
 
