jobs: a host that stood still begins no items before it knows its jobs

A process that stood still for 9 to 10 s ran its items on when it woke, beside their next runs at the host that had claimed the jobs meanwhile, until its next scan told it.

After a gap between two dispatch rounds that is longer than the lease lasts, a host stops its items, keeping their text, and begins none until the store has told that it still owns their jobs, by one read for each, or another host has had it give them up. If it knew before the gap that the store was away it goes on, as nobody could claim; an outage that it notices afterwards proves nothing. The line `stood_still` tells of it.

Before: test_host_that_stood_still_runs_no_items_of_others assertion `left == right` failed: items ran on after the standstill left: 10 right: 0 It passes now. The two tests beside it (own items go on, outage) passed before too.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -331,6 +331,14 @@
         /// was not asked.
         previous: String,
     },
+    /// This process did not run for longer than its lease lasts; it has stopped its items until it is
+    /// known who owns their jobs.
+    StoodStill {
+        /// Time in milliseconds for which the process did not run.
+        gap_ms: u64,
+        /// Number of jobs that it owned before.
+        jobs: usize,
+    },
     /// This host has stopped a job that another host has claimed.
     JobGivenUp {
         /// Identifier of the job.
@@ -369,8 +377,8 @@
         outcome: String,
         /// Number of events received over all runs.
         events: u64,
-        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up` or `leaving`; absent if
-        /// it did not.
+        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up`, `stood_still` or
+        /// `leaving`; absent if it did not.
         reason: Option<String>,
     },
     /// Log lines were dropped since the previous event of this kind, as there were too many or the
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::jobs::progress::ItemProgress;
 use crate::jobs::progress::RunProgress;
 use crate::jobs::running::RunStop;
+use crate::jobs::standstill::StandstillDetector;
 use crate::jobs::store::SEGMENT_BYTES;
 use crate::jobs::table::ItemDispatch;
 use crate::jobs::table::ItemOutcome;
@@ -72,7 +73,11 @@
     /// passed.
     pub(super) async fn run_items(&self) {
         let balancer = self.shared.relay.balancer().clone();
+        let mut detector = StandstillDetector::new(self.shared.registry.lease_ttl());
         loop {
+            if let Some(gap) = detector.mark(self.shared.registry.has_outage()) {
+                self.hold_after_standstill(gap);
+            }
             let slots_changed = balancer.slots_changed();
             self.preempt_items();
             self.give_up_overdue();
@@ -364,9 +369,9 @@
         }
     }
 
-    /// Reads a job again after a conflicting segment write, and drops it, claims it again or
+    /// Reads a job again after a conflicting segment write or a standstill, and drops it, claims it again or
     /// continues it accordingly.
-    async fn reload_job(&self, job: &str) {
+    pub(super) async fn reload_job(&self, job: &str) {
         let (Ok(open), Ok(stored)) = (
             self.shared.store.open_job(job).await,
             self.shared.store.load(job).await,
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -18,6 +18,7 @@
 mod read;
 mod running;
 mod spec;
+mod standstill;
 mod store;
 mod submission;
 mod table;
--- a/lib/src/jobs/running.rs
+++ b/lib/src/jobs/running.rs
@@ -22,6 +22,8 @@
     JobDropped,
     /// Another host has claimed the job.
     GivenUp,
+    /// This process stood still, so that another host may own the job.
+    StoodStill,
     /// The host stops.
     Leaving,
 }
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -296,6 +296,20 @@
         }
     }
 
+    /// Holds all jobs; returns their number.
+    pub(crate) fn hold_all(&mut self) -> usize {
+        for job in self.jobs.values_mut() {
+            job.is_held = true;
+        }
+        self.jobs.len()
+    }
+
+    /// Jobs that are held.
+    pub(crate) fn held_jobs(&self) -> Vec<String> {
+        let held = self.jobs.iter().filter(|(_, job)| job.is_held);
+        held.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Replaces the claim on `job`, as after claiming it again; does nothing if it is not owned.
     pub(crate) fn set_claim(&mut self, job: &str, claim: JobClaim) {
         if let Some(job) = self.jobs.get_mut(job) {
--- a/lib/src/registry/host_registry.rs
+++ b/lib/src/registry/host_registry.rs
@@ -103,6 +103,11 @@
         self.with_state(|state| state.own.peers)
     }
 
+    /// Time to live of the host's lease.
+    pub fn lease_ttl(&self) -> Duration {
+        self.shared.config.lease_ttl
+    }
+
     /// The host's lease; `None` before it is granted and once it is known to be lost.
     pub fn lease(&self) -> Option<LeaseId> {
         self.with_state(|state| state.lease)
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -9,11 +9,13 @@
 use job_fleet::JobFleet;
 use job_fleet::JobHost;
 use job_fleet::PeerFault;
+use job_fleet::UPSTREAMS;
 use job_fleet::assert_complete;
 use job_fleet::job;
 use job_fleet::read_all;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::jobs::EndOutcome;
 use parsleywall::jobs::SubmitOutcome;
 use tokio::time::Instant;
 
@@ -272,3 +274,73 @@
 fn contains(value: &[u8], part: &[u8]) -> bool {
     value.windows(part.len()).any(|window| window == part)
 }
+
+/// Slows down all calls to the key-value service, so that a test sees what happens before an answer.
+fn slow_down(fleet: &JobFleet, millis: u64) {
+    use std::sync::atomic::Ordering;
+    fleet.kv.faults.delay_ms.store(millis, Ordering::Relaxed);
+}
+
+fn running(fleet: &JobFleet) -> usize {
+    let names = UPSTREAMS.iter();
+    names.map(|name| fleet.transport.running(name)).sum()
+}
+
+/// Guards against items that run on beside their next run: their host stood still until another one had
+/// claimed the job.
+#[tokio::test(start_paused = true)]
+async fn test_host_that_stood_still_runs_no_items_of_others() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_b, "j0", 1).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    // The key is written anew, as by a claim of the other host.
+    let value = fleet.kv.value("open/j0/owner").unwrap();
+    let written = fleet.kv.put("open/j1/owner", value, Expect::Any, None);
+    written.await.unwrap();
+    assert_eq!(host_b.keeper.end("j0").await, EndOutcome::Ended);
+    slow_down(&fleet, 500);
+    let sent = fleet.transport.attempts().len();
+    tokio::time::advance(Duration::from_secs(10)).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(running(&fleet), 0, "items ran on after the standstill");
+    assert_eq!(fleet.transport.attempts().len(), sent);
+    slow_down(&fleet, 0);
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", 10), [""; 0]);
+    assert_eq!(host_a.keeper.open_item_count(), 0);
+}
+
+/// A host that stood still, and whose jobs nobody claimed, goes on where its items were.
+#[tokio::test(start_paused = true)]
+async fn test_host_that_stood_still_goes_on_with_its_own_items() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let host = fleet.host("host-a").await;
+    submit(&host, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    tokio::time::advance(Duration::from_secs(10)).await;
+    assert_complete(&fleet.transport, &read_all(&host, "j1").await);
+    for number in 0..10 {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        assert!(runs[1..].iter().all(|run| run.resume_after >= Some(10)));
+    }
+}
+
+/// While the store is known to be away, nobody can claim a job, and a standstill changes nothing.
+#[tokio::test(start_paused = true)]
+async fn test_host_that_stood_still_in_an_outage_goes_on() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host, link) = fleet.linked_host("host-a").await;
+    submit(&host, "j1", 10).await;
+    link.set_cut(true);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(host.registry.has_outage());
+    tokio::time::advance(Duration::from_secs(10)).await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(running(&fleet), 10);
+    link.set_cut(false);
+    assert_complete(&fleet.transport, &read_all(&host, "j1").await);
+}
