jobs: a job whose owner alternates is reported

Each host counts the changes of a job's owner key that it sees in scans, claims and lookups. More than three in a minute are logged once a minute as `job_unsettled`, with the owners after each change, and so counted in `_log_events_total`. Announcements don't count, as they may be out of date.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -331,6 +331,16 @@
         /// was not asked.
         previous: String,
     },
+    /// The owner of a job has changed again and again in the last minute. Logged at most once a minute by
+    /// each host that sees it.
+    JobUnsettled {
+        /// Identifier of the job.
+        job: String,
+        /// Number of changes in the last minute.
+        changes: usize,
+        /// The owners after these changes, as host and incarnation, the latest last.
+        owners: Vec<String>,
+    },
     /// This process did not run for longer than its lease lasts; it has stopped its items until it is
     /// known who owns their jobs.
     StoodStill {
--- a/lib/src/jobs/changeover.rs
+++ b/lib/src/jobs/changeover.rs
@@ -99,6 +99,20 @@
         }
     }
 
+    /// Records the owner of a job at a version of its owner key, and logs a job whose owner changes again
+    /// and again.
+    pub(super) fn see_owner(&self, job: &str, owner: &JobOwner, version: KvVersion) {
+        if let Some(unsettled) = self.shared.owners.see(job, owner, version) {
+            let owners = unsettled.owners.iter();
+            let names = owners.map(|owner| format!("{}/{}", owner.host, owner.incarnation));
+            self.shared.log.write(LogEvent::JobUnsettled {
+                job: job.to_owned(),
+                changes: unsettled.changes,
+                owners: names.collect(),
+            });
+        }
+    }
+
     /// Logs the claim of a job, and how the owner before was displaced.
     pub(super) fn log_claimed(
         &self,
@@ -130,7 +144,7 @@
         to: JobOwner,
     ) -> Option<GivenUpJob> {
         // Also keeps a claim that is being loaded from beginning the job's items.
-        self.shared.owners.see(job, &to, version);
+        self.see_owner(job, &to, version);
         if !self.is_claim_before(job, version) {
             return None;
         }
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -325,9 +325,7 @@
     /// owner before has stopped them. If it can't be read, a later scan finds that this host owns a job
     /// that it does not run, and loads it again.
     async fn load(&self, id: &str, claim: JobClaim, takeover: Takeover) {
-        self.shared
-            .owners
-            .see(id, &self.shared.identity, claim.version());
+        self.see_owner(id, &self.shared.identity, claim.version());
         self.shared.announcer.add(id);
         let is_known = self.with_table(|table| table.owns(id));
         let (previous, stored) = tokio::join!(
@@ -419,7 +417,7 @@
         self.shared.owners.forget_old(self.shared.config.keep_time);
         for job in &open.jobs {
             if let Some((owner, version)) = &job.owner {
-                self.shared.owners.see(&job.id, owner, *version);
+                self.see_owner(&job.id, owner, *version);
             }
         }
     }
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -134,7 +134,7 @@
             match open {
                 Ok(Some(open)) => match &open.owner {
                     Some((owner, version)) if !self.is_cached_owner(job, &owner.host) => {
-                        self.shared.owners.see(job, owner, *version);
+                        self.see_owner(job, owner, *version);
                     }
                     _ => break,
                 },
@@ -290,7 +290,7 @@
         let (owner, version) = open.owner?;
         let is_own = owner.host == self.shared.identity.host;
         let entry = owner.entry().filter(|_| !is_own);
-        self.shared.owners.see(job, &owner, version);
+        self.see_owner(job, &owner, version);
         self.cached_owner(job).or(entry)
     }
 
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -17,6 +17,7 @@
 use parsleywall::edges::kv::KvStore;
 use parsleywall::jobs::EndOutcome;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall_standins::opaque::OpaqueBehaviour;
 use tokio::time::Instant;
 
 /// More items than run before a job is claimed whose owner key is gone.
@@ -344,3 +345,57 @@
     link.set_cut(false);
     assert_complete(&fleet.transport, &read_all(&host, "j1").await);
 }
+
+/// Rewrites the owner key of `job` for a process that does not exist, with the owner value of another job.
+async fn write_owner(fleet: &JobFleet, job: &str, host: &[u8; 6], like: &[u8]) {
+    let at = like.windows(6).position(|part| part == b"host-a").unwrap();
+    let mut value = like.to_vec();
+    value[at..at + 6].copy_from_slice(host);
+    let key = format!("open/{job}/owner");
+    let written = fleet.kv.put(&key, value.into(), Expect::Any, None);
+    written.await.unwrap();
+}
+
+const UNSETTLED_EVENTS: &str = r#"parsleywall_log_events_total{event="job_unsettled"}"#;
+
+/// A job whose owner changes again and again is reported once a minute.
+#[tokio::test(start_paused = true)]
+async fn test_job_whose_owner_alternates_is_reported() {
+    let mut fleet = JobFleet::new();
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    for name in UPSTREAMS {
+        fleet.transport.set(name, OpaqueBehaviour::Unreachable);
+    }
+    submit(&host_a, "j1", 1).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let like = fleet.kv.value("open/j1/owner").unwrap();
+    for round in 0..55 {
+        let host = if round % 2 == 0 { b"host-x" } else { b"host-y" };
+        write_owner(&fleet, "j1", host, &like).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let reported =
+            (1..=2).any(|count| host_b.has_metric(&format!("{UNSETTLED_EVENTS} {count}")));
+        assert_eq!(reported, round >= 3, "after {round} changes");
+    }
+    assert!(host_b.has_metric(&format!("{UNSETTLED_EVENTS} 2")));
+}
+
+/// A takeover now and then is no alternation.
+#[tokio::test(start_paused = true)]
+async fn test_takeovers_are_not_reported_as_alternation() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let host_a = fleet.host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    let host_c = fleet.host("host-c").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    host_a.kill();
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    host_b.keeper.leave().await;
+    host_b.kill();
+    assert_complete(&fleet.transport, &read_all(&host_c, "j1").await);
+    let text = host_c.log.metrics().text();
+    assert!(!text.contains("job_unsettled"), "{text}");
+}
