--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -525,11 +525,11 @@
         host: &HostEntry,
         call: JobCall,
         timeout: Duration,
-    ) -> Result<JobReply, String> {
+    ) -> Result<JobReply, PeerError> {
         let peer_client = self.peer_client.borrow().clone();
-        let peer_client = peer_client.ok_or("the fleet secret has not been read yet")?;
-        let reply = peer_client.call(host.peers, call, timeout).await;
-        reply.map_err(|err| err.to_string())
+        let not_ready = || PeerError::NotSent("the fleet secret has not been read yet".to_owned());
+        let peer_client = peer_client.ok_or_else(not_ready)?;
+        peer_client.call(host.peers, call, timeout).await
     }
 }
 
--- a/lib/tests/test_host_names.rs
+++ b/lib/tests/test_host_names.rs
@@ -30,6 +30,7 @@
 use parsleywall::jobs::JobSpec;
 use parsleywall::jobs::JobStore;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall::peers::PeerError;
 use parsleywall::registry::HostEntry;
 use parsleywall::registry::HostReadiness;
 use parsleywall::registry::HostRegistry;
@@ -134,11 +135,17 @@
         &self,
         host: &HostEntry,
         call: JobCall,
-        _timeout: Duration,
-    ) -> Result<JobReply, String> {
+        timeout: Duration,
+    ) -> Result<JobReply, PeerError> {
         match self.find(host.peers) {
             Some((Reachability::Open, _, keeper)) => Ok(keeper.answer(call).await),
-            _ => Err("not reached".to_owned()),
+            Some((Reachability::Refused, ..)) | None => {
+                Err(PeerError::Refused("no such process".to_owned()))
+            }
+            Some((Reachability::Silent, ..)) => {
+                tokio::time::sleep(timeout).await;
+                Err(PeerError::NoReply("silent".to_owned()))
+            }
         }
     }
 }
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     next_commit: Mutex<Option<CommitFault>>,
     /// The first pages of stale listings, by prefix, while they are held.
     held_pages: Mutex<Option<HashMap<String, KvPage>>>,
+    /// Delay of commits in milliseconds; zero: none.
+    lateness_ms: AtomicU64,
 }
 
 impl KvLink {
@@ -51,6 +54,7 @@
             is_cut: AtomicBool::new(false),
             next_commit: Mutex::default(),
             held_pages: Mutex::default(),
+            lateness_ms: AtomicU64::new(0),
         })
     }
 
@@ -74,6 +78,12 @@
         held.as_ref()?.get(prefix).cloned()
     }
 
+    /// Has commits executed so much later, with no answer, if their conditions still hold by then.
+    pub fn set_late(&self, lateness: Duration) {
+        let millis = lateness.as_millis() as u64;
+        self.lateness_ms.store(millis, Ordering::Relaxed);
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -130,6 +140,16 @@
     }
 
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
+        let lateness = Duration::from_millis(self.lateness_ms.load(Ordering::Relaxed));
+        if lateness > Duration::ZERO {
+            let store = self.store.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(lateness).await;
+                let _ = store.commit(commit).await;
+            });
+            tokio::time::sleep(CALL_TIMEOUT).await;
+            return Err(KvError::Unknown("no answer in time".to_owned()));
+        }
         let store = self.pass().await?;
         let fault = self.next_commit.lock().expect("link lock").take();
         match fault {
