relay: a stream whose caller does not read ends at its deadline

A timer now ends such a run 200 ms after its deadline, as a take-up does. The outcome in the log is stream_timed_out as before.

Before, test_run_of_a_caller_that_does_not_read_ends_at_its_deadline failed: assertion `left == right` failed: resumable: true left: 1 right: 0

--- a/lib/src/origins/mod.rs
+++ b/lib/src/origins/mod.rs
@@ -38,3 +38,5 @@
 pub use message::TakeUpReply;
 pub(crate) use run::EndableBody;
 pub(crate) use run::RunEnd;
+pub(crate) use run::RunEndCause;
+pub(crate) use run::RunHandle;
--- a/lib/src/origins/run.rs
+++ b/lib/src/origins/run.rs
@@ -1,4 +1,4 @@
-//! A run of a stream that another task can end, also while nobody reads its answer.
+//! A run of a stream that another task, or its deadline, can end, also while nobody reads its answer.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,28 +8,40 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream::BoxStream;
 use futures_util::stream::StreamExt;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::origins::message::HostTag;
 
 type AnswerBody = BoxStream<'static, Result<Bytes, std::io::Error>>;
 
-/// Tells whether a run was ended as its stream was taken up. Clones refer to the same run.
+/// Why a run was ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunEndCause {
+    /// Its stream was taken up at this host.
+    TakenUp(HostTag),
+    /// Its deadline passed while nobody read its answer.
+    DeadlinePassed,
+}
+
+/// Tells whether a run was ended. Clones refer to the same run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunEnd {
-    by_host: Arc<OnceLock<HostTag>>,
+    cause: Arc<OnceLock<RunEndCause>>,
     ended: CancellationToken,
 }
 
 impl RunEnd {
-    /// The host at which the stream was taken up; `None` unless the run was ended.
-    pub(crate) fn by_host(&self) -> Option<HostTag> {
-        self.by_host.get().copied()
+    /// Why the run was ended; `None` unless it was.
+    pub(crate) fn cause(&self) -> Option<RunEndCause> {
+        self.cause.get().copied()
     }
 
     /// Waits until the run is ended.
@@ -58,9 +70,26 @@
         &self.end
     }
 
-    /// Ends the run for one at `by_host`: drops the body of its answer, and with it all work for it.
-    pub(crate) fn end(&self, by_host: HostTag) {
-        let _ = self.end.by_host.set(by_host);
+    /// Ends the run for one at `host`.
+    pub(crate) fn end(&self, host: HostTag) {
+        self.end_for(RunEndCause::TakenUp(host));
+    }
+
+    /// Ends the run at the time `margin` after `deadline`, or after this process runs again if it was frozen
+    /// then, unless the returned guard is dropped before.
+    pub(crate) fn end_after(&self, deadline: Instant, margin: Duration) -> DeadlineGuard {
+        let handle = self.clone();
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep_until(deadline).await;
+            tokio::time::sleep(margin).await;
+            handle.end_for(RunEndCause::DeadlinePassed);
+        });
+        DeadlineGuard(timer.abort_handle())
+    }
+
+    /// Drops the body of the answer, and with it all work for the run.
+    fn end_for(&self, cause: RunEndCause) {
+        let _ = self.end.cause.set(cause);
         self.end.ended.cancel();
         let (body, waker) = {
             let mut cell = self.cell();
@@ -82,6 +111,15 @@
     }
 }
 
+/// Keeps the timer of a run's deadline until it is dropped.
+pub(crate) struct DeadlineGuard(AbortHandle);
+
+impl Drop for DeadlineGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Body of an answer that breaks off when its run is ended. Keeps `guard` until it is dropped.
 pub(crate) struct EndableBody<G> {
     handle: RunHandle,
@@ -125,11 +163,11 @@
             None => Poll::Pending,
         };
         // Checked after the body is back, so that either this task or the one that ends the run drops it.
-        if self.handle.end.by_host().is_some() {
+        if self.handle.end.cause().is_some() {
             let body = self.handle.cell().body.take();
             drop(body);
             self.is_done = true;
-            let err = std::io::Error::other("the stream was taken up");
+            let err = std::io::Error::other("the run was ended");
             return Poll::Ready(Some(Err(err)));
         }
         self.is_done = matches!(polled, Poll::Ready(None));
--- a/lib/src/origins/tests.rs
+++ b/lib/src/origins/tests.rs
@@ -162,7 +162,7 @@
     /// Number of the runs that have not been ended, in the order in which they began.
     fn live(&self) -> Vec<usize> {
         let runs = self.runs.iter().enumerate();
-        let is_live = |run: &RunRegistration| run.handle().run_end().by_host().is_none();
+        let is_live = |run: &RunRegistration| run.handle().run_end().cause().is_none();
         runs.filter(|(_, (_, run))| is_live(run))
             .map(|(number, _)| number)
             .collect()
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -21,6 +21,8 @@
 use crate::origins::EndableBody;
 use crate::origins::OriginKeeper;
 use crate::origins::RunEnd;
+use crate::origins::RunEndCause;
+use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
 use crate::relay::answered::AnsweredRequests;
 use crate::relay::dispatch::OpenedAnswer;
@@ -51,6 +53,11 @@
 const SERVED_OUTCOME: &str = "served";
 /// Logged outcome of a request whose stream was taken up by another one.
 const TAKEN_UP_OUTCOME: &str = "taken_up";
+/// Logged outcome of a stream whose deadline passed.
+const TIMED_OUT_OUTCOME: &str = "stream_timed_out";
+/// Time after the deadline of a stream that nobody reads at which its work ends. A stream that is read ends
+/// at its deadline by itself.
+const UNREAD_DEADLINE_MARGIN: Duration = Duration::from_millis(200);
 /// Upper bound of the retry delay for a request that no upstream accepted.
 const UNPLACED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay for a request that takes up a stream which can't go on.
@@ -451,17 +458,20 @@
 }
 
 /// Body that reads the next event from the upstream when the caller polls for it, until another request
-/// takes the stream up.
+/// takes the stream up, or its deadline passes though nobody polls.
 fn stream_body(
     mut dispatch: LoggedDispatch,
     registration: Option<RunRegistration>,
 ) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
-    let Some(registration) = registration else {
-        return event_body(dispatch);
+    let handle = match &registration {
+        Some(registration) => registration.handle().clone(),
+        None => RunHandle::default(),
     };
-    let handle = registration.handle().clone();
     dispatch.run_end = Some(handle.run_end().clone());
-    EndableBody::new(handle, event_body(dispatch), registration).boxed()
+    let deadline = dispatch.request.deadline;
+    let timer = handle.end_after(deadline, UNREAD_DEADLINE_MARGIN);
+    let guard = (registration, timer);
+    EndableBody::new(handle, event_body(dispatch), guard).boxed()
 }
 
 fn event_body(dispatch: LoggedDispatch) -> BoxStream<'static, Result<Bytes, std::io::Error>> {
@@ -478,7 +488,7 @@
             }
             StreamStep::Failed(failure) => {
                 let outcome = match failure {
-                    RelayFailure::TimedOut => "stream_timed_out",
+                    RelayFailure::TimedOut => TIMED_OUT_OUTCOME,
                     RelayFailure::NotRun | RelayFailure::Convicted(_) | RelayFailure::Lost => {
                         "stream_broken"
                     }
@@ -499,7 +509,7 @@
     first: Option<Instant>,
     /// Number of events that were passed on.
     events: u64,
-    /// Tells whether the run was ended as its stream was taken up; `None` if it can't be.
+    /// Tells whether the run was ended from outside; `None` before it can be.
     run_end: Option<RunEnd>,
     logged: bool,
 }
@@ -555,8 +565,10 @@
         if self.logged {
             return;
         }
-        let Some(host) = self.run_end.as_ref().and_then(RunEnd::by_host) else {
-            return self.finish("caller_left");
+        let host = match self.run_end.as_ref().and_then(RunEnd::cause) {
+            None => return self.finish("caller_left"),
+            Some(RunEndCause::DeadlinePassed) => return self.finish(TIMED_OUT_OUTCOME),
+            Some(RunEndCause::TakenUp(host)) => host,
         };
         let balancer = self.run.relay().balancer();
         let by_host = balancer.state().host_name(host);
--- a/lib/tests/test_take_ups.rs
+++ b/lib/tests/test_take_ups.rs
@@ -274,6 +274,27 @@
     }
 }
 
+/// Guards against a run that holds its upstream beyond its deadline, as its caller does not read.
+#[tokio::test(start_paused = true)]
+async fn test_run_of_a_caller_that_does_not_read_ends_at_its_deadline() {
+    for is_resumable in [true, false] {
+        let transport = upstreams();
+        let relays = fleet(&transport);
+        let kind = RouteKind::Stream {
+            resumable: is_resumable,
+        };
+        let mut asked = request("r1", route(kind, 2));
+        asked.deadline = Instant::now() + Duration::from_secs(1);
+        let body = read_events(relays[0].relay(asked).await, 5).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert_eq!(running(&transport), 1);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(running(&transport), 0, "resumable: {is_resumable}");
+        assert_eq!(online(&relays[0]), 0);
+        assert!(is_broken_off(body).await);
+    }
+}
+
 struct ChannelOutput(Sender<String>);
 
 impl Write for ChannelOutput {
