registry: test that a replaced process claims nothing before it knows

The claim's condition on the version of the claimant's entry is what keeps two processes apart while the earlier one has heard of nothing. Without it test_replaced_process_that_does_not_know_it_claims_nothing fails with "left: Some(...), right: None" for the owner key.

Links of the stand-in hold the listings of one prefix.

--- a/lib/tests/test_host_names.rs
+++ b/lib/tests/test_host_names.rs
@@ -549,7 +549,7 @@
     let first = fleet.start(1, 1_000);
     wait_for_hold(&first, Duration::from_millis(100)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    first.link.hold_listings(true);
+    first.link.hold_listings("hosts/");
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     fleet.peers.set(first.address, Reachability::Silent);
     let second = fleet.start(2, 2_000);
@@ -578,6 +578,32 @@
     fleet.assert_entry_of(&second);
 }
 
+/// A process that was replaced and doesn't know it yet claims nothing, though its lease holds.
+#[tokio::test(start_paused = true)]
+async fn test_replaced_process_that_does_not_know_it_claims_nothing() {
+    let fleet = NameFleet::new();
+    let first = fleet.start(1, 1_000);
+    wait_for_hold(&first, Duration::from_millis(100)).await;
+    first.keeper.submit(job("j1", 60)).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    first.link.hold_listings("hosts/");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let mut other = fleet.entry().unwrap();
+    (other.process, other.lease) = (other.process ^ 1, None);
+    let value = Bytes::from(serde_json::to_vec(&other).unwrap());
+    let put = fleet.kv.put(ENTRY_KEY, value, Expect::Any, None);
+    put.await.unwrap();
+    let owner_key = "open/j1/owner";
+    fleet.kv.delete(owner_key, Expect::Any).await.unwrap();
+    for _ in 0..60 {
+        assert_eq!(fleet.kv.value(owner_key), None);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(!first.registry.is_displaced(), "nothing told it");
+    let rejected = r#"parsleywall_log_events_total{event="write_rejected"}"#;
+    assert!(first.log.metrics().text().contains(rejected));
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_frozen_process_yields_when_it_is_back() {
     let fleet = NameFleet::new();
@@ -730,7 +756,7 @@
     let first = fleet.start(1, 1_000);
     wait_for_hold(&first, Duration::from_millis(100)).await;
     let link = fleet.link();
-    link.hold_listings(true);
+    link.hold_listings("hosts/");
     link.list_stale("hosts/", None, 100).await.unwrap();
     first.kill();
     let second = fleet.start_on(link, 1, 2_000);
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -39,8 +39,8 @@
     store: Arc<dyn KvStore>,
     is_cut: AtomicBool,
     next_commit: Mutex<Option<CommitFault>>,
-    /// The first pages of stale listings, by prefix, while they are held.
-    held_pages: Mutex<Option<HashMap<String, KvPage>>>,
+    /// The first pages of the stale listings that are held, by prefix; `None` before the first listing.
+    held_pages: Mutex<HashMap<String, Option<KvPage>>>,
 }
 
 impl KvLink {
@@ -64,14 +64,15 @@
         *self.next_commit.lock().expect("link lock") = Some(fault);
     }
 
-    /// Answers stale listings from now on as the first one after this call, or no longer so.
-    pub fn hold_listings(&self, is_held: bool) {
-        *self.held_pages.lock().expect("link lock") = is_held.then(HashMap::new);
+    /// Answers stale listings of `prefix` from now on as the first one after this call.
+    pub fn hold_listings(&self, prefix: &str) {
+        let mut held = self.held_pages.lock().expect("link lock");
+        held.insert(prefix.to_owned(), None);
     }
 
     fn held_page(&self, prefix: &str) -> Option<KvPage> {
         let held = self.held_pages.lock().expect("link lock");
-        held.as_ref()?.get(prefix).cloned()
+        held.get(prefix)?.clone()
     }
 
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
@@ -123,8 +124,9 @@
             return Ok(page);
         }
         let page = store.list_stale(prefix, after, limit).await?;
-        if let Some(held) = &mut *self.held_pages.lock().expect("link lock") {
-            held.insert(prefix.to_owned(), page.clone());
+        let mut held = self.held_pages.lock().expect("link lock");
+        if let Some(held) = held.get_mut(prefix) {
+            *held = Some(page.clone());
         }
         Ok(page)
     }
