limits: the grants of a restarted host add to those of its process before

What callers saw: 22 instead of 12 requests within 0.95 s at an upstream with a limit of 40 a second, where a host that had reported 10 grants was started again and reported 12.

Cause: totals of grants were kept by the host's name, and a higher total counted as that of the same process.

Change: they are kept by name and incarnation.

Evidence: test_grants_of_a_restarted_host_add_to_those_of_its_process_before, which fails before with "left: 22, right: 12".

--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -857,7 +857,8 @@
             self.limits.note_new_host(now);
         }
         for notice in &report.limits {
-            self.limits.merge(&report.host, notice, now);
+            self.limits
+                .merge(&report.host, report.incarnation, notice, now);
         }
         self.peer_loads.apply(report, now)
     }
--- a/lib/src/limits/table.rs
+++ b/lib/src/limits/table.rs
@@ -116,6 +116,13 @@
     asked_at: Instant,
 }
 
+/// Number of grants that one process of another host has made.
+#[derive(Clone, Copy, Debug)]
+struct PeerTotal {
+    incarnation: u64,
+    total: u32,
+}
+
 #[derive(Debug)]
 struct LimitRecord {
     limit: Option<RateLimit>,
@@ -124,8 +131,8 @@
     /// Grants of this host that still count, and the number of all of them.
     own_grants: VecDeque<Instant>,
     own_total: u32,
-    /// Number of grants of each other host that are in the window.
-    peer_totals: HashMap<String, u32>,
+    /// Grants of each other host that are in the window.
+    peer_totals: HashMap<String, PeerTotal>,
     held: VecDeque<HeldGrant>,
     pending: Option<PendingRequest>,
     denied_until: HashMap<WorkClass, Instant>,
@@ -265,21 +272,28 @@
         }
     }
 
-    /// Applies what the load report of `host` tells.
-    pub(crate) fn merge(&mut self, host: &str, notice: &LimitNotice, now: Instant) {
+    /// Applies what the load report of the process `incarnation` of `host` tells.
+    pub(crate) fn merge(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        notice: &LimitNotice,
+        now: Instant,
+    ) {
         let LimitNotice(observation, total, recent) = *notice;
         self.merge_observation(&observation, now);
         let Some(record) = self.records.get_mut(&observation.0) else {
             return;
         };
-        // A lower total is that of a new process, which has none of the earlier grants.
+        // The total of a new process has none of the earlier grants.
         let known = record
             .peer_totals
             .get(host)
-            .filter(|known| **known <= total);
-        let new = known.map_or(recent, |known| recent.min(total - known));
+            .filter(|known| known.incarnation == incarnation && known.total <= total);
+        let new = known.map_or(recent, |known| recent.min(total - known.total));
         if total > 0 {
-            record.peer_totals.insert(host.to_owned(), total);
+            let known = PeerTotal { incarnation, total };
+            record.peer_totals.insert(host.to_owned(), known);
         }
         record
             .window
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -253,6 +253,52 @@
     assert!(choice.is_some());
 }
 
+/// Requests that may be sent to the upstream `a` in 0.95 s after these hosts' processes reported their grants,
+/// by name, incarnation and number of grants.
+fn slots_after_grants(reports: &[(&str, u64, u32)]) -> usize {
+    let now = Instant::now();
+    let mut state = BalancerState::new(HostId::new("host-a"), DataCentre::new("west"));
+    let entry = opaque::upstream("a");
+    state.put(parsleywall::balancer::UpstreamEntry {
+        slots: 100,
+        ..entry.clone()
+    });
+    let incarnation = UpstreamIncarnation(upstream_tag(&entry.id), entry.started_ms);
+    let observation = LimitObservation(incarnation, RateLimit::new(40.0), 0);
+    for (host, incarnation, grants) in reports {
+        let report = HostLoadReport {
+            host: (*host).to_owned(),
+            incarnation: *incarnation,
+            sequence: 1,
+            is_leaving: false,
+            loads: Vec::new(),
+            leaving: Vec::new(),
+            ended: Vec::new(),
+            waiting: Vec::new(),
+            convictions: 0,
+            limits: vec![LimitNotice(observation, *grants, *grants)],
+        };
+        state.apply_report(report, now);
+    }
+    let service = ServiceName::new("desk");
+    let attempts = (0..95).filter(|step| {
+        let slot = limit_fleet::slot(&service, WorkClass::Online);
+        let at = now + *step * Duration::from_millis(10);
+        state.acquire(slot, at, 0).is_some()
+    });
+    attempts.count()
+}
+
+/// The grants of a restarted host count beside those of its process before, also if they are more.
+#[tokio::test(start_paused = true)]
+async fn test_grants_of_a_restarted_host_add_to_those_of_its_process_before() {
+    let alone = slots_after_grants(&[("host-b", 1, 10)]);
+    let of_two_hosts = slots_after_grants(&[("host-b", 1, 10), ("host-c", 1, 12)]);
+    assert!(of_two_hosts < alone, "{of_two_hosts} and {alone} requests");
+    let of_two_processes = slots_after_grants(&[("host-b", 1, 10), ("host-b", 2, 12)]);
+    assert_eq!(of_two_processes, of_two_hosts);
+}
+
 /// A host that hears none of the others uses its own part of the limit only.
 #[tokio::test(start_paused = true)]
 async fn test_host_that_hears_nobody_sends_its_share_of_a_limit() {
