soak: plays read jobs while second processes stop

A second process takes up to 3.5 s to stop, after which the time for its items was over: second-process reported 0 done on code on which all three jobs had finished 17.6 s after their submission.

--- a/soak/src/play_overlaps.rs
+++ b/soak/src/play_overlaps.rs
@@ -272,13 +272,14 @@
             if let Some(status) = namesake.exit_status() {
                 ended.push(format!("second: {status}"));
             }
-            namesake.stop().await?;
         }
         let time = match kind {
             PlayKind::SecondProcessFrozen => LONG_JOB_TIME,
             _ => JOB_TIME,
         };
-        jobs.read_until(submitted + time).await;
+        let stops = join_all(namesakes.iter_mut().map(SoakProcess::stop));
+        let (stopped, ()) = tokio::join!(stops, jobs.read_until(submitted + time));
+        stopped.into_iter().collect::<std::io::Result<()>>()?;
         end_load(load).await;
         let overlap = OverlapReport {
             ended,
