jobs: a listing from before a claim displaces nobody

A host that had taken a job over dropped it as lost at its next scan, and stopped its items, if the listing was from before its claim (scans may be seconds out of date): it compared the listing with the creation of the job. It compares it with the version of its claim now.

Before: test_listing_from_before_the_claim_displaces_nobody assertion `left == right` failed left: 0 right: 10 It passes now.

--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -427,8 +427,8 @@
         let known: HashMap<&str, &OpenJob> =
             open.jobs.iter().map(|job| (job.id.as_str(), job)).collect();
         for (id, claim) in self.with_table(|table| table.claims()) {
-            // The listing may be stale: one from before the job was created does not show it.
-            if open.revision < claim.open_version {
+            // The listing may be stale: one from before the claim shows no owner, or the one before.
+            if open.revision < claim.version() {
                 continue;
             }
             match known.get(id.as_str()).and_then(|job| job.owner.as_ref()) {
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -399,3 +399,29 @@
     let text = host_c.log.metrics().text();
     assert!(!text.contains("job_unsettled"), "{text}");
 }
+
+/// Guards against a new owner that takes itself for displaced: the listing of its scan is from before its
+/// claim, and names the owner before.
+#[tokio::test(start_paused = true)]
+async fn test_listing_from_before_the_claim_displaces_nobody() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let host_a = fleet.host("host-a").await;
+    let (host_b, link) = fleet.linked_host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    link.set_stale(true);
+    host_a.keeper.leave().await;
+    host_a.kill();
+    assert_eq!(host_b.keeper.open_item_count(), 10, "handed over");
+    let sent = fleet.transport.attempts().len();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(host_b.keeper.open_item_count(), 10);
+    assert_eq!(
+        fleet.transport.attempts().len(),
+        sent + 10,
+        "each item goes on once"
+    );
+    link.set_stale(false);
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+}
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -1,6 +1,8 @@
 //! A host's connection to the key-value service, which tests can cut.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -28,6 +30,9 @@
     is_cut: AtomicBool,
     /// Delay of commits in milliseconds; zero: none.
     lateness_ms: AtomicU64,
+    is_stale: AtomicBool,
+    /// Last pages of listings that may be out of date, by prefix and the key that they begin after.
+    pages: Mutex<BTreeMap<(String, String), KvPage>>,
 }
 
 impl KvLink {
@@ -37,6 +42,8 @@
             store,
             is_cut: AtomicBool::new(false),
             lateness_ms: AtomicU64::new(0),
+            is_stale: AtomicBool::new(false),
+            pages: Mutex::default(),
         })
     }
 
@@ -51,6 +58,11 @@
         self.lateness_ms.store(millis, Ordering::Relaxed);
     }
 
+    /// Has listings that may be out of date show what they last showed, or again what is stored.
+    pub fn set_stale(&self, is_stale: bool) {
+        self.is_stale.store(is_stale, Ordering::Relaxed);
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -75,6 +87,21 @@
         self.pass().await?.list(prefix, after, limit).await
     }
 
+    async fn list_stale(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<KvPage, KvError> {
+        let page = self.pass().await?.list_stale(prefix, after, limit).await?;
+        let key = (prefix.to_owned(), after.unwrap_or_default().to_owned());
+        let mut pages = self.pages.lock().expect("pages lock");
+        if !self.is_stale.load(Ordering::Relaxed) {
+            pages.insert(key.clone(), page.clone());
+        }
+        Ok(pages.get(&key).cloned().unwrap_or(page))
+    }
+
     async fn put(
         &self,
         key: &str,
