--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -1,5 +1,6 @@
 //! A host's connection to the key-value service, which tests can cut.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,6 +45,9 @@
     held_pages: Mutex<HashMap<String, Option<KvPage>>>,
     /// Delay of commits in milliseconds; zero: none.
     lateness_ms: AtomicU64,
+    is_stale: AtomicBool,
+    /// Last pages of listings that may be out of date, by prefix and the key that they begin after.
+    pages: Mutex<BTreeMap<(String, String), KvPage>>,
 }
 
 impl KvLink {
@@ -55,6 +59,8 @@
             next_commit: Mutex::default(),
             held_pages: Mutex::default(),
             lateness_ms: AtomicU64::new(0),
+            is_stale: AtomicBool::new(false),
+            pages: Mutex::default(),
         })
     }
 
@@ -85,6 +91,11 @@
         self.lateness_ms.store(millis, Ordering::Relaxed);
     }
 
+    /// Has listings that may be out of date show what they last showed, or again what is stored.
+    pub fn set_stale(&self, is_stale: bool) {
+        self.is_stale.store(is_stale, Ordering::Relaxed);
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -109,20 +120,6 @@
         self.pass().await?.list(prefix, after, limit).await
     }
 
-    async fn put(
-        &self,
-        key: &str,
-        value: Bytes,
-        expect: Expect,
-        lease: Option<LeaseId>,
-    ) -> Result<KvVersion, KvError> {
-        self.pass().await?.put(key, value, expect, lease).await
-    }
-
-    async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
-        self.pass().await?.delete(key, expect).await
-    }
-
     async fn list_stale(
         &self,
         prefix: &str,
@@ -134,11 +131,29 @@
             return Ok(page);
         }
         let page = store.list_stale(prefix, after, limit).await?;
-        let mut held = self.held_pages.lock().expect("link lock");
-        if let Some(held) = held.get_mut(prefix) {
+        if let Some(held) = self.held_pages.lock().expect("link lock").get_mut(prefix) {
             *held = Some(page.clone());
         }
-        Ok(page)
+        let key = (prefix.to_owned(), after.unwrap_or_default().to_owned());
+        let mut pages = self.pages.lock().expect("pages lock");
+        if !self.is_stale.load(Ordering::Relaxed) {
+            pages.insert(key.clone(), page.clone());
+        }
+        Ok(pages.get(&key).cloned().unwrap_or(page))
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<KvVersion, KvError> {
+        self.pass().await?.put(key, value, expect, lease).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
+        self.pass().await?.delete(key, expect).await
     }
 
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
