soak: plays of silent callers on hosts that know each other

The plays began their streams 0.1 s after the start of the hosts. The plays wait 2 s now, and silent-caller-at-start does not.

--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -44,7 +44,7 @@
 const STABLE_TIME: Duration = Duration::from_secs(3);
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time of load before the fault.
-const WARM_UP_TIME: Duration = Duration::from_secs(2);
+pub(crate) const WARM_UP_TIME: Duration = Duration::from_secs(2);
 /// Time from a silence until the change that it hides.
 const SILENCE_LEAD: Duration = Duration::from_millis(500);
 /// Time after a change in which its effect is observed, at least and at most.
@@ -132,6 +132,8 @@
     SilentCallerOwnFront,
     /// As `SilentCaller`; the first front is cut off from the other fronts at the same moment.
     SilentCallerCut,
+    /// As `SilentCaller`, as soon as all fronts are ready.
+    SilentCallerAtStart,
     /// The owner of running items stands still for 9 s.
     FrozenOwner,
 }
--- a/soak/src/play_overlaps.rs
+++ b/soak/src/play_overlaps.rs
@@ -22,6 +22,7 @@
 use crate::play::PlayReport;
 use crate::play::STREAM_TIME;
 use crate::play::STREAMS;
+use crate::play::WARM_UP_TIME;
 use crate::play::count_requests;
 use crate::play_clients;
 use crate::play_clients::BrokenStream;
@@ -190,6 +191,7 @@
                 | Self::ClosedCaller
                 | Self::SilentCallerOwnFront
                 | Self::SilentCallerCut
+                | Self::SilentCallerAtStart
         )
     }
 
@@ -395,6 +397,9 @@
     async fn play_silent_callers(&mut self) -> std::io::Result<PlayReport> {
         let kind = self.config.kind;
         let fleet = self.fleet.clone();
+        if kind != PlayKind::SilentCallerAtStart {
+            tokio::time::sleep(WARM_UP_TIME).await;
+        }
         let streams = (0..STREAMS).map(|number| {
             let id = content::lasting(&format!("{STREAM_PREFIX}-{number}"), STREAM_S);
             let fleet = fleet.clone();
