origins: streams that run are told again when the hosts change

Callers whose stream began just after its host had started, and who took it up elsewhere over a silent connection, left the first run beside the second: the notice of the first event went to no registrar, as the host knew no other one yet. Registrars are also others after hosts have come or gone.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -404,7 +404,11 @@
         // does.
         if self.peers.all.is_empty() || now - self.peers_read_at >= NEIGHBOUR_INTERVAL {
             let was_alone = self.peers.all.is_empty();
-            self.peers = peers();
+            let before = std::mem::replace(&mut self.peers, peers());
+            if before.by_name != self.peers.by_name {
+                // Other hosts may be the registrars now.
+                self.origins.announce_again();
+            }
             self.views.set_hosts(self.peers.all.len() + 1);
             self.peers_read_at = now;
             if was_alone && !self.peers.all.is_empty() {
--- a/lib/src/origins/keeper.rs
+++ b/lib/src/origins/keeper.rs
@@ -282,6 +282,22 @@
         self.shared.has_messages.notify_one();
     }
 
+    /// Has the registrars of all streams that run here told again, as they may be other hosts than before.
+    pub fn announce_again(&self) {
+        let own = self.shared.host;
+        let mut state = self.state();
+        let local = state.runs.iter().map(|(tag, local)| (*tag, local.run));
+        let told = local.filter_map(|(tag, run)| {
+            let holder = StreamHolder { host: own, run };
+            let version = state.table.find(tag)?;
+            (state.table.holder(tag) == Some(holder)).then_some((tag, run, version))
+        });
+        let told: Vec<_> = told.collect();
+        for (tag, run, version) in told {
+            self.announce(&mut state, tag, &version, run);
+        }
+    }
+
     /// Registers the run of the stream `tag` that began it here.
     pub(crate) fn register_first(&self, tag: StreamTag) -> RunRegistration {
         let mut state = self.state();
--- a/lib/src/origins/tests.rs
+++ b/lib/src/origins/tests.rs
@@ -264,6 +264,25 @@
     assert_eq!(fleet.live(), [2]);
 }
 
+/// Guards against streams that no registrar knows, as they began before their host knew the others.
+#[test]
+fn test_streams_that_run_are_told_again() {
+    let keeper = OriginKeeper::new("host-0");
+    let service = crate::ids::ServiceName::new("desk");
+    let began = keeper.register_first(tag());
+    let waiting = keeper.register_first(StreamTag::new(&RequestId::new("r2")));
+    keeper.record_begun(tag(), &service, &version());
+    let told = keeper.take_notices();
+    assert_eq!(told.len(), 1);
+
+    keeper.announce_again();
+    assert_eq!(keeper.take_notices(), told, "r2 has no event yet");
+    drop(began);
+    keeper.announce_again();
+    assert_eq!(keeper.take_notices(), [], "the run has ended");
+    drop(waiting);
+}
+
 #[test]
 fn test_take_up_at_the_host_of_the_run_before_ends_it_at_once() {
     let mut fleet = RunFleet::new();
