--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -75,8 +75,8 @@
         let balancer = self.shared.relay.balancer().clone();
         let mut detector = StandstillDetector::new(self.shared.registry.lease_ttl());
         loop {
-            if let Some(gap) = detector.mark(self.shared.registry.has_outage()) {
-                self.hold_after_standstill(gap);
+            if let Some(standstill) = detector.mark(self.shared.registry.has_outage()) {
+                self.hold_after_standstill(standstill);
             }
             let slots_changed = balancer.slots_changed();
             self.preempt_items();
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -252,7 +252,7 @@
     }
 
     /// The other listed hosts that accept callers.
-    fn other_hosts(&self) -> Vec<HostEntry> {
+    pub(super) fn other_hosts(&self) -> Vec<HostEntry> {
         let own = &self.shared.identity.host;
         self.shared.registry.with_list(|list| {
             let entries = list.caller_entries().into_iter();
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -330,7 +330,7 @@
     }
 }
 
-/// While the store is known to be away, nobody can claim a job, and a standstill changes nothing.
+/// While the store is known to be away, nobody can claim a job of the only host, and a standstill changes nothing.
 #[tokio::test(start_paused = true)]
 async fn test_host_that_stood_still_in_an_outage_goes_on() {
     let mut fleet = JobFleet::with_gap(LONG_GAP);
@@ -425,3 +425,32 @@
     link.set_stale(false);
     assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
 }
+
+/// Guards against items that run on beside their next run: the store turned only their host away, so that
+/// another one could claim the job while that host stood still. The call of the new owner came to nothing
+/// meanwhile.
+#[tokio::test(start_paused = true)]
+async fn test_host_that_the_store_turned_away_and_that_stood_still_runs_no_items_of_others() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host_a, link) = fleet.linked_host("host-a").await;
+    let host_b = fleet.host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_b, "j0", 1).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    link.set_cut(true);
+    while !host_a.registry.has_outage() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(host_b.keeper.open_item_count(), 1, "not claimed yet");
+    // The key is written anew, as by a claim of the other host during the standstill.
+    let value = fleet.kv.value("open/j0/owner").unwrap();
+    let written = fleet.kv.put("open/j1/owner", value, Expect::Any, None);
+    written.await.unwrap();
+    assert_eq!(host_b.keeper.end("j0").await, EndOutcome::Ended);
+    host_a.set_fault(PeerFault::Silent);
+    tokio::time::advance(Duration::from_secs(10)).await;
+    assert_complete(&fleet.transport, &read_all(&host_b, "j1").await);
+    assert_eq!(doubled(&fleet, "j1", 10), [""; 0]);
+}
