KNOWN-RED: a take-up does not end a run at a displaced process

A test that fails: a process that was displaced finishes its streams, but hears of no take-up any more, and the name under which the registrars know it leads to its successor. Not mended: hosts know one another by name only, in notices and in addresses.

--- a/lib/tests/test_take_ups.rs
+++ b/lib/tests/test_take_ups.rs
@@ -382,3 +382,28 @@
     assert_eq!(outcome("t3"), "unknown");
     exchange.abort();
 }
+
+/// Guards against a first run that goes on beside its take-up: its process was displaced under its name, and
+/// finishes what is in flight.
+#[tokio::test(start_paused = true)]
+async fn test_take_up_ends_the_run_of_a_displaced_process() {
+    for at in [1, 5] {
+        let transport = upstreams();
+        let mut relays = fleet(&transport);
+        let exchange = spawn_origin_exchange(relays.clone());
+        let _silent = begin(&relays[0], "r1").await;
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        // The second process of the name; the displaced one exchanges nothing any more.
+        exchange.abort();
+        let displaced = relays.remove(0);
+        let again = fleet(&transport).swap_remove(0);
+        relays.push(again);
+        let exchange = spawn_origin_exchange(relays.clone());
+        let second = relays[at].relay(take_up("t1", "r1", 5)).await;
+        let _second = read_events(second, 1).await;
+        tokio::time::sleep(END_TIME).await;
+        assert_eq!(running(&transport), 1, "take-up at {at}");
+        drop(displaced);
+        exchange.abort();
+    }
+}
