KNOWN-RED: items of a second process of a host of serve beside those of the first

A test that fails. A second process of a host's name takes over the jobs to which nothing was written since its first listing, though the first process lives; the first one's items run to their ends, as after any change of a job's owner in `serve`.

--- a/lib/tests/test_batch_ages.rs
+++ b/lib/tests/test_batch_ages.rs
@@ -381,3 +381,28 @@
     shift_time_of_day(0);
     assert_eq!(first, second);
 }
+
+/// Guards against items that run on beside their next run: a second process of their host's name takes the job
+/// of the first one, which lives.
+#[tokio::test(start_paused = true)]
+async fn test_second_process_of_a_host_runs_no_items_beside_the_first() {
+    const STEP: Duration = Duration::from_millis(50);
+    let fleet = ScriptedFleet::start(4).await;
+    let kv = KvMemory::new();
+    let stop = CancellationToken::new();
+    let first = start_host(&kv, &fleet).await;
+    tokio::spawn(first.clone().run(stop.clone()));
+    let second = start_host(&kv, &fleet).await;
+    submit_long_items(&first, "24h").await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    tokio::spawn(second.run(stop.clone()));
+    let mut beside = Duration::ZERO;
+    for _ in 0..1_200 {
+        tokio::time::sleep(STEP).await;
+        if fleet.engine.open_streams() as u64 > ITEMS {
+            beside += STEP;
+        }
+    }
+    stop.cancel();
+    assert!(beside <= Duration::from_millis(400), "{beside:?}");
+}
