follow: a check that is due is not put off by the next watch

The check of a view was due at the same instant as the next watch, and the task took the branches that were ready in random order. If the watch came first twice, its empty answer put the check off, and a change came a second late. The branches are taken in order now, answers first and checks before watches.

--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -206,6 +206,9 @@
             };
             let (watch_at, dead_at) = (calls.watch_at, calls.dead_at);
             tokio::select! {
+                // A check that is due at the same moment as the next watch must not wait for that one's
+                // answer, which would put it off again.
+                biased;
                 answer = answer_to(&mut calls.watch) => {
                     if !self.finish_watch(answer, &mut calls, handle) {
                         return;
