--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -105,8 +105,8 @@
         for job in &open.jobs {
             match &job.owner {
                 None => ownerless.push(job),
-                // The owner is an earlier process of this host, which has ended, so that the job
-                // can be claimed before its lease expires.
+                // The owner is a process of this host's name that this one has replaced, so that the
+                // job can be claimed before its lease expires.
                 Some((owner, _)) if owner.host == own.host && owner != own => {
                     claims.push((job, ClaimReason::SameName));
                 }
--- a/lib/src/peers/client.rs
+++ b/lib/src/peers/client.rs
@@ -114,8 +114,9 @@
     /// Calls the peer at `address` and waits up to `timeout` for its reply.
     ///
     /// Errors: [`PeerError::Refused`] if nothing listens at `address`; [`PeerError::NotSent`] if the
-    /// connection's queue is full or no connection could be opened; [`PeerError::NoReply`] after the time-out, if the connection broke, or if the peer
-    /// has no handler for the call or its reply can't be decoded.
+    /// connection's queue is full or no connection could be opened; [`PeerError::NoReply`] after the
+    /// time-out, if the connection broke, or if the peer has no handler for the call or its reply can't
+    /// be decoded.
     pub async fn call<M: PeerMessage>(
         &self,
         address: SocketAddr,
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -96,6 +96,14 @@
         self.is_stale.store(is_stale, Ordering::Relaxed);
     }
 
+    fn execute_later(&self, commit: KvCommit, delay: Duration) {
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = store.commit(commit).await;
+        });
+    }
+
     async fn pass(&self) -> Result<&dyn KvStore, KvError> {
         if self.is_cut.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_TIMEOUT).await;
@@ -159,11 +167,7 @@
     async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
         let lateness = Duration::from_millis(self.lateness_ms.load(Ordering::Relaxed));
         if lateness > Duration::ZERO {
-            let store = self.store.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(lateness).await;
-                let _ = store.commit(commit).await;
-            });
+            self.execute_later(commit, lateness);
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(KvError::Unknown("no answer in time".to_owned()));
         }
@@ -178,13 +182,7 @@
                 let _ = store.commit(commit).await;
                 self.set_cut(true);
             }
-            Some(CommitFault::ExecutesAfter(delay)) => {
-                let store = self.store.clone();
-                tokio::spawn(async move {
-                    tokio::time::sleep(delay).await;
-                    let _ = store.commit(commit).await;
-                });
-            }
+            Some(CommitFault::ExecutesAfter(delay)) => self.execute_later(commit, delay),
         }
         Err(KvError::Unknown("answer lost".to_owned()))
     }
