jobs: log each segment that is written and each reload, with what was known before

`segment_written` and `job_reloaded` name the segments, the version or revision, and what the host knew when the answer arrived. No behaviour changes.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -410,6 +410,38 @@
         /// Identifiers of the items that were running.
         items: Vec<String>,
     },
+    /// A segment of a job's results was written, and its answer has arrived.
+    SegmentWritten {
+        /// Identifier of the job.
+        job: String,
+        /// Number of the segment.
+        segment: usize,
+        /// Version of the segment's key.
+        version: u64,
+        /// Number of results in it.
+        results: usize,
+        /// Number of segments that this host knew when the answer arrived.
+        segments_before: usize,
+        /// Number of results that this host knew then.
+        listed_before: usize,
+        /// Whether the same write closed the job.
+        is_last: bool,
+    },
+    /// The committed results of a job that this host runs were read again.
+    JobReloaded {
+        /// Identifier of the job.
+        job: String,
+        /// Revision of the key-value service at which they were read.
+        revision: u64,
+        /// Number of segments that were read.
+        segments: usize,
+        /// Number of results that were read.
+        listed: usize,
+        /// Number of segments that this host knew before.
+        segments_before: usize,
+        /// Number of results that this host knew before.
+        listed_before: usize,
+    },
     /// The key-value service rejected a conditional write for a job, as the state that the write
     /// was based on has changed.
     WriteRejected {
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::clock::steady_unix_millis;
 use crate::collections::HashSet;
 use crate::edges::kv::KvError;
+use crate::edges::kv::KvVersion;
 use crate::events::LogEvent;
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
@@ -30,6 +31,7 @@
 use crate::jobs::running::RunStop;
 use crate::jobs::standstill::StandstillDetector;
 use crate::jobs::store::SEGMENT_BYTES;
+use crate::jobs::store::StoredJob;
 use crate::jobs::table::ItemDispatch;
 use crate::jobs::table::ItemOutcome;
 use crate::jobs::table::ItemState;
@@ -340,7 +342,8 @@
             segment_write.is_last,
         );
         match written.await {
-            Ok(()) => {
+            Ok(version) => {
+                self.log_segment_written(&segment_write, version);
                 let is_complete =
                     self.with_table(|table| table.segment_written(&segment_write, Instant::now()));
                 self.shared.results_committed.notify_waiters();
@@ -369,6 +372,33 @@
         }
     }
 
+    fn log_segment_written(&self, segment_write: &SegmentWrite, version: KvVersion) {
+        let (segments_before, listed_before) =
+            self.with_table(|table| table.segment_counts(&segment_write.job));
+        self.shared.log.write(LogEvent::SegmentWritten {
+            job: segment_write.job.clone(),
+            segment: segment_write.number,
+            version: version.0,
+            results: segment_write.results.len(),
+            segments_before,
+            listed_before,
+            is_last: segment_write.is_last,
+        });
+    }
+
+    /// Logs that the committed results of a job were read again, before they are applied.
+    pub(super) fn log_reloaded(&self, job: &str, stored: &StoredJob) {
+        let (segments_before, listed_before) = self.with_table(|table| table.segment_counts(job));
+        self.shared.log.write(LogEvent::JobReloaded {
+            job: job.to_owned(),
+            revision: stored.revision.0,
+            segments: stored.segments,
+            listed: stored.results.len(),
+            segments_before,
+            listed_before,
+        });
+    }
+
     /// Reads a job again after a conflicting segment write or a standstill, and drops it, claims it again or
     /// continues it accordingly.
     pub(super) async fn reload_job(&self, job: &str) {
@@ -381,6 +411,7 @@
         let Some(stored) = stored else {
             return self.drop_job(job, "removed");
         };
+        self.log_reloaded(job, &stored);
         let is_complete = self.with_table(|table| {
             table.replace_committed(job, stored.results, stored.segments, Instant::now())
         });
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -412,6 +412,7 @@
     /// Continues a job that this host already runs under a new claim. Its results were read again, as
     /// another host may have owned the job and committed results in between.
     fn renew_claim(&self, id: &str, claim: JobClaim, stored: StoredJob, given_up: GivenUpJob) {
+        self.log_reloaded(id, &stored);
         let is_complete = self.with_table(|table| {
             table.set_claim(id, claim);
             let now = Instant::now();
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -143,6 +143,8 @@
     pub(crate) results: Vec<JobResult>,
     pub(crate) segments: usize,
     pub(crate) is_ended: bool,
+    /// Revision of the key-value service at which the state was read.
+    pub(crate) revision: KvVersion,
 }
 
 /// A host's claim on an open job: the versions of the `open` and owner keys that its writes are
@@ -303,7 +305,8 @@
         Ok(claims.iter().map(|(id, _)| id.clone()).collect())
     }
 
-    /// Appends segment `number` to the results. The last segment also closes the job.
+    /// Appends segment `number` to the results, and returns its version. The last segment also closes
+    /// the job.
     ///
     /// Fails with [`KvError::Conflict`] if the segment exists already, the claim is no longer
     /// valid, or the job was ended.
@@ -314,7 +317,7 @@
         number: usize,
         results: &[JobResult],
         is_last: bool,
-    ) -> Result<(), KvError> {
+    ) -> Result<KvVersion, KvError> {
         let key = segment_key(id, number);
         let mut commit = KvCommit {
             expect: vec![
@@ -329,7 +332,7 @@
             commit.puts.push(put_closed(id));
             commit.deletes = vec![open_key(id), owner_key(id)];
         }
-        self.kv.commit(commit).await.map(|_| ())
+        self.kv.commit(commit).await
     }
 
     /// Ends and closes a job unconditionally. Deleting its `open` key makes later segment writes
@@ -386,7 +389,7 @@
         let mut segments: Vec<(usize, Vec<JobResult>)> = Vec::new();
         let mut is_ended = false;
         let kv = self.kv.as_ref();
-        let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+        let (entries, revision) = list_all(kv, &prefix, Freshness::Current).await?;
         for entry in &entries {
             let name = &entry.key[prefix.len()..];
             match name.strip_prefix("seg/") {
@@ -411,6 +414,7 @@
             results,
             segments: count,
             is_ended,
+            revision,
         }))
     }
 
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -340,6 +340,12 @@
         Some((job.owned_items.len(), job.committed.len()))
     }
 
+    /// Numbers of known segments of `job` and of its committed results; zero if this host does not own it.
+    pub(crate) fn segment_counts(&self, job: &str) -> (usize, usize) {
+        let job = self.jobs.get(job);
+        job.map_or((0, 0), |job| (job.segments, job.committed.len()))
+    }
+
     /// Specification of `job` with all items; `None` if this host does not own it.
     pub(crate) fn spec(&self, job: &str) -> Option<Arc<JobSpec>> {
         self.jobs.get(job).map(|job| job.spec.clone())
