--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -158,6 +158,7 @@
     pub(crate) transport: Arc<OpaqueUpstreams>,
     peers: Arc<LocalJobClient>,
     incarnations: u64,
+    prints_logs: bool,
 }
 
 impl JobFleet {
@@ -173,6 +174,7 @@
             transport: OpaqueUpstreams::new(EVENTS_PER_ITEM, first, gap),
             peers: Arc::default(),
             incarnations: 0,
+            prints_logs: std::env::var_os("PLAY_LOGS").is_some(),
         }
     }
 
@@ -223,7 +225,10 @@
             peers: address,
             state: HostReadiness::Ready,
         };
-        let log = EventLog::disabled();
+        let log = match self.prints_logs {
+            true => EventLog::new(name.to_owned(), self.incarnations, std::io::stdout()),
+            false => EventLog::disabled(),
+        };
         let config = RegistryConfig::default();
         let registry = HostRegistry::new(kv.clone(), log.clone(), entry, config);
         let relay = new_relay(name, self.transport.clone(), &UPSTREAMS);
--- /dev/null
+++ b/lib/tests/test_result_positions.rs
@@ -0,0 +1,38 @@
+//! Tests that each item of a job has one position, which never changes, and that the job closes.
+
+mod job_fleet;
+mod opaque;
+
+use std::time::Duration;
+
+use job_fleet::JobFleet;
+use job_fleet::assert_complete;
+use job_fleet::job;
+use job_fleet::read_all;
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
+use parsleywall::jobs::SubmitOutcome;
+use parsleywall_standins::kv_link::CommitFault;
+
+/// Number of items for which the job runs on while the first segment is written.
+const ITEMS: usize = 120;
+/// Time after a job's acceptance at which its first segment is being written.
+const FIRST_SEGMENT_TIME: Duration = Duration::from_millis(2_500);
+
+/// Guards against an item at two positions: a job is read again while the answer to a segment's write is on
+/// its way.
+#[tokio::test(start_paused = true)]
+async fn test_late_answer_after_own_claim_adds_nothing() {
+    let mut fleet = JobFleet::new();
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    link.set_next_commit(CommitFault::AnswersAfter(Duration::from_secs(4)));
+    tokio::time::sleep(FIRST_SEGMENT_TIME).await;
+    let key = "open/j1/owner";
+    fleet.kv.delete(key, Expect::Any).await.unwrap();
+    let page = read_all(&host, "j1").await;
+    assert_complete(&fleet.transport, &page);
+    assert!(fleet.kv.value("open/j1").is_none(), "the job is closed");
+}
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -33,6 +33,8 @@
     CutsLink,
     /// It has no answer, and is executed after this time if its conditions still hold.
     ExecutesAfter(Duration),
+    /// It is executed at once, and answered after this time.
+    AnswersAfter(Duration),
 }
 
 /// Link from one host to a key-value service. While it is cut, calls have no effect and fail with
@@ -183,6 +185,11 @@
                 self.set_cut(true);
             }
             Some(CommitFault::ExecutesAfter(delay)) => self.execute_later(commit, delay),
+            Some(CommitFault::AnswersAfter(delay)) => {
+                let answer = store.commit(commit).await;
+                tokio::time::sleep(delay).await;
+                return answer;
+            }
         }
         Err(KvError::Unknown("answer lost".to_owned()))
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod platform_worker;
 pub mod server;
 pub mod service;
+pub mod slow_kv;
 pub mod terms;
 pub mod weights;
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -98,8 +98,39 @@
     attempts: Vec<OpaqueAttempt>,
     running: HashMap<String, usize>,
     most_running: HashMap<String, usize>,
-    /// Executions in progress of each request, and the most at any time.
-    executions: HashMap<String, (usize, usize)>,
+    executions: HashMap<String, RequestExecutions>,
+}
+
+/// Executions of one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct RequestExecutions {
+    /// Number in progress.
+    running: usize,
+    /// Most that were in progress at any time.
+    most: usize,
+    /// Since when more than one is in progress.
+    overlaps_since: Option<Instant>,
+    /// Longest time for which more than one was.
+    longest_overlap: Duration,
+}
+
+impl RequestExecutions {
+    fn begin(&mut self) {
+        self.running += 1;
+        self.most = self.running.max(self.most);
+        if self.running > 1 {
+            self.overlaps_since.get_or_insert_with(Instant::now);
+        }
+    }
+
+    fn end(&mut self) {
+        self.running -= 1;
+        if self.running < 2
+            && let Some(since) = self.overlaps_since.take()
+        {
+            self.longest_overlap = self.longest_overlap.max(since.elapsed());
+        }
+    }
 }
 
 /// A set of upstreams that answer every request with the same number of events. Clones share their
@@ -195,7 +226,15 @@
         self.lock()
             .executions
             .get(request)
-            .map_or(0, |(_, most)| *most)
+            .map_or(0, |executions| executions.most)
+    }
+
+    /// Returns the longest time for which two executions of `request` were in progress, up to the end of
+    /// the first one of them.
+    pub fn longest_overlap(&self, request: &str) -> Duration {
+        let state = self.lock();
+        let executions = state.executions.get(request);
+        executions.map_or(Duration::ZERO, |executions| executions.longest_overlap)
     }
 
     /// Returns the attempts at `request` that were executed.
@@ -465,9 +504,7 @@
             let now = *running;
             let most = state.most_running.entry(upstream.clone()).or_default();
             *most = now.max(*most);
-            let (running, most) = state.executions.entry(request.clone()).or_default();
-            *running += 1;
-            *most = (*running).max(*most);
+            state.executions.entry(request.clone()).or_default().begin();
         }
         Self {
             state,
@@ -483,8 +520,8 @@
         if let Some(running) = state.running.get_mut(&self.upstream) {
             *running -= 1;
         }
-        if let Some((running, _)) = state.executions.get_mut(&self.request) {
-            *running -= 1;
+        if let Some(executions) = state.executions.get_mut(&self.request) {
+            executions.end();
         }
     }
 }
