jobs: committed results are a log of numbered segments, applied in any order

Cause: the answer to a segment's write was applied to whatever the owner believed by then. A reload between the write and its answer (own claim, conflict, standstill) had brought the same segment, and the answer appended its results once more. `is_complete` and `is_last` compared lengths, so that the last write did not close the job, or a job with an item missing counted as finished.

Change: SegmentLog holds the segments by number, each with the version that the store gave it. Applying one twice, late or in another order changes nothing, and a read from before never takes anything away. Complete is a job whose items all have results; an item that is stored twice has its first position, and `results_repeated` says so. A write is conditional on the version of the segment before, so that only a host that knows all of the log adds to it. A write in flight has a ticket, so that a reload does not end it. A complete job is only dropped once it is closed; a host that loads a full open job closes it. An older claim never replaces a newer one, an older read never drops a job, and the late answer to a creation no longer replaces a job that runs. `trace --id JOB` lists owners, segments and the close in the store's order.

A model check (lib/src/jobs/tests.rs) plays writes, answers, reads, claims and deletions of the owner key at two hosts in any order against a list of numbered segments.

--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use parsleywall::trace::EventTrace;
 use parsleywall::trace::RequestSummary;
+use parsleywall::trace::TraceLine;
 
 use crate::commands::EXIT_USAGE;
 
@@ -70,15 +71,25 @@
     let Some(start_ms) = lines.first().map(|line| line.time_ms) else {
         return false;
     };
-    for line in &lines {
+    print_lines(&lines, start_ms, out);
+    let writes = trace.job_writes(id);
+    if !writes.is_empty() {
+        let _ = writeln!(out, "writes in the order of the key-value service:");
+        print_lines(&writes, start_ms, out);
+    }
+    true
+}
+
+/// Prints lines with their times after `start_ms`.
+fn print_lines(lines: &[&TraceLine], start_ms: i64, out: &mut impl Write) {
+    for line in lines {
         let elapsed_ms = line.time_ms - start_ms;
         let event_text = line.summary();
         if writeln!(out, "{elapsed_ms:>8} ms  {:<20} {event_text}", line.host).is_err() {
             // The reader of the output has closed its pipe.
-            break;
+            return;
         }
     }
-    true
 }
 
 /// Prints the requests that were not served, their number, and how many of them have a reason.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -367,7 +367,7 @@
         job: String,
         /// Version of the owner key, by which this host owns the job.
         version: u64,
-        /// Why: `lapsed`, `same_name`, `handed_over` or `own_again`.
+        /// Why: `submitted`, `lapsed`, `same_name`, `handed_over` or `own_again`.
         reason: String,
         /// Host that owned the job before; absent if it is not known.
         from: Option<String>,
@@ -427,6 +427,13 @@
         /// Whether the same write closed the job.
         is_last: bool,
     },
+    /// The stored results of a job hold an item more than once; the first result of each item counts.
+    ResultsRepeated {
+        /// Identifier of the job.
+        job: String,
+        /// Number of results that are left out.
+        results: usize,
+    },
     /// The committed results of a job that this host runs were read again.
     JobReloaded {
         /// Identifier of the job.
--- a/lib/src/jobs/changeover.rs
+++ b/lib/src/jobs/changeover.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum ClaimReason {
+    /// This host stored the job.
+    Submitted,
     /// The owner key lapsed with the lease of the owner, or was deleted.
     Lapsed,
     /// The owner is an earlier process of this host.
@@ -51,6 +53,17 @@
     pub(super) checkpoints: Vec<ItemCheckpoint>,
 }
 
+impl Takeover {
+    /// A job that this host stores as its first owner.
+    pub(super) fn submitted() -> Self {
+        Self {
+            reason: ClaimReason::Submitted,
+            previous: None,
+            checkpoints: Vec::new(),
+        }
+    }
+}
+
 /// What the owner before did about a job that was claimed.
 #[derive(Debug, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -333,41 +333,31 @@
     }
 
     async fn commit_segment(&self, segment_write: SegmentWrite) {
-        let store = &self.shared.store;
-        let written = store.append(
-            &segment_write.job,
-            &segment_write.claim,
-            segment_write.number,
-            &segment_write.results,
-            segment_write.is_last,
-        );
-        match written.await {
+        let job = &segment_write.job;
+        match self.shared.store.append(&segment_write).await {
             Ok(version) => {
                 self.log_segment_written(&segment_write, version);
-                let is_complete =
-                    self.with_table(|table| table.segment_written(&segment_write, Instant::now()));
+                let now = Instant::now();
+                self.with_table(|table| table.segment_written(&segment_write, version, now));
                 self.shared.results_committed.notify_waiters();
-                if is_complete {
-                    self.drop_job(&segment_write.job, FINISHED_OUTCOME);
+                if segment_write.is_last {
+                    self.drop_job(job, FINISHED_OUTCOME);
                 }
             }
             // Another host wrote the segment or claimed the job, the job was ended, or an earlier
             // attempt at this write took effect though its answer was lost.
             Err(KvError::Conflict { .. }) => {
-                let based_on = segment_write
-                    .claim
-                    .owner_version
-                    .unwrap_or(segment_write.claim.open_version);
                 self.shared.log.write(LogEvent::WriteRejected {
-                    job: segment_write.job.clone(),
+                    job: job.clone(),
                     write: "segment".to_owned(),
                     segment: Some(segment_write.number),
-                    based_on: based_on.0,
+                    based_on: segment_write.claim.version().0,
                 });
-                self.reload_job(&segment_write.job).await;
+                self.with_table(|table| table.segment_failed(&segment_write, Instant::now()));
+                self.reload_job(job).await;
             }
             Err(_) => {
-                self.with_table(|table| table.segment_failed(&segment_write.job, Instant::now()))
+                self.with_table(|table| table.segment_failed(&segment_write, Instant::now()));
             }
         }
     }
@@ -392,8 +382,8 @@
         self.shared.log.write(LogEvent::JobReloaded {
             job: job.to_owned(),
             revision: stored.revision.0,
-            segments: stored.segments,
-            listed: stored.results.len(),
+            segments: stored.segments.len(),
+            listed: stored.result_count(),
             segments_before,
             listed_before,
         });
@@ -402,28 +392,34 @@
     /// Reads a job again after a conflicting segment write or a standstill, and drops it, claims it again or
     /// continues it accordingly.
     pub(super) async fn reload_job(&self, job: &str) {
+        // In this order, so that a job which is closed is read with all of its results.
         let (Ok(open), Ok(stored)) = (
             self.shared.store.open_job(job).await,
             self.shared.store.load(job).await,
         ) else {
-            return self.with_table(|table| table.segment_failed(job, Instant::now()));
+            return self.with_table(|table| table.delay_commit(job, Instant::now()));
         };
         let Some(stored) = stored else {
             return self.drop_job(job, "removed");
         };
         self.log_reloaded(job, &stored);
-        let is_complete = self.with_table(|table| {
-            table.replace_committed(job, stored.results, stored.segments, Instant::now())
-        });
+        self.with_table(|table| table.apply_segments(job, stored.segments, Instant::now()));
         self.shared.results_committed.notify_waiters();
-        match (is_complete, open) {
-            (true, _) => self.drop_job(job, FINISHED_OUTCOME),
-            (false, None) => self.drop_job(job, "ended"),
-            (false, Some(open)) => match &open.owner {
-                Some((owner, _)) if *owner != self.shared.identity => self.drop_job(job, "lost"),
-                Some(_) => self.load_owned(job).await,
-                None => self.claim(&open, ClaimReason::OwnAgain).await,
-            },
+        let Some(open) = open else {
+            let is_complete = self.with_table(|table| table.is_complete(job));
+            let outcome = if is_complete {
+                FINISHED_OUTCOME
+            } else {
+                "ended"
+            };
+            return self.drop_job(job, outcome);
+        };
+        match &open.owner {
+            Some((owner, version)) if *owner != self.shared.identity => {
+                self.drop_lost_job(job, *version);
+            }
+            Some(_) => self.load_owned(job).await,
+            None => self.claim(&open, ClaimReason::OwnAgain).await,
         }
     }
 }
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -408,4 +408,13 @@
             listed,
         });
     }
+    /// Logs that stored results of a job are left out, if any are.
+    pub(super) fn log_repeated(&self, job: &str, results: usize) {
+        if results > 0 {
+            self.shared.log.write(LogEvent::ResultsRepeated {
+                job: job.to_owned(),
+                results,
+            });
+        }
+    }
 }
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -17,11 +17,14 @@
 mod progress;
 mod read;
 mod running;
+mod segments;
 mod spec;
 mod standstill;
 mod store;
 mod submission;
 mod table;
+#[cfg(test)]
+mod tests;
 
 pub use acceptance::AcceptanceOutcome;
 pub use keeper::EndOutcome;
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -14,7 +14,6 @@
 use crate::jobs::changeover::PreviousOwner;
 use crate::jobs::changeover::Takeover;
 use crate::jobs::dispatch::RUN_TIMEOUT;
-use crate::jobs::keeper::FINISHED_OUTCOME;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::GivenUpJob;
 use crate::jobs::message::ItemCheckpoint;
@@ -357,9 +356,8 @@
         let Some((spec, stored)) = stored else {
             return;
         };
-        match spec {
-            Some(spec) => self.insert_claimed(spec, claim, stored, given_up),
-            None => self.renew_claim(id, claim, stored, given_up),
+        if !self.adopt(id, spec, claim, stored, given_up).await {
+            return;
         }
         if is_doubtful {
             let until = Instant::now() + RUN_TIMEOUT;
@@ -385,45 +383,58 @@
         Some((spec, stored))
     }
 
-    /// Adds a job that was claimed, unless another host has claimed it since.
-    fn insert_claimed(
+    /// Adds a job that was claimed, or continues it, unless there is a later claim by now. Its results were
+    /// read again, as another host may have owned the job and committed results in between. Returns whether
+    /// this host has the job.
+    async fn adopt(
         &self,
-        spec: JobSpec,
+        id: &str,
+        spec: Option<JobSpec>,
         claim: JobClaim,
         stored: StoredJob,
         given_up: GivenUpJob,
-    ) {
-        let id = spec.id.clone();
-        let newest = self.shared.owners.version(&id).unwrap_or_default();
-        if newest > claim.version() {
-            return;
+    ) -> bool {
+        // The job may have been dropped since it was known here.
+        let is_gone = spec.is_none() && !self.with_table(|table| table.owns(id));
+        let spec = match is_gone {
+            true => self.shared.store.load_spec(id).await.ok().flatten(),
+            false => spec,
+        };
+        if self.is_claimed_after(id, &claim) {
+            return false;
         }
-        let spec = spec.timed_at(steady_unix_millis(), self.job_age(claim.open_version));
-        self.log_job(&id, "taken_over", spec.items.len(), stored.results.len());
-        self.with_table(|table| {
-            if !table.owns(&id) {
-                table.insert(Arc::new(spec), claim, stored.results, stored.segments);
-            }
-            table.apply_checkpoints(&id, given_up.progress);
-            table.adopt_results(&id, given_up.results, Instant::now());
-        });
-    }
-
-    /// Continues a job that this host already runs under a new claim. Its results were read again, as
-    /// another host may have owned the job and committed results in between.
-    fn renew_claim(&self, id: &str, claim: JobClaim, stored: StoredJob, given_up: GivenUpJob) {
         self.log_reloaded(id, &stored);
-        let is_complete = self.with_table(|table| {
-            table.set_claim(id, claim);
-            let now = Instant::now();
-            let is_complete = table.replace_committed(id, stored.results, stored.segments, now);
+        let age = self.job_age(claim.open_version);
+        let now = Instant::now();
+        let has_job = self.with_table(|table| {
+            match spec {
+                Some(spec) if !table.owns(id) => {
+                    self.log_job(id, "taken_over", spec.items.len(), stored.result_count());
+                    let spec = spec.timed_at(steady_unix_millis(), age);
+                    table.insert(Arc::new(spec), claim, stored.segments, now);
+                }
+                _ => table.renew(id, claim, stored.segments, now),
+            }
             table.apply_checkpoints(id, given_up.progress);
             table.adopt_results(id, given_up.results, now);
-            is_complete
+            table.owns(id)
         });
+        self.log_repeated(id, self.with_table(|table| table.repeated_results(id)));
         self.shared.results_committed.notify_waiters();
-        if is_complete {
-            self.drop_job(id, FINISHED_OUTCOME);
+        has_job
+    }
+
+    /// Whether a later claim of the job than `claim` is known.
+    pub(super) fn is_claimed_after(&self, job: &str, claim: &JobClaim) -> bool {
+        self.shared.owners.version(job).unwrap_or_default() > claim.version()
+    }
+
+    /// Drops a job that another process owns by `version` of the owner key, unless this host has claimed it
+    /// later.
+    pub(super) fn drop_lost_job(&self, job: &str, version: KvVersion) {
+        let claim = self.with_table(|table| table.claim(job));
+        if claim.is_some_and(|claim| claim.version() < version) {
+            self.drop_job(job, "lost");
         }
     }
 
@@ -448,7 +459,9 @@
                 continue;
             }
             match known.get(id.as_str()).and_then(|job| job.owner.as_ref()) {
-                Some((owner, _)) if *owner != self.shared.identity => self.drop_job(&id, "lost"),
+                Some((owner, version)) if *owner != self.shared.identity => {
+                    self.drop_lost_job(&id, *version);
+                }
                 Some(_) => {}
                 None if known.contains_key(id.as_str()) => {}
                 None => self.drop_if_closed(&id).await,
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -11,6 +11,7 @@
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
+use crate::jobs::segments::SegmentLog;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::ResultPage;
 use crate::jobs::store::JobOwner;
@@ -214,13 +215,15 @@
         match self.shared.store.load(job).await {
             Ok(Some(stored)) => {
                 let total = stored.info.total;
-                let is_final = stored.results.len() == total || stored.is_ended;
-                let page = page_of(&stored.results, total, after);
+                let log = SegmentLog::new(stored.segments);
+                self.log_repeated(job, log.repeated());
+                let is_final = log.results().len() == total || stored.is_ended;
+                let page = page_of(log.results(), total, after);
                 if is_final {
                     let all = ResultPage {
                         total,
-                        next: stored.results.len(),
-                        results: stored.results,
+                        next: log.results().len(),
+                        results: log.results().to_vec(),
                     };
                     self.shared.result_cache.insert(job, all);
                 }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -30,10 +30,11 @@
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
-use crate::jobs::spec::JobResult;
+use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
 use crate::jobs::spec::encode;
+use crate::jobs::table::SegmentWrite;
 use crate::registry::HostEntry;
 use crate::registry::HostProcess;
 use crate::registry::HostReadiness;
@@ -140,13 +141,20 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoredJob {
     pub(crate) info: JobInfo,
-    pub(crate) results: Vec<JobResult>,
-    pub(crate) segments: usize,
+    pub(crate) segments: Vec<ResultSegment>,
     pub(crate) is_ended: bool,
     /// Revision of the key-value service at which the state was read.
     pub(crate) revision: KvVersion,
 }
 
+impl StoredJob {
+    /// Number of results in all segments.
+    pub(crate) fn result_count(&self) -> usize {
+        let segments = self.segments.iter();
+        segments.map(|segment| segment.results.len()).sum()
+    }
+}
+
 /// A host's claim on an open job: the versions of the `open` and owner keys that its writes are
 /// conditional on, as fencing tokens, and the lease that the owner key is bound to.
 #[derive(Clone, Debug)]
@@ -305,19 +313,16 @@
         Ok(claims.iter().map(|(id, _)| id.clone()).collect())
     }
 
-    /// Appends segment `number` to the results, and returns its version. The last segment also closes
-    /// the job.
+    /// Writes a segment after those that it is based on, and returns its version. The last segment also
+    /// closes the job; a write without results only does that.
     ///
-    /// Fails with [`KvError::Conflict`] if the segment exists already, the claim is no longer
-    /// valid, or the job was ended.
-    pub(crate) async fn append(
-        &self,
-        id: &str,
-        claim: &JobClaim,
-        number: usize,
-        results: &[JobResult],
-        is_last: bool,
-    ) -> Result<KvVersion, KvError> {
+    /// Fails with [`KvError::Conflict`] if the segment exists already, the segment before is another one,
+    /// the claim is no longer valid, or the job was ended. So no segment is written by a host that does not
+    /// know all segments before.
+    pub(crate) async fn append(&self, segment_write: &SegmentWrite) -> Result<KvVersion, KvError> {
+        let id = &segment_write.job;
+        let claim = &segment_write.claim;
+        let number = segment_write.number;
         let key = segment_key(id, number);
         let mut commit = KvCommit {
             expect: vec![
@@ -325,10 +330,17 @@
                 (open_key(id), Some(claim.open_version)),
                 (owner_key(id), claim.owner_version),
             ],
-            puts: vec![put_without_lease(key, encode(&results))],
-            deletes: Vec::new(),
+            ..KvCommit::default()
         };
-        if is_last {
+        if let Some(before) = number.checked_sub(1) {
+            let previous = (segment_key(id, before), segment_write.previous);
+            commit.expect.push(previous);
+        }
+        if !segment_write.results.is_empty() {
+            let value = encode(&segment_write.results);
+            commit.puts.push(put_without_lease(key, value));
+        }
+        if segment_write.is_last {
             commit.puts.push(put_closed(id));
             commit.deletes = vec![open_key(id), owner_key(id)];
         }
@@ -386,7 +398,7 @@
     pub(crate) async fn load(&self, id: &str) -> Result<Option<StoredJob>, KvError> {
         let prefix = format!("job/{id}/");
         let mut info: Option<JobInfo> = None;
-        let mut segments: Vec<(usize, Vec<JobResult>)> = Vec::new();
+        let mut segments: Vec<ResultSegment> = Vec::new();
         let mut is_ended = false;
         let kv = self.kv.as_ref();
         let (entries, revision) = list_all(kv, &prefix, Freshness::Current).await?;
@@ -397,22 +409,19 @@
                     let number = number.parse().map_err(|_| malformed_value(&entry.key))?;
                     let results =
                         decode(&entry.value).ok_or_else(|| malformed_value(&entry.key))?;
-                    segments.push((number, results));
+                    segments.push(ResultSegment {
+                        number,
+                        version: entry.version,
+                        results,
+                    });
                 }
                 None if name == "info" => info = decode(&entry.value),
                 None => is_ended |= name == "end",
             }
         }
-        segments.sort_by_key(|(number, _)| *number);
-        let count = segments.len();
-        let results = segments
-            .into_iter()
-            .flat_map(|(_, results)| results)
-            .collect();
         Ok(info.map(|info| StoredJob {
             info,
-            results,
-            segments: count,
+            segments,
             is_ended,
             revision,
         }))
@@ -469,7 +478,8 @@
         let mut deletes = vec![info_key(id), end_key(id)];
         if let Some(stored) = self.load(id).await? {
             deletes.extend((0..stored.info.parts).map(|number| part_key(id, number)));
-            deletes.extend((0..stored.segments).map(|number| segment_key(id, number)));
+            let segments = stored.segments.iter();
+            deletes.extend(segments.map(|segment| segment_key(id, segment.number)));
         }
         deletes.push(closed_key(id));
         for keys in deletes.chunks(MAX_PARTS) {
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -11,10 +11,13 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::clock::steady_unix_millis;
 use crate::edges::kv::KvError;
 use crate::edges::kv::LeaseId;
+use crate::jobs::changeover::PreviousOwner;
+use crate::jobs::changeover::Takeover;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::keeper::STORE_RETRY_DELAY;
 use crate::jobs::message::JobCall;
@@ -202,9 +205,20 @@
         match created.await {
             Ok(claim) => {
                 self.log_job(&spec.id, "accepted", spec.items.len(), 0);
-                self.shared.announcer.add(&spec.id);
-                self.with_table(|table| table.insert(spec.clone(), claim, Vec::new(), 0));
-                self.shared.work_available.notify_one();
+                self.log_claimed(
+                    &spec.id,
+                    &claim,
+                    &Takeover::submitted(),
+                    &PreviousOwner::Absent,
+                );
+                // By a late answer, another host may have the job, or this one since a scan.
+                if !self.is_claimed_after(&spec.id, &claim) {
+                    self.see_owner(&spec.id, &self.shared.identity, claim.version());
+                    self.shared.announcer.add(&spec.id);
+                    let now = Instant::now();
+                    self.with_table(|table| table.insert(spec.clone(), claim, Vec::new(), now));
+                    self.shared.work_available.notify_one();
+                }
                 StoreOutcome::Stored
             }
             Err(KvError::Conflict { .. }) => {
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -9,11 +9,14 @@
 use crate::balancer::ItemUrgency;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
+use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::ids::SoftwareVersion;
 use crate::jobs::estimator::DurationEstimator;
 use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::progress::ItemProgress;
+use crate::jobs::segments::ResultSegment;
+use crate::jobs::segments::SegmentLog;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
@@ -92,10 +95,11 @@
     spec: Arc<JobSpec>,
     claim: JobClaim,
     owned_items: Vec<OwnedItem>,
-    committed: Vec<JobResult>,
-    segments: usize,
+    /// Committed results.
+    log: SegmentLog,
     finished_since: Option<Instant>,
-    is_committing: bool,
+    /// The write whose answer is awaited.
+    write_in_flight: Option<WriteTicket>,
     commit_not_before: Option<Instant>,
     is_ending: bool,
     /// Whether another host may own the job by now, so that no item begins and no result is committed.
@@ -117,8 +121,38 @@
         self.finished_since = has_finished.then_some(now);
     }
 
+    /// Whether all items have committed results.
     fn is_complete(&self) -> bool {
-        self.committed.len() == self.owned_items.len()
+        let mut owned_items = self.owned_items.iter();
+        owned_items.all(|owned_item| owned_item.state == ItemState::Committed)
+    }
+
+    /// Adds segments that the key-value service holds.
+    fn apply_segments(&mut self, segments: Vec<ResultSegment>) {
+        let first_new = self.log.results().len();
+        for segment in segments {
+            self.log.apply(segment);
+        }
+        let items = self.spec.items.iter().enumerate();
+        let indices: HashMap<&str, usize> = items
+            .map(|(index, item)| (item.id.as_str(), index))
+            .collect();
+        for result in &self.log.results()[first_new..] {
+            if let Some(index) = indices.get(result.id.as_str()) {
+                let owned_item = &mut self.owned_items[*index];
+                owned_item.state = ItemState::Committed;
+                owned_item.result = None;
+                owned_item.progress = ItemProgress::default();
+            }
+        }
+    }
+
+    /// Replaces the claim by a newer one, or confirms it.
+    fn renew_claim(&mut self, claim: JobClaim) {
+        if claim.version() >= self.claim.version() {
+            self.claim = claim;
+            self.is_held = false;
+        }
     }
 
     /// Whether items that have not succeeded are given up.
@@ -139,6 +173,39 @@
         self.finished_since.get_or_insert(now);
     }
 
+    /// Uncommitted results that fit into one segment.
+    fn segment_results(&self) -> Vec<JobResult> {
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for owned_item in &self.owned_items {
+            if let (ItemState::Finished, Some(result)) = (owned_item.state, &owned_item.result) {
+                bytes += result.output.len();
+                if bytes > SEGMENT_BYTES && !results.is_empty() {
+                    break;
+                }
+                results.push(result.clone());
+            }
+        }
+        results
+    }
+
+    /// Whether the job is complete once `count` more items have committed results.
+    fn is_completed_by(&self, count: usize) -> bool {
+        let owned_items = self.owned_items.iter();
+        let open = owned_items.filter(|owned_item| owned_item.state != ItemState::Committed);
+        open.count() == count
+    }
+
+    /// Ends the write in flight if it has this ticket.
+    fn end_write(&mut self, ticket: WriteTicket) {
+        self.write_in_flight.take_if(|awaited| *awaited == ticket);
+    }
+
+    fn delay_commit(&mut self, now: Instant) {
+        self.restart_commit_delay(now);
+        self.commit_not_before = Some(now + COMMIT_RETRY_DELAY);
+    }
+
     fn select_routes(&mut self, routes: &RouteTable) {
         let items = self.spec.items.iter().zip(&mut self.owned_items);
         for (item, owned_item) in items {
@@ -188,14 +255,23 @@
     pub(crate) count: usize,
 }
 
-/// Results to write as one segment, based on the claim that was held when they were collected.
+/// Identifies one write among all of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct WriteTicket(u64);
+
+/// Results to write as one segment, based on the claim and the segments that were known when they were
+/// collected. Without results, a complete job that is only to be closed.
 #[derive(Clone, Debug)]
 pub(crate) struct SegmentWrite {
     pub(crate) job: String,
     pub(crate) claim: JobClaim,
     pub(crate) number: usize,
+    /// Version of the segment before; `None` for the first.
+    pub(crate) previous: Option<KvVersion>,
     pub(crate) results: Vec<JobResult>,
+    /// Whether all other items have committed results, so that the write closes the job.
     pub(crate) is_last: bool,
+    ticket: WriteTicket,
 }
 
 /// The jobs that this host owns, by identifier.
@@ -207,21 +283,26 @@
     routes: Arc<RouteTable>,
     /// Whether jobs are no longer added.
     is_closed: bool,
+    /// Number of writes so far.
+    writes: u64,
 }
 
 impl JobTable {
-    /// Adds a job of which the results `committed`, in `segments` segments, are committed already.
-    /// All other items wait to run. Does nothing once the table is closed.
+    /// Adds a job of which `segments` are committed already; all other items wait to run. A job that is
+    /// present is continued as by [`Self::renew`]. Does nothing once the table is closed.
     pub(crate) fn insert(
         &mut self,
         spec: Arc<JobSpec>,
         claim: JobClaim,
-        committed: Vec<JobResult>,
-        segments: usize,
+        segments: Vec<ResultSegment>,
+        now: Instant,
     ) {
         if self.is_closed {
             return;
         }
+        if self.owns(&spec.id) {
+            return self.renew(&spec.id, claim, segments, now);
+        }
         let owned_items = spec.items.iter().map(|_| OwnedItem {
             state: ItemState::Waiting,
             route: None,
@@ -235,10 +316,9 @@
         let mut job = OwnedJob {
             owned_items: owned_items.collect(),
             claim,
-            committed: Vec::new(),
-            segments,
+            log: SegmentLog::default(),
             finished_since: None,
-            is_committing: false,
+            write_in_flight: None,
             commit_not_before: None,
             is_ending: false,
             is_held: false,
@@ -246,10 +326,26 @@
             spec,
         };
         job.select_routes(&self.routes);
-        set_committed(&mut job, committed);
+        job.apply_segments(segments);
         self.jobs.insert(job.spec.id.clone(), job);
     }
 
+    /// Continues `job` under `claim`, unless it is held by a newer one, and adds `segments`. Does nothing
+    /// if it is not owned.
+    pub(crate) fn renew(
+        &mut self,
+        job: &str,
+        claim: JobClaim,
+        segments: Vec<ResultSegment>,
+        now: Instant,
+    ) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.renew_claim(claim);
+            job.apply_segments(segments);
+            job.restart_commit_delay(now);
+        }
+    }
+
     /// Adds no job from now on.
     pub(crate) fn close(&mut self) {
         self.is_closed = true;
@@ -320,14 +416,6 @@
         held.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Replaces the claim on `job`, as after claiming it again; does nothing if it is not owned.
-    pub(crate) fn set_claim(&mut self, job: &str, claim: JobClaim) {
-        if let Some(job) = self.jobs.get_mut(job) {
-            job.claim = claim;
-            job.is_held = false;
-        }
-    }
-
     /// The lease that the owner key of `job` is bound to; `None` if this host does not own the job
     /// or its claim has no lease.
     pub(crate) fn lease(&self, job: &str) -> Option<LeaseId> {
@@ -337,13 +425,20 @@
     /// Number of items of `job` and of its committed results; `None` if this host does not own it.
     pub fn result_counts(&self, job: &str) -> Option<(usize, usize)> {
         let job = self.jobs.get(job)?;
-        Some((job.owned_items.len(), job.committed.len()))
+        Some((job.owned_items.len(), job.log.results().len()))
     }
 
     /// Numbers of known segments of `job` and of its committed results; zero if this host does not own it.
     pub(crate) fn segment_counts(&self, job: &str) -> (usize, usize) {
         let job = self.jobs.get(job);
-        job.map_or((0, 0), |job| (job.segments, job.committed.len()))
+        job.map_or((0, 0), |job| {
+            (job.log.next_number(), job.log.results().len())
+        })
+    }
+
+    /// Number of stored results of `job` that are left out, as their items have one before.
+    pub(crate) fn repeated_results(&self, job: &str) -> usize {
+        self.jobs.get(job).map_or(0, |job| job.log.repeated())
     }
 
     /// Specification of `job` with all items; `None` if this host does not own it.
@@ -644,87 +739,87 @@
             .count()
     }
 
-    /// Collects the segments to write now and marks their jobs as committing. A job has at most one
-    /// segment write in flight, as segment numbers follow each other.
+    /// Collects the segments to write now. A job has at most one write in flight, as segment numbers
+    /// follow each other.
     pub(crate) fn take_due_segments(&mut self, now: Instant, now_ms: u64) -> Vec<SegmentWrite> {
         let mut segment_writes = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.is_committing || !job.is_active() || !is_commit_due(job, now, now_ms) {
+            let is_writing = job.write_in_flight.is_some();
+            if is_writing || !job.is_active() || !is_commit_due(job, now, now_ms) {
                 continue;
             }
-            job.is_committing = true;
+            self.writes += 1;
+            let ticket = WriteTicket(self.writes);
+            job.write_in_flight = Some(ticket);
             job.finished_since = None;
-            let mut results = Vec::new();
-            let mut bytes = 0;
-            for owned_item in &job.owned_items {
-                if let (ItemState::Finished, Some(result)) = (owned_item.state, &owned_item.result)
-                {
-                    bytes += result.output.len();
-                    if bytes > SEGMENT_BYTES && !results.is_empty() {
-                        break;
-                    }
-                    results.push(result.clone());
-                }
-            }
+            let results = job.segment_results();
             segment_writes.push(SegmentWrite {
                 job: id.clone(),
                 claim: job.claim.clone(),
-                number: job.segments,
-                is_last: job.committed.len() + results.len() == job.owned_items.len(),
+                number: job.log.next_number(),
+                previous: job.log.last_version(),
+                is_last: job.is_completed_by(results.len()),
                 results,
+                ticket,
             });
         }
         segment_writes
     }
 
-    /// Records that a segment was written; returns whether all results of the job are committed.
-    pub(crate) fn segment_written(&mut self, segment_write: &SegmentWrite, now: Instant) -> bool {
+    /// Records that a segment was written with `version`. The job may have been read again since, with or
+    /// without the segment.
+    pub(crate) fn segment_written(
+        &mut self,
+        segment_write: &SegmentWrite,
+        version: KvVersion,
+        now: Instant,
+    ) {
         let Some(job) = self.jobs.get_mut(&segment_write.job) else {
-            return false;
+            return;
         };
-        job.is_committing = false;
-        job.segments = segment_write.number + 1;
-        let mut committed = std::mem::take(&mut job.committed);
-        committed.extend(segment_write.results.iter().cloned());
-        set_committed(job, committed);
+        job.end_write(segment_write.ticket);
+        job.apply_segments(vec![ResultSegment {
+            number: segment_write.number,
+            version,
+            results: segment_write.results.clone(),
+        }]);
         job.restart_commit_delay(now);
-        job.is_complete()
     }
 
     /// Records that a segment may not have been written; its results are committed again after
     /// `COMMIT_RETRY_DELAY`.
-    pub(crate) fn segment_failed(&mut self, job: &str, now: Instant) {
+    pub(crate) fn segment_failed(&mut self, segment_write: &SegmentWrite, now: Instant) {
+        if let Some(job) = self.jobs.get_mut(&segment_write.job) {
+            job.end_write(segment_write.ticket);
+            job.delay_commit(now);
+        }
+    }
+
+    /// Commits no result of `job` for `COMMIT_RETRY_DELAY`, as it could not be read.
+    pub(crate) fn delay_commit(&mut self, job: &str, now: Instant) {
         if let Some(job) = self.jobs.get_mut(job) {
-            job.is_committing = false;
-            job.finished_since = Some(now);
-            job.commit_not_before = Some(now + COMMIT_RETRY_DELAY);
+            job.delay_commit(now);
         }
     }
 
-    /// Replaces the committed results of `job` by those that the key-value service holds; returns
-    /// whether all results of the job are committed.
-    pub(crate) fn replace_committed(
-        &mut self,
-        job: &str,
-        committed: Vec<JobResult>,
-        segments: usize,
-        now: Instant,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(job) else {
-            return false;
-        };
-        job.is_committing = false;
-        job.segments = segments;
-        set_committed(job, committed);
-        job.restart_commit_delay(now);
-        job.is_complete()
+    /// Adds segments of `job` that the key-value service holds.
+    pub(crate) fn apply_segments(&mut self, job: &str, segments: Vec<ResultSegment>, now: Instant) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.apply_segments(segments);
+            job.restart_commit_delay(now);
+        }
+    }
+
+    /// Whether all items of `job` have committed results; false if this host does not own it.
+    pub(crate) fn is_complete(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(OwnedJob::is_complete)
     }
 
     /// One page of committed results of `job` from position `after`; `None` if this host does not
     /// own it.
     pub(crate) fn page(&self, job: &str, after: usize) -> Option<ResultPage> {
         let job = self.jobs.get(job)?;
-        Some(page_of(&job.committed, job.owned_items.len(), after))
+        Some(page_of(job.log.results(), job.owned_items.len(), after))
     }
 
     fn owned_item(&mut self, job: &str, index: usize) -> Option<&mut OwnedItem> {
@@ -774,6 +869,10 @@
     if job.commit_not_before.is_some_and(|at| now < at) {
         return false;
     }
+    // Complete and not dropped: the job is still open.
+    if job.is_complete() {
+        return true;
+    }
     let Some(since) = job.finished_since else {
         return false;
     };
@@ -793,22 +892,3 @@
     };
     !has_open || now - since >= delay
 }
-
-fn set_committed(job: &mut OwnedJob, committed: Vec<JobResult>) {
-    let indices: HashMap<&str, usize> = job
-        .spec
-        .items
-        .iter()
-        .enumerate()
-        .map(|(index, item)| (item.id.as_str(), index))
-        .collect();
-    for result in &committed {
-        if let Some(index) = indices.get(result.id.as_str()) {
-            let owned_item = &mut job.owned_items[*index];
-            owned_item.state = ItemState::Committed;
-            owned_item.result = None;
-            owned_item.progress = ItemProgress::default();
-        }
-    }
-    job.committed = committed;
-}
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -27,6 +27,8 @@
     "conviction_tested",
     "subject_released",
 ];
+/// Writes to a job that changed its owner or its results, or closed it.
+const JOB_WRITES: [&str; 2] = ["job_claimed", "segment_written"];
 /// Outcome of a request whose caller got the whole answer.
 const SERVED_OUTCOME: &str = "served";
 
@@ -195,6 +197,17 @@
         self.lines.iter().filter(is_relevant).collect()
     }
 
+    /// Lines about the writes that gave `job` an owner or a segment, or closed it, in the order in which the
+    /// key-value service executed them. A write whose answer was lost has no line.
+    pub fn job_writes(&self, job: &str) -> Vec<&TraceLine> {
+        let is_write = |line: &&TraceLine| {
+            JOB_WRITES.contains(&line.event.as_str()) && line.text("job") == Some(job)
+        };
+        let mut writes: Vec<&TraceLine> = self.lines.iter().filter(is_write).collect();
+        writes.sort_by_key(|line| line.number("version"));
+        writes
+    }
+
     /// The `count` requests with the worst ends: unserved ones first, then the slowest. Requests
     /// and items that were running when their host's process ended count as cut off; requests
     /// without a logged end are left out.
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -230,6 +230,31 @@
     assert!(trace.events_about("j2").is_empty());
 }
 
+/// Writes to a job come out in the store's order, though answers are late and clocks differ.
+#[test]
+fn test_trace_lists_writes_of_a_job_in_the_order_of_the_store() {
+    let claimed = |version: u64| format!(",\"job\":\"j1\",\"version\":{version}");
+    let written = |segment: usize, version: u64| {
+        format!(",\"job\":\"j1\",\"segment\":{segment},\"version\":{version}")
+    };
+    let lines = [
+        line("host-a", 1_000, "job_claimed", &claimed(4)),
+        line("host-b", 2_000, "job_claimed", &claimed(9)),
+        line("host-b", 3_000, "segment_written", &written(1, 10)),
+        line("host-a", 4_000, "segment_written", &written(0, 7)),
+        line(
+            "host-a",
+            4_100,
+            "job_claimed",
+            ",\"job\":\"j2\",\"version\":8",
+        ),
+    ];
+    let trace = EventTrace::read(lines.iter().map(String::as_str));
+    let writes = trace.job_writes("j1").into_iter();
+    let versions: Vec<Option<u64>> = writes.map(|line| line.number("version")).collect();
+    assert_eq!(versions, [4, 7, 9, 10].map(Some));
+}
+
 #[test]
 fn test_trace_lists_worst_with_reasons() {
     let ended = |id: &str, outcome: &str, total: u64| {
