--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -36,3 +36,25 @@
     assert_complete(&fleet.transport, &page);
     assert!(fleet.kv.value("open/j1").is_none(), "the job is closed");
 }
+
+/// Guards against a job that begins anew at its own host: the answer to its creation comes when the host runs
+/// it already, as a scan has found it.
+#[tokio::test(start_paused = true)]
+async fn test_late_answer_to_a_creation_replaces_nothing() {
+    let mut fleet = JobFleet::new();
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    link.set_next_commit(CommitFault::AnswersAfter(Duration::from_secs(6)));
+    let submission = {
+        let keeper = host.keeper.clone();
+        tokio::spawn(async move { keeper.submit(job("j1", ITEMS)).await })
+    };
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let page = read_all(&host, "j1").await;
+    assert_eq!(submission.await.unwrap(), SubmitOutcome::Accepted);
+    assert_complete(&fleet.transport, &page);
+    for number in 0..ITEMS {
+        let runs = fleet.transport.runs(&format!("j1-{number}"));
+        assert_eq!(runs.len(), 1, "{runs:?}");
+    }
+}
