jobs: a host that is asked to give a job up tells of the owner that it knows

Cause: the reply told no difference between a host that does not have the job and one that has it by a later claim, and nothing told the later claimant of one in between.

Change: the called host replies with the latest owner that it knows, itself or another. A later one keeps the caller from running anything (`claimed_later`); an earlier one is asked in turn, four at most.

Left: two claimants whose first owner can't be reached, of which the earlier one's answer is slow, don't hear of one another before a scan.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -373,8 +373,8 @@
         from: Option<String>,
         /// Incarnation of that host's process.
         from_incarnation: Option<u64>,
-        /// What that process did: `stopped`, `not_owner`, `not_reached` or `unanswered`; `absent` if it
-        /// was not asked.
+        /// What that process did: `stopped`, `not_owner`, `claimed_later`, `not_reached` or `unanswered`;
+        /// `absent` if it was not asked.
         previous: String,
     },
     /// The owner of a job has changed again and again in the last minute. Logged at most once a minute by
--- a/lib/src/jobs/changeover.rs
+++ b/lib/src/jobs/changeover.rs
@@ -14,14 +14,18 @@
 use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
+use crate::jobs::message::KnownOwner;
 use crate::jobs::running::StopReason;
 use crate::jobs::store::JobClaim;
 use crate::jobs::store::JobOwner;
 use crate::peers::PeerError;
+use crate::registry::HostEntry;
 
 /// Longest wait for the owner before to give a job up; longer than it waits for its items.
 const GIVE_UP_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Most owners that one claim asks to give a job up.
+const MAX_ASKED_OWNERS: usize = 4;
 /// Longest wait for stopped items to return their partial output.
 const STOP_TIMEOUT: Duration = Duration::from_millis(200);
 /// Polling interval of that wait.
@@ -74,6 +78,8 @@
     Stopped(GivenUpJob),
     /// It does not have the job.
     NotOwner,
+    /// It has the job by a later claim, or knows of one, so that this host does not have it any more.
+    ClaimedLater,
     /// No connection to it could be opened.
     NotReached,
     /// It may be at work on the job: it did not answer in time, or does not know the call, as a host of an
@@ -81,8 +87,30 @@
     Unanswered,
 }
 
+impl PreviousOwner {
+    /// The outcome for several owners that were asked one after the other: what one of them handed over,
+    /// and otherwise the one that leaves the most doubt.
+    fn and(self, later: Self) -> Self {
+        match (self, later) {
+            (Self::Stopped(mut one), Self::Stopped(other)) => {
+                one.progress.extend(other.progress);
+                one.results.extend(other.results);
+                Self::Stopped(one)
+            }
+            (Self::Unanswered, _) | (_, Self::Unanswered) => Self::Unanswered,
+            (one @ Self::Stopped(_), _) => one,
+            (one @ Self::NotReached, Self::NotOwner) => one,
+            (_, later) => later,
+        }
+    }
+}
+
 impl JobKeeper {
     /// Has the owner before stop the items of a job that this host has claimed, and waits until it has.
+    ///
+    /// A host may have claimed the job and lost it again between the owner that this host has seen and this
+    /// one, or after this one, while the answer to the claim was on its way. The host that is asked tells of
+    /// it, and the other one is asked in turn.
     pub(super) async fn displace(
         &self,
         job: &str,
@@ -91,25 +119,63 @@
     ) -> PreviousOwner {
         let own = &self.shared.identity;
         let is_asked = |owner: &&JobOwner| *owner != own && owner.peers != own.peers;
-        let entry = match takeover.reason {
+        let mut next = match takeover.reason {
             ClaimReason::HandedOver => None,
-            _ => takeover.previous.as_ref().filter(is_asked),
+            _ => takeover.previous.as_ref().filter(is_asked).cloned(),
         };
-        let Some(entry) = entry.and_then(JobOwner::entry) else {
-            return PreviousOwner::Absent;
+        let mut asked: Vec<JobOwner> = Vec::new();
+        let mut outcome = PreviousOwner::Absent;
+        while let Some(owner) = next.take().filter(|_| asked.len() < MAX_ASKED_OWNERS) {
+            let (answer, known) = self.ask_to_give_up(job, claim, &owner).await;
+            asked.push(owner);
+            outcome = outcome.and(answer);
+            if let Some((known, version)) = known {
+                self.see_owner(job, &known, version);
+                if version > claim.version() {
+                    return PreviousOwner::ClaimedLater;
+                }
+                next = Some(known).filter(|known| is_asked(&known) && !asked.contains(known));
+            }
+        }
+        outcome
+    }
+
+    /// Asks one host to stop the items of a job that this host has claimed. Also returns the other owner
+    /// that it tells of.
+    async fn ask_to_give_up(
+        &self,
+        job: &str,
+        claim: &JobClaim,
+        owner: &JobOwner,
+    ) -> (PreviousOwner, Option<(JobOwner, KvVersion)>) {
+        let Some(entry) = owner.entry().or_else(|| self.listed_entry(owner)) else {
+            return (PreviousOwner::Absent, None);
         };
+        let own = &self.shared.identity;
         let call = JobCall::GiveUp {
             job: job.to_owned(),
             owner_version: claim.version().0,
             host: own.host.clone(),
             incarnation: own.incarnation,
         };
-        match self.shared.peers.call(&entry, call, GIVE_UP_TIMEOUT).await {
+        let answer = match self.shared.peers.call(&entry, call, GIVE_UP_TIMEOUT).await {
             Ok(JobReply::GivenUp(given_up)) => PreviousOwner::Stopped(given_up),
             Ok(JobReply::NotOwner) => PreviousOwner::NotOwner,
+            Ok(JobReply::OwnedBy(known)) => {
+                let version = KvVersion(known.version);
+                return (PreviousOwner::NotOwner, Some((known.into(), version)));
+            }
             Err(PeerError::Refused(_) | PeerError::NotSent(_)) => PreviousOwner::NotReached,
             Ok(_) | Err(PeerError::NoReply(_)) => PreviousOwner::Unanswered,
-        }
+        };
+        (answer, None)
+    }
+
+    /// The registered entry of an owner's process; `None` if it is not or no longer registered.
+    fn listed_entry(&self, owner: &JobOwner) -> Option<HostEntry> {
+        let registry = &self.shared.registry;
+        let entry = registry.with_list(|list| list.get(&owner.host).cloned());
+        entry.filter(|entry| entry.incarnation == owner.incarnation)
     }
 
     /// Records the owner of a job at a version of its owner key, and logs a job whose owner changes again
@@ -148,25 +214,22 @@
     }
 
     /// Answers a host that has claimed a job with the owner key at `version`: stops the job's items if
-    /// the claim of this host is an earlier one, and returns what they have got so far. `None` if this
-    /// host does not have the job, or by a later claim.
-    pub(super) async fn give_up(
-        &self,
-        job: &str,
-        version: KvVersion,
-        to: JobOwner,
-    ) -> Option<GivenUpJob> {
+    /// the claim of this host is an earlier one, and returns what they have got so far. Tells of another owner
+    /// if this host does not have the job, or by a later claim.
+    pub(super) async fn give_up(&self, job: &str, version: KvVersion, to: JobOwner) -> JobReply {
+        let known = self.known_owner(job, &to);
         // Also keeps a claim that is being loaded from beginning the job's items.
         self.see_owner(job, &to, version);
+        let not_owner = || known.clone().map_or(JobReply::NotOwner, JobReply::OwnedBy);
         if !self.is_claim_before(job, version) {
-            return None;
+            return not_owner();
         }
         self.with_table(|table| table.hold(job));
         let items = self.with_table(|table| table.running_items(job));
         self.shared.running.stop_job(job, StopReason::GivenUp);
         self.wait_for_stopped_items(Some(job)).await;
         if !self.is_claim_before(job, version) {
-            return None;
+            return not_owner();
         }
         let given_up = self.with_table(|table| GivenUpJob {
             progress: table.checkpoints(job),
@@ -181,7 +244,23 @@
             items,
         });
         self.drop_job(job, "claimed_elsewhere");
-        Some(given_up)
+        JobReply::GivenUp(given_up)
+    }
+
+    /// The latest owner of `job` that this host knows: itself while it has the job, and otherwise the last
+    /// one that it has seen. `None` if that is `caller`.
+    fn known_owner(&self, job: &str, caller: &JobOwner) -> Option<KnownOwner> {
+        let claim = self.with_table(|table| table.claim(job));
+        let own = claim.map(|claim| (self.shared.identity.clone(), claim.version()));
+        let (owner, version) = own.or_else(|| self.shared.owners.latest(job))?;
+        let is_caller = owner.host == caller.host && owner.incarnation == caller.incarnation;
+        (!is_caller).then_some(KnownOwner {
+            host: owner.host,
+            incarnation: owner.incarnation,
+            process: owner.process,
+            peers: owner.peers,
+            version: version.0,
+        })
     }
 
     fn is_claim_before(&self, job: &str, version: KvVersion) -> bool {
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -378,10 +378,7 @@
                     process: 0,
                     peers: None,
                 };
-                match self.give_up(&job, KvVersion(owner_version), to).await {
-                    Some(given_up) => JobReply::GivenUp(given_up),
-                    None => JobReply::NotOwner,
-                }
+                self.give_up(&job, KvVersion(owner_version), to).await
             }
             JobCall::Submit { spec } => self.answer_submission(spec).await,
             JobCall::End { job } => {
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -1,6 +1,7 @@
 //! Messages that hosts exchange about jobs: submitting, reading, handing over, displacing and ending
 //! them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -43,6 +44,21 @@
     pub results: Vec<JobResult>,
 }
 
+/// Owner of a job that a host knows, by a claim of its own or as it has seen it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownOwner {
+    /// Name of the host.
+    pub host: String,
+    /// Incarnation of the host's process.
+    pub incarnation: u64,
+    /// Random number of the process.
+    pub process: u64,
+    /// Address of the host for other hosts, if that is known.
+    pub peers: Option<SocketAddr>,
+    /// Version of the owner key by which it owns or owned the job.
+    pub version: u64,
+}
+
 /// A call to another host about a job, mostly to the job's owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum JobCall {
@@ -114,6 +130,9 @@
     GivenUp(GivenUpJob),
     /// The called host does not own the job, or did not take the offered one.
     NotOwner,
+    /// The called host does not have the job by an earlier claim than the caller's, and knows another
+    /// owner of it: a later one, or one before the caller.
+    OwnedBy(KnownOwner),
     /// The called host could not determine the outcome, as the key-value service did not answer.
     Unsure,
 }
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -35,6 +35,7 @@
 pub use message::JobCall;
 pub use message::JobPeerClient;
 pub use message::JobReply;
+pub use message::KnownOwner;
 pub use read::BodyOutcome;
 pub use read::ReadOutcome;
 pub use spec::JobItem;
--- a/lib/src/jobs/owners.rs
+++ b/lib/src/jobs/owners.rs
@@ -146,6 +146,13 @@
         self.lock().contains_key(job)
     }
 
+    /// The last seen owner of `job` and the version of its key, if that is known.
+    pub(super) fn latest(&self, job: &str) -> Option<(JobOwner, KvVersion)> {
+        let jobs = self.lock();
+        let known = jobs.get(job)?;
+        Some((known.written.clone()?, known.version))
+    }
+
     /// Version of the last seen owner key.
     pub(super) fn version(&self, job: &str) -> Option<KvVersion> {
         self.lock().get(job).map(|known| known.version)
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -30,6 +30,7 @@
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
+use crate::jobs::message::KnownOwner;
 use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
@@ -75,6 +76,17 @@
     }
 }
 
+impl From<KnownOwner> for JobOwner {
+    fn from(known: KnownOwner) -> Self {
+        Self {
+            host: known.host,
+            incarnation: known.incarnation,
+            process: known.process,
+            peers: known.peers,
+        }
+    }
+}
+
 impl JobOwner {
     fn process_id(&self) -> HostProcess {
         HostProcess {
--- a/lib/tests/job_plays/mod.rs
+++ b/lib/tests/job_plays/mod.rs
@@ -43,6 +43,8 @@
 pub(crate) struct JobPlay {
     pub(crate) hosts: usize,
     pub(crate) items: usize,
+    /// Gap between two events of an item.
+    pub(crate) gap: Duration,
     pub(crate) calls: SlowCalls,
     pub(crate) deletes_owner: bool,
 }
@@ -106,7 +108,7 @@
     /// Plays with delays and deletions drawn from `seed`.
     pub(crate) async fn run(&self, seed: u64) -> PlayFindings {
         let mut random = StdRng::seed_from_u64(seed);
-        let mut fleet = JobFleet::new();
+        let mut fleet = JobFleet::with_gap(self.gap);
         let mut hosts = Vec::new();
         for number in 0..self.hosts {
             let kv = SlowKv::new(fleet.kv.clone(), self.calls, random.random());
--- a/lib/tests/test_job_changeover.rs
+++ b/lib/tests/test_job_changeover.rs
@@ -17,6 +17,7 @@
 use parsleywall::edges::kv::KvStore;
 use parsleywall::jobs::EndOutcome;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall_standins::kv_link::CommitFault;
 use parsleywall_standins::opaque::OpaqueBehaviour;
 use tokio::time::Instant;
 
@@ -502,3 +503,61 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert_eq!(running(&fleet), begun, "the items go on");
 }
+
+/// Waits until `job` has an owner key, and returns the name of the host in it.
+async fn wait_for_owner(fleet: &JobFleet, job: &str, hosts: &[&str]) -> usize {
+    let key = format!("open/{job}/owner");
+    for _ in 0..1_000 {
+        if let Some(value) = fleet.kv.value(&key) {
+            let text = String::from_utf8_lossy(&value).into_owned();
+            return hosts.iter().position(|name| text.contains(name)).unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("nobody claims the job");
+}
+
+/// Plays a claim whose answer takes `first`, after which the job is claimed by another host, whose answer
+/// takes `second`. Returns the longest time for which two runs of one item were beside one another.
+async fn play_two_claims(first: Duration, second: Duration) -> Duration {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host_a, link_a) = fleet.linked_host("host-a").await;
+    let (_host_b, link_b) = fleet.linked_host("host-b").await;
+    let (_host_c, link_c) = fleet.linked_host("host-c").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    submit(&host_a, "j1", 10).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let links = [&link_b, &link_c];
+    for link in links {
+        link.set_next_commit(CommitFault::AnswersAfter(first));
+    }
+    link_a.set_cut(true);
+    delete_owner(&fleet, "j1").await;
+    let claimer = wait_for_owner(&fleet, "j1", &["host-b", "host-c"]).await;
+    links[1 - claimer].set_next_commit(CommitFault::AnswersAfter(second));
+    delete_owner(&fleet, "j1").await;
+    assert_eq!(
+        wait_for_owner(&fleet, "j1", &["host-b", "host-c"]).await,
+        1 - claimer
+    );
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let ids = (0..10).map(|number| format!("j1-{number}"));
+    let overlaps = ids.map(|id| fleet.transport.longest_overlap(&id));
+    overlaps.max().unwrap()
+}
+
+/// Guards against an item that runs at two upstreams: the answer to a claim comes after another host has
+/// claimed the job and runs it.
+#[tokio::test(start_paused = true)]
+async fn test_claim_that_is_answered_after_a_later_one_runs_nothing() {
+    let overlap = play_two_claims(Duration::from_secs(6), Duration::ZERO).await;
+    assert_eq!(overlap, Duration::ZERO);
+}
+
+/// The same, when the later claim is answered after the earlier one has had the first owner stop.
+#[tokio::test(start_paused = true)]
+async fn test_later_claim_has_the_earlier_one_stop() {
+    let second = Duration::from_secs(6);
+    let overlap = play_two_claims(Duration::from_millis(500), second).await;
+    assert_eq!(overlap, Duration::ZERO);
+}
--- a/lib/tests/test_job_plays.rs
+++ b/lib/tests/test_job_plays.rs
@@ -18,6 +18,10 @@
 /// Number of items of the job, for which one host of the fleet needs several segments.
 const ITEMS: usize = 40;
 const SEGMENTS: &str = "/seg/";
+/// Gap between events with which an item runs for a second.
+const SHORT_GAP: Duration = Duration::from_millis(20);
+/// Gap between events with which an item runs for 10 s.
+const LONG_GAP: Duration = Duration::from_millis(200);
 
 fn number_from_env(name: &str, default: u64) -> u64 {
     let named = std::env::var(name).ok();
@@ -25,12 +29,16 @@
 }
 
 fn play_all(hosts: usize, calls: SlowCalls, deletes_owner: bool) {
-    let play = JobPlay {
+    play_seeds(JobPlay {
         hosts,
         items: ITEMS,
+        gap: SHORT_GAP,
         calls,
         deletes_owner,
-    };
+    });
+}
+
+fn play_seeds(play: JobPlay) {
     let mut broken = Vec::new();
     let first = number_from_env("PLAY_FIRST_SEED", 1);
     let played = number_from_env("PLAY_SEEDS", DEFAULT_SEEDS);
@@ -42,7 +50,7 @@
             .unwrap();
         let findings = runtime.block_on(play.run(seed));
         if !findings.is_empty() {
-            println!("{hosts} hosts, {calls:?}, seed {seed}: {findings:?}");
+            println!("{play:?}, seed {seed}: {findings:?}");
             broken.push(seed);
         }
     }
@@ -89,3 +97,16 @@
         play_all(hosts, SlowCalls::FaultyCommits, false);
     }
 }
+
+#[test]
+fn test_plays_long_items_of_which_no_two_runs_overlap() {
+    for most_ms in [75, 350] {
+        play_seeds(JobPlay {
+            hosts: 3,
+            items: ITEMS,
+            gap: LONG_GAP,
+            calls: SlowCalls::All(Duration::from_millis(most_ms)),
+            deletes_owner: true,
+        });
+    }
+}
