jobs: a claim is announced once the job is here

An announcement has no version, so that others took that host for the owner of the later one, and the next claimant asked it instead of the host at work. It is made now after the job was inserted.

--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -324,7 +324,6 @@
     /// that it does not run, and loads it again.
     async fn load(&self, id: &str, claim: JobClaim, takeover: Takeover) {
         self.see_owner(id, &self.shared.identity, claim.version());
-        self.shared.announcer.add(id);
         let is_known = self.with_table(|table| table.owns(id));
         let read = self.read_claimed(id, is_known);
         let (takeover, previous, stored) = match takeover.previous {
@@ -359,6 +358,7 @@
         if !self.adopt(id, spec, claim, stored, given_up).await {
             return;
         }
+        self.shared.announcer.add(id);
         if is_doubtful {
             let until = Instant::now() + RUN_TIMEOUT;
             self.with_table(|table| table.set_doubtful(id, until));
