batch: a segment is added to the run that asked for it only

Cause: the read of a segment of a job's input is applied to whichever run of the job the host has when the answer comes. A host that lost a job while it read a segment, and has claimed it again since, adds that segment in place of the first one: lines run under the numbers of other items, and a job of one segment panics at the second answer under the coordinator's lock.

Change: a read names the epoch of the claim that it was made for; its answer is dropped if the host has another run by then.

Measured: test_late_segment_of_a_former_claim_is_not_added failed before (without the comparison of epochs): left: [(0, "line 2"), (1, "line 3"), (2, "line 0"), (3, "line 1")] right: [(0, "line 0"), (1, "line 1"), (2, "line 2"), (3, "line 3")] and passes now.

--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -125,7 +125,7 @@
 }
 
 impl CoordinatorState {
-    fn new(host: HostId) -> Self {
+    pub(crate) fn new(host: HostId) -> Self {
         Self {
             host,
             runs: HashMap::default(),
@@ -137,6 +137,39 @@
             virtual_clock: VirtualClock::default(),
         }
     }
+
+    /// Adds the run of a job whose claim this process has written.
+    pub(crate) fn insert_run(&mut self, run: JobRun) {
+        let id = run.record().id.clone();
+        let known = KnownJob::new(run.announcement());
+        self.runs.insert(id.clone(), run);
+        self.open_jobs.insert(id, known);
+    }
+
+    /// The run of the claim with `epoch` on `job`, if this host still has it. An answer to a call that one
+    /// run has made doesn't concern a later run of the same job.
+    pub(crate) fn run_of(&mut self, job: &JobId, epoch: u64) -> Option<&mut JobRun> {
+        let run = self.runs.get_mut(job);
+        run.filter(|run| run.claim().epoch == epoch)
+    }
+
+    /// Applies the answer to `load`; `None` if it failed.
+    pub(crate) fn finish_load(&mut self, load: &SegmentLoad, content: Option<&[u8]>) {
+        let Some(run) = self.run_of(&load.record.id, load.epoch) else {
+            return;
+        };
+        match content {
+            Some(content) => run.add_segment(content),
+            None => run.abandon_segment_load(),
+        }
+    }
+}
+
+/// A read of one segment of a job's input, for the run of one claim.
+pub(crate) struct SegmentLoad {
+    pub(crate) record: JobRecord,
+    pub(crate) epoch: u64,
+    pub(crate) number: u32,
 }
 
 /// Components of the host that batch processing uses.
@@ -328,12 +361,7 @@
         }
         let announcement = run.announcement();
         let detail = format!("claimed with epoch {}", announcement.epoch);
-        let mut state = self.lock();
-        state.runs.insert(id.clone(), run);
-        state
-            .open_jobs
-            .insert(id.clone(), KnownJob::new(announcement.clone()));
-        drop(state);
+        self.lock().insert_run(run);
         self.dependencies
             .counters
             .event(CounterEvent::SegmentClaimed);
@@ -447,27 +475,25 @@
             return Vec::new();
         };
         let items = run.dispatch(host, max);
-        let segment = run
-            .begin_segment_load()
-            .map(|number| (number, run.record().clone()));
+        let load = run.begin_segment_load().map(|number| SegmentLoad {
+            record: run.record().clone(),
+            epoch: run.claim().epoch,
+            number,
+        });
         drop(state);
-        if let Some((number, record)) = segment {
-            tokio::spawn(self.clone().load_segment(record, number));
+        if let Some(load) = load {
+            tokio::spawn(self.clone().load_segment(load));
         }
         items
     }
 
-    async fn load_segment(self: Arc<Self>, record: JobRecord, number: u32) {
-        let content = self.dependencies.store.segment(&record, number).await;
+    async fn load_segment(self: Arc<Self>, load: SegmentLoad) {
+        let store = &self.dependencies.store;
+        let content = store.segment(&load.record, load.number).await;
         if content.is_err() {
             tokio::time::sleep(ANNOUNCEMENT_TIMEOUT).await;
         }
-        if let Some(run) = self.lock().runs.get_mut(&record.id) {
-            match content {
-                Ok(content) => run.add_segment(&content),
-                Err(_) => run.abandon_segment_load(),
-            }
-        }
+        self.lock().finish_load(&load, content.ok().as_deref());
         self.worker_wakeup.notify_one();
     }
 
--- a/lib/src/batch/mod.rs
+++ b/lib/src/batch/mod.rs
@@ -22,6 +22,8 @@
 mod store;
 mod stored;
 mod sweeper;
+#[cfg(test)]
+mod tests;
 mod tracker;
 mod worker;
 
--- /dev/null
+++ b/lib/src/batch/tests.rs
@@ -0,0 +1,135 @@
+//! What an owner's memory becomes when answers come late, or in another order than their calls.
+
+use std::collections::BTreeMap;
+
+use crate::batch::coordinator::CoordinatorState;
+use crate::batch::coordinator::SegmentLoad;
+use crate::batch::item_set::ItemSet;
+use crate::batch::ledger::JOB_FORMAT;
+use crate::batch::ledger::JobHolder;
+use crate::batch::ledger::JobRecord;
+use crate::batch::ledger::SegmentRef;
+use crate::batch::message::WorkItem;
+use crate::batch::object::JobRequest;
+use crate::batch::object::JobState;
+use crate::batch::object::RequestCounts;
+use crate::batch::run::JobRun;
+use crate::batch::store::VersionedJob;
+use crate::edges::engine::Endpoint;
+use crate::edges::kv::KvVersion;
+use crate::ids::FileId;
+use crate::ids::HostId;
+use crate::ids::JobId;
+use crate::ids::WorkspaceName;
+
+/// Items of each of the two segments of a job.
+const SEGMENT_ITEMS: u64 = 2;
+
+fn own_host() -> HostId {
+    HostId::new("host-0")
+}
+
+fn job_id() -> JobId {
+    JobId::new("batch_1")
+}
+
+/// A job of two segments that nobody has claimed.
+fn open_job() -> JobRecord {
+    let segment = SegmentRef {
+        items: SEGMENT_ITEMS,
+        bytes: 100,
+    };
+    JobRecord {
+        format: JOB_FORMAT,
+        id: job_id(),
+        workspace: WorkspaceName::new("workspace"),
+        request: JobRequest {
+            input_file_id: FileId::new("file_1"),
+            endpoint: Endpoint::Chat,
+            completion_window: "24h".to_owned(),
+            metadata: BTreeMap::new(),
+        },
+        fingerprint: String::new(),
+        created_ms: 0,
+        expires_ms: 24 * 3600 * 1000,
+        open_ms: 0,
+        ended_ms: None,
+        state: JobState::InProgress,
+        claim: None,
+        epoch: 0,
+        writes: 0,
+        segments: vec![segment; 2],
+        inline_input: false,
+        counts: RequestCounts {
+            total: 2 * SEGMENT_ITEMS,
+            completed: 0,
+            failed: 0,
+        },
+        output_bytes: 0,
+        error_bytes: 0,
+        done: ItemSet::new(),
+        packs: Vec::new(),
+        attempts: BTreeMap::new(),
+        faults: Vec::new(),
+    }
+}
+
+/// Claims `record` for this host, as version `version`, and returns the run.
+fn claim(record: &mut JobRecord, version: u64) -> (JobRun, JobHolder) {
+    let holder = record.claim(&own_host(), 1).unwrap();
+    let job = VersionedJob {
+        record: record.clone(),
+        version: KvVersion(version),
+    };
+    (JobRun::new(job, holder.clone()), holder)
+}
+
+/// Content of the segment `number`: lines that name their items.
+fn segment_content(number: u64) -> Vec<u8> {
+    let first = number * SEGMENT_ITEMS;
+    let lines = (first..first + SEGMENT_ITEMS).map(|item| format!("line {item}\n"));
+    lines.collect::<String>().into_bytes()
+}
+
+/// Begins to load the next segment; `None` if the run believes that it has all.
+fn begin_load(state: &mut CoordinatorState) -> Option<SegmentLoad> {
+    let run = state.runs.get_mut(&job_id()).unwrap();
+    Some(SegmentLoad {
+        number: run.begin_segment_load()?,
+        record: run.record().clone(),
+        epoch: run.claim().epoch,
+    })
+}
+
+/// A job that this host lost to another one while it read a segment, and has claimed again since.
+#[tokio::test(start_paused = true)]
+async fn test_late_segment_of_a_former_claim_is_not_added() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (run, _) = claim(&mut record, 1);
+    state.insert_run(run);
+    let first = begin_load(&mut state).unwrap();
+    state.finish_load(&first, Some(&segment_content(0)));
+    let late = begin_load(&mut state).unwrap();
+
+    record.claim(&HostId::new("host-1"), 2).unwrap();
+    state.runs.remove(&job_id());
+    let (run, _) = claim(&mut record, 3);
+    state.insert_run(run);
+    let load = begin_load(&mut state).unwrap();
+    state.finish_load(&late, Some(&segment_content(1)));
+    state.finish_load(&load, Some(&segment_content(0)));
+    if let Some(load) = begin_load(&mut state) {
+        state.finish_load(&load, Some(&segment_content(1)));
+    }
+
+    let run = state.runs.get_mut(&job_id()).unwrap();
+    let mut items = run.dispatch(&own_host(), 10);
+    items.sort_by_key(|work| work.item);
+    let named = |WorkItem { item, line }: WorkItem| (item, line);
+    let expected = (0..2 * SEGMENT_ITEMS).map(|item| (item, format!("line {item}")));
+    assert_eq!(
+        items.into_iter().map(named).collect::<Vec<_>>(),
+        expected.collect::<Vec<_>>()
+    );
+}
