batch: the answer to a write changes the run that made it only

Cause: answers to commits, heartbeats and releases are applied to whichever run of the job the host has when they come. A host that lost a job while a write waited for its answer, and has claimed it again since, drops the new run at the answer, though its claim holds; the job then waits until the claim lapses (20 s). A release that met a newer claim made the host forget that claim.

Change: an answer names the epoch of the claim that its write was made under; another run of the job is left as it is.

Measured: without the comparison of epochs, test_late_loss_of_a_former_claim_leaves_the_next_run and test_late_write_of_a_former_claim_leaves_the_next_run both failed with left: None right: Some(3) and pass now.

--- a/lib/src/batch/commits.rs
+++ b/lib/src/batch/commits.rs
@@ -95,7 +95,7 @@
         let outcome = loop {
             match self.try_write(&write).await {
                 Some(outcome) => break outcome,
-                None if !self.lock().runs.contains_key(&job) => return,
+                None if self.lock().run_of(&job, write.next.epoch).is_none() => return,
                 None => {}
             }
             self.dependencies.counters.retry(RetryReason::StoreFailed);
@@ -158,18 +158,7 @@
         if job.record.state.is_final() {
             return self.close_job(&job.record);
         }
-        let mut state = self.lock();
-        let Some(run) = state.runs.get_mut(&job.record.id) else {
-            return;
-        };
-        match job.record.claim.as_ref() == Some(run.claim()) {
-            true => run.finish_write(job.record, job.version),
-            false => {
-                let id = job.record.id.clone();
-                run.finish_write(job.record, job.version);
-                Self::abandon_run(&mut state, &id);
-            }
-        }
+        self.lock().finish_write(write.next.epoch, job);
     }
 
     async fn handle_lost_claim(self: &Arc<Self>, write: &JobWrite, current: Option<VersionedJob>) {
@@ -180,7 +169,7 @@
             &[id.as_str()],
             format!("lost the claim with epoch {}", write.next.epoch),
         );
-        Self::abandon_run(&mut self.lock(), id);
+        self.lock().abandon_run(id, write.next.epoch);
         match current.map(|current| current.record) {
             Some(record) if record.state.is_final() => self.close_job(&record),
             Some(record) => self.record_open_job(announcement_of(&record)),
@@ -273,17 +262,20 @@
 
     async fn release_job(self: Arc<Self>, write: JobWrite) {
         let announcement = announcement_of(&write.next);
-        let job = announcement.job.clone();
+        let (job, epoch) = (announcement.job.clone(), announcement.epoch);
         self.clone().complete_write(write).await;
-        if self.drop_released_job(&job) {
+        if self.drop_released_job(&job, epoch) {
             self.broadcast(&BatchRequest::Open(announcement));
         }
     }
 
-    fn drop_released_job(&self, job: &JobId) -> bool {
+    /// Forgets a job that this host has released, unless a newer claim is known.
+    fn drop_released_job(&self, job: &JobId, epoch: u64) -> bool {
         let mut state = self.lock();
-        state.runs.remove(job);
-        state.open_jobs.remove(job).is_some()
+        state.abandon_run(job, epoch);
+        let known = state.open_jobs.get(job);
+        let is_newest = known.is_some_and(|known| known.announcement.epoch <= epoch);
+        is_newest && state.open_jobs.remove(job).is_some()
     }
 }
 
--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -153,6 +153,38 @@
         run.filter(|run| run.claim().epoch == epoch)
     }
 
+    /// Applies the answer to a write of the run with `epoch`: `job` is what is stored since.
+    pub(crate) fn finish_write(&mut self, epoch: u64, job: VersionedJob) {
+        let id = job.record.id.clone();
+        let Some(run) = self.run_of(&id, epoch) else {
+            return;
+        };
+        let holds_claim = job.record.claim.as_ref() == Some(run.claim());
+        run.finish_write(job.record, job.version);
+        if !holds_claim {
+            self.abandon_run(&id, epoch);
+        }
+    }
+
+    /// Drops the run of the claim with `epoch`, which is lost, if this host still has it. Its uncommitted
+    /// results are queued as reports to the new owner.
+    pub(crate) fn abandon_run(&mut self, job: &JobId, epoch: u64) {
+        if self.run_of(job, epoch).is_none() {
+            return;
+        }
+        let Some(run) = self.runs.remove(job) else {
+            return;
+        };
+        let outcomes = run.into_uncommitted_outcomes();
+        if !outcomes.is_empty() {
+            let assigned = self
+                .assigned
+                .entry(job.clone())
+                .or_insert_with(AssignedItems::new);
+            assigned.unreported.extend(outcomes);
+        }
+    }
+
     /// Applies the answer to `load`; `None` if it failed.
     pub(crate) fn finish_load(&mut self, load: &SegmentLoad, content: Option<&[u8]>) {
         let Some(run) = self.run_of(&load.record.id, load.epoch) else {
@@ -423,9 +455,10 @@
             return;
         }
         let own_run = state.runs.get(&job);
-        if own_run.is_some_and(|run| run.claim().epoch < announcement.epoch) {
+        if let Some(run) = own_run.filter(|run| run.claim().epoch < announcement.epoch) {
             // Another host holds a newer claim; it gets the uncommitted results as reports.
-            Self::abandon_run(&mut state, &job);
+            let epoch = run.claim().epoch;
+            state.abandon_run(&job, epoch);
             self.dependencies.counters.event(CounterEvent::CommitFenced);
         }
         let is_released = announcement.owner.is_none();
@@ -437,22 +470,6 @@
         self.worker_wakeup.notify_one();
     }
 
-    /// Drops the run of a job whose claim is lost. Its uncommitted results are queued as reports to
-    /// the new owner.
-    pub(crate) fn abandon_run(state: &mut CoordinatorState, job: &JobId) {
-        let Some(run) = state.runs.remove(job) else {
-            return;
-        };
-        let outcomes = run.into_uncommitted_outcomes();
-        if !outcomes.is_empty() {
-            let assigned = state
-                .assigned
-                .entry(job.clone())
-                .or_insert_with(AssignedItems::new);
-            assigned.unreported.extend(outcomes);
-        }
-    }
-
     /// Whether the uncommitted results of all own jobs are below [`MAX_UNCOMMITTED_BYTES`].
     pub(crate) fn may_buffer_results(state: &CoordinatorState) -> bool {
         let bytes: usize = state.runs.values().map(JobRun::uncommitted_bytes).sum();
--- a/lib/src/batch/tests.rs
+++ b/lib/src/batch/tests.rs
@@ -1,6 +1,7 @@
 //! What an owner's memory becomes when answers come late, or in another order than their calls.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::batch::coordinator::CoordinatorState;
 use crate::batch::coordinator::SegmentLoad;
@@ -24,6 +25,8 @@
 
 /// Items of each of the two segments of a job.
 const SEGMENT_ITEMS: u64 = 2;
+/// Time after which a job without dispatched items has a heartbeat due.
+const HEARTBEAT_TIME: Duration = Duration::from_secs(24 * 3600 / 24);
 
 fn own_host() -> HostId {
     HostId::new("host-0")
@@ -133,3 +136,45 @@
         expected.collect::<Vec<_>>()
     );
 }
+
+/// The answer to a write says that its claim is lost, which was known before; this host has claimed the job
+/// again since.
+#[tokio::test(start_paused = true)]
+async fn test_late_loss_of_a_former_claim_leaves_the_next_run() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (run, former) = claim(&mut record, 1);
+    state.insert_run(run);
+    state.abandon_run(&job_id(), former.epoch);
+    record.claim(&HostId::new("host-1"), 2).unwrap();
+    let (run, _) = claim(&mut record, 3);
+    state.insert_run(run);
+
+    state.abandon_run(&job_id(), former.epoch);
+    let epoch = state.runs.get(&job_id()).map(|run| run.claim().epoch);
+    assert_eq!(epoch, Some(3));
+}
+
+/// The answer to a write of a former claim shows the record from before this host has claimed the job again.
+#[tokio::test(start_paused = true)]
+async fn test_late_write_of_a_former_claim_leaves_the_next_run() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (mut run, former) = claim(&mut record, 1);
+    tokio::time::advance(HEARTBEAT_TIME).await;
+    let write = run.begin_write(false, 0).unwrap();
+    state.insert_run(run);
+    state.abandon_run(&job_id(), former.epoch);
+    record = write.next.clone();
+    record.claim(&HostId::new("host-1"), 2).unwrap();
+    let (run, _) = claim(&mut record, 4);
+    state.insert_run(run);
+
+    let written = VersionedJob {
+        record: write.next,
+        version: KvVersion(2),
+    };
+    state.finish_write(former.epoch, written);
+    let run = state.runs.get(&job_id());
+    assert_eq!(run.map(|run| run.record().epoch), Some(3));
+}
