batch: the answer to a claim starts no run beside a newer claim

Cause: the answer to a claim or a submission inserts its run and overwrites what is known of the job's owner, whatever has come meanwhile. If another host has claimed the job since, both run its items until the next heartbeat; if this host has claimed it again since, the older run replaces the newer one; if the job has ended, its items run once more.

Change: a run is inserted only while no newer claim is known and no end was told of.

Measured: with the insertion as it was, test_late_claim_does_not_run_beside_a_newer_one, test_late_submission_does_not_replace_a_newer_run and test_late_claim_of_an_ended_job_does_not_run failed with assertion failed: !state.insert_run(run) (submitted, in the second) and pass now.

--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -138,12 +138,24 @@
         }
     }
 
-    /// Adds the run of a job whose claim this process has written.
-    pub(crate) fn insert_run(&mut self, run: JobRun) {
+    /// Adds the run of a job whose claim this process has written, unless a newer claim is known or the job
+    /// has ended: the answer to the claim may have come late. Returns whether it was added.
+    pub(crate) fn insert_run(&mut self, run: JobRun) -> bool {
         let id = run.record().id.clone();
+        let epoch = run.claim().epoch;
+        let newest = self
+            .open_jobs
+            .get(&id)
+            .map(|known| known.announcement.epoch);
+        let has_ended =
+            self.ended_jobs.contains_key(&id) || self.final_record_hosts.contains_key(&id);
+        if has_ended || newest.is_some_and(|newest| newest > epoch) {
+            return false;
+        }
         let known = KnownJob::new(run.announcement());
         self.runs.insert(id.clone(), run);
         self.open_jobs.insert(id, known);
+        true
     }
 
     /// The run of the claim with `epoch` on `job`, if this host still has it. An answer to a call that one
@@ -393,7 +405,9 @@
         }
         let announcement = run.announcement();
         let detail = format!("claimed with epoch {}", announcement.epoch);
-        self.lock().insert_run(run);
+        if !self.lock().insert_run(run) {
+            return;
+        }
         self.dependencies
             .counters
             .event(CounterEvent::SegmentClaimed);
--- a/lib/src/batch/tests.rs
+++ b/lib/src/batch/tests.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::batch::commits::announcement_of;
 use crate::batch::coordinator::CoordinatorState;
+use crate::batch::coordinator::KnownJob;
 use crate::batch::coordinator::SegmentLoad;
 use crate::batch::item_set::ItemSet;
 use crate::batch::ledger::JOB_FORMAT;
@@ -178,3 +180,46 @@
     let run = state.runs.get(&job_id());
     assert_eq!(run.map(|run| run.record().epoch), Some(3));
 }
+
+/// The answer to a claim comes when another host, which has claimed the job after it, is known already.
+#[tokio::test(start_paused = true)]
+async fn test_late_claim_does_not_run_beside_a_newer_one() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (run, _) = claim(&mut record, 1);
+    record.claim(&HostId::new("host-1"), 2).unwrap();
+    let newer = announcement_of(&record);
+    state.open_jobs.insert(job_id(), KnownJob::new(newer));
+
+    assert!(!state.insert_run(run));
+    assert!(!state.runs.contains_key(&job_id()));
+    let known = &state.open_jobs[&job_id()].announcement;
+    assert_eq!(known.owner, Some(HostId::new("host-1")));
+}
+
+/// The answer to a submission comes when this host, which found its record, has claimed the job once more.
+#[tokio::test(start_paused = true)]
+async fn test_late_submission_does_not_replace_a_newer_run() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (submitted, _) = claim(&mut record, 1);
+    let (run, _) = claim(&mut record, 2);
+    assert!(state.insert_run(run));
+
+    assert!(!state.insert_run(submitted));
+    assert_eq!(state.runs[&job_id()].claim().epoch, 2);
+}
+
+/// The answer to a claim comes when another host has told that the job has ended.
+#[tokio::test(start_paused = true)]
+async fn test_late_claim_of_an_ended_job_does_not_run() {
+    let mut state = CoordinatorState::new(own_host());
+    let mut record = open_job();
+    let (run, _) = claim(&mut record, 1);
+    state
+        .final_record_hosts
+        .insert(job_id(), HostId::new("host-1"));
+
+    assert!(!state.insert_run(run));
+    assert!(!state.open_jobs.contains_key(&job_id()));
+}
