batch: only the host of an item's lease puts the item back

Cause: a host that couldn't run an item says so by a report. If the item's lease has lapsed and the item was dispatched to another host before the report came, the report ended the other host's lease: the item was dispatched a third time, beside its run.

Change: a deferral or a failure counts from the host that has the item's lease; a result counts from any host, as before.

Measured: test_late_deferral_leaves_the_item_with_its_next_host failed before with left: [0] right: [1] and passes now.

--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -550,7 +550,7 @@
             return BatchReply::NotOwner;
         };
         for outcome in report.outcomes {
-            run.apply_outcome(outcome);
+            run.apply_outcome(from, outcome);
         }
         run.renew_leases(from, &report.running);
         drop(state);
@@ -585,7 +585,7 @@
         };
         assigned.items.remove(&outcome.item);
         match state.runs.get_mut(job) {
-            Some(run) => run.apply_outcome(outcome),
+            Some(run) => run.apply_outcome(&state.host, outcome),
             None => assigned.unreported.push(outcome),
         }
     }
--- a/lib/src/batch/run.rs
+++ b/lib/src/batch/run.rs
@@ -294,16 +294,21 @@
         }
     }
 
-    /// Applies the outcome of one item. Outcomes of unknown items and of items that already have a
-    /// result are ignored.
-    pub(crate) fn apply_outcome(&mut self, outcome: DispatchOutcome) {
+    /// Applies the outcome of one item that ran on `from`. Outcomes of unknown items and of items that
+    /// already have a result are ignored. Only a result counts from a host that has lost the item's lease.
+    pub(crate) fn apply_outcome(&mut self, from: &HostId, outcome: DispatchOutcome) {
         let DispatchOutcome { item, end } = outcome;
         if item >= self.record.counts.total || self.finished_items.contains(item) {
             self.leases.remove(&item);
             return;
         }
+        let has_lease = self
+            .leases
+            .get(&item)
+            .is_some_and(|lease| lease.host == *from);
         match end {
             ItemEnd::Result { failed, line } => self.add_result(item, failed, line),
+            _ if !has_lease => {}
             ItemEnd::Failed { code, message } => self.record_failure(item, &code, &message),
             ItemEnd::Deferred { wait_ms: 0 } => {
                 if let Some(lease) = self.leases.remove(&item) {
--- a/lib/src/batch/tests.rs
+++ b/lib/src/batch/tests.rs
@@ -12,6 +12,8 @@
 use crate::batch::ledger::JobHolder;
 use crate::batch::ledger::JobRecord;
 use crate::batch::ledger::SegmentRef;
+use crate::batch::message::DispatchOutcome;
+use crate::batch::message::ItemEnd;
 use crate::batch::message::WorkItem;
 use crate::batch::object::JobRequest;
 use crate::batch::object::JobState;
@@ -223,3 +225,27 @@
     assert!(!state.insert_run(run));
     assert!(!state.open_jobs.contains_key(&job_id()));
 }
+
+/// An item whose lease has lapsed is dispatched to another host before the first one says that it could
+/// not run it.
+#[tokio::test(start_paused = true)]
+async fn test_late_deferral_leaves_the_item_with_its_next_host() {
+    let mut record = open_job();
+    let (mut run, _) = claim(&mut record, 1);
+    run.begin_segment_load();
+    run.add_segment(&segment_content(0));
+    let (first, second) = (HostId::new("host-1"), HostId::new("host-2"));
+    assert_eq!(run.dispatch(&first, 1)[0].item, 0);
+    run.reclaim_items(|_| false);
+    assert_eq!(run.dispatch(&second, 1)[0].item, 0);
+
+    let deferred = DispatchOutcome {
+        item: 0,
+        end: ItemEnd::Deferred { wait_ms: 0 },
+    };
+    run.apply_outcome(&first, deferred.clone());
+    let next: Vec<u64> = run.dispatch(&first, 1).iter().map(|w| w.item).collect();
+    assert_eq!(next, [1]);
+    run.apply_outcome(&second, deferred);
+    assert_eq!(run.dispatch(&first, 1)[0].item, 0);
+}
--- a/lib/src/batch/worker.rs
+++ b/lib/src/batch/worker.rs
@@ -361,7 +361,7 @@
                 assigned
                     .unreported
                     .drain(..)
-                    .for_each(|outcome| run.apply_outcome(outcome));
+                    .for_each(|outcome| run.apply_outcome(&state.host, outcome));
                 assigned.accepted_at = Instant::now();
                 return !assigned.items.is_empty();
             }
