batch: an answer verifies a record as of its call, not of its arrival

Cause: an owner answers reads from memory for 30 s after its record was last verified. The answer to a write or read verified it when it was applied, however long ago the store had sent it. After a stall of the process in which another host may have taken the job over, the answer to a call from before the stall marked the record as verified for 30 s more.

Change: a record is verified as of the time at which the call was sent; calls from before a noticed stall verify nothing.

Measured: test_answer_from_before_a_stall_verifies_nothing failed before with assertion failed: !run.is_fresh() and passes now.

--- a/lib/src/batch/commits.rs
+++ b/lib/src/batch/commits.rs
@@ -37,8 +37,9 @@
 
 /// Known outcome of a write.
 enum WriteOutcome {
-    /// The write took effect. The job is the stored one, which later writes may have changed.
-    Applied(VersionedJob),
+    /// The write took effect. The job is the stored one, which later writes may have changed, as a
+    /// call that was sent at this time shows it.
+    Applied(VersionedJob, Instant),
     /// The write had no effect, as another host has claimed the job, or the job has ended or was
     /// removed. Holds the stored job, if there is one.
     ClaimLost(Option<VersionedJob>),
@@ -103,7 +104,7 @@
             pause = (pause * 2).min(MAX_WRITE_BACKOFF);
         };
         match outcome {
-            WriteOutcome::Applied(job) => self.finish_applied_write(&write, job),
+            WriteOutcome::Applied(job, sent_at) => self.finish_applied_write(&write, job, sent_at),
             WriteOutcome::ClaimLost(current) => self.handle_lost_claim(&write, current).await,
         }
     }
@@ -120,11 +121,13 @@
                 Err(_) => return None,
             }
         }
+        let sent_at = Instant::now();
         match store.replace_job(&write.next, write.version).await {
-            Ok(version) => Some(WriteOutcome::Applied(VersionedJob {
-                record: write.next.clone(),
-                version,
-            })),
+            Ok(version) => {
+                let record = write.next.clone();
+                let job = VersionedJob { record, version };
+                Some(WriteOutcome::Applied(job, sent_at))
+            }
             Err(WriteError::Conflict) => self.resolve_conflict(write).await,
             Err(_) => None,
         }
@@ -134,6 +137,7 @@
     /// try. Returns `None` if the job can't be read.
     async fn resolve_conflict(&self, write: &JobWrite) -> Option<WriteOutcome> {
         let workspace = &write.next.workspace;
+        let sent_at = Instant::now();
         let current = self
             .dependencies
             .store
@@ -145,12 +149,17 @@
             None => current.record == write.next,
         });
         match (current, is_applied) {
-            (Some(current), true) => Some(WriteOutcome::Applied(current)),
+            (Some(current), true) => Some(WriteOutcome::Applied(current, sent_at)),
             (current, _) => Some(WriteOutcome::ClaimLost(current)),
         }
     }
 
-    fn finish_applied_write(self: &Arc<Self>, write: &JobWrite, job: VersionedJob) {
+    fn finish_applied_write(
+        self: &Arc<Self>,
+        write: &JobWrite,
+        job: VersionedJob,
+        sent_at: Instant,
+    ) {
         let items = write.results.len() as u64;
         self.dependencies
             .counters
@@ -158,7 +167,7 @@
         if job.record.state.is_final() {
             return self.close_job(&job.record);
         }
-        self.lock().finish_write(write.next.epoch, job);
+        self.lock().finish_write(write.next.epoch, job, sent_at);
     }
 
     async fn handle_lost_claim(self: &Arc<Self>, write: &JobWrite, current: Option<VersionedJob>) {
@@ -200,6 +209,7 @@
             .record
             .claim(&self.dependencies.host, self.session)
             .ok()?;
+        let sent_at = Instant::now();
         let written = self
             .dependencies
             .store
@@ -210,7 +220,7 @@
             Err(WriteError::Conflict) => self.confirm_claim(&job.record).await?,
             Err(_) => return None,
         };
-        self.start_run(job, claim, None);
+        self.start_run(job, claim, sent_at, None);
         Some(())
     }
 
--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -165,14 +165,15 @@
         run.filter(|run| run.claim().epoch == epoch)
     }
 
-    /// Applies the answer to a write of the run with `epoch`: `job` is what is stored since.
-    pub(crate) fn finish_write(&mut self, epoch: u64, job: VersionedJob) {
+    /// Applies the answer to a write of the run with `epoch`: `job` is what is stored since, as a call
+    /// that was sent at `sent_at` shows it.
+    pub(crate) fn finish_write(&mut self, epoch: u64, job: VersionedJob, sent_at: Instant) {
         let id = job.record.id.clone();
         let Some(run) = self.run_of(&id, epoch) else {
             return;
         };
         let holds_claim = job.record.claim.as_ref() == Some(run.claim());
-        run.finish_write(job.record, job.version);
+        run.finish_write(job.record, job.version, sent_at);
         if !holds_claim {
             self.abandon_run(&id, epoch);
         }
@@ -387,17 +388,19 @@
         }
     }
 
-    /// Starts a job whose claim this process has just written, and announces the claim.
+    /// Starts a job whose claim this process has written by a call that was sent at `sent_at`, and
+    /// announces the claim.
     ///
     /// `content` is the first segment of the input, if the caller already has it in memory.
     pub(crate) fn start_run(
         self: &Arc<Self>,
         job: VersionedJob,
         claim: JobHolder,
+        sent_at: Instant,
         content: Option<&[u8]>,
     ) {
         let id = job.record.id.clone();
-        let mut run = JobRun::new(job, claim);
+        let mut run = JobRun::new(job, claim, sent_at);
         if let Some(content) = content
             && run.begin_segment_load().is_some()
         {
--- a/lib/src/batch/run.rs
+++ b/lib/src/batch/run.rs
@@ -108,15 +108,17 @@
     written_at: Instant,
     /// Time for which the job was open before this owner had it, and since when this owner has it.
     open_before: (Duration, Instant),
-    /// When the stored record was last known to have `version`; absent after a stall of the
-    /// process.
+    /// When the last call was sent whose answer showed that the stored record has `version`; absent
+    /// after a stall of the process.
     verified_at: Option<Instant>,
+    /// When a stall of the process was last noticed. Calls from before it prove nothing.
+    stalled_at: Option<Instant>,
 }
 
 impl JobRun {
-    /// Returns the run of a job whose claim this process has just written. No segment is loaded
-    /// yet.
-    pub(crate) fn new(job: VersionedJob, claim: JobHolder) -> Self {
+    /// Returns the run of a job whose claim this process has written by a call that was sent at
+    /// `sent_at`. No segment is loaded yet.
+    pub(crate) fn new(job: VersionedJob, claim: JobHolder, sent_at: Instant) -> Self {
         let VersionedJob { record, version } = job;
         let open_before = Duration::from_millis(record.open_ms);
         Self {
@@ -137,7 +139,8 @@
             is_writing: false,
             written_at: Instant::now(),
             open_before: (open_before, Instant::now()),
-            verified_at: Some(Instant::now()),
+            verified_at: Some(sent_at),
+            stalled_at: None,
         }
     }
 
@@ -186,10 +189,17 @@
         verified_at.is_some_and(|verified_at| verified_at.elapsed() < MAX_UNVERIFIED_AGE)
     }
 
-    /// Marks the record as verified if the stored one, just read at `version`, is the same.
-    pub(crate) fn confirm_version(&mut self, version: KvVersion) {
+    /// Marks the record as verified if the stored one, read at `version` by a call that was sent at
+    /// `sent_at`, is the same.
+    pub(crate) fn confirm_version(&mut self, version: KvVersion, sent_at: Instant) {
         if version == self.version {
-            self.verified_at = Some(Instant::now());
+            self.verify(sent_at);
+        }
+    }
+
+    fn verify(&mut self, sent_at: Instant) {
+        if self.stalled_at.is_none_or(|stalled| sent_at >= stalled) {
+            self.verified_at = self.verified_at.max(Some(sent_at));
         }
     }
 
@@ -197,6 +207,7 @@
     /// been taken over. Reads then go to the key-value service until the version is confirmed.
     pub(crate) fn mark_unverified(&mut self) {
         self.verified_at = None;
+        self.stalled_at = Some(Instant::now());
     }
 
     /// Size of the uncommitted results in bytes.
@@ -382,13 +393,14 @@
         write.ok()
     }
 
-    /// Adopts the record that a write has stored, and drops the results that it committed.
-    pub(crate) fn finish_write(&mut self, record: JobRecord, version: KvVersion) {
+    /// Adopts the record that a write, sent at `sent_at`, has stored, and drops the results that it
+    /// committed.
+    pub(crate) fn finish_write(&mut self, record: JobRecord, version: KvVersion, sent_at: Instant) {
         self.record = record;
         self.version = version;
         self.is_writing = false;
         self.written_at = Instant::now();
-        self.verified_at = Some(self.written_at);
+        self.verify(sent_at);
         let done = &self.record.done;
         self.results.retain(|result| !done.contains(result.item));
         self.result_bytes = self.results.iter().map(|result| result.line.len()).sum();
--- a/lib/src/batch/service.rs
+++ b/lib/src/batch/service.rs
@@ -5,6 +5,7 @@
 
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::time::Instant;
 
 use crate::batch::coordinator::BatchCoordinator;
 use crate::batch::input::check_input;
@@ -282,10 +283,11 @@
         let record = match known {
             Some(record) => record,
             None => {
+                let sent_at = Instant::now();
                 let job = self.store().job(workspace, id).await?;
                 let job = job.ok_or_else(|| BatchError::NotFound(format!("job {id:?}")))?;
                 if let Some(run) = self.coordinator.lock().runs.get_mut(id) {
-                    run.confirm_version(job.version);
+                    run.confirm_version(job.version, sent_at);
                 }
                 job.record
             }
@@ -342,6 +344,7 @@
         if is_open {
             self.put_marker(&record).await?;
         }
+        let sent_at = Instant::now();
         match self.store().create_job(&record).await {
             Ok(version) => {
                 self.record_acceptance(&record);
@@ -350,7 +353,8 @@
                 let content = content.and_then(|value| decompress(value).ok());
                 if let Some(claim) = claim {
                     let job = VersionedJob { record, version };
-                    self.coordinator.start_run(job, claim, content.as_deref());
+                    self.coordinator
+                        .start_run(job, claim, sent_at, content.as_deref());
                 }
                 Ok(object)
             }
--- a/lib/src/batch/tests.rs
+++ b/lib/src/batch/tests.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::batch::commits::announcement_of;
 use crate::batch::coordinator::CoordinatorState;
 use crate::batch::coordinator::KnownJob;
@@ -88,7 +90,7 @@
         record: record.clone(),
         version: KvVersion(version),
     };
-    (JobRun::new(job, holder.clone()), holder)
+    (JobRun::new(job, holder.clone(), Instant::now()), holder)
 }
 
 /// Content of the segment `number`: lines that name their items.
@@ -178,7 +180,7 @@
         record: write.next,
         version: KvVersion(2),
     };
-    state.finish_write(former.epoch, written);
+    state.finish_write(former.epoch, written, Instant::now());
     let run = state.runs.get(&job_id());
     assert_eq!(run.map(|run| run.record().epoch), Some(3));
 }
@@ -249,3 +251,22 @@
     run.apply_outcome(&second, deferred);
     assert_eq!(run.dispatch(&first, 1)[0].item, 0);
 }
+
+/// The answer to a write that was made before the process stood still proves nothing of the time since.
+#[tokio::test(start_paused = true)]
+async fn test_answer_from_before_a_stall_verifies_nothing() {
+    let mut record = open_job();
+    let (mut run, _) = claim(&mut record, 1);
+    tokio::time::advance(HEARTBEAT_TIME).await;
+    let write = run.begin_write(false, 0).unwrap();
+    let sent_at = Instant::now();
+    tokio::time::advance(Duration::from_secs(5)).await;
+    run.mark_unverified();
+    run.finish_write(write.next, KvVersion(2), sent_at);
+    assert!(!run.is_fresh());
+
+    run.confirm_version(KvVersion(2), sent_at);
+    assert!(!run.is_fresh());
+    run.confirm_version(KvVersion(2), Instant::now());
+    assert!(run.is_fresh());
+}
