idempotency: a write continues the log that the writer has read

Cause: a log starts over at segment 0 once all its segments have expired, but a host whose view of it was younger than three minutes went on after its last segment, beside the new log, and kept doing so after it had read the new one. Both writers granted the same key, so that a request that may run once ran twice.

Change: a write of a segment is conditional on a segment of the log that it continues, and a reader that finds a segment of a lower number that is newer than its last one starts over.

Measured: test_idempotency_log_that_started_over_is_not_continued failed before with left: ["order-6", "order-9"] right: [] (keys that two hosts were granted) and passes now, with the other 10 of test_idempotency.

--- a/lib/src/idempotency/log.rs
+++ b/lib/src/idempotency/log.rs
@@ -1,5 +1,8 @@
 //! Reads and writes the log of one partition. Each segment batches many entries and is created only
 //! if its key is absent, so that concurrent writers cannot overwrite each other.
+//!
+//! A log starts over at segment 0 once all its segments have expired. Each write is therefore conditional on
+//! a segment of the log that it continues.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,9 +15,12 @@
 use crate::clock::unix_millis;
 use crate::counters::CounterSet;
 use crate::counters::RetryReason;
-use crate::edges::kv::Expect;
+use crate::edges::kv::KvCommit;
+use crate::edges::kv::KvEntry;
 use crate::edges::kv::KvError;
+use crate::edges::kv::KvPut;
 use crate::edges::kv::KvStore;
+use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::idempotency::message::ClaimReply;
@@ -52,6 +58,10 @@
     kv: Arc<dyn KvStore>,
     counters: Arc<CounterSet>,
     state: PartitionState,
+    /// Version of the last segment that was applied; `None` if the log was empty.
+    applied: Option<KvVersion>,
+    /// A segment that exists as far as this host knows, with its version.
+    anchor: Option<(String, KvVersion)>,
     synced_at: Option<Instant>,
     lease: Option<(LeaseId, Instant)>,
     wrote_at: Option<Instant>,
@@ -68,6 +78,8 @@
             kv,
             counters,
             state: PartitionState::new(),
+            applied: None,
+            anchor: None,
             synced_at: None,
             lease: None,
             wrote_at: None,
@@ -148,7 +160,7 @@
         waiting
     }
 
-    /// Creates the next segment with `entries`.
+    /// Creates the next segment with `entries`, if the log has not started over.
     ///
     /// On success the entries are in the log. After [`KvError::Unknown`] they may be written now or
     /// later; after any other error they are not.
@@ -166,26 +178,39 @@
         let mut value = Vec::new();
         ciborium::into_writer(&segment, &mut value).expect("segments serialize to CBOR");
         let value = Bytes::from(value);
-        let put = self.kv.put(&key, value, Expect::Absent, Some(lease)).await;
-        match put {
-            Ok(_) => {}
-            Err(KvError::Conflict { .. } | KvError::Unknown(_)) => {
+        let anchor = self.anchor.clone();
+        let anchor = anchor.map(|(key, version)| (key, Some(version)));
+        let commit = KvCommit {
+            expect: std::iter::once((key.clone(), None)).chain(anchor).collect(),
+            puts: vec![KvPut {
+                key: key.clone(),
+                value,
+                lease: Some(lease),
+            }],
+            deletes: Vec::new(),
+        };
+        let version = match self.kv.commit(commit).await {
+            Ok(version) => version,
+            Err(err @ (KvError::Conflict { .. } | KvError::Unknown(_))) => {
                 // The existing segment may be this one, if the reply to an earlier write was lost.
-                let found = self.kv.get(&key).await?;
-                let found = found.and_then(|entry| decode_segment(&entry.value));
-                match found {
-                    Some(found) if found.write_id == segment.write_id => {}
-                    Some(_) => return Err(KvError::Conflict { current: None }),
-                    None => return Err(KvError::Unknown("the write may be delayed".to_owned())),
+                let Some(entry) = self.kv.get(&key).await? else {
+                    return Err(err);
+                };
+                let found = decode_segment(&entry.value);
+                if found.is_none_or(|found| found.write_id != segment.write_id) {
+                    return Err(KvError::Conflict { current: None });
                 }
+                entry.version
             }
             Err(KvError::LeaseLost) => {
                 self.lease = None;
                 return Err(KvError::LeaseLost);
             }
             Err(err) => return Err(err),
-        }
+        };
         self.state.apply(number, &segment);
+        self.applied = Some(version);
+        self.anchor = Some((key, version));
         self.synced_at = Some(Instant::now());
         Ok(())
     }
@@ -201,26 +226,33 @@
     }
 
     /// Reads the segments that are not applied yet. Starts with an empty state if all applied
-    /// segments have expired.
+    /// segments have expired, or the log has started over since.
     async fn sync(&mut self) -> Result<(), KvError> {
         let started = Instant::now();
         let prefix = self.prefix();
         let known = self.state.next_segment().checked_sub(1);
         let first = self.kv.list(&prefix, None, 1).await?;
-        let first = first
-            .entries
-            .first()
-            .and_then(|entry| self.segment_number(&entry.key));
-        let Some(first) = first else {
+        let first = first.entries.into_iter().next();
+        let first = first.and_then(|entry| Some((self.segment_number(&entry.key)?, entry)));
+        let Some((first, first_entry)) = first else {
             // All segments have expired: every host restarts at segment 0, so that numbers still
             // match.
             self.state = PartitionState::new();
+            self.applied = None;
+            self.anchor = None;
             self.synced_at = Some(started);
             return Ok(());
         };
-        if known.is_none_or(|known| known < first) {
+        let is_older = known.is_none_or(|known| known < first);
+        // Within one log, a segment of a lower number was written earlier.
+        let has_started_over = self
+            .applied
+            .is_none_or(|applied| applied < first_entry.version);
+        if is_older || has_started_over {
             self.state = PartitionState::new();
+            self.applied = None;
         }
+        self.anchor = Some((first_entry.key, first_entry.version));
         self.state.expire_before(first);
         let mut after = self
             .state
@@ -233,10 +265,7 @@
                 .list(&prefix, after.as_deref(), LIST_PAGE_SIZE)
                 .await?;
             for entry in &page.entries {
-                let number = self.segment_number(&entry.key);
-                if let (Some(number), Some(segment)) = (number, decode_segment(&entry.value)) {
-                    self.state.apply(number, &segment);
-                }
+                self.apply_stored(entry);
             }
             after = page.entries.last().map(|entry| entry.key.clone());
             if !page.more || after.is_none() {
@@ -247,6 +276,15 @@
         Ok(())
     }
 
+    fn apply_stored(&mut self, entry: &KvEntry) {
+        let number = self.segment_number(&entry.key);
+        if let (Some(number), Some(segment)) = (number, decode_segment(&entry.value)) {
+            self.state.apply(number, &segment);
+            self.applied = Some(entry.version);
+            self.anchor = Some((entry.key.clone(), entry.version));
+        }
+    }
+
     /// Returns the lease of new segments, shared by those written within [`LEASE_SHARING_TIME`].
     async fn lease(&mut self) -> Result<LeaseId, KvError> {
         if let Some((lease, granted)) = self.lease
--- a/lib/tests/test_idempotency.rs
+++ b/lib/tests/test_idempotency.rs
@@ -178,6 +178,32 @@
     assert!(one.is_ok() != other.is_ok(), "{one:?} and {other:?}");
 }
 
+/// A log starts over when all its segments have expired. A host whose view of it is from before must not go
+/// on where the former log ended, beside the new one.
+#[tokio::test(start_paused = true)]
+async fn test_idempotency_log_that_started_over_is_not_continued() {
+    let kv = KvMemory::new();
+    let keepers = [keeper(0, &kv), keeper(1, &kv)];
+    let held = granted(&keepers[0], "order").await;
+    held.finish(answer("12 bolts")).await;
+    // Read shortly before the segments expire.
+    tokio::time::sleep(Duration::from_secs(14 * 60)).await;
+    let recorded = claim(&keepers[0], "order").await;
+    assert!(matches!(recorded, Ok(ClaimOutcome::Finished(_))));
+    tokio::time::sleep(Duration::from_secs(2 * 60 + 5)).await;
+
+    let mut doubled = Vec::new();
+    for number in 0..64 {
+        let key = format!("order-{number}");
+        let held = granted(&keepers[1], &key).await;
+        if claim(&keepers[0], &key).await.is_ok() {
+            doubled.push(key);
+        }
+        drop(held);
+    }
+    assert_eq!(doubled, [""; 0]);
+}
+
 struct ServiceFleet {
     platform: PlatformStandins,
     hosts: Vec<EntryHost>,
