idempotency: a claim that is written after its release holds nothing

Cause: a host whose claim was not confirmed gives it back, through another host if the first does not answer. The release of a claim that nobody had seen wrote nothing, so that the claim, which the first host wrote later, held the key for 15 minutes with no request to run under it; resends were refused as of unknown outcome.

Change: a release is always written, and the log's readers remember it: a claim after it is without effect.

Measured: test_idempotency_claim_that_comes_after_its_release_holds_nothing failed before with left: Granted right: Granted (where they must differ) and passes now, with the other 11 of test_idempotency.

--- a/lib/src/idempotency/state.rs
+++ b/lib/src/idempotency/state.rs
@@ -14,11 +14,12 @@
 /// One entry of a partition's log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LogEntry {
-    /// An attempt claims a key; without effect if another attempt holds it.
+    /// An attempt claims a key; without effect if another attempt holds it, or this one has released it.
     Claim(ClaimKey, ClaimId),
     /// The holder of the claim finished with this response; without effect from other attempts.
     Finish(ClaimKey, ClaimId, RecordedResponse),
-    /// The holder of the claim did not run its request; without effect after a finish.
+    /// The attempt did not run its request. Without effect after a finish. The claim may be written later,
+    /// by a host that was asked before.
     Release(ClaimKey, ClaimId),
 }
 
@@ -49,6 +50,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartitionState {
     claims: HashMap<ClaimKey, ClaimState>,
+    /// Claims that were released, with the segments of the releases.
+    released: HashMap<(ClaimKey, ClaimId), u64>,
     /// Number of the next segment to apply or write.
     next_segment: u64,
 }
@@ -75,9 +78,11 @@
         }
     }
 
-    /// Removes the claims whose last entry is in a segment before `number`, as those have expired.
+    /// Removes the claims and releases whose last entry is in a segment before `number`, as those have
+    /// expired.
     pub fn expire_before(&mut self, number: u64) {
         self.claims.retain(|_, state| state.segment >= number);
+        self.released.retain(|_, segment| *segment >= number);
     }
 
     /// Returns the reply to `request` by the applied entries; `None` if it needs a new entry in the
@@ -85,6 +90,9 @@
     pub fn reply_to(&self, request: &ClaimRequest) -> Option<ClaimReply> {
         let state = self.claims.get(&request.claim_key());
         match request {
+            ClaimRequest::Claim { claim_key, claim } if self.is_released(*claim_key, *claim) => {
+                Some(ClaimReply::Unavailable)
+            }
             ClaimRequest::Claim { claim, .. } => {
                 let state = state?;
                 Some(match &state.response {
@@ -97,15 +105,19 @@
                 Some(state) if state.holder == *claim && state.response.is_none() => None,
                 _ => Some(ClaimReply::Recorded),
             },
-            ClaimRequest::Release { claim, .. } => match state {
-                Some(state) if state.holder == *claim => None,
-                _ => Some(ClaimReply::Recorded),
-            },
+            ClaimRequest::Release { claim_key, claim } => self
+                .is_released(*claim_key, *claim)
+                .then_some(ClaimReply::Recorded),
         }
     }
 
+    fn is_released(&self, claim_key: ClaimKey, claim: ClaimId) -> bool {
+        self.released.contains_key(&(claim_key, claim))
+    }
+
     fn apply_entry(&mut self, segment: u64, entry: &LogEntry) {
         match entry {
+            LogEntry::Claim(claim_key, claim) if self.is_released(*claim_key, *claim) => {}
             LogEntry::Claim(claim_key, claim) => {
                 let state = ClaimState {
                     holder: *claim,
@@ -123,6 +135,7 @@
                 }
             }
             LogEntry::Release(claim_key, claim) => {
+                self.released.insert((*claim_key, *claim), segment);
                 let held = self.claims.get(claim_key);
                 if held.is_some_and(|state| state.holder == *claim && state.response.is_none()) {
                     self.claims.remove(claim_key);
--- a/lib/tests/test_idempotency.rs
+++ b/lib/tests/test_idempotency.rs
@@ -13,8 +13,12 @@
 use parsleywall::host::EntryHost;
 use parsleywall::http::client::HttpClient;
 use parsleywall::idempotency::ClaimDependencies;
+use parsleywall::idempotency::ClaimId;
 use parsleywall::idempotency::ClaimKeeper;
+use parsleywall::idempotency::ClaimKey;
 use parsleywall::idempotency::ClaimOutcome;
+use parsleywall::idempotency::ClaimReply;
+use parsleywall::idempotency::ClaimRequest;
 use parsleywall::idempotency::HeldClaim;
 use parsleywall::idempotency::RecordedResponse;
 use parsleywall::ids::DataCentre;
@@ -178,6 +182,26 @@
     assert!(one.is_ok() != other.is_ok(), "{one:?} and {other:?}");
 }
 
+/// A call to the host that writes the log may be served after its caller has given it up, and has given the
+/// claim back through another host.
+#[tokio::test(start_paused = true)]
+async fn test_idempotency_claim_that_comes_after_its_release_holds_nothing() {
+    let kv = KvMemory::new();
+    let keepers = [keeper(0, &kv), keeper(1, &kv)];
+    let claim_key = ClaimKey::new(&WorkspaceName::new("desk"), "order");
+    let claim = ClaimId(7);
+    let late = ClaimRequest::Claim { claim_key, claim };
+    let release = ClaimRequest::Release { claim_key, claim };
+    assert_eq!(keepers[1].serve(release).await, ClaimReply::Recorded);
+    assert_ne!(keepers[0].serve(late.clone()).await, ClaimReply::Granted);
+
+    let held = granted(&keepers[0], "order").await;
+    held.release().await;
+    assert_ne!(keepers[1].serve(late).await, ClaimReply::Granted);
+    let held = granted(&keepers[1], "order").await;
+    drop(held);
+}
+
 /// A log starts over when all its segments have expired. A host whose view of it is from before must not go
 /// on where the former log ended, beside the new one.
 #[tokio::test(start_paused = true)]
