registry: a listing that is older than the one before it changes nothing

Cause: hosts list the entries of the others by cheap reads that may be seconds old, from one replica or another. Each listing replaced the one before it, so that an older one brought back hosts that had left or were replaced, called a leaving host ready again, and dropped one that had just started.

Change: a listing of a lower revision than the applied one is ignored. After 10 s with no other one it is believed, as a service that was restored from a copy goes on at lower revisions.

--- a/lib/src/registry/entry.rs
+++ b/lib/src/registry/entry.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::registry::name_hold::HostProcess;
 
@@ -16,6 +17,10 @@
 /// expired during an outage of the key-value service.
 const VANISHED_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Time for which listings that are older than an applied one are ignored. A service that was restored from
+/// a copy goes on at lower revisions.
+const OLDER_LISTING_TIME: Duration = Duration::from_secs(10);
+
 /// Number of replaced processes that an entry names.
 const MAX_REPLACED: usize = 8;
 
@@ -115,12 +120,37 @@
 #[derive(Clone, Debug, Default)]
 pub struct RegisteredHosts {
     hosts: HashMap<String, KnownHost>,
+    /// Revision of the last listing that was applied, and when.
+    applied: Option<(KvVersion, Instant)>,
 }
 
 impl RegisteredHosts {
-    /// Applies a listing that was read at `now`. A host that it lacks is kept for 2.5
-    /// seconds, unless it was leaving.
-    pub fn apply_listing(&mut self, entries: Vec<HostEntry>, now: Instant) {
+    /// Applies a listing of `revision` that was read at `now`, unless a newer one was applied less than
+    /// 10 seconds ago: a listing may show an older state than the one before it. A host that it lacks is
+    /// kept for 2.5 seconds, unless it was leaving.
+    pub(crate) fn apply_listing(
+        &mut self,
+        entries: Vec<HostEntry>,
+        revision: KvVersion,
+        now: Instant,
+    ) {
+        let is_overtaken = self
+            .applied
+            .is_some_and(|(applied, at)| revision < applied && now - at < OLDER_LISTING_TIME);
+        if !is_overtaken {
+            self.applied = Some((revision, now));
+            self.replace(entries, now);
+        }
+        self.hosts.retain(|_, known| {
+            let is_expired = known
+                .vanished_at
+                .is_some_and(|at| now - at >= VANISHED_GRACE);
+            !is_expired
+                && (known.vanished_at.is_none() || known.entry.state == HostReadiness::Ready)
+        });
+    }
+
+    fn replace(&mut self, entries: Vec<HostEntry>, now: Instant) {
         for known in self.hosts.values_mut() {
             known.vanished_at.get_or_insert(now);
         }
@@ -131,13 +161,6 @@
             };
             self.hosts.insert(known.entry.host.clone(), known);
         }
-        self.hosts.retain(|_, known| {
-            let is_expired = known
-                .vanished_at
-                .is_some_and(|at| now - at >= VANISHED_GRACE);
-            !is_expired
-                && (known.vanished_at.is_none() || known.entry.state == HostReadiness::Ready)
-        });
     }
 
     /// The last known entry of `host`.
--- a/lib/src/registry/host_registry.rs
+++ b/lib/src/registry/host_registry.rs
@@ -271,9 +271,12 @@
         loop {
             if let Ok(listing) = self.read_list().await {
                 self.check_listing(&listing).await;
+                let revision = listing.revision;
                 let entries = listing.entries.into_iter().map(|(entry, _)| entry);
                 let entries = entries.collect();
-                self.with_state(|state| state.list.apply_listing(entries, Instant::now()));
+                self.with_state(|state| {
+                    state.list.apply_listing(entries, revision, Instant::now())
+                });
             }
             let hosts = self.with_list(RegisteredHosts::len);
             let min_interval = self.shared.config.list_interval;
--- a/lib/src/registry/mod.rs
+++ b/lib/src/registry/mod.rs
@@ -13,6 +13,8 @@
 mod own_entry;
 mod replacement;
 mod secret;
+#[cfg(test)]
+mod tests;
 
 pub use entry::HostEntry;
 pub use entry::HostReadiness;
