views: an answer from an older state than another host has told of proves nothing

Cause: any answer proved the view as of its call, also one whose revision was lower than another host had told of before that call, and it dropped what was known to be missing. A host could say that its view was current while it lacked a change.

Change: such an answer moves the position on, proves nothing, and is followed by another check after a tenth of the bound. A service that was restored from a copy goes on at lower revisions: it is believed at once if this host had been at a higher one, and otherwise once the notice is older than the bound.

--- a/lib/src/view_monitor.rs
+++ b/lib/src/view_monitor.rs
@@ -24,6 +24,9 @@
 /// delay after it, as fractions of the greatest age.
 const BEHIND_SHARE: f64 = 0.05;
 const BEHIND_SPREAD_SHARE: f64 = 0.1;
+/// Pause after an answer from an older state than another host had told of, as a fraction of the greatest
+/// age.
+const OUTDATED_PAUSE_SHARE: f64 = 0.1;
 
 /// What a host follows in the key-value service.
 #[derive(
@@ -147,6 +150,8 @@
     /// overtaken.
     heard: Option<(KvVersion, Instant)>,
     missing: Option<MissingChange>,
+    /// When the next check may be made after an answer from an older state than another host had told of.
+    retry_at: Option<Instant>,
     hosts: usize,
     check_delay: Duration,
     is_overdue: bool,
@@ -165,6 +170,7 @@
             proven_at: None,
             heard: None,
             missing: None,
+            retry_at: None,
             hosts: 1,
             check_delay: Duration::ZERO,
             is_overdue: false,
@@ -192,14 +198,35 @@
         now.saturating_duration_since(self.proven_at.unwrap_or(self.created_at))
     }
 
+    /// Whether an answer shows an older state than another host had told of before the call, so that it
+    /// proves nothing. A service that was restored from a copy goes on at lower revisions: it is believed
+    /// if this host was at a higher one itself, and once the notice is older than the view may be.
+    fn is_outdated(&self, answer: &ViewAnswer) -> bool {
+        let is_restored = self
+            .position
+            .is_some_and(|position| answer.as_of < position);
+        let is_older = self.heard.is_some_and(|(revision, at)| {
+            let counts = at <= answer.started && answer.started < at + self.max_age;
+            counts && answer.as_of < revision
+        });
+        is_older && !is_restored
+    }
+
     /// Records an answer of a call of this host.
     pub fn note_answer(&mut self, answer: ViewAnswer) {
+        let is_outdated = self.is_outdated(&answer);
         self.position = Some(answer.as_of);
         match answer.last_change {
             LastChange::None => {}
             LastChange::At(version) => self.last_change = (version, true),
             LastChange::Unknown => self.last_change = (answer.as_of, false),
         }
+        if is_outdated {
+            let pause = self.max_age.mul_f64(OUTDATED_PAUSE_SHARE);
+            self.retry_at = Some(answer.started + pause);
+            return;
+        }
+        self.retry_at = None;
         let is_found = |missing: &MissingChange| {
             missing.version <= answer.as_of || missing.heard_at <= answer.started
         };
@@ -293,9 +320,15 @@
             at: missing.heard_at.max(started) + missing.delay,
             reason: CheckReason::Behind,
         });
-        match behind {
+        let next = match behind {
             Some(behind) if behind.at < by_age.at => behind,
             _ => by_age,
+        };
+        DueCheck {
+            at: self
+                .retry_at
+                .map_or(next.at, |retry_at| next.at.max(retry_at)),
+            ..next
         }
     }
 
--- a/lib/tests/test_view_monitor.rs
+++ b/lib/tests/test_view_monitor.rs
@@ -347,6 +347,55 @@
     assert_eq!(monitor.age(last), Duration::from_millis(10));
 }
 
+/// Guards against an answer from a state that is older than one of which another host has told before the
+/// call: it shows nothing of the changes between the two.
+#[tokio::test(start_paused = true)]
+async fn test_answer_from_an_older_state_than_told_proves_nothing() {
+    let now = Instant::now();
+    let mut monitor = monitor(6, now);
+    let told = now + Duration::from_millis(400);
+    monitor.apply(&notice(9, 8, 0), told, told);
+    let started = told + Duration::from_millis(10);
+    let answer = |started, as_of, last_change| ViewAnswer {
+        started,
+        as_of: KvVersion(as_of),
+        last_change,
+    };
+    monitor.note_answer(answer(started, 7, LastChange::None));
+    assert_eq!(monitor.age(started), Duration::from_millis(410));
+    // It is asked again, as it still lacks the change, but not without a pause.
+    let next = monitor.next_check(None);
+    assert_eq!(next.reason, CheckReason::Behind);
+    assert!(next.at >= started + Duration::from_millis(50), "{next:?}");
+    assert!(next.at < now + MAX_AGE, "{next:?}");
+
+    // A call that was made before the notice came proves what it shows.
+    let early = told - Duration::from_millis(10);
+    monitor.note_answer(answer(early, 7, LastChange::None));
+    assert_eq!(monitor.age(started), Duration::from_millis(20));
+    monitor.note_answer(answer(started, 9, LastChange::At(KvVersion(8))));
+    assert_eq!(monitor.age(started), Duration::ZERO);
+}
+
+/// Guards against a view that is not proved again until a service that was restored from a copy, at a
+/// revision that this host had not reached, comes to the revision of which another host had told.
+#[tokio::test(start_paused = true)]
+async fn test_notice_from_before_a_restore_counts_for_the_greatest_age_only() {
+    let now = Instant::now();
+    let mut monitor = monitor(6, now);
+    monitor.apply(&notice(900, 8, 0), now, now);
+    let later = now + MAX_AGE;
+    monitor.note_answer(ViewAnswer {
+        started: later,
+        as_of: KvVersion(7),
+        last_change: LastChange::None,
+    });
+    assert_eq!(monitor.age(later), Duration::ZERO);
+    let last = later + Duration::from_millis(300);
+    monitor.apply(&notice(8, 5, 10), last, last);
+    assert_eq!(monitor.age(last), Duration::from_millis(10));
+}
+
 /// Guards against checks that other hosts don't learn of, and against notices that are not applied.
 #[tokio::test(start_paused = true)]
 async fn test_exchange_carries_checks_of_views() {
