edges: a listing of several pages has the revision of its oldest page

Cause: a listing was said to show the state at the revision of its first page. The pages of a cheap listing may come from replicas of different ages, so that a later page may lack what the first revision has: an entry that it lacks counts as deleted, and a watch from the first revision never brings it.

Change: the listing has the lowest revision of its pages. Up-to-date listings, whose pages get newer, have that of the first, as before.

Measured: test_list_all_has_the_revision_of_its_oldest_page failed before with left: KvVersion(9) right: KvVersion(7) and passes now.

--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -292,15 +292,16 @@
 /// Number of keys that [`list_all`] requests per page.
 const LIST_PAGE_KEYS: usize = 500;
 
-/// Lists all keys with `prefix`, page by page. Returns them with the revision of the first page,
-/// after which a watch misses no change; later pages may already show changes after it.
+/// Lists all keys with `prefix`, page by page. Returns them with the revision of the oldest page, after
+/// which a watch misses no change; other pages may already show changes after it. Pages of up-to-date
+/// listings get newer from the first on, but those of stale ones may come from replicas of any age.
 pub async fn list_all(
     kv: &dyn KvStore,
     prefix: &str,
     freshness: Freshness,
 ) -> Result<(Vec<KvEntry>, KvVersion), KvError> {
     let mut entries: Vec<KvEntry> = Vec::new();
-    let mut revision = None;
+    let mut revision: Option<KvVersion> = None;
     loop {
         let after = entries.last().map(|entry| entry.key.clone());
         let page = match freshness {
@@ -310,7 +311,7 @@
                     .await?
             }
         };
-        revision.get_or_insert(page.revision);
+        revision = Some(revision.map_or(page.revision, |oldest| oldest.min(page.revision)));
         let is_last = !page.more || page.entries.is_empty();
         entries.extend(page.entries);
         if is_last {
