balancer: a broadcast that was overtaken changes nothing

Cause: load reports have the incarnation and a sequence number, broadcasts had neither. A broadcast that came after a later message of its host, or from an earlier process of the name, was applied as the newest: a leaving host counted as ready again, a host as heard that was not, and jobs as acquired by a process that is gone.

Change: broadcasts carry both, from one sequence with the reports. Heartbeats, silent hosts and acquired jobs are taken from newer messages only; after a second without messages any process may speak. Broadcasts of an earlier release have no number and are applied as before.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -131,6 +131,8 @@
     ) -> Self {
         let announcement = HostAnnouncement {
             host: host.clone(),
+            incarnation,
+            sequence: 0,
             is_leaving: false,
             acquired_jobs: Vec::new(),
             silent_hosts: Vec::new(),
@@ -267,8 +269,10 @@
                 }
             }
             Some(HostDatagram::Announcement(announcement)) => {
-                note_jobs(&announcement.host, &announcement.acquired_jobs);
-                self.balancer.state().apply_announcement(&announcement, now);
+                let is_newest = self.balancer.state().apply_announcement(&announcement, now);
+                if is_newest {
+                    note_jobs(&announcement.host, &announcement.acquired_jobs);
+                }
             }
             Some(HostDatagram::Crashes(news)) => self.apply_news(news),
             Some(HostDatagram::GrantRequest(request)) => {
@@ -490,6 +494,8 @@
             return;
         }
         self.announced_at = Some(now);
+        self.report.sequence += 1;
+        self.announcement.sequence = self.report.sequence;
         let announcement = HostDatagram::Announcement(self.announcement.clone());
         self.send(&announcement, &self.peers.all).await;
     }
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -13,6 +13,7 @@
 mod limit_placement;
 mod limited;
 mod liveness;
+mod message_order;
 mod neighbours;
 mod peer_loads;
 mod reconciler;
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -48,7 +48,7 @@
     /// Start time of the host's process, in milliseconds since the Unix epoch.
     #[serde(rename = "i")]
     pub incarnation: u64,
-    /// Sequence number of the report within that process.
+    /// Sequence number among the load reports and broadcasts of that process.
     #[serde(rename = "n")]
     pub sequence: u64,
     /// Whether the host is about to stop.
@@ -81,6 +81,12 @@
     /// Name of the host that sends the broadcast.
     #[serde(rename = "h")]
     pub host: String,
+    /// Start time of the host's process, in milliseconds since the Unix epoch; 0 from an earlier release.
+    #[serde(rename = "i", default)]
+    pub incarnation: u64,
+    /// Sequence number among the load reports and broadcasts of that process.
+    #[serde(rename = "n", default)]
+    pub sequence: u64,
     /// Whether the host is about to stop.
     #[serde(rename = "q")]
     pub is_leaving: bool,
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -17,6 +17,7 @@
 use crate::balancer::capacity::preemptions;
 use crate::balancer::capacity::spare_slots;
 use crate::balancer::incarnation_notices::IncarnationNotices;
+use crate::balancer::message_order::MessageOrder;
 use crate::balancer::neighbours::NeighbourTracker;
 use crate::balancer::peer_loads::PeerLoads;
 use crate::balancer::peer_loads::WorkCount;
@@ -234,6 +235,7 @@
     busy: BTreeSet<BalancerKey>,
     pub(super) tracker: NeighbourTracker,
     pub(super) peer_loads: PeerLoads,
+    message_order: MessageOrder,
     pub(super) leaving: IncarnationNotices,
     pub(super) ended: IncarnationNotices,
     /// When this host first tried to start a batch item.
@@ -258,6 +260,7 @@
             busy: BTreeSet::new(),
             tracker: NeighbourTracker::new(host),
             peer_loads: PeerLoads::default(),
+            message_order: MessageOrder::default(),
             leaving: IncarnationNotices::default(),
             ended: IncarnationNotices::default(),
             first_start_attempt: None,
@@ -858,8 +861,13 @@
         if report.host == self.tracker.own() || self.peer_loads.is_stale(&report) {
             return false;
         }
-        self.tracker
-            .record_heartbeat(&report.host, report.is_leaving, now);
+        // A broadcast of the host may have overtaken the report.
+        let (incarnation, sequence) = (report.incarnation, report.sequence);
+        let order = &mut self.message_order;
+        if order.accept(&report.host, incarnation, sequence, now) {
+            self.tracker
+                .record_heartbeat(&report.host, report.is_leaving, now);
+        }
         self.apply_leaving(&report.leaving);
         self.apply_ended(&report.ended);
         if !self.peer_loads.knows(&report.host, report.incarnation) {
@@ -872,9 +880,22 @@
         self.peer_loads.apply(report, now)
     }
 
-    /// Applies a message that another host broadcasts to the fleet.
-    pub fn apply_announcement(&mut self, announcement: &HostAnnouncement, now: Instant) {
+    /// Applies a message that another host broadcasts to the fleet, unless one that was sent after it has
+    /// come before. Returns whether it was applied.
+    pub fn apply_announcement(&mut self, announcement: &HostAnnouncement, now: Instant) -> bool {
+        let HostAnnouncement {
+            host,
+            incarnation,
+            sequence,
+            ..
+        } = announcement;
+        let is_ordered = *incarnation != 0;
+        let order = &mut self.message_order;
+        if is_ordered && !order.accept(host, *incarnation, *sequence, now) {
+            return false;
+        }
         self.tracker.apply_announcement(announcement, now);
+        true
     }
 
     /// Neighbours that recently stopped reporting and that this host has to announce to all others.
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -869,6 +869,8 @@
     assert_eq!(announcers.len(), 1);
     let announcement = HostAnnouncement {
         host: names[announcers[0]].clone(),
+        incarnation: 0,
+        sequence: 0,
         is_leaving: false,
         acquired_jobs: Vec::new(),
         silent_hosts: balancers[announcers[0]].silent_neighbours(later),
@@ -914,6 +916,46 @@
     }
 }
 
+/// Guards against broadcasts that come in another order than they were sent, and against those of an earlier
+/// process of the host: a leaving host would count as ready again.
+#[tokio::test(start_paused = true)]
+async fn test_overtaken_broadcasts_change_nothing() {
+    let start = Instant::now();
+    let hosts = ["host-a", "host-b"];
+    let broadcast = |incarnation, sequence, is_leaving| HostAnnouncement {
+        host: "host-b".to_owned(),
+        incarnation,
+        sequence,
+        is_leaving,
+        acquired_jobs: Vec::new(),
+        silent_hosts: Vec::new(),
+    };
+    let mut balancer = BalancerState::new(HostId::new("host-a"), DataCentre::new("west"));
+    balancer.set_hosts(hosts);
+    assert!(balancer.apply_announcement(&broadcast(6, 80, false), start));
+    assert!(balancer.apply_announcement(&broadcast(7, 5, true), start));
+    for (incarnation, sequence) in [(7, 4), (7, 5), (6, 81)] {
+        let late = broadcast(incarnation, sequence, false);
+        let is_newest = balancer.apply_announcement(&late, start);
+        assert!(!is_newest, "{late:?}");
+        assert_eq!(balancer.usable_hosts(&hosts, start), ["host-a"], "{late:?}");
+    }
+    // A report that was overtaken by the broadcast.
+    let late = HostLoadReport {
+        incarnation: 7,
+        ..report("host-b", 4, &[])
+    };
+    balancer.apply_report(late, start);
+    assert_eq!(balancer.usable_hosts(&hosts, start), ["host-a"]);
+    assert!(balancer.apply_announcement(&broadcast(7, 6, false), start));
+    assert_eq!(balancer.usable_hosts(&hosts, start), hosts);
+
+    // An earlier process may go on after the later one has ended.
+    let later = start + Duration::from_secs(2);
+    assert!(balancer.apply_announcement(&broadcast(6, 82, true), later));
+    assert_eq!(balancer.usable_hosts(&hosts, later), ["host-a"]);
+}
+
 /// A host that starts must broadcast that it is there: hosts that don't get its reports may have it
 /// excluded as silent since its earlier process ended.
 #[tokio::test(start_paused = true)]
