batch: a marker that was written anew is not deleted as an old one

Cause: a host that finds no record for an old marker of an open job deletes the marker, whatever it holds by then. If the job is submitted again between the two, the marker of the new job is deleted, and nobody finds the job once its owner is gone.

Change: the marker is deleted only in the version that was listed.

Measured: test_marker_that_was_written_anew_is_not_deleted_as_an_old_one failed before with assertion failed: memory.value("open/batch_1").is_some() and passes now.

--- a/lib/src/batch/tracker.rs
+++ b/lib/src/batch/tracker.rs
@@ -156,11 +156,12 @@
         };
         let Some(job) = job else {
             if self.is_older_than(version, MIN_ORPHAN_MARKER_AGE) {
+                // A submission may have written the marker anew since it was listed.
                 let _ = self
                     .dependencies
                     .store
                     .kv()
-                    .delete(&open_key(id), Expect::Any)
+                    .delete(&open_key(id), Expect::Version(version))
                     .await;
             }
             return;
--- a/lib/tests/test_batch_ages.rs
+++ b/lib/tests/test_batch_ages.rs
@@ -4,8 +4,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use parsleywall::batch::BatchCoordinator;
 use parsleywall::batch::BatchDependencies;
@@ -24,7 +27,14 @@
 use parsleywall::decisions::DecisionRing;
 use parsleywall::edges::engine::Endpoint;
 use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvChanges;
+use parsleywall::edges::kv::KvCommit;
+use parsleywall::edges::kv::KvEntry;
+use parsleywall::edges::kv::KvError;
+use parsleywall::edges::kv::KvPage;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::edges::kv::KvVersion;
+use parsleywall::edges::kv::LeaseId;
 use parsleywall::ids::FileId;
 use parsleywall::ids::HostId;
 use parsleywall::ids::JobId;
@@ -62,7 +72,7 @@
 }
 
 /// A host that has just started, the only one.
-async fn start_host(kv: &Arc<KvMemory>, fleet: &ScriptedFleet) -> Arc<BatchCoordinator> {
+async fn start_host<K: KvStore>(kv: &Arc<K>, fleet: &ScriptedFleet) -> Arc<BatchCoordinator> {
     let host = HostId::new("host-0");
     let counters = Arc::new(CounterSet::new());
     let decisions = Arc::new(DecisionRing::new(host.clone()));
@@ -80,6 +90,74 @@
     })
 }
 
+/// A service at which a job is submitted again just before a host deletes its marker.
+struct ResubmittingKv {
+    memory: Arc<KvMemory>,
+    marker: Bytes,
+    deletions: AtomicU32,
+}
+
+#[async_trait]
+impl KvStore for ResubmittingKv {
+    async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
+        self.memory.get(key).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<KvPage, KvError> {
+        self.memory.list(prefix, after, limit).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<KvVersion, KvError> {
+        self.memory.put(key, value, expect, lease).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
+        if key == "open/batch_1" {
+            let marker = self.marker.clone();
+            let put = self.memory.put(key, marker, Expect::Any, None);
+            put.await.unwrap();
+            self.deletions.fetch_add(1, Ordering::Relaxed);
+        }
+        self.memory.delete(key, expect).await
+    }
+
+    async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
+        self.memory.commit(commit).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: KvVersion,
+        wait: Duration,
+    ) -> Result<KvChanges, KvError> {
+        self.memory.watch(prefix, after, wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        self.memory.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.memory.renew_lease(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.memory.revoke_lease(lease).await
+    }
+}
+
 async fn put_marker(kv: &KvMemory, key: &str, shift_ms: i64) {
     let marker = StoredMarker {
         format: 1,
@@ -196,6 +274,29 @@
     }
 }
 
+/// Guards against a job that nobody finds any more once its owner is gone: it is submitted again, and its
+/// marker written anew, after a host has found no record for the old marker and before that deletes it.
+#[tokio::test(start_paused = true)]
+async fn test_marker_that_was_written_anew_is_not_deleted_as_an_old_one() {
+    let fleet = ScriptedFleet::start(0).await;
+    let memory = KvMemory::new();
+    put_marker(&memory, "open/batch_1", 0).await;
+    let marker = memory.value("open/batch_1").unwrap();
+    let kv = Arc::new(ResubmittingKv {
+        memory: memory.clone(),
+        marker,
+        deletions: AtomicU32::new(0),
+    });
+    let host = start_host(&kv, &fleet).await;
+    let stop = CancellationToken::new();
+    let running = tokio::spawn(host.run(stop.clone()));
+    tokio::time::sleep(Duration::from_secs(30 * 60)).await;
+    assert!(kv.deletions.load(Ordering::Relaxed) > 0);
+    assert!(memory.value("open/batch_1").is_some());
+    stop.cancel();
+    running.await.unwrap();
+}
+
 /// Guards against a job that nobody finds any more once its owner is gone, as its marker was deleted while
 /// the job was being accepted.
 #[tokio::test(start_paused = true)]
