upstreams: a load report from before a crash does not revive the upstream

Cause: the load reports of a round of polls are applied once the last one has come or its time-out has passed. A report that an engine sent before it crashed was applied after the crash was known, so that the engine counted as alive with its old start number until it had missed three more polls; requests went there. A report of an address that the platform no longer lists was taken for that of the next one.

Change: an answer is ignored if its poll was sent before the last crash, or to another address.

Measured: test_report_from_before_a_crash_does_not_revive_the_upstream failed before with assertion failed: entry.health.is_dead() and test_report_of_another_address_is_not_that_of_the_upstream with left: Some(EngineLoadReport { running: 0, waiting: 0, kv_used: 0.0, models: [], versions: [], fence: 0, boot: 1, model_slots: 0 }) right: None Both pass now.

--- a/lib/src/upstreams/table.rs
+++ b/lib/src/upstreams/table.rs
@@ -83,15 +83,24 @@
     }
 }
 
-struct ArenaEntry {
-    upstream: Upstream,
-    health: UpstreamHealth,
+pub(crate) struct ArenaEntry {
+    pub(crate) upstream: Upstream,
+    pub(crate) health: UpstreamHealth,
+    /// When the upstream last crashed. Load reports that were asked for before tell nothing of it since.
+    crashed_at: Option<Instant>,
     /// Whether [`UpstreamTable::take_report`] has not returned the last load report yet.
     has_new_report: bool,
 }
 
+/// A request for the load report of an upstream.
+pub(crate) struct LoadPoll {
+    pub(crate) id: UpstreamId,
+    pub(crate) address: SocketAddr,
+    pub(crate) sent_at: Instant,
+}
+
 #[derive(Default)]
-struct UpstreamArena {
+pub(crate) struct UpstreamArena {
     entries: Slab<ArenaEntry>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
 }
@@ -235,11 +244,9 @@
     /// load again.
     pub fn note_crash(&self, id: &UpstreamId) {
         let mut arena = self.arena_lock();
-        let Some(entry) = arena.find_entry_mut(id) else {
+        if !arena.note_crash(id, Instant::now()) {
             return;
-        };
-        entry.health.note_crash();
-        entry.upstream.load = None;
+        }
         drop(arena);
         self.rebuild();
     }
@@ -304,19 +311,22 @@
     async fn poll_loads(&self) {
         let engines = self.engines();
         let polls = engines.iter().map(|engine| async move {
+            let poll = LoadPoll {
+                id: engine.id.clone(),
+                address: engine.address,
+                sent_at: Instant::now(),
+            };
             let report = self.engine.load(engine.address);
             let report = tokio::time::timeout(REPORT_TIMEOUT, report).await;
             if report.is_err() {
                 self.engine.discard_idle_connections(engine.address);
             }
-            (&engine.id, report.ok().and_then(Result::ok))
+            (poll, report.ok().and_then(Result::ok))
         });
         let reports = futures_util::future::join_all(polls).await;
         let mut arena = self.arena_lock();
-        for (id, report) in reports {
-            if let Some(entry) = arena.find_entry_mut(id) {
-                entry.note_report(report);
-            }
+        for (poll, report) in reports {
+            arena.apply_report(&poll, report);
         }
     }
 
@@ -424,7 +434,30 @@
 }
 
 impl UpstreamArena {
-    fn find_entry(&self, id: &UpstreamId) -> Option<&ArenaEntry> {
+    /// Records a crash. Returns whether the upstream is known.
+    pub(crate) fn note_crash(&mut self, id: &UpstreamId, now: Instant) -> bool {
+        let Some(entry) = self.find_entry_mut(id) else {
+            return false;
+        };
+        entry.crashed_at = Some(now);
+        entry.health.note_crash();
+        entry.upstream.load = None;
+        true
+    }
+
+    /// Applies the answer to `poll`; `None` if there was none. An answer from before the last crash, or of an
+    /// earlier address, is ignored.
+    pub(crate) fn apply_report(&mut self, poll: &LoadPoll, report: Option<EngineLoadReport>) {
+        let Some(entry) = self.find_entry_mut(&poll.id) else {
+            return;
+        };
+        let is_outdated = entry.crashed_at.is_some_and(|at| poll.sent_at < at);
+        if !is_outdated && entry.upstream.address == poll.address {
+            entry.note_report(report);
+        }
+    }
+
+    pub(crate) fn find_entry(&self, id: &UpstreamId) -> Option<&ArenaEntry> {
         let key = self.by_id.get(id)?;
         self.entries.get(key.0 as usize)
     }
@@ -441,7 +474,7 @@
         ejected.count() < self.entries.len() / EJECTED_DIVISOR
     }
 
-    fn upsert(&mut self, host: ListedHost) {
+    pub(crate) fn upsert(&mut self, host: ListedHost) {
         if let Some(key) = self.by_id.get(&host.id) {
             let upstream = &mut self.entries[key.0 as usize].upstream;
             upstream.address = host.address;
@@ -461,6 +494,7 @@
         let index = self.entries.insert(ArenaEntry {
             upstream,
             health: UpstreamHealth::new(),
+            crashed_at: None,
             has_new_report: false,
         });
         self.by_id.insert(id, UpstreamKey(index as u32));
--- a/lib/src/upstreams/tests.rs
+++ b/lib/src/upstreams/tests.rs
@@ -4,8 +4,16 @@
 
 use tokio::time::Instant;
 
+use crate::edges::engine::EngineLoadReport;
+use crate::edges::host_list::ListedHost;
+use crate::edges::host_list::ListedRole;
+use crate::edges::host_list::ListedState;
+use crate::ids::DataCentre;
+use crate::ids::UpstreamId;
 use crate::upstreams::health::HealthChange;
 use crate::upstreams::health::UpstreamHealth;
+use crate::upstreams::table::LoadPoll;
+use crate::upstreams::table::UpstreamArena;
 
 #[tokio::test(start_paused = true)]
 async fn test_health_ejects_after_failures_in_a_row() {
@@ -79,3 +87,62 @@
     health.note_report(true);
     assert!(!health.is_dead());
 }
+
+fn listed(port: u16) -> ListedHost {
+    ListedHost {
+        id: UpstreamId::new("engine"),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: DataCentre::new("west"),
+        role: ListedRole::Engine,
+        state: ListedState::Live,
+    }
+}
+
+fn poll(port: u16, sent_at: Instant) -> LoadPoll {
+    LoadPoll {
+        id: UpstreamId::new("engine"),
+        address: ([127, 0, 0, 1], port).into(),
+        sent_at,
+    }
+}
+
+fn report(boot: u64) -> Option<EngineLoadReport> {
+    Some(EngineLoadReport {
+        boot,
+        ..EngineLoadReport::default()
+    })
+}
+
+/// All reports of a round are applied once the last one has come, or its time-out has passed.
+#[tokio::test(start_paused = true)]
+async fn test_report_from_before_a_crash_does_not_revive_the_upstream() {
+    let id = UpstreamId::new("engine");
+    let mut arena = UpstreamArena::default();
+    arena.upsert(listed(1));
+    let early = poll(1, Instant::now());
+    tokio::time::advance(Duration::from_millis(50)).await;
+    assert!(arena.note_crash(&id, Instant::now()));
+    arena.apply_report(&early, report(1));
+    let entry = arena.find_entry(&id).unwrap();
+    assert!(entry.health.is_dead());
+    assert_eq!(entry.upstream.load, None);
+
+    arena.apply_report(&poll(1, Instant::now()), report(2));
+    let entry = arena.find_entry(&id).unwrap();
+    assert!(!entry.health.is_dead());
+    assert_eq!(entry.upstream.load, report(2));
+}
+
+/// The platform may list another address while the report of the one before is on its way.
+#[tokio::test(start_paused = true)]
+async fn test_report_of_another_address_is_not_that_of_the_upstream() {
+    let id = UpstreamId::new("engine");
+    let mut arena = UpstreamArena::default();
+    arena.upsert(listed(1));
+    let early = poll(1, Instant::now());
+    arena.upsert(listed(2));
+    arena.apply_report(&early, report(1));
+    assert_eq!(arena.find_entry(&id).unwrap().upstream.load, None);
+    arena.apply_report(&poll(2, Instant::now()), report(2));
+    assert_eq!(arena.find_entry(&id).unwrap().upstream.load, report(2));
+}
