suspects: a crash of which a message has waited is counted once

Cause: news of a crash say how old it is, and the receiver counted that age from the moment at which it read the message. A host that stood still for about a second after a crash read messages that had waited, dated them by as much too late, and took them for a second crash of the same upstream. Two crashes are proof: a sound request, and all hosts learn convictions, was refused.

Change: a message arrived between the last time at which the socket was known to be empty and now, as for notices of views. A crash has the times between the two, and two reports about one upstream are about the same crash unless these are a second apart.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -307,7 +307,7 @@
 
     fn apply_news(&self, news: CrashNews) {
         let fleet = self.balancer.state().fleet_size();
-        self.crashes.apply(news, fleet);
+        self.crashes.apply_arrived(news, self.emptied_at, fleet);
     }
 
     /// Sends this host's convictions to the host that sent `report`, if that knows others.
--- a/lib/src/suspects/crash_keeper.rs
+++ b/lib/src/suspects/crash_keeper.rs
@@ -155,11 +155,16 @@
         self.with_ledger(|ledger| ledger.take_news(Instant::now()))
     }
 
-    /// Applies another host's message.
+    /// Applies another host's message, which has just arrived.
     pub fn apply(&self, news: CrashNews, fleet: FleetSize) {
+        self.apply_arrived(news, Instant::now(), fleet);
+    }
+
+    /// Applies another host's message that arrived at `arrived` or later.
+    pub(crate) fn apply_arrived(&self, news: CrashNews, arrived: Instant, fleet: FleetSize) {
         self.with_ledger(|ledger| {
             ledger.set_fleet(fleet);
-            ledger.apply(news, Instant::now());
+            ledger.apply_arrived(news, arrived, Instant::now());
         });
     }
 
--- a/lib/src/suspects/evidence.rs
+++ b/lib/src/suspects/evidence.rs
@@ -23,6 +23,8 @@
 pub(crate) struct CrashRecord {
     pub(crate) upstream: UpstreamIncarnation,
     pub(crate) at: Instant,
+    /// When it may have been at the earliest, if the message that told of it may have waited here.
+    pub(crate) earliest: Instant,
     pub(crate) runs: Vec<CrashedRun>,
     /// Whether all that is known of the crash has been judged.
     pub(crate) is_judged: bool,
--- a/lib/src/suspects/ledger.rs
+++ b/lib/src/suspects/ledger.rs
@@ -205,7 +205,7 @@
 
     /// Records that `run` broke at `now` as `upstream` crashed. Other hosts will be told.
     pub fn report_crash(&mut self, upstream: UpstreamIncarnation, run: CrashedRun, now: Instant) {
-        self.add_crash(upstream, now, vec![run]);
+        self.add_crash(upstream, now, now, vec![run]);
         self.news.push(NewsItem::Crash(upstream), now);
     }
 
@@ -216,7 +216,7 @@
             crash.upstream == upstream && now.saturating_duration_since(crash.at) < RATE_WINDOW
         });
         if !is_known {
-            self.add_crash(upstream, now, Vec::new());
+            self.add_crash(upstream, now, now, Vec::new());
         }
     }
 
@@ -314,11 +314,18 @@
         (!items.is_empty()).then_some(news)
     }
 
-    /// Applies another host's message.
+    /// Applies another host's message, which has just arrived.
     pub fn apply(&mut self, news: CrashNews, now: Instant) {
+        self.apply_arrived(news, now, now);
+    }
+
+    /// Applies another host's message that arrived at `arrived` or later. It may have waited at this host,
+    /// so that its ages tell times between two bounds.
+    pub fn apply_arrived(&mut self, news: CrashNews, arrived: Instant, now: Instant) {
         for crash in news.crashes {
             let at = earlier(now, crash.age_ms);
-            self.add_crash(crash.upstream, at, crash.runs);
+            let earliest = earlier(arrived, crash.age_ms).min(at);
+            self.add_crash(crash.upstream, earliest, at, crash.runs);
         }
         for notice in news.sound {
             let at = earlier(now, notice.age_ms);
@@ -350,7 +357,14 @@
         Some(SoundNotice { subject, age_ms })
     }
 
-    fn add_crash(&mut self, upstream: UpstreamIncarnation, at: Instant, runs: Vec<CrashedRun>) {
+    /// Adds a crash that was at `at`, or at any time from `earliest` on.
+    fn add_crash(
+        &mut self,
+        upstream: UpstreamIncarnation,
+        earliest: Instant,
+        at: Instant,
+        runs: Vec<CrashedRun>,
+    ) {
         for subject in runs.iter().flat_map(CrashedRun::subjects) {
             if self.convictions.contains_key(&subject)
                 && let Some(conviction) = self.convictions_mut().get_mut(&subject)
@@ -359,7 +373,9 @@
             }
         }
         let is_same = |crash: &&mut CrashRecord| {
-            let apart = crash.at.max(at) - crash.at.min(at);
+            // Shortest time between the two, by what is known of their times.
+            let later = crash.earliest.max(earliest);
+            let apart = later.saturating_duration_since(crash.at.min(at));
             crash.upstream == upstream && apart < SAME_CRASH_TIME
         };
         let Some(crash) = self.crashes.iter_mut().find(is_same) else {
@@ -371,6 +387,7 @@
             let subjects: Vec<CrashSubject> = runs.iter().flat_map(CrashedRun::subjects).collect();
             self.crashes.push_back(CrashRecord {
                 upstream,
+                earliest,
                 at,
                 runs,
                 is_judged: false,
@@ -380,6 +397,9 @@
             }
             return;
         };
+        if crash.earliest < crash.at {
+            crash.at = crash.at.min(at).max(crash.earliest);
+        }
         for run in runs {
             let is_known = crash.runs.iter().any(|known| known.request == run.request);
             if !is_known && crash.runs.len() < MAX_RUNS {
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -557,6 +557,38 @@
     assert!(is_convicted(&mut other, subject));
 }
 
+/// Guards against a sound request that is convicted by one crash: a host that stood still finds messages that
+/// have waited, whose ages count from their sending, and takes the crash for a second one.
+#[tokio::test(start_paused = true)]
+async fn test_crash_of_which_a_message_has_waited_is_counted_once() {
+    let subject = CrashSubject::Request(fingerprint(1));
+    for stop in [0, 500, 1_200, 2_000, 5_000] {
+        for sends_before in [0, 1] {
+            let (mut sender, mut stopped) = (ledger(), ledger());
+            sender.report_crash(upstream(1), run(1), Instant::now());
+            let stopped_at = Instant::now();
+            let mut waiting = Vec::new();
+            for number in 0..3 {
+                if let Some(news) = sender.take_news(Instant::now()) {
+                    match number < sends_before {
+                        true => stopped.apply(news, Instant::now()),
+                        false => waiting.push(news),
+                    }
+                }
+                tokio::time::advance(Duration::from_millis(300)).await;
+            }
+            tokio::time::advance(Duration::from_millis(stop)).await;
+            assert!(!waiting.is_empty());
+            for news in waiting {
+                stopped.apply_arrived(news, stopped_at, Instant::now());
+            }
+            tokio::time::advance(NEWS_TIME).await;
+            stopped.take_news(Instant::now());
+            assert!(!is_convicted(&mut stopped, subject), "{stop} ms");
+        }
+    }
+}
+
 /// Starts the exchange of `keeper` with the host at `peer`.
 fn spawn_exchange(socket: UdpSocket, host: &str, keeper: CrashKeeper, peer: SocketAddr) {
     let state = BalancerState::new(HostId::new(host), DataCentre::new("west"));
