jobs: a job that is removed between two pages of its listing is not read in part

What a caller may have seen: fewer results than before, of a job that is being removed. `load` now asks for the summary once more if there was more than one page.

--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -300,8 +300,29 @@
     prefix: &str,
     freshness: Freshness,
 ) -> Result<(Vec<KvEntry>, KvVersion), KvError> {
+    let listing = list_pages(kv, prefix, freshness).await?;
+    Ok((listing.entries, listing.revision))
+}
+
+/// All keys with a prefix, as read page by page.
+#[derive(Clone, Debug)]
+pub(crate) struct KvListing {
+    pub(crate) entries: Vec<KvEntry>,
+    /// Oldest revision of its pages.
+    pub(crate) revision: KvVersion,
+    /// Number of pages. Several are no snapshot: keys may have changed between two of them.
+    pub(crate) pages: usize,
+}
+
+/// Lists as [`list_all`] does, and also returns the number of pages.
+pub(crate) async fn list_pages(
+    kv: &dyn KvStore,
+    prefix: &str,
+    freshness: Freshness,
+) -> Result<KvListing, KvError> {
     let mut entries: Vec<KvEntry> = Vec::new();
     let mut revision: Option<KvVersion> = None;
+    let mut pages = 0;
     loop {
         let after = entries.last().map(|entry| entry.key.clone());
         let page = match freshness {
@@ -312,10 +333,15 @@
             }
         };
         revision = Some(revision.map_or(page.revision, |oldest| oldest.min(page.revision)));
+        pages += 1;
         let is_last = !page.more || page.entries.is_empty();
         entries.extend(page.entries);
         if is_last {
-            return Ok((entries, revision.unwrap_or_default()));
+            return Ok(KvListing {
+                entries,
+                revision: revision.unwrap_or_default(),
+                pages,
+            });
         }
     }
 }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -30,6 +30,7 @@
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
+use crate::edges::kv::list_pages;
 use crate::jobs::message::KnownOwner;
 use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
@@ -407,14 +408,20 @@
     }
 
     /// Reads the stored state of a job, up to date; `None` if no such job is stored.
+    ///
+    /// Segments are listed in the order in which they are written, so that those of several pages are all
+    /// up to the last one. A job that was removed between two pages is not stored.
     pub(crate) async fn load(&self, id: &str) -> Result<Option<StoredJob>, KvError> {
-        let prefix = format!("job/{id}/");
+        let prefix = job_prefix(id);
         let mut info: Option<JobInfo> = None;
         let mut segments: Vec<ResultSegment> = Vec::new();
         let mut is_ended = false;
         let kv = self.kv.as_ref();
-        let (entries, revision) = list_all(kv, &prefix, Freshness::Current).await?;
-        for entry in &entries {
+        let listing = list_pages(kv, &prefix, Freshness::Current).await?;
+        if listing.pages > 1 && kv.get(&info_key(id)).await?.is_none() {
+            return Ok(None);
+        }
+        for entry in &listing.entries {
             let name = &entry.key[prefix.len()..];
             match name.strip_prefix("seg/") {
                 Some(number) => {
@@ -435,7 +442,7 @@
             info,
             segments,
             is_ended,
-            revision,
+            revision: listing.revision,
         }))
     }
 
@@ -454,7 +461,7 @@
 
     /// Reads the specification of a job with all items; `None` if no such job is stored.
     pub(crate) async fn load_spec(&self, id: &str) -> Result<Option<JobSpec>, KvError> {
-        let prefix = format!("spec/{id}/");
+        let prefix = spec_prefix(id);
         let kv = self.kv.as_ref();
         let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
         let bytes: Vec<u8> = entries
@@ -558,6 +565,14 @@
         .collect()
 }
 
+fn job_prefix(id: &str) -> String {
+    format!("job/{id}/")
+}
+
+fn spec_prefix(id: &str) -> String {
+    format!("spec/{id}/")
+}
+
 fn info_key(id: &str) -> String {
     format!("job/{id}/info")
 }
--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -3,15 +3,30 @@
 mod job_fleet;
 mod opaque;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_trait::async_trait;
+use bytes::Bytes;
 use job_fleet::JobFleet;
 use job_fleet::assert_complete;
 use job_fleet::job;
 use job_fleet::read_all;
 use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvChanges;
+use parsleywall::edges::kv::KvCommit;
+use parsleywall::edges::kv::KvEntry;
+use parsleywall::edges::kv::KvError;
+use parsleywall::edges::kv::KvPage;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::edges::kv::KvVersion;
+use parsleywall::edges::kv::LeaseId;
+use parsleywall::jobs::JobConfig;
+use parsleywall::jobs::ReadOutcome;
 use parsleywall::jobs::SubmitOutcome;
+use parsleywall_standins::kv::KvMemory;
 use parsleywall_standins::kv_link::CommitFault;
 
 /// Number of items for which the job runs on while the first segment is written.
@@ -58,3 +73,102 @@
         assert_eq!(runs.len(), 1, "{runs:?}");
     }
 }
+
+/// Store of which the first listing of a job's keys has a second page, before which the job is removed.
+struct RemovedWhileListed {
+    kv: Arc<KvMemory>,
+    is_armed: AtomicBool,
+}
+
+impl RemovedWhileListed {
+    async fn remove_job(&self) {
+        let page = self.kv.list("job/j1/", None, 500).await.unwrap();
+        for entry in page.entries {
+            self.kv.delete(&entry.key, Expect::Any).await.unwrap();
+        }
+    }
+}
+
+#[async_trait]
+impl KvStore for RemovedWhileListed {
+    async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
+        self.kv.get(key).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<KvPage, KvError> {
+        let is_job = prefix.starts_with("job/") && after.is_none();
+        if !is_job || !self.is_armed.swap(false, Ordering::Relaxed) {
+            return self.kv.list(prefix, after, limit).await;
+        }
+        let mut page = self.kv.list(prefix, after, limit).await?;
+        page.entries.truncate(2);
+        page.more = true;
+        self.remove_job().await;
+        Ok(page)
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<KvVersion, KvError> {
+        self.kv.put(key, value, expect, lease).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), KvError> {
+        self.kv.delete(key, expect).await
+    }
+
+    async fn commit(&self, commit: KvCommit) -> Result<KvVersion, KvError> {
+        self.kv.commit(commit).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: KvVersion,
+        wait: Duration,
+    ) -> Result<KvChanges, KvError> {
+        self.kv.watch(prefix, after, wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        self.kv.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.kv.renew_lease(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError> {
+        self.kv.revoke_lease(lease).await
+    }
+}
+
+/// Guards against a job that has lost results: it is removed between two pages of its listing.
+#[tokio::test(start_paused = true)]
+async fn test_job_removed_while_it_is_listed_is_not_read_in_part() {
+    let mut fleet = JobFleet::new();
+    let host = fleet.host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    read_all(&host, "j1").await;
+    let kv = RemovedWhileListed {
+        kv: fleet.kv.clone(),
+        is_armed: AtomicBool::new(true),
+    };
+    let reader = fleet
+        .host_on("host-b", JobConfig::default(), Arc::new(kv))
+        .await;
+    host.kill();
+    let outcome = reader.keeper.read("j1", 0, Duration::ZERO).await;
+    assert_eq!(outcome, ReadOutcome::NoSuchJob);
+}
