jobs: a removal deletes the keys that are stored, not those that the summary names

A removal that failed after its first commit was repeated without the summary, which is deleted first, so that the other segments and parts stayed in the store for ever.

--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -494,11 +494,11 @@
     /// Deletes all keys of a closed job. The `closed` key goes last, so that a removal that failed
     /// halfway is found and repeated by a later sweep.
     pub(crate) async fn remove(&self, id: &str) -> Result<(), KvError> {
-        let mut deletes = vec![info_key(id), end_key(id)];
-        if let Some(stored) = self.load(id).await? {
-            deletes.extend((0..stored.info.parts).map(|number| part_key(id, number)));
-            let segments = stored.segments.iter();
-            deletes.extend(segments.map(|segment| segment_key(id, segment.number)));
+        let kv = self.kv.as_ref();
+        let mut deletes = Vec::new();
+        for prefix in [job_prefix(id), spec_prefix(id)] {
+            let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+            deletes.extend(entries.into_iter().map(|entry| entry.key));
         }
         deletes.push(closed_key(id));
         for keys in deletes.chunks(MAX_PARTS) {
--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -172,3 +172,27 @@
     let outcome = reader.keeper.read("j1", 0, Duration::ZERO).await;
     assert_eq!(outcome, ReadOutcome::NoSuchJob);
 }
+
+/// Guards against keys that stay for ever: a removal fails halfway, and is repeated without the job's summary.
+#[tokio::test(start_paused = true)]
+async fn test_removal_that_failed_halfway_leaves_no_segments() {
+    let mut fleet = JobFleet::new();
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", 3)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    read_all(&host, "j1").await;
+    // More segments than one commit deletes.
+    for number in 1..40 {
+        let key = format!("job/j1/seg/{number:05}");
+        let empty = Bytes::from_static(&[0x80]);
+        fleet.kv.put(&key, empty, Expect::Any, None).await.unwrap();
+    }
+    link.set_next_commit(CommitFault::LosesAnswer);
+    tokio::time::sleep(Duration::from_secs(1_200)).await;
+    for prefix in ["job/", "spec/", "closed/"] {
+        let page = fleet.kv.list(prefix, None, 500).await.unwrap();
+        let keys: Vec<String> = page.entries.into_iter().map(|entry| entry.key).collect();
+        assert_eq!(keys, [""; 0]);
+    }
+}
