jobs: a read from before a job was closed does not revive it

Cause: a host finished and dropped a job while an earlier claim of its own was still being loaded. What that load had read before the close was inserted after it, as nothing remembered that the job was closed.

Change: the version or revision at which a job was closed counts as the newest that the host knows of its owner key, so that a claim from before it is out of date.

--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -341,6 +341,7 @@
                 self.with_table(|table| table.segment_written(&segment_write, version, now));
                 self.shared.results_committed.notify_waiters();
                 if segment_write.is_last {
+                    self.shared.owners.record_closed(job, version);
                     self.drop_job(job, FINISHED_OUTCOME);
                 }
             }
@@ -406,6 +407,7 @@
         self.with_table(|table| table.apply_segments(job, stored.segments, Instant::now()));
         self.shared.results_committed.notify_waiters();
         let Some(open) = open else {
+            self.shared.owners.record_closed(job, stored.revision);
             let is_complete = self.with_table(|table| table.is_complete(job));
             let outcome = if is_complete {
                 FINISHED_OUTCOME
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -284,7 +284,10 @@
     async fn store_end(&self, job: &str) -> EndOutcome {
         for _ in 0..MAX_STORE_ATTEMPTS {
             match self.shared.store.end(job).await {
-                Ok(()) => return EndOutcome::Ended,
+                Ok(version) => {
+                    self.shared.owners.record_closed(job, version);
+                    return EndOutcome::Ended;
+                }
                 Err(_) => tokio::time::sleep(STORE_RETRY_DELAY).await,
             }
         }
--- a/lib/src/jobs/owners.rs
+++ b/lib/src/jobs/owners.rs
@@ -66,7 +66,8 @@
 #[derive(Clone, Debug)]
 struct SeenOwner {
     owner: JobOwner,
-    /// Version of the owner key; zero if only the owner's name was announced.
+    /// Version of the owner key, or at which the job was closed; zero if only the owner's name was
+    /// announced.
     version: KvVersion,
     /// The owner before this one, if this host saw it.
     before: Option<JobOwner>,
@@ -136,6 +137,14 @@
         self.see(job, owner, version);
     }
 
+    /// Records that `job` was not open any more at `version`, so that claims from before are out of date.
+    pub(super) fn record_closed(&self, job: &str, version: KvVersion) {
+        if let Some(known) = self.lock().get_mut(job) {
+            known.version = known.version.max(version);
+            known.seen = Instant::now();
+        }
+    }
+
     /// Host name of the last seen owner.
     pub(super) fn host(&self, job: &str) -> Option<String> {
         self.lock().get(job).map(|known| known.owner.host.clone())
@@ -153,7 +162,7 @@
         Some((known.written.clone()?, known.version))
     }
 
-    /// Version of the last seen owner key.
+    /// Version of the last seen owner key, or at which the job was closed.
     pub(super) fn version(&self, job: &str) -> Option<KvVersion> {
         self.lock().get(job).map(|known| known.version)
     }
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -472,7 +472,8 @@
     /// Drops a job that was missing from a listing, if an up-to-date read confirms that it is
     /// closed.
     async fn drop_if_closed(&self, id: &str) {
-        if let Ok(None) = self.shared.store.open_job(id).await {
+        if let Ok((None, revision)) = self.shared.store.open_job_at(id).await {
+            self.shared.owners.record_closed(id, revision);
             self.drop_job(id, "closed_elsewhere");
         }
     }
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -361,14 +361,14 @@
     }
 
     /// Ends and closes a job unconditionally. Deleting its `open` key makes later segment writes
-    /// fail.
-    pub(crate) async fn end(&self, id: &str) -> Result<(), KvError> {
+    /// fail. Returns the version at which it is closed.
+    pub(crate) async fn end(&self, id: &str) -> Result<KvVersion, KvError> {
         let commit = KvCommit {
             expect: Vec::new(),
             puts: vec![put_without_lease(end_key(id), Bytes::new()), put_closed(id)],
             deletes: vec![open_key(id), owner_key(id)],
         };
-        self.kv.commit(commit).await.map(|_| ())
+        self.kv.commit(commit).await
     }
 
     /// Lists all open jobs, possibly as of some seconds ago (a stale read).
@@ -393,18 +393,26 @@
 
     /// Reads the `open` and owner keys of one job, up to date; `None` if the job is not open.
     pub(crate) async fn open_job(&self, id: &str) -> Result<Option<OpenJob>, KvError> {
+        Ok(self.open_job_at(id).await?.0)
+    }
+
+    /// Reads as [`Self::open_job`] does, and returns the revision at which it was read.
+    pub(crate) async fn open_job_at(
+        &self,
+        id: &str,
+    ) -> Result<(Option<OpenJob>, KvVersion), KvError> {
         let mut jobs = HashMap::default();
         let mut owners = HashMap::default();
         let kv = self.kv.as_ref();
-        let (entries, _) = list_all(kv, &open_key(id), Freshness::Current).await?;
+        let (entries, revision) = list_all(kv, &open_key(id), Freshness::Current).await?;
         for entry in &entries {
             collect_open_entry(entry, &mut jobs, &mut owners);
         }
-        let job = jobs.remove(id);
-        Ok(job.map(|job| OpenJob {
+        let job = jobs.remove(id).map(|job| OpenJob {
             owner: owners.remove(id),
             ..job
-        }))
+        });
+        Ok((job, revision))
     }
 
     /// Reads the stored state of a job, up to date; `None` if no such job is stored.
--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -74,13 +74,35 @@
     }
 }
 
-/// Store of which the first listing of a job's keys has a second page, before which the job is removed.
-struct RemovedWhileListed {
+/// What happens to one listing of a job's keys.
+#[derive(Clone, Copy, Debug)]
+enum ListingFault {
+    /// It has a second page, before which the job is removed.
+    RemovesJob,
+    /// It is answered after this time.
+    AnswersAfter(Duration),
+}
+
+/// Store of which the next listing of a job's keys meets a fault.
+struct FaultyListing {
     kv: Arc<KvMemory>,
+    fault: ListingFault,
     is_armed: AtomicBool,
 }
 
-impl RemovedWhileListed {
+impl FaultyListing {
+    fn new(kv: Arc<KvMemory>, fault: ListingFault) -> Arc<Self> {
+        Arc::new(Self {
+            kv,
+            fault,
+            is_armed: AtomicBool::new(false),
+        })
+    }
+
+    fn arm(&self) {
+        self.is_armed.store(true, Ordering::Relaxed);
+    }
+
     async fn remove_job(&self) {
         let page = self.kv.list("job/j1/", None, 500).await.unwrap();
         for entry in page.entries {
@@ -90,7 +112,7 @@
 }
 
 #[async_trait]
-impl KvStore for RemovedWhileListed {
+impl KvStore for FaultyListing {
     async fn get(&self, key: &str) -> Result<Option<KvEntry>, KvError> {
         self.kv.get(key).await
     }
@@ -106,9 +128,14 @@
             return self.kv.list(prefix, after, limit).await;
         }
         let mut page = self.kv.list(prefix, after, limit).await?;
-        page.entries.truncate(2);
-        page.more = true;
-        self.remove_job().await;
+        match self.fault {
+            ListingFault::RemovesJob => {
+                page.entries.truncate(2);
+                page.more = true;
+                self.remove_job().await;
+            }
+            ListingFault::AnswersAfter(delay) => tokio::time::sleep(delay).await,
+        }
         Ok(page)
     }
 
@@ -161,13 +188,9 @@
     let outcome = host.keeper.submit(job("j1", ITEMS)).await;
     assert_eq!(outcome, SubmitOutcome::Accepted);
     read_all(&host, "j1").await;
-    let kv = RemovedWhileListed {
-        kv: fleet.kv.clone(),
-        is_armed: AtomicBool::new(true),
-    };
-    let reader = fleet
-        .host_on("host-b", JobConfig::default(), Arc::new(kv))
-        .await;
+    let kv = FaultyListing::new(fleet.kv.clone(), ListingFault::RemovesJob);
+    kv.arm();
+    let reader = fleet.host_on("host-b", JobConfig::default(), kv).await;
     host.kill();
     let outcome = reader.keeper.read("j1", 0, Duration::ZERO).await;
     assert_eq!(outcome, ReadOutcome::NoSuchJob);
@@ -196,3 +219,25 @@
         assert_eq!(keys, [""; 0]);
     }
 }
+
+/// Guards against a closed job that begins anew: what was read for a claim comes when the job is finished.
+#[tokio::test(start_paused = true)]
+async fn test_read_from_before_the_close_revives_no_job() {
+    let mut fleet = JobFleet::new();
+    let delay = Duration::from_secs(30);
+    let kv = FaultyListing::new(fleet.kv.clone(), ListingFault::AnswersAfter(delay));
+    let config = JobConfig::default();
+    let host = fleet.host_on("host-a", config, kv.clone()).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    kv.arm();
+    let key = "open/j1/owner";
+    fleet.kv.delete(key, Expect::Any).await.unwrap();
+    let before = read_all(&host, "j1").await;
+    for _ in 0..400 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(host.keeper.open_item_count(), 0);
+        assert_eq!(read_all(&host, "j1").await, before);
+    }
+}
