reach: hosts judge whether they reach upstreams, and report it

A host that is cut off from all upstreams took it for their failure: it ejected them in turn and refused its callers, and no other host knew.

New module reach: contacts of this host's own connections with upstreams, what other hosts' load reports say of the same upstreams, and a judgement without I/O: an upstream that fails here while others hear it is lost by this host's fault; a host that has lost two of them (or the only one) and opened no connection since is stranded; with some connections it is partly stranded; a host without others never is. Load reports carry the services that a host reaches, those that it is stranded from, upstreams that it asks for and those of them that others hear; the field is left out when empty, so reports of earlier releases are the same bytes. RequestRelay::reach() holds the keeper: state() and detour_hosts() for what dispatches requests.

No probes, announcements to all hosts or directory yet. Tests with literals of HostLoadReport name the new field; nothing else of them changes.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -24,6 +24,7 @@
 use crate::origins::OriginQuery;
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
+use crate::reach::ReachKeeper;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
 
@@ -81,6 +82,7 @@
     news_budget: NewsBudget,
     log: EventLog,
     origins: OriginKeeper,
+    reach: ReachKeeper,
     views: HostViews,
     /// When the last step began.
     stepped_at: Instant,
@@ -147,6 +149,7 @@
             waiting: Vec::new(),
             convictions: 0,
             limits: Vec::new(),
+            reach: Box::default(),
         };
         Self {
             socket,
@@ -164,6 +167,7 @@
             news_budget: NewsBudget::new(Instant::now()),
             log: EventLog::disabled(),
             origins: OriginKeeper::default(),
+            reach: ReachKeeper::default(),
             views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
             stepped_at: Instant::now(),
             emptied_at: Instant::now(),
@@ -189,6 +193,12 @@
         self
     }
 
+    /// Also exchanges what `reach` knows of the reach of hosts.
+    pub fn with_reach(mut self, reach: ReachKeeper) -> Self {
+        self.reach = reach;
+        self
+    }
+
     /// Also exchanges what proves `views`.
     pub fn with_views(mut self, views: HostViews) -> Self {
         self.views = views;
@@ -261,6 +271,10 @@
         match HostDatagram::decode(bytes) {
             Some(HostDatagram::Load(report)) => {
                 self.send_convictions(&report, sender, now).await;
+                if report.host != self.report.host {
+                    let reach = &self.reach;
+                    reach.apply_report(&report.host, &report.loads, &report.reach, now);
+                }
                 let has_changed = self.balancer.state().apply_report(report, now);
                 if has_changed {
                     self.balancer.notify_waiters();
@@ -410,6 +424,7 @@
                 self.origins.announce_again();
             }
             self.views.set_hosts(self.peers.all.len() + 1);
+            self.reach.set_hosts(self.peers.by_name.clone());
             self.peers_read_at = now;
             if was_alone && !self.peers.all.is_empty() {
                 self.present_since = Some(now);
@@ -434,12 +449,17 @@
         };
         let is_leaving = self.leaving.is_cancelled();
         let convictions = self.crashes.digest();
+        let mut reach = Box::new(self.reach.own_notice(now));
+        if is_leaving {
+            reach.reached.clear();
+        }
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
             || ended != self.report.ended
             || !is_same_backlog(&waiting, &self.report.waiting)
             || convictions != self.report.convictions
             || limit_revision != self.limit_revision
+            || reach != self.report.reach
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -455,6 +475,7 @@
         self.report.is_leaving = is_leaving;
         self.report.convictions = convictions;
         self.report.limits = self.balancer.state().limit_notices(now);
+        self.report.reach = reach;
         self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -46,3 +46,4 @@
 pub use state::UpstreamState;
 pub use waiting::ItemUrgency;
 pub use waiting::WaitingItems;
+pub(crate) use waiting::service_tag;
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -15,6 +15,7 @@
 use crate::origins::OriginReply;
 use crate::origins::TakeUpNotice;
 use crate::origins::TakeUpReply;
+use crate::reach::ReachNotice;
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
 
@@ -72,6 +73,9 @@
     /// Limits of upstreams that the host has observed or granted requests under lately.
     #[serde(rename = "r", default)]
     pub limits: Vec<LimitNotice>,
+    /// Reach of the host.
+    #[serde(rename = "t", default, skip_serializing_if = "ReachNotice::is_empty")]
+    pub reach: Box<ReachNotice>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -46,6 +46,7 @@
 use crate::limits::LimitTable;
 use crate::limits::ReturnSchedule;
 use crate::origins::HostTag;
+use crate::reach::ProbeTarget;
 use crate::suspects::FleetSize;
 
 /// Number of reporting hosts from which each request chooses among a random sample of the
@@ -69,6 +70,9 @@
 /// Slots by which an upstream in the host's own data centre counts as less loaded.
 const LOCAL_SLOT_BONUS: f64 = 0.5;
 
+/// Upstreams of one service by which a host judges its reach.
+const MAX_PROBE_TARGETS: usize = 16;
+
 /// Whether an upstream accepts new requests, as its registration says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -538,6 +542,17 @@
             .take(size)
     }
 
+    /// Upstreams in this host's window of `service`, [`MAX_PROBE_TARGETS`] at most.
+    pub fn probe_targets(&self, service: &ServiceName) -> Vec<ProbeTarget> {
+        let near = self.window(service, |_| true).take(MAX_PROBE_TARGETS);
+        near.map(|(_, upstream)| ProbeTarget {
+            id: upstream.entry.id.clone(),
+            service: service.clone(),
+            address: upstream.entry.address,
+        })
+        .collect()
+    }
+
     /// Chooses an upstream for one piece of work and counts the work there, or returns `None` if no
     /// upstream may take it.
     ///
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod peers;
 pub mod placement;
 mod rate;
+pub mod reach;
 pub mod refusal;
 pub mod registry;
 pub mod relay;
--- /dev/null
+++ b/lib/src/reach/keeper.rs
@@ -0,0 +1,98 @@
+//! Handle to what is known of the reach of hosts, shared by the tasks of a host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use tokio::time::Instant;
+
+use crate::balancer::LoadBalancer;
+use crate::balancer::UpstreamLoad;
+use crate::collections::HashMap;
+use crate::ids::ServiceName;
+use crate::ids::UpstreamId;
+use crate::reach::contact::UnreachedCause;
+use crate::reach::judgement::ReachState;
+use crate::reach::notice::ReachNotice;
+use crate::reach::table::DetourHost;
+use crate::reach::table::ReachTable;
+
+/// What this host knows of its own reach and of that of the other hosts. Clones share it.
+#[derive(Clone, Default)]
+pub struct ReachKeeper {
+    table: Arc<Mutex<ReachTable>>,
+}
+
+impl ReachKeeper {
+    fn table(&self) -> MutexGuard<'_, ReachTable> {
+        self.table.lock().expect("reach table lock")
+    }
+
+    /// Records that a connection to an upstream was opened.
+    pub fn record_connected(&self, upstream: &UpstreamId, service: &ServiceName, now: Instant) {
+        self.table().record_connected(upstream, service, now);
+    }
+
+    /// Records that bytes came from an upstream, on whichever connection.
+    pub fn record_heard(&self, upstream: &UpstreamId, service: &ServiceName, now: Instant) {
+        self.table().record_heard(upstream, service, now);
+    }
+
+    /// Records that a connection to an upstream failed.
+    pub fn record_unreached(
+        &self,
+        upstream: &UpstreamId,
+        service: &ServiceName,
+        cause: UnreachedCause,
+        now: Instant,
+    ) {
+        self.table().record_unreached(upstream, service, cause, now);
+    }
+
+    /// How well this host reaches the upstreams of `service`.
+    pub fn state(&self, service: &ServiceName) -> ReachState {
+        self.table().state(service)
+    }
+
+    /// Whether this host reaches no service of which it knows anything, while other hosts do.
+    pub fn is_stranded(&self) -> bool {
+        self.table().is_stranded()
+    }
+
+    /// Other hosts that said lately that they reach `service` and take detours.
+    pub fn detour_hosts(&self, service: &ServiceName) -> Vec<DetourHost> {
+        self.table().detour_hosts(service, Instant::now())
+    }
+
+    /// Replaces the addresses of the other hosts, by their names.
+    pub fn set_hosts(&self, addresses: HashMap<String, SocketAddr>) {
+        self.table().set_hosts(addresses);
+    }
+
+    /// Applies the load report of another host.
+    pub fn apply_report(
+        &self,
+        host: &str,
+        loads: &[UpstreamLoad],
+        notice: &ReachNotice,
+        now: Instant,
+    ) {
+        self.table().apply_report(host, loads, notice, now);
+    }
+
+    /// What this host tells the others in its load reports.
+    pub fn own_notice(&self, now: Instant) -> ReachNotice {
+        self.table().own_notice(now)
+    }
+
+    /// Judges the reach of the services of which a connection has failed lately.
+    pub fn step(&self, balancer: &LoadBalancer, now: Instant) {
+        let suspected = self.table().suspected(now);
+        for service in &suspected {
+            let window = balancer.state().probe_targets(service);
+            self.table().judge(service, &window, now);
+        }
+        self.table().expire(now);
+    }
+}
--- /dev/null
+++ b/lib/src/reach/mod.rs
@@ -0,0 +1,20 @@
+//! Whether this host reaches upstreams, and which other hosts do.
+//!
+//! A host that is partitioned from all upstreams of a service, while other hosts reach them, is
+//! stranded. It finds out from its own connections and from what the others report, tells them, and
+//! asks callers to go elsewhere. Decisions need neither the network nor a clock: callers pass the time.
+//!
+//! See `docs/design/stranded-hosts.md`.
+
+mod contact;
+mod judgement;
+mod keeper;
+mod notice;
+mod table;
+
+pub use contact::UnreachedCause;
+pub use judgement::ReachState;
+pub use keeper::ReachKeeper;
+pub use notice::ReachNotice;
+pub use table::DetourHost;
+pub use table::ProbeTarget;
--- /dev/null
+++ b/lib/src/reach/notice.rs
@@ -0,0 +1,29 @@
+//! What hosts tell one another of their reach.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Reach of one host, part of its load reports. Services and upstreams are given by their tags.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachNotice {
+    /// Services that the host reaches and takes detours for.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub reached: Vec<u32>,
+    /// Services from which the host is stranded.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub stranded: Vec<u32>,
+    /// Upstreams to which connections of the host have failed, and of which it asks whether others hear
+    /// them.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub unreached: Vec<u32>,
+    /// Upstreams of which other hosts ask, and that this one hears.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub heard: Vec<u32>,
+}
+
+impl ReachNotice {
+    /// Whether the notice says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
--- /dev/null
+++ b/lib/src/reach/table.rs
@@ -0,0 +1,359 @@
+//! Evidence on the reach of this host and of the others, and the state that follows from it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::balancer::UpstreamLoad;
+use crate::balancer::service_tag;
+use crate::balancer::upstream_tag;
+use crate::collections::HashMap;
+use crate::collections::HashSet;
+use crate::ids::ServiceName;
+use crate::ids::UpstreamId;
+use crate::reach::contact::UnreachedCause;
+use crate::reach::contact::UpstreamContact;
+use crate::reach::judgement::ReachEvidence;
+use crate::reach::judgement::ReachState;
+use crate::reach::notice::ReachNotice;
+
+/// Time after a report within which what it says of the reach of its host holds.
+const NOTICE_TIME: Duration = Duration::from_millis(1_000);
+/// Time after the last contact with an upstream of a service for which a host says that it reaches it.
+const REACHED_TIME: Duration = Duration::from_secs(5);
+/// Age of a contact up to which a host answers others that it hears an upstream.
+const HEARD_TIME: Duration = Duration::from_millis(300);
+/// Time for which evidence of other hosts on an upstream counts.
+const ELSEWHERE_TIME: Duration = Duration::from_secs(2);
+/// Time without evidence that others reach a service after which a stranded host takes it that the
+/// upstreams themselves have failed.
+const UNCONFIRMED_TIME: Duration = Duration::from_secs(2);
+/// Time after which contacts with an upstream are forgotten.
+const CONTACT_TIME: Duration = Duration::from_secs(60);
+/// Share of lost upstreams from which a partly stranded host takes no detours.
+const MAX_DETOUR_SHARE: f64 = 0.5;
+/// Upstreams of which one notice asks or tells.
+const MAX_NOTICE_UPSTREAMS: usize = 16;
+
+/// Another host that takes requests on to the upstreams of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DetourHost {
+    /// Name of the host.
+    pub host: String,
+    /// Its address for other hosts.
+    pub address: SocketAddr,
+}
+
+/// An upstream to which a probe may connect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProbeTarget {
+    /// Identifier of the upstream.
+    pub id: UpstreamId,
+    /// Service that the upstream runs.
+    pub service: ServiceName,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+}
+
+/// A change of this host's reach of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ReachChange {
+    pub(crate) service: ServiceName,
+    pub(crate) before: ReachState,
+    pub(crate) state: ReachState,
+    /// The evidence that led to it.
+    pub(crate) evidence: ReachEvidence,
+    /// Cause of the last failures, `None` without any.
+    pub(crate) cause: Option<UnreachedCause>,
+    /// Time that the state before had lasted.
+    pub(crate) lasted: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ServiceVerdict {
+    state: ReachState,
+    since: Instant,
+    /// When another host last confirmed that it reaches what this one has lost.
+    confirmed_at: Instant,
+}
+
+#[derive(Debug)]
+struct PeerReach {
+    notice: ReachNotice,
+    received_at: Instant,
+}
+
+impl PeerReach {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now - self.received_at < NOTICE_TIME
+    }
+}
+
+/// Evidence on all upstreams that this host has had to do with, and the last notices of other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct ReachTable {
+    contacts: HashMap<u32, (ServiceName, UpstreamContact)>,
+    verdicts: HashMap<ServiceName, ServiceVerdict>,
+    peers: HashMap<String, PeerReach>,
+    /// When another host was last known to hear the upstream with this tag.
+    heard_elsewhere: HashMap<u32, Instant>,
+    addresses: HashMap<String, SocketAddr>,
+}
+
+impl ReachTable {
+    fn contact(&mut self, upstream: &UpstreamId, service: &ServiceName) -> &mut UpstreamContact {
+        let tag = upstream_tag(upstream);
+        let entry = self.contacts.entry(tag);
+        &mut entry
+            .or_insert_with(|| (service.clone(), UpstreamContact::default()))
+            .1
+    }
+
+    pub(crate) fn record_connected(
+        &mut self,
+        upstream: &UpstreamId,
+        service: &ServiceName,
+        now: Instant,
+    ) {
+        self.contact(upstream, service).record_connected(now);
+    }
+
+    pub(crate) fn record_heard(
+        &mut self,
+        upstream: &UpstreamId,
+        service: &ServiceName,
+        now: Instant,
+    ) {
+        self.contact(upstream, service).record_heard(now);
+    }
+
+    pub(crate) fn record_unreached(
+        &mut self,
+        upstream: &UpstreamId,
+        service: &ServiceName,
+        cause: UnreachedCause,
+        now: Instant,
+    ) {
+        self.contact(upstream, service).record_unreached(cause, now);
+    }
+
+    /// Replaces the addresses of the other hosts.
+    pub(crate) fn set_hosts(&mut self, addresses: HashMap<String, SocketAddr>) {
+        self.addresses = addresses;
+    }
+
+    /// Applies a load report of another host.
+    ///
+    /// A host may still hear an upstream on an old connection while new ones fail, so what it says of an
+    /// upstream that it hasn't reached itself is no evidence.
+    pub(crate) fn apply_report(
+        &mut self,
+        host: &str,
+        loads: &[UpstreamLoad],
+        notice: &ReachNotice,
+        now: Instant,
+    ) {
+        let active = loads.iter().filter(|load| load.3).map(|load| load.0);
+        let heard = active.chain(notice.heard.iter().copied());
+        for tag in heard.filter(|tag| !notice.unreached.contains(tag)) {
+            self.heard_elsewhere.insert(tag, now);
+        }
+        let peer = PeerReach {
+            notice: notice.clone(),
+            received_at: now,
+        };
+        self.peers.insert(host.to_owned(), peer);
+    }
+
+    /// Services of which a connection has failed lately, without a successful one since, or whose state
+    /// is not [`ReachState::Reached`].
+    pub(crate) fn suspected(&self, now: Instant) -> HashSet<ServiceName> {
+        let failing = self.contacts.values();
+        let failing = failing.filter(|(_, contact)| contact.unreached(now).is_some());
+        let failing = failing.map(|(service, _)| service.clone());
+        let judged = self.verdicts.iter();
+        let judged = judged.filter(|(_, verdict)| verdict.state != ReachState::Reached);
+        failing
+            .chain(judged.map(|(service, _)| service.clone()))
+            .collect()
+    }
+
+    /// Judges the reach of a service from the evidence on `window`, the upstreams of the service that this
+    /// host uses. Returns the change, if there is one.
+    pub(crate) fn judge(
+        &mut self,
+        service: &ServiceName,
+        window: &[ProbeTarget],
+        now: Instant,
+    ) -> Option<ReachChange> {
+        let evidence = self.evidence(window, now);
+        let cause = self.last_cause(window, now);
+        let has_peers = self.peers.values().any(|peer| peer.is_fresh(now));
+        let judged = match has_peers {
+            true => evidence.judge(),
+            false => ReachState::Reached,
+        };
+        let verdict = self.verdicts.entry(service.clone());
+        let verdict = verdict.or_insert(ServiceVerdict {
+            state: ReachState::Reached,
+            since: now,
+            confirmed_at: now,
+        });
+        if judged != ReachState::Reached {
+            verdict.confirmed_at = now;
+        }
+        // Others may hear nothing of the upstreams for a while, as when the service is idle.
+        let is_kept = verdict.state == ReachState::Stranded
+            && has_peers
+            && evidence.connected == 0
+            && evidence.lost + evidence.unreached > 0
+            && now - verdict.confirmed_at < UNCONFIRMED_TIME;
+        let before = verdict.state;
+        let state = if is_kept { before } else { judged };
+        verdict.state = state;
+        let has_changed = std::mem::discriminant(&before) != std::mem::discriminant(&state);
+        has_changed.then(|| ReachChange {
+            service: service.clone(),
+            before,
+            state,
+            evidence,
+            cause,
+            lasted: now - std::mem::replace(&mut verdict.since, now),
+        })
+    }
+
+    fn evidence(&self, window: &[ProbeTarget], now: Instant) -> ReachEvidence {
+        let contacts: Vec<(u32, UpstreamContact)> = window
+            .iter()
+            .map(|target| upstream_tag(&target.id))
+            .filter_map(|tag| Some((tag, self.contacts.get(&tag)?.1)))
+            .collect();
+        let failed = contacts.iter();
+        let failed = failed.filter_map(|(_, contact)| contact.unreached(now));
+        let Some(first_failed) = failed.map(|(since, _)| since).min() else {
+            return ReachEvidence {
+                serving: window.len(),
+                ..ReachEvidence::default()
+            };
+        };
+        let mut evidence = ReachEvidence {
+            serving: window.len(),
+            ..ReachEvidence::default()
+        };
+        for (tag, contact) in &contacts {
+            let heard_elsewhere = self.heard_elsewhere.get(tag).copied();
+            let heard_elsewhere = heard_elsewhere.filter(|at| now - *at < ELSEWHERE_TIME);
+            if contact.is_lost_here(heard_elsewhere, now) {
+                evidence.lost += 1;
+            } else if contact.unreached(now).is_some() {
+                evidence.unreached += 1;
+            } else if contact.has_connected_since(first_failed) {
+                evidence.connected += 1;
+            }
+        }
+        evidence
+    }
+
+    fn last_cause(&self, window: &[ProbeTarget], now: Instant) -> Option<UnreachedCause> {
+        let tags = window.iter().map(|target| upstream_tag(&target.id));
+        let contacts = tags.filter_map(|tag| self.contacts.get(&tag));
+        let failures = contacts.filter_map(|(_, contact)| contact.unreached(now));
+        failures
+            .max_by_key(|(since, _)| *since)
+            .map(|(_, cause)| cause)
+    }
+
+    /// Reach of a service. One of which nothing is known is stranded as well while the host reaches none.
+    pub(crate) fn state(&self, service: &ServiceName) -> ReachState {
+        match self.verdicts.get(service) {
+            Some(verdict) => verdict.state,
+            None if self.is_stranded() => ReachState::Stranded,
+            None => ReachState::Reached,
+        }
+    }
+
+    /// Whether the host reaches no service of which anything is known, and is stranded from one at least.
+    pub(crate) fn is_stranded(&self) -> bool {
+        let mut verdicts = self.verdicts.values();
+        !self.verdicts.is_empty() && verdicts.all(|verdict| verdict.state == ReachState::Stranded)
+    }
+
+    /// Forgets what is too old to say anything.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.heard_elsewhere
+            .retain(|_, at| now - *at < ELSEWHERE_TIME);
+        self.peers.retain(|_, peer| peer.is_fresh(now));
+        self.contacts.retain(|_, (_, contact)| {
+            let last = contact.last_evidence();
+            last.is_some_and(|at| now - at < CONTACT_TIME)
+        });
+    }
+
+    /// Other hosts that said lately that they reach `service` and take detours.
+    pub(crate) fn detour_hosts(&self, service: &ServiceName, now: Instant) -> Vec<DetourHost> {
+        let tag = service_tag(service);
+        let hosts = self.peers.iter().filter(|(_, peer)| {
+            peer.is_fresh(now)
+                && peer.notice.reached.contains(&tag)
+                && !peer.notice.stranded.contains(&tag)
+        });
+        let mut hosts: Vec<DetourHost> = hosts
+            .filter_map(|(host, _)| {
+                Some(DetourHost {
+                    host: host.clone(),
+                    address: *self.addresses.get(host)?,
+                })
+            })
+            .collect();
+        hosts.sort_by(|one, other| one.host.cmp(&other.host));
+        hosts
+    }
+
+    /// What this host tells the others.
+    pub(crate) fn own_notice(&self, now: Instant) -> ReachNotice {
+        let heard: HashSet<&ServiceName> = self
+            .contacts
+            .values()
+            .filter(|(_, contact)| contact.is_sound(REACHED_TIME, now))
+            .map(|(service, _)| service)
+            .collect();
+        let is_open = |service: &ServiceName| match self.state(service) {
+            ReachState::Reached => true,
+            ReachState::Partial(share) => share < MAX_DETOUR_SHARE,
+            ReachState::Stranded => false,
+        };
+        let reached = heard.into_iter().filter(|service| is_open(service));
+        let stranded = self.verdicts.iter();
+        let stranded = stranded.filter(|(_, verdict)| verdict.state == ReachState::Stranded);
+        let unreached = self.contacts.iter();
+        let unreached = unreached.filter(|(_, (_, contact))| contact.unreached(now).is_some());
+        let asked: HashSet<u32> = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_fresh(now))
+            .flat_map(|peer| peer.notice.unreached.iter().copied())
+            .collect();
+        let is_heard = |tag: &u32| {
+            let contact = self.contacts.get(tag);
+            contact.is_some_and(|(_, contact)| contact.is_sound(HEARD_TIME, now))
+        };
+        ReachNotice {
+            reached: sorted(reached.map(service_tag)),
+            stranded: sorted(stranded.map(|(service, _)| service_tag(service))),
+            unreached: sorted(unreached.map(|(tag, _)| *tag).take(MAX_NOTICE_UPSTREAMS)),
+            heard: sorted(
+                asked
+                    .into_iter()
+                    .filter(is_heard)
+                    .take(MAX_NOTICE_UPSTREAMS),
+            ),
+        }
+    }
+}
+
+fn sorted(tags: impl Iterator<Item = u32>) -> Vec<u32> {
+    let mut tags: Vec<u32> = tags.collect();
+    tags.sort_unstable();
+    tags
+}
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::events::LogEvent;
 use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
+use crate::reach::UnreachedCause;
 use crate::relay::event::EventReader;
 use crate::relay::event::StreamEvent;
 use crate::relay::event::StreamFault;
@@ -444,9 +445,14 @@
             .transport()
             .send(&permit.choice, &request, options);
         match wait_until(now + wait, answer).await {
-            Ok(Ok(answer)) => self.check_head(permit, answer, now),
+            Ok(Ok(answer)) => {
+                self.record_reached(&permit.choice.id, !options.reuse);
+                self.check_head(permit, answer, now)
+            }
             Ok(Err(SendError::NotSent(cause))) => {
                 let fault = UpstreamFault::Unreachable;
+                let connect_fault = UnreachedCause::of_connect(now.elapsed());
+                self.record_unreached(&permit.choice.id, connect_fault);
                 let crashes = self.relay.crashes();
                 crashes.report_unreachable(permit.choice.incarnation);
                 self.relay.check_ended(&permit.choice);
@@ -454,6 +460,7 @@
                 AttemptOutcome::Retry
             }
             Ok(Err(SendError::OtherProcess { started_ms })) => {
+                self.record_reached(&permit.choice.id, true);
                 self.record_unidentified(&permit, Some(started_ms), None);
                 self.relay.note_ended(&permit.choice);
                 AttemptOutcome::Retry
@@ -465,6 +472,7 @@
             }
             Ok(Err(SendError::Broken(cause))) => {
                 let fault = UpstreamFault::Broken;
+                self.record_unreached(&permit.choice.id, UnreachedCause::Closed);
                 let outcome = self.record_lost(&permit, now, fault, &cause);
                 let choice = release(permit);
                 if !self.has_begun() {
@@ -475,6 +483,9 @@
             Err(_) => {
                 let is_late = self.request.deadline <= Instant::now();
                 let fault = permit.classify_silence(now);
+                if fault == UpstreamFault::Silent {
+                    self.record_unreached(&permit.choice.id, UnreachedCause::Silent);
+                }
                 let outcome = self.record_lost(&permit, now, fault, "no answer in time");
                 if is_late {
                     return AttemptOutcome::Failed(RelayFailure::TimedOut);
@@ -484,6 +495,20 @@
         }
     }
 
+    /// Records that an answer came from `upstream`, `is_new` if on a connection opened for it.
+    fn record_reached(&self, upstream: &UpstreamId, is_new: bool) {
+        let (reach, now) = (self.relay.reach(), Instant::now());
+        match is_new {
+            true => reach.record_connected(upstream, &self.request.service, now),
+            false => reach.record_heard(upstream, &self.request.service, now),
+        }
+    }
+
+    fn record_unreached(&self, upstream: &UpstreamId, cause: UnreachedCause) {
+        let reach = self.relay.reach();
+        reach.record_unreached(upstream, &self.request.service, cause, Instant::now());
+    }
+
     /// Decides whether the head of an answer is usable; if not, whether the request may be retried.
     fn check_head(
         &mut self,
@@ -613,7 +638,11 @@
                         record_origin(&self.relay, &self.request, version);
                         self.software.get_or_insert_with(|| version.clone());
                     }
-                    open.record_progress(self.relay.log());
+                    if open.record_progress(self.relay.log()) {
+                        let upstream = &open.permit.choice.id;
+                        let reach = self.relay.reach();
+                        reach.record_heard(upstream, &self.request.service, Instant::now());
+                    }
                     return StreamRead::Event(event);
                 }
                 Ok(None) => {}
@@ -728,6 +757,14 @@
             UpstreamFault::Silent => open.permit.classify_silence(open.progressed_at),
             fault => fault,
         };
+        let lost_by = match fault {
+            UpstreamFault::Silent => Some(UnreachedCause::Silent),
+            UpstreamFault::Broken if !open.reader.has_failed() => Some(UnreachedCause::Closed),
+            _ => None,
+        };
+        if let Some(cause) = lost_by {
+            self.record_unreached(&open.permit.choice.id, cause);
+        }
         self.record_fault(&open.permit, open.sent, fault, cause, true);
         if fault == UpstreamFault::Broken && !open.reader.has_failed() {
             self.relay.check_ended(&open.permit.choice);
@@ -799,18 +836,20 @@
 }
 
 impl OpenStream {
-    /// Records the arrival of an event.
-    fn record_progress(&mut self, log: &EventLog) {
+    /// Records the arrival of an event. Returns whether that has not been recorded just before.
+    fn record_progress(&mut self, log: &EventLog) -> bool {
         self.events += 1;
         if self.events == 1 {
             record_success(log, &self.permit);
         }
         self.progressed_at = Instant::now();
         let is_due = |noted: Instant| self.progressed_at - noted >= PROGRESS_INTERVAL;
-        if self.progress_recorded.is_none_or(is_due) {
+        let is_recorded = self.progress_recorded.is_none_or(is_due);
+        if is_recorded {
             self.progress_recorded = Some(self.progressed_at);
             self.permit.note_progress();
         }
+        is_recorded
     }
 }
 
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -24,6 +24,7 @@
 use crate::origins::RunEndCause;
 use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
+use crate::reach::ReachKeeper;
 use crate::relay::answered::AnsweredRequests;
 use crate::relay::dispatch::OpenedAnswer;
 use crate::relay::dispatch::RelayFailure;
@@ -128,6 +129,7 @@
     stop_gate: StopGate,
     crashes: CrashKeeper,
     origins: OriginKeeper,
+    reach: ReachKeeper,
 }
 
 impl RequestRelay {
@@ -148,6 +150,7 @@
             stop_gate: StopGate::default(),
             crashes: CrashKeeper::new(&host, log.clone()),
             origins: OriginKeeper::new(&host),
+            reach: ReachKeeper::default(),
             log,
         }
     }
@@ -194,6 +197,11 @@
         &self.origins
     }
 
+    /// What this host knows of its own reach of upstreams and of that of other hosts.
+    pub fn reach(&self) -> &ReachKeeper {
+        &self.reach
+    }
+
     /// Takes over the versions of the upstreams that serve now into the history of versions.
     pub fn update_versions(&self) {
         let state = self.balancer.state();
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -64,6 +64,8 @@
 const UPSTREAM_SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which the versions of upstreams that serve are compared with those known before.
 const VERSION_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which the host judges whether it reaches upstreams.
+const REACH_INTERVAL: Duration = Duration::from_millis(50);
 /// Position on the ring near which the host is that stores changes of versions.
 const VERSION_WRITER_POSITION: f64 = 0.0;
 /// How long a leaving host still accepts new connections, as callers cache the list of hosts for a
@@ -188,6 +190,7 @@
         .with_crashes(self.relay.crashes().clone())
         .with_log(self.log.clone())
         .with_origins(self.relay.origins().clone())
+        .with_reach(self.relay.reach().clone())
         .with_views(self.views.clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
@@ -214,6 +217,8 @@
         tokio::spawn(async move { host.serve_peers(listener, peer_client, kv).await });
         let host = self.clone();
         tokio::spawn(async move { host.sweep_upstreams().await });
+        let host = self.clone();
+        tokio::spawn(async move { host.judge_reach().await });
     }
 
     /// Addresses of the other hosts, as registered. Also updates the ring of hosts, which
@@ -274,6 +279,13 @@
         server.run(self.stop.clone(), handlers).await;
     }
 
+    async fn judge_reach(&self) {
+        while !self.stop.is_cancelled() {
+            tokio::time::sleep(REACH_INTERVAL).await;
+            self.relay.reach().step(&self.balancer, Instant::now());
+        }
+    }
+
     async fn sweep_upstreams(&self) {
         while !self.stop.is_cancelled() {
             tokio::time::sleep(UPSTREAM_SWEEP_INTERVAL).await;
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -103,6 +103,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: Vec::new(),
+        reach: Box::default(),
     }
 }
 
@@ -510,6 +511,7 @@
                 waiting: Vec::new(),
                 convictions: 0,
                 limits: Vec::new(),
+                reach: Box::default(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
