--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -469,6 +469,60 @@
         /// `leaving`; absent if it did not.
         reason: Option<String>,
     },
+    /// A request goes on through another host, as this one does not reach the upstreams.
+    DetourSent {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        to: String,
+        /// Number of the sending of the request, from 1.
+        sending: u32,
+        /// How this host reaches the upstreams of the service: `reached`, `partial` or `stranded`.
+        reach: String,
+        /// Attempts before in a row that reached no upstream.
+        unreached: u32,
+        /// Number of the last event of a stream that goes on.
+        resume_after: Option<u64>,
+    },
+    /// It is known whether a request that went through another host has an answer.
+    DetourEnded {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        to: String,
+        /// `answered`, `not_sent`, `lost`, `timed_out`, or the reason why the other host refused.
+        outcome: String,
+        /// Number of upstreams that may have run the request there; absent while it is answered.
+        runs: Option<u32>,
+        /// Cause of a failure.
+        cause: Option<String>,
+        /// Time since the request was sent to the other host, in milliseconds.
+        after_ms: u64,
+    },
+    /// This host takes a request of another host, which does not reach the upstreams.
+    DetourTaken {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        from: String,
+        /// Time left until the deadline, in milliseconds.
+        left_ms: u64,
+        /// Largest number of upstreams that may run the request.
+        max_runs: u32,
+        /// Number of the last event of a stream that goes on.
+        resume_after: Option<u64>,
+    },
+    /// This host refuses a request of another host. No upstream has run it for this host.
+    DetourRefused {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        from: String,
+        /// `stranded`, `overloaded`, `convicted`, `not_resumable`, `shutting_down` or `malformed`.
+        reason: String,
+        /// Delay in milliseconds after which this host may take such a request.
+        retry_ms: u64,
+    },
     /// Log lines were dropped since the previous event of this kind, as there were too many or the
     /// reader of the log was too slow.
     LinesDropped {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod collections;
 pub mod counters;
 pub mod decisions;
+pub mod detour;
 pub mod edges;
 pub mod event_log;
 pub mod events;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -36,6 +36,8 @@
     misidentified: IntCounterVec,
     requests: IntCounterVec,
     take_ups: IntCounterVec,
+    detours: IntCounterVec,
+    detours_taken: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
     name_changes: IntCounterVec,
@@ -101,6 +103,16 @@
                 "Streams taken up, by what became of the run before.",
                 &["outcome"],
             ),
+            detours: counter(
+                "detours_total",
+                "Requests sent through other hosts, by outcome up to the head of the answer.",
+                &["outcome"],
+            ),
+            detours_taken: counter(
+                "detours_taken_total",
+                "Requests of other hosts, by whether they were taken or why not.",
+                &["outcome"],
+            ),
             item_runs: counter(
                 "item_runs_total",
                 "Ended runs of items, by outcome.",
@@ -216,6 +228,8 @@
             &self.misidentified,
             &self.requests,
             &self.take_ups,
+            &self.detours,
+            &self.detours_taken,
             &self.item_runs,
             &self.jobs,
             &self.name_changes,
@@ -278,6 +292,15 @@
             LogEvent::StreamTakenUp { outcome, .. } => {
                 self.take_ups.with_label_values(&[outcome]).inc();
             }
+            LogEvent::DetourEnded { outcome, .. } => {
+                self.detours.with_label_values(&[outcome]).inc();
+            }
+            LogEvent::DetourTaken { .. } => {
+                self.detours_taken.with_label_values(&["taken"]).inc();
+            }
+            LogEvent::DetourRefused { reason, .. } => {
+                self.detours_taken.with_label_values(&[reason]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::HostDisplaced { via, .. } => {
                 let counter = self.name_changes.with_label_values(&["displaced", via]);
--- a/lib/src/peers/client.rs
+++ b/lib/src/peers/client.rs
@@ -25,6 +25,7 @@
 use crate::peers::message::EncodedReply;
 use crate::peers::message::PeerFrame;
 use crate::peers::message::PeerMessage;
+use crate::peers::message::PeerProtocol;
 use crate::peers::message::decode;
 use crate::peers::message::encode;
 use crate::peers::message::socket_limits;
@@ -141,6 +142,14 @@
             .ok_or_else(|| PeerError::NoReply("the peer has no handler for the call".to_owned()))
     }
 
+    /// Opens a connection to the peer at `address` that carries detours.
+    pub(crate) async fn open_for_detours(
+        &self,
+        address: SocketAddr,
+    ) -> Result<PeerSocket, PeerError> {
+        open(&self.shared, address, PeerProtocol::Detours).await
+    }
+
     fn connection(&self, address: SocketAddr) -> mpsc::Sender<PendingCall> {
         let mut connections = self
             .shared
@@ -160,7 +169,8 @@
     }
 }
 
-type PeerSocket = WebSocketStream<TcpStream>;
+/// Connection to a peer that has accepted the proof.
+pub(crate) type PeerSocket = WebSocketStream<TcpStream>;
 
 /// Opens one connection and sends the queued calls over it until it breaks; the next call then
 /// opens another. Calls that are still queued at that point fail as not sent.
@@ -169,7 +179,8 @@
     address: SocketAddr,
     mut calls: mpsc::Receiver<PendingCall>,
 ) {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(&shared, address)).await;
+    let opened =
+        tokio::time::timeout(CONNECT_TIMEOUT, open(&shared, address, PeerProtocol::Calls)).await;
     let failure = match opened {
         Ok(Ok(socket)) => {
             let cause = ConnectionTask::new(socket).run(&mut calls).await;
@@ -209,10 +220,14 @@
 
 /// Opens a connection. A proof that is refused is made once more if the peer's clock differs from what
 /// the proof supposed; one that tells no time may be of an earlier release, which judges by its own.
-async fn open(shared: &ClientShared, address: SocketAddr) -> Result<PeerSocket, PeerError> {
+async fn open(
+    shared: &ClientShared,
+    address: SocketAddr,
+    protocol: PeerProtocol,
+) -> Result<PeerSocket, PeerError> {
     let refused = || PeerError::NotSent("the peer refused the proof".to_owned());
     let supposed = shared.clock_lead(address);
-    let lead = match try_open(shared, address, supposed).await {
+    let lead = match try_open(shared, address, protocol, supposed).await {
         Ok(socket) => return Ok(socket),
         Err(OpenError::Failed(err)) => return Err(err),
         Err(OpenError::ProofRefused(lead)) => lead.unwrap_or_default(),
@@ -221,7 +236,7 @@
     if lead == supposed {
         return Err(refused());
     }
-    match try_open(shared, address, lead).await {
+    match try_open(shared, address, protocol, lead).await {
         Ok(socket) => Ok(socket),
         Err(OpenError::Failed(err)) => Err(err),
         Err(OpenError::ProofRefused(_)) => Err(refused()),
@@ -232,15 +247,22 @@
 async fn try_open(
     shared: &ClientShared,
     address: SocketAddr,
+    protocol: PeerProtocol,
     lead: i64,
 ) -> Result<PeerSocket, OpenError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(OpenError::not_connected)?;
     let _ = stream.set_nodelay(true);
-    let mut request = format!("ws://{address}/peer")
+    let path = protocol.path();
+    let mut request = format!("ws://{address}{path}")
         .into_client_request()
         .map_err(OpenError::failed)?;
+    if let Some(name) = protocol.subprotocol() {
+        let name = http::HeaderValue::from_static(name);
+        let headers = request.headers_mut();
+        headers.insert(http::header::SEC_WEBSOCKET_PROTOCOL, name);
+    }
     let key = request.headers().get("sec-websocket-key");
     let key = key.and_then(|key| key.to_str().ok()).unwrap_or_default();
     let key = key.to_owned();
--- a/lib/src/peers/message.rs
+++ b/lib/src/peers/message.rs
@@ -19,6 +19,45 @@
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
+/// WebSocket subprotocol of connections that carry detours. A host of an earlier release doesn't name it in
+/// its answer, so that no connection is opened.
+const DETOUR_SUBPROTOCOL: &str = "parsleywall.detour.1";
+
+/// What a connection between hosts carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerProtocol {
+    /// Calls with their replies.
+    Calls,
+    /// Detours, one at a time.
+    Detours,
+}
+
+impl PeerProtocol {
+    /// The protocol of a connection whose upgrade request names `subprotocol`.
+    pub(super) fn of_subprotocol(subprotocol: &str) -> Self {
+        match subprotocol {
+            DETOUR_SUBPROTOCOL => Self::Detours,
+            _ => Self::Calls,
+        }
+    }
+
+    /// WebSocket subprotocol that both sides name; `None` if they name none.
+    pub(super) fn subprotocol(self) -> Option<&'static str> {
+        match self {
+            Self::Calls => None,
+            Self::Detours => Some(DETOUR_SUBPROTOCOL),
+        }
+    }
+
+    /// Path of the upgrade request.
+    pub(super) fn path(self) -> &'static str {
+        match self {
+            Self::Calls => "/peer",
+            Self::Detours => "/detour",
+        }
+    }
+}
+
 /// Type of a call between entry hosts, with the type of its reply.
 pub trait PeerMessage: Serialize + DeserializeOwned + Send + 'static {
     /// Name by which the called host selects the handler; unique among all calls.
@@ -74,6 +113,14 @@
     }
 }
 
+/// Name of the host in the first frame of a connection; `None` if `bytes` is no such frame.
+pub(crate) fn hello_host(bytes: &[u8]) -> Option<HostId> {
+    match PeerFrame::decode(bytes)? {
+        PeerFrame::Hello { host } => Some(host),
+        PeerFrame::Request { .. } | PeerFrame::Reply { .. } => None,
+    }
+}
+
 pub(crate) fn encode(value: &impl Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).expect("messages serialize to CBOR");
--- a/lib/src/peers/mod.rs
+++ b/lib/src/peers/mod.rs
@@ -14,6 +14,10 @@
 
 pub use client::PeerClient;
 pub use client::PeerError;
+pub(crate) use client::PeerSocket;
 pub use handlers::PeerHandlers;
 pub use message::PeerMessage;
+pub(crate) use message::decode;
+pub(crate) use message::encode;
+pub(crate) use message::hello_host;
 pub use server::PeerServer;
--- a/lib/src/peers/server.rs
+++ b/lib/src/peers/server.rs
@@ -19,10 +19,12 @@
 use crate::clock::unix_millis;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
+use crate::detour::DetourServer;
 use crate::peers::auth;
 use crate::peers::auth::ProofVerdict;
 use crate::peers::handlers::PeerHandlers;
 use crate::peers::message::PeerFrame;
+use crate::peers::message::PeerProtocol;
 use crate::peers::message::socket_limits;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -36,6 +38,7 @@
     secret: String,
     counters: Arc<CounterSet>,
     time_of_day: TimeOfDay,
+    detours: Option<DetourServer>,
 }
 
 impl PeerServer {
@@ -47,6 +50,15 @@
             secret,
             counters,
             time_of_day: unix_millis,
+            detours: None,
+        }
+    }
+
+    /// Takes detours of other hosts by `detours`. Without it, connections for detours are closed.
+    pub fn with_detours(self, detours: DetourServer) -> Self {
+        Self {
+            detours: Some(detours),
+            ..self
         }
     }
 
@@ -69,14 +81,17 @@
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let secret = self.secret.clone();
-            let counters = self.counters.clone();
-            let time_of_day = self.time_of_day;
+            let gate = PeerGate {
+                secret: self.secret.clone(),
+                counters: self.counters.clone(),
+                time_of_day: self.time_of_day,
+            };
             let handlers = handlers.clone();
+            let detours = self.detours.clone();
             let stop = stop.clone();
             tokio::spawn(async move {
                 tokio::select! {
-                    () = serve_peer(stream, secret, counters, time_of_day, handlers) => {}
+                    () = serve_peer(stream, gate, handlers, detours) => {}
                     () = stop.cancelled() => {}
                 }
             });
@@ -84,22 +99,43 @@
     }
 }
 
-async fn serve_peer(
-    stream: TcpStream,
+/// What a connection has to pass before it is served.
+struct PeerGate {
     secret: String,
     counters: Arc<CounterSet>,
     time_of_day: TimeOfDay,
+}
+
+async fn serve_peer(
+    stream: TcpStream,
+    gate: PeerGate,
     handlers: PeerHandlers,
+    detours: Option<DetourServer>,
 ) {
+    let counters = gate.counters.clone();
+    let mut protocol = PeerProtocol::Calls;
     #[allow(clippy::result_large_err)] // The callback's signature is tungstenite's.
     let check = |request: &Request, response: Response| {
-        check_proof(&secret, time_of_day() / 1000, &counters, request, response)
+        let seconds = (gate.time_of_day)() / 1000;
+        protocol = requested_protocol(request);
+        let response = check_proof(&gate.secret, seconds, &gate.counters, request, response)?;
+        Ok(name_protocol(protocol, response))
     };
     let handshake = accept_hdr_async_with_config(stream, check, Some(socket_limits()));
     let Ok(Ok(socket)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         counters.event(CounterEvent::PeerMessageRejected);
         return;
     };
+    if protocol == PeerProtocol::Detours {
+        let is_valid = match detours {
+            Some(detours) => detours.serve_socket(socket).await,
+            None => true,
+        };
+        if !is_valid {
+            counters.event(CounterEvent::PeerMessageRejected);
+        }
+        return;
+    }
     let (mut sink, mut frames) = socket.split();
     let (replies, mut queue) = mpsc::channel::<Message>(REPLY_QUEUE_LENGTH);
     let writer = async move {
@@ -147,6 +183,23 @@
     }
 }
 
+/// What the upgrade request wants the connection to carry.
+fn requested_protocol(request: &Request) -> PeerProtocol {
+    let name = request.headers().get(http::header::SEC_WEBSOCKET_PROTOCOL);
+    let name = name.and_then(|name| name.to_str().ok()).unwrap_or_default();
+    PeerProtocol::of_subprotocol(name)
+}
+
+/// Names `protocol` in the response to the upgrade request.
+fn name_protocol(protocol: PeerProtocol, mut response: Response) -> Response {
+    if let Some(name) = protocol.subprotocol() {
+        let name = http::HeaderValue::from_static(name);
+        let headers = response.headers_mut();
+        headers.insert(http::header::SEC_WEBSOCKET_PROTOCOL, name);
+    }
+    response
+}
+
 #[allow(clippy::result_large_err)] // The signature is tungstenite's.
 fn check_proof(
     secret: &str,
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -19,10 +19,19 @@
 use crate::balancer::SlotRequest;
 use crate::balancer::UpstreamChoice;
 use crate::balancer::UpstreamFault;
+use crate::detour::DetourCall;
+use crate::detour::DetourDecision;
+use crate::detour::DetourInputs;
+use crate::detour::DetourOutcome;
+use crate::detour::DetourRefusal;
+use crate::detour::RunCounter;
+use crate::detour::UpstreamReach;
+use crate::detour::decide_detour;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
+use crate::reach::DetourHost;
 use crate::reach::UnreachedCause;
 use crate::relay::event::EventReader;
 use crate::relay::event::StreamEvent;
@@ -130,8 +139,27 @@
     Failed(RelayFailure),
 }
 
+/// Where an answer comes from.
+enum AnswerSource {
+    /// An upstream of this host, with the slot that the request holds there.
+    Upstream(SlotPermit),
+    /// An upstream of another host.
+    Detour(DetourLeg),
+}
+
+/// The part of a request that went through another host.
+struct DetourLeg {
+    host: String,
+    /// Version of the software that began the stream there.
+    software: Option<SoftwareVersion>,
+    /// Number of upstreams there that may have run the request.
+    counter: RunCounter,
+    /// Number of runs before.
+    runs_before: u32,
+}
+
 struct OpenStream {
-    permit: SlotPermit,
+    source: AnswerSource,
     body: UpstreamBody,
     reader: EventReader,
     sent: Instant,
@@ -149,8 +177,16 @@
     Deadline,
 }
 
+/// Head of an answer that is usable, with its body still to be read.
+struct OpenedHead {
+    status: StatusCode,
+    headers: HeaderMap,
+    is_stream: bool,
+    body: UpstreamBody,
+}
+
 enum AttemptOutcome {
-    Answer(Box<(SlotPermit, UpstreamAnswer)>, Instant),
+    Answer(Box<(AnswerSource, OpenedHead)>, Instant),
     Retry,
     Failed(RelayFailure),
 }
@@ -178,6 +214,14 @@
     /// Whether an upstream was passed by as its process could not be identified.
     has_met_unidentified: bool,
     first_step: Option<StreamStep>,
+    /// Latest attempts in a row that reached no upstream.
+    unreached: u32,
+    /// Hosts that did not take the request since its latest progress.
+    refusing_hosts: Vec<String>,
+    /// The latest refusal of another host.
+    refusal: Option<(DetourRefusal, Duration)>,
+    /// Set if the request comes from another host: how many upstreams may have run it here.
+    run_counter: Option<RunCounter>,
 }
 
 impl RequestDispatch {
@@ -203,9 +247,20 @@
             is_last_event_doubtful: false,
             has_met_unidentified: false,
             first_step: None,
+            unreached: 0,
+            refusing_hosts: Vec::new(),
+            refusal: None,
+            run_counter: None,
         }
     }
 
+    /// Dispatches a request of another host, which goes through no further one. `counter` is told how many
+    /// upstreams may have run it.
+    pub(crate) fn with_run_counter(mut self, counter: RunCounter) -> Self {
+        self.run_counter = Some(counter);
+        self
+    }
+
     /// Makes the first attempt at the upstream whose slot `permit` reserves.
     pub fn with_slot(mut self, permit: SlotPermit) -> Self {
         self.reserved = Some(permit);
@@ -242,6 +297,12 @@
         self.has_met_unidentified
     }
 
+    /// The latest refusal of another host that the request was offered to, and the delay after which that
+    /// host may take it.
+    pub(crate) fn refusal(&self) -> Option<(DetourRefusal, Duration)> {
+        self.refusal
+    }
+
     /// Progress of the dispatch so far.
     pub fn state(&self) -> DispatchState {
         DispatchState {
@@ -260,7 +321,7 @@
     /// [`RelayFailure::TimedOut`] at the request's deadline.
     pub async fn start(&mut self) -> Result<OpenedAnswer, RelayFailure> {
         loop {
-            let (permit, answer, sent) = match self.send().await {
+            let (source, answer, sent) = match self.send().await {
                 AttemptOutcome::Answer(answer, sent) => (answer.0, answer.1, sent),
                 AttemptOutcome::Retry => continue,
                 AttemptOutcome::Failed(failure) => return Err(failure),
@@ -268,7 +329,7 @@
             let status = answer.status;
             let headers = answer.headers.clone();
             if status.is_success() && answer.is_stream {
-                self.open_stream(permit, answer.body, sent);
+                self.open_stream(source, answer.body, sent);
                 match self.read_event().await {
                     StreamRead::Event(event) => {
                         self.witness.report_sound(sent);
@@ -288,7 +349,7 @@
                 }
                 return Ok(OpenedAnswer::Stream { status, headers });
             }
-            match self.read_whole(permit, answer, sent).await? {
+            match self.read_whole(source, status, answer.body, sent).await? {
                 Some(body) => {
                     self.witness.report_sound(sent);
                     return Ok(OpenedAnswer::Whole {
@@ -333,13 +394,15 @@
         loop {
             match self.send().await {
                 AttemptOutcome::Answer(answer, sent) => {
-                    let (permit, answer) = *answer;
+                    let (source, answer) = *answer;
                     if answer.status.is_success() && answer.is_stream {
-                        self.open_stream(permit, answer.body, sent);
+                        self.open_stream(source, answer.body, sent);
                         return Ok(());
                     }
-                    let cause = answer.status.as_str();
-                    self.record_fault(&permit, sent, UpstreamFault::Failed, cause, true);
+                    if let AnswerSource::Upstream(permit) = &source {
+                        let cause = answer.status.as_str();
+                        self.record_fault(permit, sent, UpstreamFault::Failed, cause, true);
+                    }
                     if !self.may_run_again() {
                         return Err(RelayFailure::Lost);
                     }
@@ -381,6 +444,12 @@
         if self.attempts >= self.runs + MAX_UNRUN_ATTEMPTS {
             return AttemptOutcome::Failed(self.unplaced_failure());
         }
+        if let Some(counter) = &self.run_counter {
+            counter.set(self.runs);
+        }
+        if let Some(outcome) = self.send_by_detour(false).await {
+            return outcome;
+        }
         let request = self.request.clone();
         let slot = SlotRequest {
             service: &request.service,
@@ -399,8 +468,14 @@
             }
         };
         let Some(permit) = permit else {
-            return AttemptOutcome::Failed(self.unplaced_failure());
+            return match self.send_by_detour(true).await {
+                Some(outcome) => outcome,
+                None => AttemptOutcome::Failed(self.unplaced_failure()),
+            };
         };
+        if let Some(counter) = &self.run_counter {
+            counter.set(self.runs + 1);
+        }
         let now = Instant::now();
         let budget = self.request.deadline.saturating_duration_since(now);
         self.attempts += 1;
@@ -444,7 +519,20 @@
             .relay
             .transport()
             .send(&permit.choice, &request, options);
-        match wait_until(now + wait, answer).await {
+        let may_give_up = self.may_give_up();
+        let answer = async {
+            tokio::select! {
+                biased;
+                answer = answer => Some(answer),
+                () = self.relay.await_stranded(&request.service), if may_give_up => None,
+            }
+        };
+        let outcome = match wait_until(now + wait, answer).await {
+            Ok(None) => return self.record_given_up(&permit, now),
+            Ok(Some(answer)) => Ok(answer),
+            Err(elapsed) => Err(elapsed),
+        };
+        match outcome {
             Ok(Ok(answer)) => {
                 self.record_reached(&permit.choice.id, !options.reuse);
                 self.check_head(permit, answer, now)
@@ -457,6 +545,7 @@
                 crashes.report_unreachable(permit.choice.incarnation);
                 self.relay.check_ended(&permit.choice);
                 self.record_fault(&permit, now, fault, &cause, false);
+                self.unreached += 1;
                 AttemptOutcome::Retry
             }
             Ok(Err(SendError::OtherProcess { started_ms })) => {
@@ -551,7 +640,186 @@
             self.record_fault(&permit, sent, UpstreamFault::Failed, cause, true);
             return AttemptOutcome::Retry;
         }
-        AttemptOutcome::Answer(Box::new((permit, answer)), sent)
+        self.note_answered();
+        let head = OpenedHead {
+            status: answer.status,
+            headers: answer.headers,
+            is_stream: answer.is_stream,
+            body: answer.body,
+        };
+        AttemptOutcome::Answer(Box::new((AnswerSource::Upstream(permit), head)), sent)
+    }
+
+    /// Whether an attempt without an answer may be given up for a detour.
+    fn may_give_up(&self) -> bool {
+        let may_repeat = self.policy.is_retryable && self.runs + 1 < self.policy.max_runs;
+        may_repeat && self.run_counter.is_none() && self.relay.detours().has_link()
+    }
+
+    /// Gives up an attempt, as this host no longer reaches its upstreams. That is no fault of this one.
+    fn record_given_up(&mut self, permit: &SlotPermit, sent: Instant) -> AttemptOutcome {
+        self.runs += 1;
+        self.relay.log().write(LogEvent::SendingFailed {
+            request: self.request.id.to_string(),
+            upstream: permit.choice.id.to_string(),
+            fault: "stranded".to_owned(),
+            cause: "given up for a detour".to_owned(),
+            ran: true,
+            after_ms: sent.elapsed().as_millis() as u64,
+            last_event: self.last_event_id,
+            digest: None,
+        });
+        AttemptOutcome::Retry
+    }
+
+    /// Sends the request through another host, if it is to go there rather than to an upstream of this one.
+    /// `has_no_upstream` tells that this host has none for it.
+    async fn send_by_detour(&mut self, has_no_upstream: bool) -> Option<AttemptOutcome> {
+        if self.run_counter.is_some() || !self.relay.detours().has_link() {
+            return None;
+        }
+        let reach = self.relay.reach_of(&self.request.service);
+        let inputs = DetourInputs {
+            reach,
+            unreached: self.unreached,
+            has_no_upstream,
+            offers: self.refusing_hosts.len(),
+        };
+        let unplaced = AttemptOutcome::Failed(self.unplaced_failure());
+        match decide_detour(inputs) {
+            DetourDecision::Own => None,
+            DetourDecision::Refuse => Some(unplaced),
+            DetourDecision::Detour => {
+                let service = &self.request.service;
+                match self.relay.choose_detour(service, &self.refusing_hosts) {
+                    Some(host) => Some(self.send_through(host, reach).await),
+                    None if reach == UpstreamReach::Stranded => Some(unplaced),
+                    None => None,
+                }
+            }
+        }
+    }
+
+    async fn send_through(&mut self, host: DetourHost, reach: UpstreamReach) -> AttemptOutcome {
+        self.attempts += 1;
+        let sent = Instant::now();
+        self.heard_at = sent;
+        self.reserved = None;
+        let (request, name) = (self.request.clone(), host.host);
+        self.relay.log().write(LogEvent::DetourSent {
+            request: request.id.to_string(),
+            to: name.clone(),
+            sending: self.attempts,
+            reach: reach.to_string(),
+            unreached: self.unreached,
+            resume_after: self.last_event_id,
+        });
+        let max_runs = self.policy.max_runs.saturating_sub(self.runs).max(1);
+        let software = self.software.clone();
+        let call = DetourCall::new(&request, self.last_event_id, software, max_runs);
+        let detours = self.relay.detours().clone();
+        let sending = detours.send(&name, host.address, call);
+        let outcome = match wait_until(request.deadline, sending).await {
+            Ok(outcome) => outcome,
+            Err(_) => DetourOutcome::TimedOut,
+        };
+        self.check_detour(name, outcome, sent)
+    }
+
+    fn check_detour(
+        &mut self,
+        host: String,
+        outcome: DetourOutcome,
+        sent: Instant,
+    ) -> AttemptOutcome {
+        self.heard_at = Instant::now();
+        match outcome {
+            DetourOutcome::Answer(answer) => {
+                self.log_detour_end(&host, "answered", None, None, sent);
+                self.note_answered();
+                let leg = DetourLeg {
+                    host,
+                    software: answer.software,
+                    counter: answer.runs,
+                    runs_before: self.runs,
+                };
+                self.runs += 1;
+                let head = OpenedHead {
+                    status: answer.status,
+                    headers: answer.headers,
+                    is_stream: answer.is_stream,
+                    body: answer.body,
+                };
+                AttemptOutcome::Answer(Box::new((AnswerSource::Detour(leg), head)), sent)
+            }
+            DetourOutcome::NotSent(cause) => {
+                self.log_detour_end(&host, "not_sent", Some(0), Some(cause), sent);
+                self.refusing_hosts.push(host);
+                AttemptOutcome::Retry
+            }
+            DetourOutcome::Refused(reason, retry_after) => {
+                self.log_detour_end(&host, &reason.to_string(), Some(0), None, sent);
+                self.refusing_hosts.push(host);
+                self.refusal = Some((reason, retry_after));
+                match reason {
+                    DetourRefusal::Convicted | DetourRefusal::NotResumable => {
+                        AttemptOutcome::Failed(self.unplaced_failure())
+                    }
+                    DetourRefusal::Stranded
+                    | DetourRefusal::Overloaded
+                    | DetourRefusal::ShuttingDown
+                    | DetourRefusal::Malformed => AttemptOutcome::Retry,
+                }
+            }
+            DetourOutcome::Lost(runs) => {
+                self.log_detour_end(&host, "lost", Some(runs), None, sent);
+                self.runs += runs;
+                self.refusing_hosts.push(host);
+                match self.may_run_again() {
+                    true => AttemptOutcome::Retry,
+                    false => AttemptOutcome::Failed(RelayFailure::Lost),
+                }
+            }
+            DetourOutcome::TimedOut => {
+                self.log_detour_end(&host, "timed_out", None, None, sent);
+                self.runs += 1;
+                AttemptOutcome::Failed(RelayFailure::TimedOut)
+            }
+        }
+    }
+
+    fn log_detour_end(
+        &self,
+        host: &str,
+        outcome: &str,
+        runs: Option<u32>,
+        cause: Option<String>,
+        sent: Instant,
+    ) {
+        self.relay.log().write(LogEvent::DetourEnded {
+            request: self.request.id.to_string(),
+            to: host.to_owned(),
+            outcome: outcome.to_owned(),
+            runs,
+            cause,
+            after_ms: sent.elapsed().as_millis() as u64,
+        });
+    }
+
+    /// Records that the answer of a request that went through another host broke off.
+    fn note_detour_break(&mut self, leg: &DetourLeg, cause: &str, sent: Instant) {
+        let runs = leg.counter.get().max(1);
+        self.runs = leg.runs_before + runs;
+        let cause = Some(cause.to_owned());
+        self.log_detour_end(&leg.host, "lost", Some(runs), cause, sent);
+    }
+
+    /// Records that the request has an answer: earlier failures to reach an upstream or a host say nothing
+    /// of its next attempts.
+    fn note_answered(&mut self) {
+        self.unreached = 0;
+        self.refusing_hosts.clear();
+        self.refusal = None;
     }
 
     /// Counts an attempt without a usable answer as a run, as the upstream may have run the
@@ -633,13 +901,18 @@
             match open.reader.next_event() {
                 Ok(Some(event)) => {
                     self.last_event_id = Some(event.id);
-                    if open.events == 0 {
-                        let version = &open.permit.choice.software;
-                        record_origin(&self.relay, &self.request, version);
+                    let version = open.source.software().filter(|_| open.events == 0);
+                    if let Some(version) = version {
+                        // The host that took the request from its caller records it.
+                        if self.run_counter.is_none() {
+                            record_origin(&self.relay, &self.request, version);
+                        }
                         self.software.get_or_insert_with(|| version.clone());
                     }
-                    if open.record_progress(self.relay.log()) {
-                        let upstream = &open.permit.choice.id;
+                    if open.record_progress(self.relay.log())
+                        && let AnswerSource::Upstream(permit) = &open.source
+                    {
+                        let upstream = &permit.choice.id;
                         let reach = self.relay.reach();
                         reach.record_heard(upstream, &self.request.service, Instant::now());
                     }
@@ -648,19 +921,19 @@
                 Ok(None) => {}
                 Err(fault) => return broken_read(&fault),
             }
-            let wait = match (
-                open.events,
-                open.permit.choice.ahead < open.permit.choice.slots,
-            ) {
-                (0, true) => policy.first_event_wait,
-                (0, false) => policy.queued_event_wait,
-                _ => policy.max_event_gap,
-            };
-            let silent_at = if is_watched {
-                open.progressed_at + wait
-            } else {
-                deadline
+            let wait = match (&open.source, open.events) {
+                // The other host watches its upstream, and its silence ends the body.
+                (AnswerSource::Detour(_), _) => None,
+                _ if !is_watched => None,
+                (AnswerSource::Upstream(permit), 0) => {
+                    match permit.choice.ahead < permit.choice.slots {
+                        true => Some(policy.first_event_wait),
+                        false => Some(policy.queued_event_wait),
+                    }
+                }
+                (AnswerSource::Upstream(_), _) => Some(policy.max_event_gap),
             };
+            let silent_at = wait.map_or(deadline, |wait| open.progressed_at + wait);
             let until = silent_at.min(deadline);
             let chunk = match wait_until(until, open.body.next()).await {
                 Ok(chunk) => chunk,
@@ -676,9 +949,10 @@
                 Some(Err(cause)) => return StreamRead::Fault(UpstreamFault::Broken, cause),
                 None => match open.reader.finish() {
                     Ok(()) => {
-                        let upstream = open.permit.choice.id.clone();
-                        self.open = None;
-                        self.record_answered(&upstream);
+                        let open = self.open.take();
+                        if let Some(AnswerSource::Upstream(permit)) = open.map(|open| open.source) {
+                            self.record_answered(&permit.choice.id);
+                        }
                         return StreamRead::End;
                     }
                     Err(fault) => return broken_read(&fault),
@@ -690,11 +964,11 @@
     /// Reads a whole answer; `None` if it broke off and the request may be sent again.
     async fn read_whole(
         &mut self,
-        permit: SlotPermit,
-        answer: UpstreamAnswer,
+        source: AnswerSource,
+        status: StatusCode,
+        mut body: UpstreamBody,
         sent: Instant,
     ) -> Result<Option<Bytes>, RelayFailure> {
-        let mut body = answer.body;
         let mut whole = BytesMut::new();
         let mut permits = Vec::new();
         let memory = self.relay.answer_memory();
@@ -713,16 +987,23 @@
         };
         match wait_until(self.request.deadline, read).await {
             Ok(Ok(())) => {
-                if !answer.status.is_server_error() {
-                    record_success(self.relay.log(), &permit);
+                if !status.is_server_error()
+                    && let AnswerSource::Upstream(permit) = &source
+                {
+                    record_success(self.relay.log(), permit);
                 }
                 Ok(Some(whole.freeze()))
             }
             Ok(Err(cause)) => {
-                let fault = UpstreamFault::Broken;
-                self.record_fault(&permit, sent, fault, &cause, true);
-                let choice = release(permit);
-                self.witness.report_break(fault, &choice, sent).await;
+                match source {
+                    AnswerSource::Upstream(permit) => {
+                        let fault = UpstreamFault::Broken;
+                        self.record_fault(&permit, sent, fault, &cause, true);
+                        let choice = release(permit);
+                        self.witness.report_break(fault, &choice, sent).await;
+                    }
+                    AnswerSource::Detour(leg) => self.note_detour_break(&leg, &cause, sent),
+                }
                 match self.may_run_again() {
                     true => Ok(None),
                     false => Err(RelayFailure::Lost),
@@ -733,9 +1014,9 @@
     }
 
     /// Begins to read a stream that goes on after the last event.
-    fn open_stream(&mut self, permit: SlotPermit, body: UpstreamBody, sent: Instant) {
+    fn open_stream(&mut self, source: AnswerSource, body: UpstreamBody, sent: Instant) {
         self.open = Some(OpenStream {
-            permit,
+            source,
             body,
             reader: EventReader::resuming_after(self.last_event_id),
             sent,
@@ -753,8 +1034,15 @@
     ) -> Option<(UpstreamChoice, Instant)> {
         let open = self.open.take()?;
         self.is_last_event_doubtful = open.reader.is_last_event_doubtful();
+        let permit = match open.source {
+            AnswerSource::Upstream(permit) => permit,
+            AnswerSource::Detour(leg) => {
+                self.note_detour_break(&leg, cause, open.sent);
+                return None;
+            }
+        };
         let fault = match fault {
-            UpstreamFault::Silent => open.permit.classify_silence(open.progressed_at),
+            UpstreamFault::Silent => permit.classify_silence(open.progressed_at),
             fault => fault,
         };
         let lost_by = match fault {
@@ -763,13 +1051,13 @@
             _ => None,
         };
         if let Some(cause) = lost_by {
-            self.record_unreached(&open.permit.choice.id, cause);
+            self.record_unreached(&permit.choice.id, cause);
         }
-        self.record_fault(&open.permit, open.sent, fault, cause, true);
+        self.record_fault(&permit, open.sent, fault, cause, true);
         if fault == UpstreamFault::Broken && !open.reader.has_failed() {
-            self.relay.check_ended(&open.permit.choice);
+            self.relay.check_ended(&permit.choice);
         }
-        Some((release(open.permit), open.sent))
+        Some((release(permit), open.sent))
     }
 
     /// Logs that the answer does not go on at an upstream, as another process than that of its entry
@@ -835,19 +1123,32 @@
     }
 }
 
+impl AnswerSource {
+    /// Version of the software that the answer's events come from, if it is known.
+    fn software(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Upstream(permit) => Some(&permit.choice.software),
+            Self::Detour(leg) => leg.software.as_ref(),
+        }
+    }
+}
+
 impl OpenStream {
     /// Records the arrival of an event. Returns whether that has not been recorded just before.
     fn record_progress(&mut self, log: &EventLog) -> bool {
         self.events += 1;
+        self.progressed_at = Instant::now();
+        let AnswerSource::Upstream(permit) = &self.source else {
+            return false;
+        };
         if self.events == 1 {
-            record_success(log, &self.permit);
+            record_success(log, permit);
         }
-        self.progressed_at = Instant::now();
         let is_due = |noted: Instant| self.progressed_at - noted >= PROGRESS_INTERVAL;
         let is_recorded = self.progress_recorded.is_none_or(is_due);
         if is_recorded {
             self.progress_recorded = Some(self.progressed_at);
-            self.permit.note_progress();
+            permit.note_progress();
         }
         is_recorded
     }
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -13,10 +13,17 @@
 
 use crate::balancer::LoadBalancer;
 use crate::balancer::UpstreamChoice;
+use crate::detour::DetourKeeper;
+use crate::detour::DetourRefusal;
+use crate::detour::NO_HOST_RETRY_DELAY;
+use crate::detour::RunCounter;
+use crate::detour::UpstreamReach;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::host_views::HostViews;
 use crate::host_views::ViewHandle;
+use crate::ids::ServiceName;
+use crate::ids::SoftwareVersion;
 use crate::memory_budget::MemoryBudget;
 use crate::origins::EndableBody;
 use crate::origins::OriginKeeper;
@@ -24,7 +31,9 @@
 use crate::origins::RunEndCause;
 use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
+use crate::reach::DetourHost;
 use crate::reach::ReachKeeper;
+use crate::reach::ReachState;
 use crate::relay::answered::AnsweredRequests;
 use crate::relay::dispatch::OpenedAnswer;
 use crate::relay::dispatch::RelayFailure;
@@ -65,6 +74,9 @@
 const NOT_RESUMABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay for a request that a host refuses as it shuts down: another host can serve it at once.
 const STOPPING_RETRY_DELAY: Duration = Duration::ZERO;
+/// Time after a host is found to be stranded in which an answer may still come on a connection that lives
+/// on.
+const STRANDED_GRACE: Duration = Duration::from_millis(100);
 /// Lower bound of the retry delay for a request that limits of upstreams leave no room for.
 const MIN_LIMITED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -130,6 +142,22 @@
     crashes: CrashKeeper,
     origins: OriginKeeper,
     reach: ReachKeeper,
+    detours: DetourKeeper,
+}
+
+/// Outcome of a request that came from another host.
+pub(crate) struct DetouredAnswer {
+    /// The outcome, as for a caller of this host.
+    pub(crate) answer: RelayAnswer,
+    /// Version of the software that began a stream.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+/// Bounds of a request that came from another host.
+struct DetouredRun {
+    /// Largest number of upstreams that may run it.
+    max_runs: u32,
+    counter: RunCounter,
 }
 
 impl RequestRelay {
@@ -151,6 +179,7 @@
             crashes: CrashKeeper::new(&host, log.clone()),
             origins: OriginKeeper::new(&host),
             reach: ReachKeeper::default(),
+            detours: DetourKeeper::default(),
             log,
         }
     }
@@ -202,6 +231,59 @@
         &self.reach
     }
 
+    /// Detours of this host's requests through others.
+    pub fn detours(&self) -> &DetourKeeper {
+        &self.detours
+    }
+
+    /// How this host reaches the upstreams of `service`.
+    pub(crate) fn reach_of(&self, service: &ServiceName) -> UpstreamReach {
+        match self.reach.state(service) {
+            ReachState::Reached => UpstreamReach::Reached,
+            ReachState::Partial(_) => UpstreamReach::Partial,
+            ReachState::Stranded => UpstreamReach::Stranded,
+        }
+    }
+
+    /// Whether this host reaches no upstream of `service`, while other hosts do.
+    pub(crate) fn is_stranded(&self, service: &ServiceName) -> bool {
+        self.reach_of(service) == UpstreamReach::Stranded
+    }
+
+    /// Judges anew how this host reaches upstreams, from what is known now.
+    pub fn judge_reach(&self) {
+        let now = Instant::now();
+        self.reach.step(&self.balancer, now);
+        let stranded = self.reach.own_notice(now).stranded;
+        self.detours.set_stranded(!stranded.is_empty());
+    }
+
+    /// Waits until this host is known to be stranded from `service`, and has been for a while.
+    pub(crate) async fn await_stranded(&self, service: &ServiceName) {
+        loop {
+            self.detours.await_stranded().await;
+            tokio::time::sleep(STRANDED_GRACE).await;
+            if self.is_stranded(service) {
+                return;
+            }
+        }
+    }
+
+    /// Chooses the host through which a request for `service` takes a detour; none of the `excluded` ones.
+    pub(crate) fn choose_detour(
+        &self,
+        service: &ServiceName,
+        excluded: &[String],
+    ) -> Option<DetourHost> {
+        let mut hosts = self.reach.detour_hosts(service);
+        let names: Vec<&str> = hosts.iter().map(|host| host.host.as_str()).collect();
+        let draw = rand::random();
+        let table = self.detours.table();
+        let chosen = table.choose(&names, excluded, Instant::now(), draw)?;
+        drop(table);
+        Some(hosts.swap_remove(chosen))
+    }
+
     /// Takes over the versions of the upstreams that serve now into the history of versions.
     pub fn update_versions(&self) {
         let state = self.balancer.state();
@@ -274,9 +356,47 @@
                 };
             }
         };
+        self.run(request, taken_up, None).await.answer
+    }
+
+    /// Relays a request that another host took from its caller. Up to `max_runs` upstreams may run it;
+    /// `counter` is told how many may have. The other host knows the run and the version that began it.
+    pub(crate) async fn relay_detoured(
+        &self,
+        request: RelayRequest,
+        max_runs: u32,
+        counter: RunCounter,
+    ) -> DetouredAnswer {
+        let detoured = DetouredRun { max_runs, counter };
+        self.run(request, None, Some(detoured)).await
+    }
+
+    async fn run(
+        &self,
+        request: RelayRequest,
+        taken_up: Option<RunRegistration>,
+        detoured: Option<DetouredRun>,
+    ) -> DetouredAnswer {
+        let mut software = None;
+        let answer = self
+            .run_and_tell(request, taken_up, detoured, &mut software)
+            .await;
+        DetouredAnswer { answer, software }
+    }
+
+    /// Runs a request. Sets `software` to the version that began its stream.
+    async fn run_and_tell(
+        &self,
+        request: RelayRequest,
+        taken_up: Option<RunRegistration>,
+        detoured: Option<DetouredRun>,
+        software: &mut Option<SoftwareVersion>,
+    ) -> RelayAnswer {
         let load = self.load(&request);
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
+        let is_own = detoured.is_none();
+        let takes_detour = is_own && self.detours.has_link() && self.is_stranded(&request.service);
         if !self.stop_gate.admits(&request.route.name, left, now) {
             self.log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
             return RelayAnswer::Refused {
@@ -284,7 +404,11 @@
                 reason: RelayRefusal::ShuttingDown,
             };
         }
-        if let ShedDecision::Refuse(delay) = decide_shedding(load, request.route.objective, left) {
+        // The other host knows what room there is.
+        if !takes_detour
+            && let ShedDecision::Refuse(delay) =
+                decide_shedding(load, request.route.objective, left)
+        {
             self.log_refusal(&request, "no_free_place", load, delay, None);
             return RelayAnswer::Refused {
                 retry_after: delay,
@@ -292,8 +416,14 @@
             };
         }
         let request = Arc::new(request);
-        let policy = online_policy(&request.route);
-        let run = RequestDispatch::new(self.clone(), request.clone(), policy);
+        let mut policy = online_policy(&request.route);
+        if let Some(detoured) = &detoured {
+            policy.max_runs = policy.max_runs.min(detoured.max_runs);
+        }
+        let mut run = RequestDispatch::new(self.clone(), request.clone(), policy);
+        if let Some(detoured) = detoured {
+            run = run.with_run_counter(detoured.counter);
+        }
         let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone());
         let started = match &taken_up {
             None => dispatch.run.start().await,
@@ -323,7 +453,11 @@
             }
             Ok(OpenedAnswer::Stream { status, headers }) => {
                 dispatch.record_first();
-                let registration = taken_up.or_else(|| self.register_run(&request));
+                *software = dispatch.run.software().cloned();
+                let registration = match is_own {
+                    true => taken_up.or_else(|| self.register_run(&request)),
+                    false => None,
+                };
                 RelayAnswer::Stream {
                     status,
                     headers,
@@ -340,13 +474,18 @@
                 }
             }
             Err(RelayFailure::NotRun) => {
-                let (reason, delay) = self.unplaced_delay(&request);
+                let refusal = dispatch.run.refusal();
+                let (reason, delay) = match refusal {
+                    Some((_, delay)) => ("detour_refused", delay),
+                    None if takes_detour => ("stranded", self.detour_delay(&request.service)),
+                    None => self.unplaced_delay(&request),
+                };
                 let delay = delay.min(left / 3);
                 dispatch.finish("refused");
                 self.log_refusal(&request, reason, load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
-                    reason: RelayRefusal::Overloaded,
+                    reason: refusal.map_or(RelayRefusal::Overloaded, caller_refusal),
                 }
             }
             Err(RelayFailure::Convicted(refusal)) => {
@@ -428,6 +567,16 @@
         }
     }
 
+    /// When a caller should come back whose request no other host takes.
+    fn detour_delay(&self, service: &ServiceName) -> Duration {
+        let hosts = self.reach.detour_hosts(service);
+        let names: Vec<&str> = hosts.iter().map(|host| host.host.as_str()).collect();
+        let table = self.detours.table();
+        table
+            .shortest_avoidance(&names, Instant::now())
+            .unwrap_or(NO_HOST_RETRY_DELAY)
+    }
+
     fn log_refusal(
         &self,
         request: &RelayRequest,
@@ -448,6 +597,18 @@
     }
 }
 
+/// What a refusal of another host means to a caller of this one.
+fn caller_refusal((reason, _): (DetourRefusal, Duration)) -> RelayRefusal {
+    match reason {
+        DetourRefusal::Convicted => RelayRefusal::Convicted,
+        DetourRefusal::NotResumable => RelayRefusal::NotResumable,
+        DetourRefusal::Stranded
+        | DetourRefusal::Overloaded
+        | DetourRefusal::ShuttingDown
+        | DetourRefusal::Malformed => RelayRefusal::Overloaded,
+    }
+}
+
 fn online_policy(route: &Route) -> RetryPolicy {
     let gap = route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE);
     let is_stream = matches!(route.kind, RouteKind::Stream { .. });
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -24,6 +24,8 @@
 use crate::balancer::UpstreamEntry;
 use crate::balancer::UpstreamState;
 use crate::counters::CounterSet;
+use crate::detour::DetourClient;
+use crate::detour::DetourServer;
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
@@ -107,6 +109,7 @@
     routes: watch::Sender<Arc<RouteTable>>,
     reconciler: Mutex<EntryReconciler>,
     views: HostViews,
+    detour_server: DetourServer,
     stop: CancellationToken,
     leaving: CancellationToken,
 }
@@ -156,6 +159,7 @@
             config.incarnation,
             config.jobs,
         );
+        let detour_server = DetourServer::new(relay.clone());
         let host = Arc::new(Self {
             config,
             log,
@@ -166,6 +170,7 @@
             routes,
             reconciler: Mutex::default(),
             views,
+            detour_server,
             stop: CancellationToken::new(),
             leaving: CancellationToken::new(),
         });
@@ -234,6 +239,10 @@
             let neighbours = balancer_state.neighbours();
             let is_near = |entry: &&&HostEntry| neighbours.contains(&entry.host);
             let near = others.iter().filter(is_near);
+            let is_near_host = |entry: &&&HostEntry| entry.data_centre == self.config.data_centre;
+            let near_hosts = others.iter().filter(is_near_host);
+            let near_hosts = near_hosts.map(|entry| entry.host.clone()).collect();
+            self.relay.detours().set_near_hosts(near_hosts);
             let by_name = others.iter().map(|entry| (entry.host.clone(), entry.peers));
             PeerAddresses {
                 neighbours: near.map(|entry| entry.peers).collect(),
@@ -255,11 +264,12 @@
                 Err(_) => tokio::time::sleep(SECRET_RETRY_DELAY).await,
             }
         };
-        peer_client.set(PeerClient::new(
-            HostId::new(&self.config.host),
-            secret.clone(),
-        ));
-        let server = PeerServer::new(listener, secret, Arc::new(CounterSet::default()));
+        let client = PeerClient::new(HostId::new(&self.config.host), secret.clone());
+        let detour_client = DetourClient::new(client.clone());
+        self.relay.detours().set_link(Arc::new(detour_client));
+        peer_client.set(client);
+        let server = PeerServer::new(listener, secret, Arc::new(CounterSet::default()))
+            .with_detours(self.detour_server.clone());
         let jobs = self.jobs.clone();
         let handlers = PeerHandlers::new().with(move |_, call: JobCall| {
             let jobs = jobs.clone();
@@ -282,7 +292,7 @@
     async fn judge_reach(&self) {
         while !self.stop.is_cancelled() {
             tokio::time::sleep(REACH_INTERVAL).await;
-            self.relay.reach().step(&self.balancer, Instant::now());
+            self.relay.judge_reach();
         }
     }
 
@@ -499,6 +509,7 @@
             tokio::time::sleep(caller_move_time)
         );
         shutdown.finish(in_flight, deadline).await;
+        self.detour_server.finish(deadline).await;
         self.registry.end().await;
         self.stop.cancel();
         in_flight.count()
--- a/lib/src/routes.rs
+++ b/lib/src/routes.rs
@@ -4,11 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::collections::HashMap;
 use crate::ids::ServiceName;
 
 /// Kind of the answers of a route, which decides whether a request may be sent again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum RouteKind {
     /// One complete answer; the request may run more than once.
@@ -35,7 +39,7 @@
 }
 
 /// A service of a route and its share of the requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceWeight {
     /// Service that runs the requests.
     pub service: ServiceName,
@@ -45,7 +49,7 @@
 
 /// A rule that leads requests with a host name and path prefix to services, with their objectives
 /// and limits.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route in the configuration.
     pub name: String,
