--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -512,6 +512,21 @@
         /// Number of the last event of a stream that goes on.
         resume_after: Option<u64>,
     },
+    /// The work on a request of another host has ended here.
+    DetourFinished {
+        /// Identifier of the request.
+        request: String,
+        /// Outcome, as of a request of this host's callers; `caller_left` if the other host gave it up.
+        outcome: String,
+        /// Number of upstreams that may have run the request.
+        runs: u32,
+        /// Time since the request arrived here, in milliseconds.
+        total_ms: u64,
+        /// Upstream of the latest sending, unless the request was served.
+        upstream: Option<String>,
+        /// Time in milliseconds since that upstream last sent something.
+        quiet_ms: Option<u64>,
+    },
     /// This host refuses a request of another host. No upstream has run it for this host.
     DetourRefused {
         /// Identifier of the request.
@@ -538,7 +553,13 @@
     pub(crate) fn is_routine(&self) -> bool {
         match self {
             Self::RequestSent { resume_after, .. } => resume_after.is_none(),
-            Self::RequestEnded { outcome, .. } => outcome == "served",
+            Self::RequestEnded { outcome, .. } | Self::DetourFinished { outcome, .. } => {
+                outcome == "served"
+            }
+            Self::DetourEnded { outcome, .. } => outcome == "answered",
+            Self::DetourSent { resume_after, .. } | Self::DetourTaken { resume_after, .. } => {
+                resume_after.is_none()
+            }
             Self::Item { .. } => true,
             _ => false,
         }
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -337,7 +337,7 @@
     }
 
     /// The log that decisions about requests are written to.
-    pub(crate) fn log(&self) -> &EventLog {
+    pub fn log(&self) -> &EventLog {
         &self.log
     }
 
@@ -396,9 +396,15 @@
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
         let is_own = detoured.is_none();
+        // One of another host's requests is logged where that host is told.
+        let log_refusal = |request: &RelayRequest, reason: &str, load, delay, subject| {
+            if is_own {
+                self.log_refusal(request, reason, load, delay, subject);
+            }
+        };
         let takes_detour = is_own && self.detours.has_link() && self.is_stranded(&request.service);
         if !self.stop_gate.admits(&request.route.name, left, now) {
-            self.log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
+            log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
             return RelayAnswer::Refused {
                 retry_after: STOPPING_RETRY_DELAY,
                 reason: RelayRefusal::ShuttingDown,
@@ -409,7 +415,7 @@
             && let ShedDecision::Refuse(delay) =
                 decide_shedding(load, request.route.objective, left)
         {
-            self.log_refusal(&request, "no_free_place", load, delay, None);
+            log_refusal(&request, "no_free_place", load, delay, None);
             return RelayAnswer::Refused {
                 retry_after: delay,
                 reason: RelayRefusal::Overloaded,
@@ -424,7 +430,7 @@
         if let Some(detoured) = detoured {
             run = run.with_run_counter(detoured.counter);
         }
-        let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone());
+        let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone(), is_own);
         let started = match &taken_up {
             None => dispatch.run.start().await,
             Some(registration) => {
@@ -467,7 +473,7 @@
             Err(RelayFailure::NotRun) if self.is_version_gone(&request) => {
                 dispatch.finish("refused");
                 let delay = NOT_RESUMABLE_RETRY_DELAY;
-                self.log_refusal(&request, "version_gone", load, delay, None);
+                log_refusal(&request, "version_gone", load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: RelayRefusal::NotResumable,
@@ -482,7 +488,7 @@
                 };
                 let delay = delay.min(left / 3);
                 dispatch.finish("refused");
-                self.log_refusal(&request, reason, load, delay, None);
+                log_refusal(&request, reason, load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: refusal.map_or(RelayRefusal::Overloaded, caller_refusal),
@@ -491,7 +497,7 @@
             Err(RelayFailure::Convicted(refusal)) => {
                 dispatch.finish("refused");
                 let (delay, subject) = (refusal.retry_after, refusal.subject);
-                self.log_refusal(&request, "convicted", load, delay, Some(subject));
+                log_refusal(&request, "convicted", load, delay, Some(subject));
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: RelayRefusal::Convicted,
@@ -680,11 +686,13 @@
     events: u64,
     /// Tells whether the run was ended from outside; `None` before it can be.
     run_end: Option<RunEnd>,
+    /// Whether this host took the request from its caller.
+    is_own: bool,
     logged: bool,
 }
 
 impl LoggedDispatch {
-    fn new(run: RequestDispatch, log: EventLog, request: Arc<RelayRequest>) -> Self {
+    fn new(run: RequestDispatch, log: EventLog, request: Arc<RelayRequest>, is_own: bool) -> Self {
         Self {
             run,
             log,
@@ -692,6 +700,7 @@
             first: None,
             events: 0,
             run_end: None,
+            is_own,
             logged: false,
         }
     }
@@ -714,6 +723,17 @@
             .is_some()
             .then_some(state.silent_for.as_millis() as u64);
         let received = self.request.received;
+        if !self.is_own {
+            self.log.write(LogEvent::DetourFinished {
+                request: self.request.id.to_string(),
+                outcome: outcome.to_owned(),
+                runs: state.runs,
+                total_ms: received.elapsed().as_millis() as u64,
+                upstream: unserved.map(|upstream| upstream.to_string()),
+                quiet_ms,
+            });
+            return;
+        }
         let first = self
             .first
             .map(|first| (first - received).as_millis() as u64);
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -27,6 +27,10 @@
     "conviction_tested",
     "subject_released",
 ];
+/// Events after which a host waits for an answer.
+const SENDING_EVENTS: [&str; 2] = ["request_sent", "detour_sent"];
+/// Outcome of a detour whose answer began.
+const ANSWERED_OUTCOME: &str = "answered";
 /// Outcome of a request whose caller got the whole answer.
 const SERVED_OUTCOME: &str = "served";
 
@@ -177,7 +181,7 @@
         let subjects: Vec<&str> = own.iter().filter_map(|line| line.text("subject")).collect();
         let later_starts: Vec<&TraceLine> = last_lines(&own)
             .into_iter()
-            .filter(|line| line.event == "request_sent")
+            .filter(|line| SENDING_EVENTS.contains(&line.event.as_str()))
             .filter_map(|line| self.next_start(line))
             .collect();
         let is_relevant = |line: &&TraceLine| {
@@ -237,7 +241,7 @@
             };
             let run = (request, line.host.as_str());
             match line.event.as_str() {
-                "request_sent" => {
+                "request_sent" | "detour_sent" => {
                     open.insert(run, line);
                 }
                 "item" => {
@@ -249,6 +253,13 @@
                 "sending_failed" => {
                     reasons.insert(request, fault_reason(line));
                 }
+                "detour_ended" if line.text("outcome") != Some(ANSWERED_OUTCOME) => {
+                    reasons.insert(request, detour_reason(line));
+                }
+                // The host that took the request from its caller logs its end.
+                "detour_finished" => {
+                    open.remove(&run);
+                }
                 "stream_given_up" => {
                     reasons.insert(request, take_up_reason(line));
                 }
@@ -327,6 +338,15 @@
     )
 }
 
+fn detour_reason(line: &TraceLine) -> String {
+    let outcome = line.text("outcome").unwrap_or_default();
+    let host = line.text("to").unwrap_or("another host");
+    match line.text("cause") {
+        Some(cause) => format!("{outcome} through {host}: {cause}"),
+        None => format!("{outcome} through {host}"),
+    }
+}
+
 fn take_up_reason(line: &TraceLine) -> String {
     let host = line.text("by_host").unwrap_or("another host");
     let events = number_or_unknown(line.number("events"));
--- a/lib/tests/detour_fleet/mod.rs
+++ b/lib/tests/detour_fleet/mod.rs
@@ -18,6 +18,7 @@
 use parsleywall::detour::DetourFrames;
 use parsleywall::detour::DetourLink;
 use parsleywall::detour::DetourServer;
+use parsleywall::event_log::EventLog;
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
 use parsleywall::origins::VersionHistory;
@@ -35,7 +36,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::opaque::answer_name;
-use crate::opaque::new_relay;
+use crate::opaque::new_logged_relay;
 use crate::opaque::spawn_origin_exchange;
 use crate::opaque::upstream;
 
@@ -137,11 +138,16 @@
 impl DetourFleet {
     /// Starts `count` hosts of this process and lets them find out how they reach the upstreams.
     pub(crate) async fn start(count: usize) -> Self {
+        Self::start_logged(count, |_| EventLog::disabled()).await
+    }
+
+    /// Starts such hosts, each with the log that `log` returns for its name.
+    pub(crate) async fn start_logged(count: usize, log: impl Fn(&str) -> EventLog) -> Self {
         let upstreams = OpaqueUpstreams::new(EVENTS, FIRST, GAP);
         let addresses: Vec<SocketAddr> = (0..count)
             .map(|number| SocketAddr::from(([127, 0, 0, 1], 1000 + number as u16)))
             .collect();
-        let fleet = Self::start_at(addresses.clone(), upstreams.clone(), upstreams).await;
+        let fleet = Self::start_at(addresses.clone(), upstreams.clone(), upstreams, log).await;
         let servers = addresses.into_iter().zip(fleet.servers.iter().cloned());
         let servers = Arc::new(servers.collect::<HashMap<_, _>>());
         for relay in &fleet.relays {
@@ -160,6 +166,7 @@
         addresses: Vec<SocketAddr>,
         transport: Arc<dyn UpstreamTransport>,
         upstreams: Arc<OpaqueUpstreams>,
+        log: impl Fn(&str) -> EventLog,
     ) -> Self {
         let count = addresses.len();
         let names: Vec<String> = (0..count).map(|number| format!("host-{number}")).collect();
@@ -175,7 +182,9 @@
         let relays: Vec<RequestRelay> = names
             .iter()
             .zip(&transports)
-            .map(|(name, transport)| new_relay(name, transport.clone(), &UPSTREAMS))
+            .map(|(name, transport)| {
+                new_logged_relay(name, transport.clone(), &UPSTREAMS, log(name))
+            })
             .collect();
         let servers: Vec<LocalServer> = relays
             .iter()
--- a/lib/tests/test_detour_sockets.rs
+++ b/lib/tests/test_detour_sockets.rs
@@ -28,6 +28,7 @@
 use parsleywall::counters::CounterSet;
 use parsleywall::detour::DetourClient;
 use parsleywall::detour::DetourLink;
+use parsleywall::event_log::EventLog;
 use parsleywall::ids::HostId;
 use parsleywall::limits::LimitSignal;
 use parsleywall::peers::PeerClient;
@@ -110,7 +111,8 @@
         .collect();
     let upstreams = OpaqueUpstreams::new(EVENTS, Duration::from_millis(20), GAP);
     let transport = Arc::new(EchoTransport(upstreams.clone()));
-    let hosts = DetourFleet::start_at(addresses, transport, upstreams).await;
+    let hosts =
+        DetourFleet::start_at(addresses, transport, upstreams, |_| EventLog::disabled()).await;
     let (mut clients, mut stops) = (Vec::new(), Vec::new());
     for (number, listener) in listeners.into_iter().enumerate() {
         let peers = PeerClient::new(
--- a/lib/tests/test_detours.rs
+++ b/lib/tests/test_detours.rs
@@ -3,7 +3,10 @@
 mod detour_fleet;
 mod opaque;
 
+use std::io::Write;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 use detour_fleet::CutKind;
@@ -21,10 +24,12 @@
 use opaque::read_stream;
 use opaque::request;
 use opaque::route;
+use parsleywall::event_log::EventLog;
 use parsleywall::ids::RequestId;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
 use parsleywall::routes::RouteKind;
+use parsleywall::trace::EventTrace;
 use parsleywall_standins::opaque::OpaqueBehaviour;
 use tokio::time::Instant;
 
@@ -293,3 +298,83 @@
     assert_eq!(fleet.online(0), 1);
     assert!(fleet.taking_hosts().is_empty());
 }
+
+struct ChannelOutput(Sender<String>);
+
+impl Write for ChannelOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.send(String::from_utf8_lossy(bytes).into_owned());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The logs show both legs of a request, and its end where its caller is.
+#[tokio::test(start_paused = true)]
+async fn test_logs_show_a_detour_at_both_hosts() {
+    let (output, lines) = channel();
+    let fleet = DetourFleet::start_logged(3, |name| {
+        EventLog::new(name.to_owned(), 1, ChannelOutput(output.clone()))
+    })
+    .await;
+    fleet.cut(&[0], CutKind::Refuses).await;
+    let served = fleet.relays[0]
+        .relay(request("r", route(RESUMABLE, 2)))
+        .await;
+    assert!(read_stream(served).await.1);
+    let waiting = fleet.relays[0].clone();
+    let once = request("s", route(RouteKind::NonIdempotent, 2));
+    let waiting = tokio::spawn(async move { waiting.relay(once).await });
+    tokio::time::sleep(FIRST / 2).await;
+    let taking = fleet.taking_hosts()[0];
+    fleet.kill(taking);
+    assert!(matches!(waiting.await.unwrap(), RelayAnswer::Lost));
+    let mut text = String::new();
+    let count = |text: &str, event: &str| text.matches(event).count();
+    while count(&text, "\"request_ended\"") < 2 || count(&text, "\"detour_finished\"") < 2 {
+        text.push_str(&lines.recv().unwrap());
+    }
+    let trace = EventTrace::read(text.lines());
+    let events = trace.events_about("r");
+    let line = |name: &str| {
+        let line = events.iter().find(|line| line.event == name);
+        *line.unwrap_or_else(|| panic!("no {name}"))
+    };
+    let sent = line("detour_sent");
+    assert_eq!(sent.host, "host-0");
+    assert_eq!(sent.text("reach"), Some("stranded"));
+    let other = sent.text("to").unwrap();
+    assert_eq!(line("detour_ended").text("outcome"), Some("answered"));
+    for name in ["detour_taken", "request_sent", "detour_finished"] {
+        assert_eq!(line(name).host, other, "{name}");
+    }
+    assert_eq!(line("detour_taken").text("from"), Some("host-0"));
+    assert_eq!(line("request_ended").host, "host-0");
+    let unserved = trace.unserved_requests();
+    assert_eq!(unserved.len(), 1, "{unserved:?}");
+    assert_eq!(
+        (unserved[0].request.as_str(), unserved[0].outcome.as_str()),
+        ("s", "lost")
+    );
+    assert_eq!(
+        unserved[0].reason.as_deref(),
+        Some(format!("lost through host-{taking}").as_str())
+    );
+    let metrics = fleet.relays[0].log().metrics().text();
+    for sample in [
+        "parsleywall_detours_total{outcome=\"answered\"} 1",
+        "parsleywall_detours_total{outcome=\"lost\"} 1",
+        "parsleywall_requests_total{outcome=\"served\"} 1",
+    ] {
+        assert!(metrics.contains(sample), "{sample}: {metrics}");
+    }
+    let others = [1, 2].map(|host| fleet.relays[host].log().metrics().text());
+    assert!(
+        others
+            .iter()
+            .all(|text| !text.contains("parsleywall_requests_total{"))
+    );
+}
