jobs: a stranded host hands its jobs over

Cause: the items of a host that does not reach the upstreams wait at it, or hang at upstreams that are cut off, until the cut ends.

Change: such a host stops its items, commits what is done, and offers each job to other hosts, to those that reach upstreams first. It claims and takes no jobs until it reaches upstreams again. A job that can't be released, as the key-value service does not answer, is kept with its progress. A leaving host does the same as before. The items that stop count no failed attempt; the reason `stranded` is logged.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -465,8 +465,8 @@
         outcome: String,
         /// Number of events received over all runs.
         events: u64,
-        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up`, `stood_still` or
-        /// `leaving`; absent if it did not.
+        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up`, `stood_still`, `displaced`,
+        /// `leaving` or `stranded`; absent if it did not.
         reason: Option<String>,
     },
     /// A request goes on through another host, as this one does not reach the upstreams.
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -99,11 +99,11 @@
     }
 
     /// Passes the waiting items to the load balancer, which reports them to other hosts. A leaving
-    /// host starts no items and so reports none.
+    /// or stranded host starts no items and so reports none.
     fn publish_waiting(&self) {
         let routes = self.shared.routes.borrow().clone();
         self.with_table(|table| table.set_routes(&routes));
-        let groups = match self.shared.is_leaving.is_cancelled() {
+        let groups = match self.takes_no_jobs() {
             true => Vec::new(),
             false => self.with_table(|table| table.waiting(Instant::now(), steady_unix_millis())),
         };
@@ -142,13 +142,13 @@
         }
     }
 
-    /// Dispatches items until no route has another one that an upstream takes. A leaving host
-    /// dispatches none.
+    /// Dispatches items until no route has another one that an upstream takes. A leaving or
+    /// stranded host dispatches none.
     fn dispatch_ready(&self) {
         let routes = self.shared.routes.borrow().clone();
         self.with_table(|table| table.set_routes(&routes));
         let mut blocked = HashSet::default();
-        while !self.shared.is_leaving.is_cancelled() && self.dispatch_next(&routes, &mut blocked) {}
+        while !self.takes_no_jobs() && self.dispatch_next(&routes, &mut blocked) {}
     }
 
     /// Dispatches the most urgent item that an upstream takes, or gives it up for lack of a route;
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -115,6 +116,8 @@
     pub(super) results_committed: Notify,
     pub(super) work_available: Notify,
     pub(super) is_leaving: CancellationToken,
+    /// Whether this host does not reach the upstreams, and others do.
+    pub(super) is_stranded: AtomicBool,
 }
 
 impl JobKeeper {
@@ -156,6 +159,7 @@
             results_committed: Notify::new(),
             work_available: Notify::new(),
             is_leaving: CancellationToken::new(),
+            is_stranded: AtomicBool::new(false),
         };
         Self {
             shared: Arc::new(shared),
@@ -171,7 +175,8 @@
                 self.run_items(),
                 self.run_commits(),
                 self.run_scans(),
-                self.run_sweeps()
+                self.run_sweeps(),
+                self.run_hand_overs()
             );
         };
         tokio::select! {
@@ -313,22 +318,20 @@
     /// their items. Jobs that no host accepts are claimed by others after their next scans.
     pub async fn leave(&self) {
         self.shared.is_leaving.cancel();
-        self.shared.running.stop_all(StopReason::Leaving);
-        self.wait_for_stopped_items(None).await;
-        self.commit_all_finished().await;
-        let claims = self.with_table(|table| table.claims());
-        let released = self.shared.store.release(&claims).await;
-        let hand_overs = released.iter().map(|job| self.hand_over(job));
-        futures_util::future::join_all(hand_overs).await;
-        for (job, _) in &claims {
-            self.drop_job(job, "given_away");
+        self.give_jobs_away(StopReason::Leaving).await;
+        for (job, _) in self.with_table(|table| table.claims()) {
+            self.drop_job(&job, "given_away");
         }
     }
 
-    /// Offers `job` to other hosts in the order in which they would claim it.
-    async fn hand_over(&self, job: &str) {
+    /// Offers `job` to other hosts in the order in which they would claim it, to those that reach upstreams
+    /// first.
+    pub(super) async fn hand_over(&self, job: &str) {
         let progress = self.with_table(|table| table.checkpoints(job));
-        for host in self.successors(job).iter().take(MAX_HAND_OVER_HOSTS) {
+        let reaching = self.reaching_hosts();
+        let mut successors = self.successors(job);
+        successors.sort_by_key(|host| !reaching.contains(&host.host));
+        for host in successors.iter().take(MAX_HAND_OVER_HOSTS) {
             let call = JobCall::HandOver {
                 job: job.to_owned(),
                 progress: progress.clone(),
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 mod spec;
 mod standstill;
 mod store;
+mod stranded;
 mod submission;
 mod table;
 
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -95,7 +95,7 @@
     async fn process_scan(&self, open: &OpenJobListing) {
         self.cache_owners(open);
         self.drop_lost_jobs(open).await;
-        if self.shared.is_leaving.is_cancelled() {
+        if self.takes_no_jobs() {
             return;
         }
         let own = &self.shared.identity;
@@ -305,9 +305,9 @@
     }
 
     /// Claims a job that its owner hands over, and resumes its items from `checkpoints`. Returns
-    /// whether this host owns the job now; a leaving host takes none.
+    /// whether this host owns the job now; a leaving or stranded host takes none.
     pub(super) async fn take_over(&self, id: &str, checkpoints: Vec<ItemCheckpoint>) -> bool {
-        if self.shared.is_leaving.is_cancelled() {
+        if self.takes_no_jobs() {
             return false;
         }
         match self.shared.store.open_job(id).await {
--- a/lib/src/jobs/running.rs
+++ b/lib/src/jobs/running.rs
@@ -29,6 +29,8 @@
     Displaced,
     /// The host stops.
     Leaving,
+    /// The host does not reach the upstreams.
+    Stranded,
 }
 
 /// Cancellation of one run, with the reason of the first one who cancels it.
