reach: probe upstreams while there is suspicion, and log each change

A host of which one connection had failed judged only from what its callers' requests met, so that finding out cost as many requests as it takes, and the end was found by a request as well.

Where nobody uses the upstreams that a host asks for, another host that is idle connects to one of them. Changes are logged (reach_changed) and counted; a gauge tells the services that a host is stranded from.

--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -553,6 +553,25 @@
         .collect()
     }
 
+    /// Services with upstreams that accept requests.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let serving = self.serving.iter().filter(|(_, all)| !all.is_empty());
+        serving.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Registered upstreams at which this host has running work.
+    pub fn busy_targets(&self) -> Vec<ProbeTarget> {
+        let busy = self.busy.iter().map(|key| &self.upstreams[key]);
+        let registered = busy.filter(|upstream| upstream.is_registered);
+        registered
+            .map(|upstream| ProbeTarget {
+                id: upstream.entry.id.clone(),
+                service: upstream.entry.service.clone(),
+                address: upstream.entry.address,
+            })
+            .collect()
+    }
+
     /// Chooses an upstream for one piece of work and counts the work there, or returns `None` if no
     /// upstream may take it.
     ///
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -161,6 +161,27 @@
         /// Version of the software in its entry.
         software: String,
     },
+    /// The reach of this host has changed: whether connections to upstreams of a service fail for it alone.
+    ReachChanged {
+        /// Service of the upstreams.
+        service: String,
+        /// State before: `reached`, `partial` or `stranded`.
+        before: String,
+        /// State from now on.
+        state: String,
+        /// Upstreams of the service that this host uses, 16 at most.
+        serving: usize,
+        /// Those that fail here while another host hears them.
+        lost: usize,
+        /// Those that fail here and of which nothing is known from others.
+        unreached: usize,
+        /// Those that took a connection of this host meanwhile.
+        connected: usize,
+        /// How the last one failed: `refused`, `timed_out`, `closed` or `silent`.
+        cause: Option<String>,
+        /// Time that the state before had lasted.
+        lasted_ms: u64,
+    },
     /// An upstream announced in an answer that it is shutting down; it gets no more requests until
     /// it has restarted.
     UpstreamLeaves {
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -55,6 +55,8 @@
     limited_upstreams: IntGauge,
     limit_age: Gauge,
     grants: IntCounterVec,
+    reach_changes: IntCounterVec,
+    stranded: IntGauge,
 }
 
 impl RelayMetrics {
@@ -184,6 +186,16 @@
                 "Requests to limited upstreams: granted, denied (withheld for the limit) or unanswered.",
                 &["outcome"],
             ),
+            reach_changes: counter(
+                "reach_changes_total",
+                "Changes of whether this host reaches the upstreams of a service, by the new state.",
+                &["state"],
+            ),
+            stranded: IntGauge::new(
+                "parsleywall_stranded_services",
+                "Services whose upstreams this host does not reach while other hosts do.",
+            )
+            .expect("metric names are valid"),
             view_age: GaugeVec::new(
                 Opts::new(
                     "parsleywall_view_age_seconds",
@@ -222,6 +234,7 @@
             &self.job_claims,
             &self.grants,
             &self.view_calls,
+            &self.reach_changes,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
         all.extend(counters.map(|counter| Box::new(counter.clone()) as _));
@@ -238,6 +251,7 @@
         all.push(Box::new(self.displaced.clone()));
         all.push(Box::new(self.limited_upstreams.clone()));
         all.push(Box::new(self.limit_age.clone()));
+        all.push(Box::new(self.stranded.clone()));
         for collector in all {
             self.registry
                 .register(collector)
@@ -275,6 +289,9 @@
                 let process = started_ms.map_or("unknown", |_| "other");
                 self.misidentified.with_label_values(&[process]).inc();
             }
+            LogEvent::ReachChanged { state, .. } => {
+                self.reach_changes.with_label_values(&[state]).inc();
+            }
             LogEvent::StreamTakenUp { outcome, .. } => {
                 self.take_ups.with_label_values(&[outcome]).inc();
             }
@@ -345,6 +362,11 @@
         self.displaced.set(i64::from(is_displaced));
     }
 
+    /// Sets the number of services that this host is stranded from.
+    pub fn set_stranded(&self, services: usize) {
+        self.stranded.set(services as i64);
+    }
+
     /// Counts a refusal that has no line in the log.
     pub fn count_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
--- a/lib/src/reach/contact.rs
+++ b/lib/src/reach/contact.rs
@@ -117,7 +117,7 @@
 
     /// Whether a connection was opened after `since` and none has failed after that.
     pub(crate) fn has_connected_since(&self, since: Instant) -> bool {
-        self.failure.is_none() && self.connected_at.is_some_and(|at| at >= since)
+        self.failure.is_none() && self.connected_at.is_some_and(|at| at > since)
     }
 
     /// Whether the upstream was heard within `age` and has not failed since.
--- a/lib/src/reach/judgement.rs
+++ b/lib/src/reach/judgement.rs
@@ -4,7 +4,8 @@
 const MIN_LOST_UPSTREAMS: usize = 2;
 
 /// How well this host reaches the upstreams of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum ReachState {
     /// Nothing says that upstreams fail for this host alone.
     Reached,
@@ -16,23 +17,31 @@
 
 /// Numbers of upstreams of one service by what is known of them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ReachEvidence {
+pub struct ReachEvidence {
     /// Upstreams in this host's window.
-    pub(crate) serving: usize,
+    pub serving: usize,
     /// Upstreams that this host has lost while another host still heard them.
-    pub(crate) lost: usize,
+    pub lost: usize,
     /// Upstreams that this host has lost, and nothing tells whether they are alive.
-    pub(crate) unreached: usize,
+    pub unreached: usize,
     /// Upstreams to which this host has opened a connection since it lost the first one.
-    pub(crate) connected: usize,
+    pub connected: usize,
 }
 
 impl ReachEvidence {
+    /// Whether it is clear that the upstreams that fail have failed themselves: others took connections of
+    /// this host meanwhile, and nothing says that another host hears those that fail.
+    pub(crate) fn is_settled(self) -> bool {
+        let failed = self.lost + self.unreached;
+        let others = self.serving.saturating_sub(failed);
+        self.lost == 0 && self.connected > 0 && self.connected >= MIN_LOST_UPSTREAMS.min(others)
+    }
+
     /// Judges whether this host reaches the upstreams.
     ///
     /// Only an upstream that others still hear is lost by this host's fault: one that nobody hears has
     /// failed itself.
-    pub(crate) fn judge(self) -> ReachState {
+    pub fn judge(self) -> ReachState {
         if self.lost == 0 {
             return ReachState::Reached;
         }
--- a/lib/src/reach/keeper.rs
+++ b/lib/src/reach/keeper.rs
@@ -16,6 +16,8 @@
 use crate::reach::judgement::ReachState;
 use crate::reach::notice::ReachNotice;
 use crate::reach::table::DetourHost;
+use crate::reach::table::ProbeTarget;
+use crate::reach::table::ReachChange;
 use crate::reach::table::ReachTable;
 
 /// What this host knows of its own reach and of that of the other hosts. Clones share it.
@@ -60,6 +62,11 @@
         self.table().is_stranded()
     }
 
+    /// Number of services that this host is stranded from, by its own evidence.
+    pub fn stranded_services(&self) -> usize {
+        self.table().stranded().count()
+    }
+
     /// Other hosts that said lately that they reach `service` and take detours.
     pub fn detour_hosts(&self, service: &ServiceName) -> Vec<DetourHost> {
         self.table().detour_hosts(service, Instant::now())
@@ -86,13 +93,48 @@
         self.table().own_notice(now)
     }
 
-    /// Judges the reach of the services of which a connection has failed lately.
-    pub fn step(&self, balancer: &LoadBalancer, now: Instant) {
-        let suspected = self.table().suspected(now);
-        for service in &suspected {
-            let window = balancer.state().probe_targets(service);
-            self.table().judge(service, &window, now);
-        }
-        self.table().expire(now);
+    /// Records whether a connection was opened to an upstream that [`Self::step`] had named.
+    pub fn record_probe(
+        &self,
+        target: &ProbeTarget,
+        result: Result<(), UnreachedCause>,
+        now: Instant,
+    ) {
+        self.table().record_probe(target, result, now);
+    }
+
+    /// Judges the reach of the services of which a connection has failed lately. Returns the changes, and
+    /// the upstreams that are to be probed.
+    pub fn step(
+        &self,
+        balancer: &LoadBalancer,
+        now: Instant,
+    ) -> (Vec<ReachChange>, Vec<ProbeTarget>) {
+        let (is_silent, is_asked, suspected) = {
+            let table = self.table();
+            (
+                table.is_silent(now),
+                table.is_asked(now),
+                table.suspected(now),
+            )
+        };
+        let (windows, busy) = {
+            let state = balancer.state();
+            let services = match is_asked {
+                true => state.services(),
+                false => suspected.into_iter().collect(),
+            };
+            let windows = services.into_iter().map(|service| {
+                let window = state.probe_targets(&service);
+                (service, window)
+            });
+            let busy = is_silent.then(|| state.busy_targets());
+            (windows.collect::<Vec<_>>(), busy.unwrap_or_default())
+        };
+        let mut table = self.table();
+        let mut step = table.step(&windows, now);
+        step.probes.extend(table.silence_probes(&busy, now));
+        table.expire(now);
+        (step.changes, step.probes)
     }
 }
--- a/lib/src/reach/mod.rs
+++ b/lib/src/reach/mod.rs
@@ -9,12 +9,17 @@
 mod contact;
 mod judgement;
 mod keeper;
+mod monitor;
 mod notice;
+mod probes;
 mod table;
 
 pub use contact::UnreachedCause;
+pub use judgement::ReachEvidence;
 pub use judgement::ReachState;
 pub use keeper::ReachKeeper;
+pub(crate) use monitor::ReachMonitor;
 pub use notice::ReachNotice;
 pub use table::DetourHost;
 pub use table::ProbeTarget;
+pub use table::ReachChange;
--- a/lib/src/reach/table.rs
+++ b/lib/src/reach/table.rs
@@ -17,6 +17,7 @@
 use crate::reach::judgement::ReachEvidence;
 use crate::reach::judgement::ReachState;
 use crate::reach::notice::ReachNotice;
+use crate::reach::probes::ProbeBudget;
 
 /// Time after a report within which what it says of the reach of its host holds.
 const NOTICE_TIME: Duration = Duration::from_millis(1_000);
@@ -33,6 +34,16 @@
 const CONTACT_TIME: Duration = Duration::from_secs(60);
 /// Share of lost upstreams from which a partly stranded host takes no detours.
 const MAX_DETOUR_SHARE: f64 = 0.5;
+/// Time without a sign of any upstream after which work at them is a reason for a probe.
+const SILENCE_TIME: Duration = Duration::from_millis(250);
+/// Shortest interval between two such reasons.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Upstreams that are probed for it.
+const SILENCE_PROBES: usize = 2;
+/// Upstreams that another host has to have lost before this one probes any of them for it.
+const MIN_ASKED_UPSTREAMS: usize = 2;
+/// Age of what other hosts have heard from which this one probes upstreams for another.
+const WITNESS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Upstreams of which one notice asks or tells.
 const MAX_NOTICE_UPSTREAMS: usize = 16;
 
@@ -58,16 +69,28 @@
 
 /// A change of this host's reach of a service.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct ReachChange {
-    pub(crate) service: ServiceName,
-    pub(crate) before: ReachState,
-    pub(crate) state: ReachState,
+pub struct ReachChange {
+    /// The service.
+    pub service: ServiceName,
+    /// The state before.
+    pub before: ReachState,
+    /// The state from now on.
+    pub state: ReachState,
     /// The evidence that led to it.
-    pub(crate) evidence: ReachEvidence,
-    /// Cause of the last failures, `None` without any.
-    pub(crate) cause: Option<UnreachedCause>,
+    pub evidence: ReachEvidence,
+    /// How the upstreams that fail last failed; `None` if none does.
+    pub cause: Option<UnreachedCause>,
     /// Time that the state before had lasted.
-    pub(crate) lasted: Duration,
+    pub lasted: Duration,
+}
+
+/// What follows from the evidence at one time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReachStep {
+    /// Changes of this host's reach.
+    pub(crate) changes: Vec<ReachChange>,
+    /// Upstreams to connect to.
+    pub(crate) probes: Vec<ProbeTarget>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -99,6 +122,11 @@
     /// When another host was last known to hear the upstream with this tag.
     heard_elsewhere: HashMap<u32, Instant>,
     addresses: HashMap<String, SocketAddr>,
+    /// When anything last came from any upstream.
+    heard_at: Option<Instant>,
+    /// When this host last took silence for a sign of a cut.
+    silence_noted_at: Option<Instant>,
+    budget: ProbeBudget,
 }
 
 impl ReachTable {
@@ -117,6 +145,7 @@
         now: Instant,
     ) {
         self.contact(upstream, service).record_connected(now);
+        self.heard_at = Some(now);
     }
 
     pub(crate) fn record_heard(
@@ -126,6 +155,7 @@
         now: Instant,
     ) {
         self.contact(upstream, service).record_heard(now);
+        self.heard_at = Some(now);
     }
 
     pub(crate) fn record_unreached(
@@ -179,9 +209,138 @@
             .collect()
     }
 
+    /// Records the result of a probe.
+    pub(crate) fn record_probe(
+        &mut self,
+        target: &ProbeTarget,
+        result: Result<(), UnreachedCause>,
+        now: Instant,
+    ) {
+        self.budget.finish(target);
+        match result {
+            Ok(()) => self.record_connected(&target.id, &target.service, now),
+            Err(cause) => self.record_unreached(&target.id, &target.service, cause, now),
+        }
+    }
+
+    /// Judges the reach of the services of which `windows` has upstreams that this host uses, and chooses
+    /// upstreams to probe.
+    pub(crate) fn step(
+        &mut self,
+        windows: &[(ServiceName, Vec<ProbeTarget>)],
+        now: Instant,
+    ) -> ReachStep {
+        let mut step = ReachStep::default();
+        for (service, window) in windows {
+            let change = self.judge(service, window, now);
+            if change.is_some() {
+                self.budget.renew();
+            }
+            step.changes.extend(change);
+            step.probes.extend(self.probes(service, window, now));
+        }
+        step.probes.extend(self.witness_probes(windows, now));
+        step
+    }
+
+    /// Upstreams of a suspected service of which it has to be known whether this host reaches them.
+    fn probes(
+        &mut self,
+        service: &ServiceName,
+        window: &[ProbeTarget],
+        now: Instant,
+    ) -> Vec<ProbeTarget> {
+        let evidence = self.evidence(window, now);
+        let is_reached = self.state(service) == ReachState::Reached;
+        let has_failed = evidence.lost + evidence.unreached > 0;
+        if is_reached && (!has_failed || evidence.is_settled()) {
+            return Vec::new();
+        }
+        let first_failed = self.first_failed(window, now);
+        let contacts = &self.contacts;
+        let is_open = |target: &&ProbeTarget| {
+            let contact = contacts.get(&upstream_tag(&target.id));
+            !contact.is_some_and(|(_, contact)| {
+                first_failed.is_some_and(|since| contact.has_connected_since(since))
+            })
+        };
+        let open = window.iter().filter(is_open);
+        self.budget.take(open, usize::MAX, now)
+    }
+
+    /// Upstreams that another host has lost and of which nobody has told whether they are alive.
+    fn witness_probes(
+        &mut self,
+        windows: &[(ServiceName, Vec<ProbeTarget>)],
+        now: Instant,
+    ) -> Vec<ProbeTarget> {
+        let askers = self.peers.values().filter(|peer| {
+            peer.is_fresh(now) && peer.notice.unreached.len() >= MIN_ASKED_UPSTREAMS
+        });
+        let asked: HashSet<u32> = askers
+            .flat_map(|peer| peer.notice.unreached.iter().copied())
+            .collect();
+        if asked.is_empty() {
+            return Vec::new();
+        }
+        let is_unknown = |tag: u32| {
+            let heard_elsewhere = self.heard_elsewhere.get(&tag);
+            let is_heard = heard_elsewhere.is_some_and(|at| now - *at < WITNESS_INTERVAL);
+            let contact = self.contacts.get(&tag);
+            let is_known = contact.is_some_and(|(_, contact)| {
+                contact.is_sound(HEARD_TIME, now) || contact.unreached(now).is_some()
+            });
+            asked.contains(&tag) && !is_heard && !is_known
+        };
+        let reached = windows
+            .iter()
+            .filter(|(service, _)| self.state(service) == ReachState::Reached);
+        let unknown: Vec<ProbeTarget> = reached
+            .flat_map(|(_, window)| window)
+            .filter(|target| is_unknown(upstream_tag(&target.id)))
+            .cloned()
+            .collect();
+        self.budget.take(unknown.iter(), 1, now)
+    }
+
+    /// Whether another host asks for upstreams that it has lost.
+    pub(crate) fn is_asked(&self, now: Instant) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.is_fresh(now) && !peer.notice.unreached.is_empty())
+    }
+
+    /// Whether nothing has come from any upstream for so long that work at upstreams which others hear
+    /// may be a sign of a cut.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let is_silent = |at: Instant| now - at >= SILENCE_TIME;
+        let is_due = |at: Instant| now - at >= SILENCE_INTERVAL;
+        self.heard_at.is_some_and(is_silent) && self.silence_noted_at.is_none_or(is_due)
+    }
+
+    /// Upstreams to probe, of those at which this host has work, as it hears of none and others do.
+    pub(crate) fn silence_probes(
+        &mut self,
+        busy: &[ProbeTarget],
+        now: Instant,
+    ) -> Vec<ProbeTarget> {
+        let is_heard_elsewhere = |target: &&ProbeTarget| {
+            let heard_elsewhere = self.heard_elsewhere.get(&upstream_tag(&target.id));
+            heard_elsewhere.is_some_and(|at| {
+                let since = self.heard_at.map(|heard| heard + SILENCE_TIME);
+                now - *at < SILENCE_TIME && since.is_some_and(|since| *at >= since)
+            })
+        };
+        let suspects: Vec<ProbeTarget> = busy.iter().filter(is_heard_elsewhere).cloned().collect();
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        self.silence_noted_at = Some(now);
+        self.budget.take(suspects.iter(), SILENCE_PROBES, now)
+    }
+
     /// Judges the reach of a service from the evidence on `window`, the upstreams of the service that this
     /// host uses. Returns the change, if there is one.
-    pub(crate) fn judge(
+    fn judge(
         &mut self,
         service: &ServiceName,
         window: &[ProbeTarget],
@@ -229,9 +388,7 @@
             .map(|target| upstream_tag(&target.id))
             .filter_map(|tag| Some((tag, self.contacts.get(&tag)?.1)))
             .collect();
-        let failed = contacts.iter();
-        let failed = failed.filter_map(|(_, contact)| contact.unreached(now));
-        let Some(first_failed) = failed.map(|(since, _)| since).min() else {
+        let Some(first_failed) = self.first_failed(window, now) else {
             return ReachEvidence {
                 serving: window.len(),
                 ..ReachEvidence::default()
@@ -255,6 +412,14 @@
         evidence
     }
 
+    /// When the first of the failures was recorded that count now.
+    fn first_failed(&self, window: &[ProbeTarget], now: Instant) -> Option<Instant> {
+        let tags = window.iter().map(|target| upstream_tag(&target.id));
+        let contacts = tags.filter_map(|tag| self.contacts.get(&tag));
+        let failures = contacts.filter_map(|(_, contact)| contact.unreached(now));
+        failures.map(|(since, _)| since).min()
+    }
+
     fn last_cause(&self, window: &[ProbeTarget], now: Instant) -> Option<UnreachedCause> {
         let tags = window.iter().map(|target| upstream_tag(&target.id));
         let contacts = tags.filter_map(|tag| self.contacts.get(&tag));
@@ -279,6 +444,13 @@
         !self.verdicts.is_empty() && verdicts.all(|verdict| verdict.state == ReachState::Stranded)
     }
 
+    /// Services that this host is stranded from, by its own evidence.
+    pub(crate) fn stranded(&self) -> impl Iterator<Item = &ServiceName> {
+        let verdicts = self.verdicts.iter();
+        let stranded = verdicts.filter(|(_, verdict)| verdict.state == ReachState::Stranded);
+        stranded.map(|(service, _)| service)
+    }
+
     /// Forgets what is too old to say anything.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.heard_elsewhere
@@ -324,8 +496,6 @@
             ReachState::Stranded => false,
         };
         let reached = heard.into_iter().filter(|service| is_open(service));
-        let stranded = self.verdicts.iter();
-        let stranded = stranded.filter(|(_, verdict)| verdict.state == ReachState::Stranded);
         let unreached = self.contacts.iter();
         let unreached = unreached.filter(|(_, (_, contact))| contact.unreached(now).is_some());
         let asked: HashSet<u32> = self
@@ -340,7 +510,7 @@
         };
         ReachNotice {
             reached: sorted(reached.map(service_tag)),
-            stranded: sorted(stranded.map(|(service, _)| service_tag(service))),
+            stranded: sorted(self.stranded().map(service_tag)),
             unreached: sorted(unreached.map(|(tag, _)| *tag).take(MAX_NOTICE_UPSTREAMS)),
             heard: sorted(
                 asked
--- a/lib/src/relay/transport.rs
+++ b/lib/src/relay/transport.rs
@@ -10,6 +10,8 @@
 
 use crate::balancer::UpstreamChoice;
 use crate::limits::LimitSignal;
+use crate::reach::ProbeTarget;
+use crate::reach::UnreachedCause;
 use crate::relay::request::RelayRequest;
 
 /// Longest time that a transport takes to identify the process of an upstream.
@@ -101,4 +103,8 @@
     /// Whether the upstream that `to` names refuses connections, as one does that has crashed.
     /// False if it accepts one, or if that is not known within a fraction of a second.
     async fn refuses_connections(&self, to: &UpstreamChoice) -> bool;
+
+    /// Opens a connection to an upstream and closes it, without a request. The error says how it failed;
+    /// it takes a fraction of a second at most.
+    async fn probe(&self, target: &ProbeTarget) -> Result<(), UnreachedCause>;
 }
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -45,6 +45,7 @@
 use crate::peers::PeerError;
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
+use crate::reach::ReachMonitor;
 use crate::registry::HostEntry;
 use crate::registry::HostReadiness;
 use crate::registry::HostRegistry;
@@ -64,8 +65,6 @@
 const UPSTREAM_SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which the versions of upstreams that serve are compared with those known before.
 const VERSION_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which the host judges whether it reaches upstreams.
-const REACH_INTERVAL: Duration = Duration::from_millis(50);
 /// Position on the ring near which the host is that stores changes of versions.
 const VERSION_WRITER_POSITION: f64 = 0.0;
 /// How long a leaving host still accepts new connections, as callers cache the list of hosts for a
@@ -217,8 +216,8 @@
         tokio::spawn(async move { host.serve_peers(listener, peer_client, kv).await });
         let host = self.clone();
         tokio::spawn(async move { host.sweep_upstreams().await });
-        let host = self.clone();
-        tokio::spawn(async move { host.judge_reach().await });
+        let (monitor, stop) = (ReachMonitor::new(self.relay.clone()), self.stop.clone());
+        tokio::spawn(async move { monitor.run(stop).await });
     }
 
     /// Addresses of the other hosts, as registered. Also updates the ring of hosts, which
@@ -279,13 +278,6 @@
         server.run(self.stop.clone(), handlers).await;
     }
 
-    async fn judge_reach(&self) {
-        while !self.stop.is_cancelled() {
-            tokio::time::sleep(REACH_INTERVAL).await;
-            self.relay.reach().step(&self.balancer, Instant::now());
-        }
-    }
-
     async fn sweep_upstreams(&self) {
         while !self.stop.is_cancelled() {
             tokio::time::sleep(UPSTREAM_SWEEP_INTERVAL).await;
@@ -434,6 +426,7 @@
         metrics.set_config_version(table.version(), self.views.configuration.age());
         self.views.set_gauges(&self.log);
         metrics.set_displaced(self.is_displaced());
+        metrics.set_stranded(self.relay.reach().stranded_services());
         metrics.text()
     }
 
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -1,5 +1,6 @@
 //! Tests of whether a host finds out that it is stranded, on the paused clock and without a network.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use parsleywall::balancer::HostDatagram;
 use parsleywall::balancer::HostLoadReport;
 use parsleywall::balancer::LoadBalancer;
+use parsleywall::balancer::SlotPermit;
+use parsleywall::balancer::SlotRequest;
 use parsleywall::balancer::UpstreamEntry;
 use parsleywall::balancer::UpstreamLoad;
 use parsleywall::balancer::UpstreamState;
@@ -17,6 +20,8 @@
 use parsleywall::ids::ServiceName;
 use parsleywall::ids::SoftwareVersion;
 use parsleywall::ids::UpstreamId;
+use parsleywall::ids::WorkClass;
+use parsleywall::reach::ProbeTarget;
 use parsleywall::reach::ReachKeeper;
 use parsleywall::reach::ReachNotice;
 use parsleywall::reach::ReachState;
@@ -308,3 +313,203 @@
     let bytes = HostDatagram::Load(sent.clone()).encode();
     assert_eq!(HostDatagram::decode(&bytes), Some(HostDatagram::Load(sent)));
 }
+
+/// How connections of the host under test to upstreams end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Link {
+    Sound,
+    Hanging,
+    Refusing,
+}
+
+/// A host whose probes are answered as its link to the upstreams is.
+struct ProbedHost {
+    host: ReachHost,
+    link: Link,
+    /// Upstreams that have crashed: they refuse all connections, and nobody hears them.
+    crashed: Vec<&'static str>,
+    /// Upstreams that other hosts use now.
+    active: Vec<&'static str>,
+    pending: RefCell<Vec<(Instant, ProbeTarget)>>,
+    probes: usize,
+}
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl ProbedHost {
+    fn new() -> Self {
+        let probed = Self {
+            host: ReachHost::new(&UPSTREAMS),
+            link: Link::Sound,
+            crashed: Vec::new(),
+            active: UPSTREAMS.to_vec(),
+            pending: RefCell::default(),
+            probes: 0,
+        };
+        for upstream in UPSTREAMS {
+            probed.host.connect(upstream);
+        }
+        probed
+    }
+
+    /// Lets `time` pass. Returns after which part of it the state became `awaited`.
+    async fn play(&mut self, time: Duration, awaited: ReachState) -> Option<Duration> {
+        let begun = Instant::now();
+        let mut found = None;
+        while begun.elapsed() < time {
+            advance(STEP).await;
+            let now = Instant::now();
+            let crashed = self.crashed.clone();
+            let active = self.active.iter().copied();
+            let active: Vec<&str> = active.filter(|up| !crashed.contains(up)).collect();
+            self.host.report("h2", &active, &ReachNotice::default());
+            let (due, pending) = self
+                .pending
+                .take()
+                .into_iter()
+                .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+            self.pending.replace(pending);
+            for (_, target) in due {
+                let is_crashed = crashed.contains(&target.id.as_str());
+                let result = match self.link {
+                    _ if is_crashed => Err(UnreachedCause::Refused),
+                    Link::Sound => Ok(()),
+                    Link::Hanging => Err(UnreachedCause::TimedOut),
+                    Link::Refusing => Err(UnreachedCause::Refused),
+                };
+                self.host.keeper.record_probe(&target, result, now);
+            }
+            let (_, probes) = self.host.keeper.step(&self.host.balancer, now);
+            self.probes += probes.len();
+            let takes = match self.link {
+                Link::Hanging => CONNECT_TIMEOUT,
+                Link::Sound | Link::Refusing => Duration::ZERO,
+            };
+            let results = probes.into_iter().map(|target| (now + takes, target));
+            self.pending.borrow_mut().extend(results);
+            if self.host.state() == awaited {
+                found.get_or_insert(begun.elapsed());
+            }
+        }
+        found
+    }
+
+    fn start_stream(&self) -> SlotPermit {
+        let service = service();
+        let permit = self.host.balancer.acquire(SlotRequest {
+            service: &service,
+            class: WorkClass::Online,
+            excluded: &[],
+            may_probe: true,
+            software: None,
+            urgency: None,
+            may_wait: false,
+        });
+        permit.unwrap()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_one_request_whose_connection_hangs_is_enough() {
+    let mut probed = ProbedHost::new();
+    probed.link = Link::Hanging;
+    let sent = CONNECT_TIMEOUT;
+    assert_eq!(probed.play(sent, ReachState::Stranded).await, None);
+    probed.host.fail("u1", UnreachedCause::TimedOut);
+    let second = Duration::from_secs(1);
+    let found = probed.play(second, ReachState::Stranded).await.unwrap();
+    assert!(sent + found <= second, "{found:?} after the first failure");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_one_request_that_is_refused_is_enough() {
+    let mut probed = ProbedHost::new();
+    probed.link = Link::Refusing;
+    probed.host.fail("u1", UnreachedCause::Refused);
+    let second = Duration::from_secs(1);
+    let found = probed.play(second, ReachState::Stranded).await.unwrap();
+    assert!(found <= Duration::from_millis(500), "{found:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_silent_streams_are_enough() {
+    let mut probed = ProbedHost::new();
+    let _streams: Vec<SlotPermit> = (0..3).map(|_| probed.start_stream()).collect();
+    probed.link = Link::Hanging;
+    let second = Duration::from_secs(1);
+    let found = probed.play(second, ReachState::Stranded).await.unwrap();
+    assert!(found <= second, "{found:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_probes_of_a_stranded_host_are_few_and_find_the_end() {
+    let mut probed = ProbedHost::new();
+    probed.link = Link::Hanging;
+    probed.host.fail("u1", UnreachedCause::TimedOut);
+    probed
+        .play(Duration::from_secs(2), ReachState::Stranded)
+        .await
+        .unwrap();
+    let before = probed.probes;
+    let time = Duration::from_secs(10);
+    probed.play(time, ReachState::Stranded).await.unwrap();
+    assert!(
+        probed.probes - before <= 40,
+        "{} probes",
+        probed.probes - before
+    );
+    assert_eq!(probed.host.state(), ReachState::Stranded);
+    probed.link = Link::Sound;
+    let found = probed.play(time, ReachState::Reached).await.unwrap();
+    assert!(found <= Duration::from_millis(700), "{found:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_crash_of_an_upstream_costs_few_probes() {
+    let mut probed = ProbedHost::new();
+    probed.crashed = vec!["u2"];
+    probed.host.fail("u2", UnreachedCause::Refused);
+    let time = Duration::from_secs(3);
+    let partial = ReachState::Partial(1.0);
+    assert_eq!(probed.play(time, partial).await, None);
+    assert_eq!(probed.host.state(), ReachState::Reached);
+    assert!(probed.probes <= 4, "{} probes", probed.probes);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_sound_upstreams_in_a_second_of_silence_are_probed_once() {
+    let mut probed = ProbedHost::new();
+    let _streams: Vec<SlotPermit> = (0..3).map(|_| probed.start_stream()).collect();
+    let time = Duration::from_millis(1_000);
+    probed.play(time, ReachState::Stranded).await;
+    assert_eq!(probed.host.state(), ReachState::Reached);
+    assert!(probed.probes <= 2, "{} probes", probed.probes);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_idle_host_looks_for_another_that_has_lost_upstreams() {
+    let host = ReachHost::new(&UPSTREAMS);
+    let mut idle = ProbedHost::new();
+    idle.active.clear();
+    idle.play(Duration::from_secs(2), ReachState::Stranded)
+        .await;
+    assert_eq!(idle.probes, 0);
+    host.fail("u1", UnreachedCause::Refused);
+    host.fail("u2", UnreachedCause::Refused);
+    let mut found = None;
+    for _ in 0..40 {
+        for upstream in ["u1", "u2", "u3"] {
+            host.fail(upstream, UnreachedCause::Refused);
+        }
+        let asked = host.keeper.own_notice(Instant::now());
+        idle.host.report("h1", &[], &asked);
+        idle.play(STEP, ReachState::Stranded).await;
+        host.report("h2", &[], &idle.host.keeper.own_notice(Instant::now()));
+        host.keeper.step(&host.balancer, Instant::now());
+        if host.state() == ReachState::Stranded {
+            found.get_or_insert(Instant::now());
+        }
+    }
+    assert!(found.is_some());
+    assert!(idle.probes <= 12, "{} probes in 2 s", idle.probes);
+}
--- a/standins/src/opaque.rs
+++ b/standins/src/opaque.rs
@@ -15,6 +15,8 @@
 use parsleywall::collections::HashMap;
 use parsleywall::limits::LimitSignal;
 use parsleywall::limits::RateLimit;
+use parsleywall::reach::ProbeTarget;
+use parsleywall::reach::UnreachedCause;
 use parsleywall::relay::ExecutionReport;
 use parsleywall::relay::RelayRequest;
 use parsleywall::relay::SendError;
@@ -486,6 +488,14 @@
         let state = self.lock();
         state.behaviour(to.id.as_str()) == OpaqueBehaviour::Unreachable
     }
+
+    async fn probe(&self, target: &ProbeTarget) -> Result<(), UnreachedCause> {
+        let behaviour = self.lock().behaviour(target.id.as_str());
+        match behaviour {
+            OpaqueBehaviour::Unreachable => Err(UnreachedCause::Refused),
+            _ => Ok(()),
+        }
+    }
 }
 
 /// Counts an execution at an upstream until it is dropped with the answer's body.
