--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -32,6 +32,7 @@
 use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
 use crate::reach::DetourHost;
+use crate::reach::ReachChange;
 use crate::reach::ReachKeeper;
 use crate::reach::ReachState;
 use crate::relay::answered::AnsweredRequests;
@@ -250,12 +251,35 @@
         self.reach_of(service) == UpstreamReach::Stranded
     }
 
-    /// Judges anew how this host reaches upstreams, from what is known now.
+    /// Judges anew how this host reaches upstreams, from what is known now, and probes some if need be.
     pub fn judge_reach(&self) {
-        let now = Instant::now();
-        self.reach.step(&self.balancer, now);
-        let stranded = self.reach.own_notice(now).stranded;
-        self.detours.set_stranded(!stranded.is_empty());
+        let (changes, probes) = self.reach.step(&self.balancer, Instant::now());
+        for change in &changes {
+            self.log_reach(change);
+        }
+        for target in probes {
+            let relay = self.clone();
+            tokio::spawn(async move {
+                let result = relay.transport.probe(&target).await;
+                relay.reach.record_probe(&target, result, Instant::now());
+            });
+        }
+        self.detours
+            .set_stranded(self.reach.stranded_services() > 0);
+    }
+
+    fn log_reach(&self, change: &ReachChange) {
+        self.log.write(LogEvent::ReachChanged {
+            service: change.service.to_string(),
+            before: change.before.to_string(),
+            state: change.state.to_string(),
+            serving: change.evidence.serving,
+            lost: change.evidence.lost,
+            unreached: change.evidence.unreached,
+            connected: change.evidence.connected,
+            cause: change.cause.map(|cause| cause.to_string()),
+            lasted_ms: change.lasted.as_millis() as u64,
+        });
     }
 
     /// Waits until this host is known to be stranded from `service`, and has been for a while.
--- a/lib/tests/detour_fleet/mod.rs
+++ b/lib/tests/detour_fleet/mod.rs
@@ -22,6 +22,7 @@
 use parsleywall::ids::HostId;
 use parsleywall::ids::ServiceName;
 use parsleywall::origins::VersionHistory;
+use parsleywall::reach::ProbeTarget;
 use parsleywall::reach::UnreachedCause;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
@@ -45,6 +46,8 @@
 pub(crate) const GAP: Duration = Duration::from_millis(20);
 pub(crate) const UPSTREAMS: [&str; 3] = ["a", "b", "c"];
 pub(crate) const STEP: Duration = Duration::from_millis(50);
+/// Time after which a connection to an upstream that a host is cut off from is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How a host is cut off from the upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +89,18 @@
             Some(cut) => cut == CutKind::Refuses,
         }
     }
+
+    async fn probe(&self, target: &ProbeTarget) -> Result<(), UnreachedCause> {
+        let cut = *self.cut.lock().unwrap();
+        match cut {
+            None => self.upstreams.probe(target).await,
+            Some(CutKind::Refuses) => Err(UnreachedCause::Refused),
+            Some(CutKind::Hangs) => {
+                tokio::time::sleep(CONNECT_TIMEOUT).await;
+                Err(UnreachedCause::TimedOut)
+            }
+        }
+    }
 }
 
 /// Connections to hosts of the same process.
--- a/lib/tests/test_detour_sockets.rs
+++ b/lib/tests/test_detour_sockets.rs
@@ -34,6 +34,8 @@
 use parsleywall::peers::PeerClient;
 use parsleywall::peers::PeerHandlers;
 use parsleywall::peers::PeerServer;
+use parsleywall::reach::ProbeTarget;
+use parsleywall::reach::UnreachedCause;
 use parsleywall::relay::ExecutionReport;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
@@ -87,6 +89,10 @@
     async fn refuses_connections(&self, to: &UpstreamChoice) -> bool {
         self.0.refuses_connections(to).await
     }
+
+    async fn probe(&self, _: &ProbeTarget) -> Result<(), UnreachedCause> {
+        Ok(())
+    }
 }
 
 struct SocketFleet {
