--- a/lib/src/jobs/stranded.rs
+++ b/lib/src/jobs/stranded.rs
@@ -52,7 +52,7 @@
     pub(super) fn reaching_hosts(&self) -> HashSet<String> {
         let routes = self.shared.routes.borrow().clone();
         let reach = self.shared.relay.reach();
-        let hosts = routes.services().into_iter();
+        let hosts = routes.services().iter();
         let hosts = hosts.flat_map(|service| reach.detour_hosts(service));
         hosts.map(|host| host.host).collect()
     }
