relay: a stranded host leaves it to the other host whether a version serves

Cause: a host whose connections are refused takes the upstreams for ended, so that it refuses each take-up as one whose version is gone, and answers one that no host takes as not resumable.

Change: while the host is stranded from the service, the host that the detour goes through decides.

--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -251,6 +251,11 @@
         self.reach_of(service) == UpstreamReach::Stranded
     }
 
+    /// Whether requests of this host for `service` go through other hosts.
+    fn takes_detours(&self, service: &ServiceName) -> bool {
+        self.detours.has_link() && self.is_stranded(service)
+    }
+
     /// Judges anew how this host reaches upstreams, from what is known now, and probes some if need be.
     pub fn judge_reach(&self) {
         let (changes, probes) = self.reach.step(&self.balancer, Instant::now());
@@ -426,7 +431,7 @@
                 self.log_refusal(request, reason, load, delay, subject);
             }
         };
-        let takes_detour = is_own && self.detours.has_link() && self.is_stranded(&request.service);
+        let takes_detour = is_own && self.takes_detours(&request.service);
         if !self.stop_gate.admits(&request.route.name, left, now) {
             log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
             return RelayAnswer::Refused {
@@ -494,7 +499,7 @@
                     body: stream_body(dispatch, registration),
                 }
             }
-            Err(RelayFailure::NotRun) if self.is_version_gone(&request) => {
+            Err(RelayFailure::NotRun) if !takes_detour && self.is_version_gone(&request) => {
                 dispatch.finish("refused");
                 let delay = NOT_RESUMABLE_RETRY_DELAY;
                 log_refusal(&request, "version_gone", load, delay, None);
@@ -573,10 +578,12 @@
         let version = version.ok_or("origin_unknown")?;
         // Whether the stream can go on or not: the caller has left the run before.
         let run = take_up::end_run_before(self, request, &version);
-        let is_served = self
-            .balancer
-            .state()
-            .serves_version(&request.service, &version);
+        // A stranded host takes upstreams for ended whose connections are refused; another one decides.
+        let is_served = self.takes_detours(&request.service)
+            || self
+                .balancer
+                .state()
+                .serves_version(&request.service, &version);
         request.software = Some(version);
         is_served.then_some(run).ok_or("version_gone")
     }
--- a/lib/tests/test_detours.rs
+++ b/lib/tests/test_detours.rs
@@ -24,8 +24,13 @@
 use opaque::read_stream;
 use opaque::request;
 use opaque::route;
+use opaque::upstream;
+use parsleywall::balancer::upstream_tag;
 use parsleywall::event_log::EventLog;
 use parsleywall::ids::RequestId;
+use parsleywall::ids::ServiceName;
+use parsleywall::ids::SoftwareVersion;
+use parsleywall::ids::UpstreamIncarnation;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRequest;
 use parsleywall::routes::RouteKind;
@@ -248,6 +253,39 @@
     assert_eq!(fleet.upstreams.runs("t").len(), 1);
 }
 
+/// A host whose connections are refused takes the upstreams for ended; whether the version of a stream still
+/// serves is for the other host to say.
+#[tokio::test(start_paused = true)]
+async fn test_take_up_at_a_host_that_takes_all_upstreams_for_ended() {
+    let fleet = DetourFleet::start(3).await;
+    let answer = fleet.relays[1].relay(request("r", route(RESUMABLE, 2)));
+    let mut body = stream(answer.await);
+    read_events(&mut body, 5).await;
+    fleet.cut(&[0], CutKind::Refuses).await;
+    let service = ServiceName::new("desk");
+    let version = SoftwareVersion::new("v1");
+    let serves = |host: usize| {
+        let state = fleet.relays[host].balancer().state();
+        state.serves_version(&service, &version)
+    };
+    for name in UPSTREAMS {
+        let incarnation = UpstreamIncarnation(upstream_tag(&upstream(name).id), 1);
+        let mut state = fleet.relays[0].balancer().state();
+        state.note_ended(incarnation, Instant::now());
+    }
+    assert!(!serves(0));
+    assert!(serves(2));
+    let take_up = RelayRequest {
+        resume_after: Some(5),
+        resumes: Some(RequestId::new("r")),
+        ..request("v", route(RESUMABLE, 2))
+    };
+    let answer = fleet.relays[0].relay(take_up).await;
+    let (text, is_complete) = read_stream(answer).await;
+    assert!(is_complete);
+    assert!(text.starts_with("id: 6\n"));
+}
+
 /// Before anybody knows of the cut, a request doesn't try all upstreams in turn.
 #[tokio::test(start_paused = true)]
 async fn test_request_that_reaches_no_upstream_takes_a_detour() {
