relay: a stranded host convicts, ends and ejects no upstreams

A host that was cut off, and whose new connections were refused, noted that the processes of all upstreams it tried had ended. Load reports passed that on, so that all hosts took the versions of these upstreams as unknown until they restarted. A stream that broke there made its request a suspect. Its own ejections of up to 4 s outlasted the cut.

That an upstream refuses connections counts only if another one takes a connection of this host just then (a connection without a request to two others), or, if none does, if 0.7 s later no other host has told that it hears the upstream and this host isn't stranded. A host without others decides as before. When a host is no longer stranded, the ejections of the upstreams of that service end. Unreachable upstreams don't count as crashes of unknown cause while it isn't reached.

Left: a host cut off from some upstreams only, whose controls are among the others, may still end the former.

--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -72,6 +72,8 @@
 
 /// Upstreams of one service by which a host judges its reach.
 const MAX_PROBE_TARGETS: usize = 16;
+/// Upstreams that tell whether a host or an upstream is at fault.
+const MAX_CONTROL_TARGETS: usize = 2;
 
 /// Whether an upstream accepts new requests, as its registration says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -553,6 +555,38 @@
         .collect()
     }
 
+    /// Upstreams by which to tell whether this host or the upstream `key` is at fault: others of its service
+    /// first.
+    pub fn control_targets(&self, key: BalancerKey) -> Vec<ProbeTarget> {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return Vec::new();
+        };
+        let own = &upstream.entry;
+        let others = self.services().into_iter();
+        let others = others.filter(|service| *service != own.service);
+        let services = std::iter::once(own.service.clone()).chain(others);
+        let targets = services.flat_map(|service| self.probe_targets(&service));
+        let targets = targets.filter(|target| target.id != own.id);
+        targets.take(MAX_CONTROL_TARGETS).collect()
+    }
+
+    /// Ends the ejections of all upstreams of `service`. Returns those that were ejected, with the time
+    /// since.
+    pub fn end_ejections(
+        &mut self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<(UpstreamId, Duration)> {
+        let upstreams = self.upstreams.values_mut();
+        let upstreams = upstreams.filter(|upstream| upstream.entry.service == *service);
+        upstreams
+            .filter_map(|upstream| {
+                let ejected = upstream.backoff.note_success(now)?;
+                Some((upstream.entry.id.clone(), ejected))
+            })
+            .collect()
+    }
+
     /// Services with upstreams that accept requests.
     pub fn services(&self) -> Vec<ServiceName> {
         let serving = self.serving.iter().filter(|(_, all)| !all.is_empty());
--- a/lib/src/reach/keeper.rs
+++ b/lib/src/reach/keeper.rs
@@ -88,6 +88,16 @@
         self.table().apply_report(host, loads, notice, now);
     }
 
+    /// Whether no other host has been heard lately.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.table().is_alone(now)
+    }
+
+    /// Whether connections to an upstream fail here while another host hears it.
+    pub fn is_lost(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.table().is_lost(upstream, now)
+    }
+
     /// What this host tells the others in its load reports.
     pub fn own_notice(&self, now: Instant) -> ReachNotice {
         self.table().own_notice(now)
--- a/lib/src/reach/table.rs
+++ b/lib/src/reach/table.rs
@@ -196,6 +196,24 @@
         self.peers.insert(host.to_owned(), peer);
     }
 
+    /// Whether no other host has been heard lately.
+    pub(crate) fn is_alone(&self, now: Instant) -> bool {
+        !self.peers.values().any(|peer| peer.is_fresh(now))
+    }
+
+    /// Whether connections to an upstream fail here while another host hears it.
+    pub(crate) fn is_lost(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        let tag = upstream_tag(upstream);
+        let heard_elsewhere = self.recently_heard_elsewhere(tag, now);
+        let contact = self.contacts.get(&tag);
+        contact.is_some_and(|(_, contact)| contact.is_lost_here(heard_elsewhere, now))
+    }
+
+    fn recently_heard_elsewhere(&self, tag: u32, now: Instant) -> Option<Instant> {
+        let heard_elsewhere = self.heard_elsewhere.get(&tag).copied();
+        heard_elsewhere.filter(|at| now - *at < ELSEWHERE_TIME)
+    }
+
     /// Services of which a connection has failed lately, without a successful one since, or whose state
     /// is not [`ReachState::Reached`].
     pub(crate) fn suspected(&self, now: Instant) -> HashSet<ServiceName> {
@@ -348,7 +366,7 @@
     ) -> Option<ReachChange> {
         let evidence = self.evidence(window, now);
         let cause = self.last_cause(window, now);
-        let has_peers = self.peers.values().any(|peer| peer.is_fresh(now));
+        let has_peers = !self.is_alone(now);
         let judged = match has_peers {
             true => evidence.judge(),
             false => ReachState::Reached,
@@ -399,8 +417,7 @@
             ..ReachEvidence::default()
         };
         for (tag, contact) in &contacts {
-            let heard_elsewhere = self.heard_elsewhere.get(tag).copied();
-            let heard_elsewhere = heard_elsewhere.filter(|at| now - *at < ELSEWHERE_TIME);
+            let heard_elsewhere = self.recently_heard_elsewhere(*tag, now);
             if contact.is_lost_here(heard_elsewhere, now) {
                 evidence.lost += 1;
             } else if contact.unreached(now).is_some() {
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -32,6 +32,7 @@
 use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
 use crate::reach::DetourHost;
+use crate::reach::ReachState;
 use crate::reach::UnreachedCause;
 use crate::relay::event::EventReader;
 use crate::relay::event::StreamEvent;
@@ -541,8 +542,10 @@
                 let fault = UpstreamFault::Unreachable;
                 let connect_fault = UnreachedCause::of_connect(now.elapsed());
                 self.record_unreached(&permit.choice.id, connect_fault);
-                let crashes = self.relay.crashes();
-                crashes.report_unreachable(permit.choice.incarnation);
+                if self.relay.reach().state(&self.request.service) == ReachState::Reached {
+                    let crashes = self.relay.crashes();
+                    crashes.report_unreachable(permit.choice.incarnation);
+                }
                 self.relay.check_ended(&permit.choice);
                 self.record_fault(&permit, now, fault, &cause, false);
                 self.unreached += 1;
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use futures_util::stream;
 use futures_util::stream::BoxStream;
 use futures_util::stream::StreamExt;
@@ -81,6 +82,20 @@
 /// Lower bound of the retry delay for a request that limits of upstreams leave no room for.
 const MIN_LIMITED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after which other hosts have told whether they hear an upstream that refuses connections here.
+const REFUSAL_CONFIRMATION: Duration = Duration::from_millis(700);
+
+/// Why an upstream refuses connections of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalCause {
+    /// It does not, or that is not known.
+    None,
+    /// The upstream has crashed or ended.
+    Upstream,
+    /// No other upstream takes a connection of this host either, or other hosts hear this one.
+    Unclear,
+}
+
 /// Why a request is refused, for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -256,6 +271,9 @@
         let (changes, probes) = self.reach.step(&self.balancer, Instant::now());
         for change in &changes {
             self.log_reach(change);
+            if change.before == ReachState::Stranded {
+                self.return_upstreams(&change.service);
+            }
         }
         for target in probes {
             let relay = self.clone();
@@ -268,6 +286,18 @@
             .set_stranded(self.reach.stranded_services() > 0);
     }
 
+    /// Ends the ejections of upstreams that were due to this host.
+    fn return_upstreams(&self, service: &ServiceName) {
+        let returned = self.balancer.state().end_ejections(service, Instant::now());
+        for (upstream, ejected) in returned {
+            self.log.write(LogEvent::UpstreamReturned {
+                upstream: upstream.to_string(),
+                ejected_ms: ejected.as_millis() as u64,
+            });
+        }
+        self.balancer.notify_waiters();
+    }
+
     fn log_reach(&self, change: &ReachChange) {
         self.log.write(LogEvent::ReachChanged {
             service: change.service.to_string(),
@@ -324,13 +354,48 @@
         }
         let (relay, choice) = (self.clone(), choice.clone());
         tokio::spawn(async move {
-            if !relay.transport.refuses_connections(&choice).await {
-                return;
+            let has_ended = match relay.check_refusal(&choice).await {
+                RefusalCause::Upstream => true,
+                RefusalCause::Unclear => relay.confirm_refusal(&choice).await,
+                RefusalCause::None => false,
+            };
+            if has_ended {
+                relay.note_ended(&choice);
             }
-            relay.note_ended(&choice);
         });
     }
 
+    /// Whether an upstream refuses connections, and whether by itself. That it does so to a host which no
+    /// other upstream takes a connection of either may be due to the host.
+    pub(crate) async fn check_refusal(&self, choice: &UpstreamChoice) -> RefusalCause {
+        let begun = Instant::now();
+        if !self.transport.refuses_connections(choice).await {
+            return RefusalCause::None;
+        }
+        if self.reach.is_alone(begun) {
+            return RefusalCause::Upstream;
+        }
+        let controls = self.balancer.state().control_targets(choice.key);
+        let probes = controls.into_iter().map(async |target| {
+            let result = self.transport.probe(&target).await;
+            self.reach.record_probe(&target, result, Instant::now());
+            result.is_ok()
+        });
+        let has_connected = join_all(probes).await.contains(&true);
+        match has_connected && !self.reach.is_lost(&choice.id, Instant::now()) {
+            true => RefusalCause::Upstream,
+            false => RefusalCause::Unclear,
+        }
+    }
+
+    /// Whether an upstream that refuses connections does so by itself, by what the other hosts have heard of
+    /// it a while later.
+    pub(crate) async fn confirm_refusal(&self, choice: &UpstreamChoice) -> bool {
+        tokio::time::sleep(REFUSAL_CONFIRMATION).await;
+        let is_lost = self.reach.is_lost(&choice.id, Instant::now());
+        !is_lost && !self.reach.is_stranded()
+    }
+
     /// Records that the process which wrote the entry of an upstream has ended.
     pub(crate) fn note_ended(&self, choice: &UpstreamChoice) {
         let is_new = {
--- a/lib/src/relay/witness.rs
+++ b/lib/src/relay/witness.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -10,6 +11,7 @@
 use crate::events::LogEvent;
 use crate::ids::WorkClass;
 use crate::relay::request::RelayRequest;
+use crate::relay::request_relay::RefusalCause;
 use crate::relay::request_relay::RequestRelay;
 use crate::suspects::CrashRefusal;
 use crate::suspects::CrashedRun;
@@ -45,12 +47,25 @@
         sent: Instant,
     ) {
         let waited = sent.elapsed();
-        if fault != UpstreamFault::Broken
-            || !self.is_online()
-            || !self.relay.transport().refuses_connections(choice).await
-        {
+        if fault != UpstreamFault::Broken || !self.is_online() {
             return;
         }
+        match self.relay.check_refusal(choice).await {
+            RefusalCause::None => {}
+            RefusalCause::Upstream => self.report_crash(choice, waited),
+            RefusalCause::Unclear => {
+                let witness = Self::new(self.relay.clone(), self.request.clone());
+                let choice = choice.clone();
+                tokio::spawn(async move {
+                    if witness.relay.confirm_refusal(&choice).await {
+                        witness.report_crash(&choice, waited);
+                    }
+                });
+            }
+        }
+    }
+
+    fn report_crash(&self, choice: &UpstreamChoice, waited: Duration) {
         let fingerprint = self.request.fingerprint();
         let run = CrashedRun::new(fingerprint, &self.request.prompt_parts, waited);
         self.relay.log().write(LogEvent::UpstreamCrashed {
