reach: hosts broadcast that they are stranded, and the directory prefers others

Callers went on to be sent to hosts that reach no upstream.

A host that is stranded from half of its services or more tells all hosts at once, three times in the first second, and then every 0.7 s or, with more than 140 others, every 5 ms for each other host, so that each gets 200 such messages a second at most; the end is told in the same way. Announcements and load reports leave the new field out when it is false. The directory names hosts that reach upstreams, and as many of the others as it takes that no host gets more than four times the callers that it has else; if all are stranded, all.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -25,6 +25,7 @@
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
 use crate::reach::ReachKeeper;
+use crate::reach::stranded_interval;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
 
@@ -74,6 +75,8 @@
     peers_read_at: Instant,
     reported_at: Instant,
     announced_at: Option<Instant>,
+    /// When this host last became stranded, or reached upstreams again.
+    stranded_changed_at: Option<Instant>,
     /// When the current run of uninterrupted reports to other hosts began; `None` before it knew any.
     present_since: Option<Instant>,
     crashes: CrashKeeper,
@@ -136,6 +139,7 @@
             is_leaving: false,
             acquired_jobs: Vec::new(),
             silent_hosts: Vec::new(),
+            is_stranded: false,
         };
         let crashes = CrashKeeper::new(&host, EventLog::disabled());
         let report = HostLoadReport {
@@ -161,6 +165,7 @@
             peers_read_at: Instant::now(),
             reported_at: Instant::now(),
             announced_at: None,
+            stranded_changed_at: None,
             present_since: None,
             crashes,
             convictions_sent: HashMap::default(),
@@ -283,6 +288,10 @@
             Some(HostDatagram::Announcement(announcement)) => {
                 note_jobs(&announcement.host, &announcement.acquired_jobs);
                 self.balancer.state().apply_announcement(&announcement, now);
+                if announcement.host != self.report.host {
+                    let reach = &self.reach;
+                    reach.apply_stranded(&announcement.host, announcement.is_stranded, now);
+                }
             }
             Some(HostDatagram::Crashes(news)) => self.apply_news(news),
             Some(HostDatagram::GrantRequest(request)) => {
@@ -484,11 +493,17 @@
 
     /// Broadcasts the jobs that this host acquired, its silent neighbours and whether it is leaving:
     /// to all hosts at each change, and every [`ANNOUNCEMENT_INTERVAL`] while there is something to
-    /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago.
+    /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago. That it is stranded is
+    /// repeated for as long after a change, and then at an interval that grows with the number of hosts.
     async fn announce(&mut self, now: Instant, acquired_jobs: Vec<String>) {
         let is_leaving = self.leaving.is_cancelled();
         let silent_hosts = self.balancer.state().silent_neighbours(now);
+        let is_stranded = self.reach.is_mostly_stranded();
+        if is_stranded != self.announcement.is_stranded {
+            self.stranded_changed_at = Some(now);
+        }
         let is_unchanged = is_leaving == self.announcement.is_leaving
+            && is_stranded == self.announcement.is_stranded
             && acquired_jobs
                 .iter()
                 .all(|job| self.announcement.acquired_jobs.contains(job))
@@ -498,6 +513,7 @@
         self.announcement.is_leaving = is_leaving;
         self.announcement.acquired_jobs = acquired_jobs;
         self.announcement.silent_hosts = silent_hosts;
+        self.announcement.is_stranded = is_stranded;
         let is_empty =
             self.announcement.acquired_jobs.is_empty() && self.announcement.silent_hosts.is_empty();
         let is_repeated = is_unchanged
@@ -507,7 +523,13 @@
         let is_new = self
             .present_since
             .is_some_and(|since| now - since < PRESENCE_TIME);
-        if (is_empty && !is_leaving && !is_new) || is_repeated {
+        let has_just_changed = self
+            .stranded_changed_at
+            .is_some_and(|at| now - at < PRESENCE_TIME);
+        let interval = stranded_interval(self.peers.all.len());
+        let is_due = self.announced_at.is_none_or(|at| now - at >= interval);
+        let tells_reach = has_just_changed || (is_stranded && is_due);
+        if (is_empty && !is_leaving && !is_new && !tells_reach) || is_repeated {
             return;
         }
         self.announced_at = Some(now);
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -94,6 +94,9 @@
     /// Neighbours of the host that have recently stopped reporting.
     #[serde(rename = "s", default)]
     pub silent_hosts: Vec<String>,
+    /// Whether the host is stranded, so that callers should rather use others.
+    #[serde(rename = "t", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_stranded: bool,
 }
 
 /// A datagram from one host to another, encoded as CBOR.
--- a/lib/src/reach/keeper.rs
+++ b/lib/src/reach/keeper.rs
@@ -98,6 +98,21 @@
         self.table().is_lost(upstream, now)
     }
 
+    /// Applies what another host tells all of whether it is stranded.
+    pub fn apply_stranded(&self, host: &str, is_stranded: bool, now: Instant) {
+        self.table().apply_stranded(host, is_stranded, now);
+    }
+
+    /// Whether another host is stranded, by what it said last.
+    pub fn is_host_stranded(&self, host: &str, now: Instant) -> bool {
+        self.table().is_host_stranded(host, now)
+    }
+
+    /// Whether callers should rather use other hosts, as this one is stranded from half of its services.
+    pub fn is_mostly_stranded(&self) -> bool {
+        self.table().is_mostly_stranded()
+    }
+
     /// What this host tells the others in its load reports.
     pub fn own_notice(&self, now: Instant) -> ReachNotice {
         self.table().own_notice(now)
--- a/lib/src/reach/mod.rs
+++ b/lib/src/reach/mod.rs
@@ -7,6 +7,7 @@
 //! See `docs/design/stranded-hosts.md`.
 
 mod contact;
+mod directory;
 mod judgement;
 mod keeper;
 mod monitor;
@@ -15,6 +16,7 @@
 mod table;
 
 pub use contact::UnreachedCause;
+pub use directory::preferred_hosts;
 pub use judgement::ReachEvidence;
 pub use judgement::ReachState;
 pub use keeper::ReachKeeper;
@@ -23,3 +25,4 @@
 pub use table::DetourHost;
 pub use table::ProbeTarget;
 pub use table::ReachChange;
+pub(crate) use table::stranded_interval;
--- a/lib/src/reach/notice.rs
+++ b/lib/src/reach/notice.rs
@@ -12,6 +12,9 @@
     /// Services from which the host is stranded.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub stranded: Vec<u32>,
+    /// Whether callers should rather use other hosts.
+    #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_stranded: bool,
     /// Upstreams to which connections of the host have failed, and of which it asks whether others hear
     /// them.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
--- a/lib/src/reach/table.rs
+++ b/lib/src/reach/table.rs
@@ -44,6 +44,10 @@
 const MIN_ASKED_UPSTREAMS: usize = 2;
 /// Age of what other hosts have heard from which this one probes upstreams for another.
 const WITNESS_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Shortest interval at which a host repeats to all others that it is stranded.
+const MIN_STRANDED_INTERVAL: Duration = Duration::from_millis(700);
+/// That interval for each other host, so that each gets 200 such messages a second at most.
+const STRANDED_INTERVAL_PER_HOST: Duration = Duration::from_millis(5);
 /// Upstreams of which one notice asks or tells.
 const MAX_NOTICE_UPSTREAMS: usize = 16;
 
@@ -122,6 +126,8 @@
     /// When another host was last known to hear the upstream with this tag.
     heard_elsewhere: HashMap<u32, Instant>,
     addresses: HashMap<String, SocketAddr>,
+    /// Hosts that said that they are stranded, and until when that holds.
+    stranded_hosts: HashMap<String, Instant>,
     /// When anything last came from any upstream.
     heard_at: Option<Instant>,
     /// When this host last took silence for a sign of a cut.
@@ -189,6 +195,7 @@
         for tag in heard.filter(|tag| !notice.unreached.contains(tag)) {
             self.heard_elsewhere.insert(tag, now);
         }
+        self.apply_stranded(host, notice.is_stranded, now);
         let peer = PeerReach {
             notice: notice.clone(),
             received_at: now,
@@ -214,6 +221,36 @@
         heard_elsewhere.filter(|at| now - *at < ELSEWHERE_TIME)
     }
 
+    /// Applies what another host says of whether it is stranded.
+    pub(crate) fn apply_stranded(&mut self, host: &str, is_stranded: bool, now: Instant) {
+        match is_stranded {
+            true => {
+                let until = now + stranded_time(self.addresses.len());
+                self.stranded_hosts.insert(host.to_owned(), until);
+            }
+            false => {
+                self.stranded_hosts.remove(host);
+            }
+        }
+    }
+
+    /// Whether another host is stranded, by what it said last.
+    pub(crate) fn is_host_stranded(&self, host: &str, now: Instant) -> bool {
+        let until = self.stranded_hosts.get(host);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// Whether callers should rather use other hosts, as this one is stranded from half of its services.
+    pub(crate) fn is_mostly_stranded(&self) -> bool {
+        let stranded = self.stranded().count();
+        if stranded == 0 {
+            return false;
+        }
+        let contacts = self.contacts.values().map(|(service, _)| service);
+        let known: HashSet<&ServiceName> = contacts.chain(self.verdicts.keys()).collect();
+        stranded * 2 >= known.len()
+    }
+
     /// Services of which a connection has failed lately, without a successful one since, or whose state
     /// is not [`ReachState::Reached`].
     pub(crate) fn suspected(&self, now: Instant) -> HashSet<ServiceName> {
@@ -473,6 +510,7 @@
         self.heard_elsewhere
             .retain(|_, at| now - *at < ELSEWHERE_TIME);
         self.peers.retain(|_, peer| peer.is_fresh(now));
+        self.stranded_hosts.retain(|_, until| now < *until);
         self.contacts.retain(|_, (_, contact)| {
             let last = contact.last_evidence();
             last.is_some_and(|at| now - at < CONTACT_TIME)
@@ -527,6 +565,7 @@
         };
         ReachNotice {
             reached: sorted(reached.map(service_tag)),
+            is_stranded: self.is_mostly_stranded(),
             stranded: sorted(self.stranded().map(service_tag)),
             unreached: sorted(unreached.map(|(tag, _)| *tag).take(MAX_NOTICE_UPSTREAMS)),
             heard: sorted(
@@ -539,6 +578,17 @@
     }
 }
 
+/// Interval at which a host that stays stranded repeats it to all of `hosts` others, so that what all
+/// stranded hosts send to one is bounded.
+pub(crate) fn stranded_interval(hosts: usize) -> Duration {
+    MIN_STRANDED_INTERVAL.max(STRANDED_INTERVAL_PER_HOST * hosts as u32)
+}
+
+/// Time for which a host counts as stranded after it said so: two repetitions may be lost.
+fn stranded_time(hosts: usize) -> Duration {
+    stranded_interval(hosts) * 3
+}
+
 fn sorted(tags: impl Iterator<Item = u32>) -> Vec<u32> {
     let mut tags: Vec<u32> = tags.collect();
     tags.sort_unstable();
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -48,6 +48,7 @@
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
 use crate::reach::ReachMonitor;
+use crate::reach::preferred_hosts;
 use crate::registry::HostEntry;
 use crate::registry::HostReadiness;
 use crate::registry::HostRegistry;
@@ -457,7 +458,16 @@
         is_staying && self.routes.borrow().version() > 0
     }
 
-    /// Addresses of the hosts that callers should use. A leaving host lists itself only if it is
+    fn is_stranded(&self, host: &str) -> bool {
+        let reach = self.relay.reach();
+        match host == self.config.host {
+            true => reach.is_mostly_stranded(),
+            false => reach.is_host_stranded(host, Instant::now()),
+        }
+    }
+
+    /// Addresses of the hosts that callers should use: those that reach upstreams, unless they are too few
+    /// to carry the load. A leaving host lists itself only if it is
     /// the only one, a displaced one never; a ready host lists itself if there is no other.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let balancer_state = self.balancer.state();
@@ -468,7 +478,10 @@
             let usable = ready
                 .iter()
                 .filter(|entry| usable.contains(&entry.host.as_str()));
-            usable.filter_map(|entry| entry.callers).collect::<Vec<_>>()
+            let preferred =
+                preferred_hosts(usable.collect(), |entry| self.is_stranded(&entry.host));
+            let callers = preferred.into_iter().filter_map(|entry| entry.callers);
+            callers.collect::<Vec<_>>()
         });
         let is_alone = addresses.len() == 1;
         if self.is_displaced() || (self.leaving.is_cancelled() && !is_alone) {
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -874,6 +874,7 @@
         is_leaving: false,
         acquired_jobs: Vec::new(),
         silent_hosts: balancers[announcers[0]].silent_neighbours(later),
+        is_stranded: false,
     };
     assert_eq!(announcement.silent_hosts, ["host-7"]);
     let hosts: Vec<&str> = names.iter().map(String::as_str).collect();
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parsleywall::balancer::BalancerState;
+use parsleywall::balancer::HostAnnouncement;
 use parsleywall::balancer::HostDatagram;
 use parsleywall::balancer::HostLoadReport;
 use parsleywall::balancer::LoadBalancer;
@@ -26,6 +27,10 @@
 use parsleywall::reach::ReachNotice;
 use parsleywall::reach::ReachState;
 use parsleywall::reach::UnreachedCause;
+use parsleywall::reach::preferred_hosts;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use tokio::time::Instant;
 use tokio::time::advance;
 
@@ -513,3 +518,78 @@
     assert!(found.is_some());
     assert!(idle.probes <= 12, "{} probes in 2 s", idle.probes);
 }
+
+/// Largest number of callers at one host, of `hosts` with 100 callers each, if each caller picks one of the
+/// listed hosts at random.
+fn most_callers(hosts: usize, stranded: usize) -> u32 {
+    let listed = preferred_hosts((0..hosts).collect(), |host| *host < stranded);
+    let mut callers = vec![0; hosts];
+    let mut draw = StdRng::seed_from_u64(7);
+    for _ in 0..100 * hosts {
+        callers[listed[draw.random_range(0..listed.len())]] += 1;
+    }
+    callers.into_iter().max().unwrap()
+}
+
+#[test]
+fn test_callers_are_sent_to_hosts_that_reach_upstreams_if_they_can_carry_them() {
+    for (hosts, stranded) in [(2, 1), (3, 2), (9, 3), (9, 6), (40, 24), (64, 48)] {
+        let listed = preferred_hosts((0..hosts).collect(), |host| *host < stranded);
+        assert!(
+            listed.iter().all(|host| *host >= stranded),
+            "{hosts}, {stranded}"
+        );
+    }
+    for hosts in [2, 3, 9, 12, 40, 64, 1_400] {
+        for stranded in 0..=hosts {
+            assert!(!preferred_hosts((0..hosts).collect(), |host| *host < stranded).is_empty());
+        }
+        for stranded in [0, 1, hosts / 2, hosts * 3 / 4, hosts - 1, hosts] {
+            let most = most_callers(hosts, stranded);
+            assert!(
+                most <= 500,
+                "{most} callers at one of {hosts} hosts, {stranded} stranded"
+            );
+        }
+    }
+    assert_eq!(preferred_hosts(vec![1, 2, 3], |_| true), [1, 2, 3]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_stranded_hosts_are_known_until_they_say_otherwise() {
+    let host = ReachHost::new(&UPSTREAMS);
+    let now = Instant::now();
+    host.keeper.apply_stranded("h2", true, now);
+    let second = Duration::from_secs(1);
+    assert!(host.keeper.is_host_stranded("h2", now + second));
+    assert!(!host.keeper.is_host_stranded("h3", now + second));
+    host.keeper.apply_stranded("h2", false, now + second);
+    assert!(!host.keeper.is_host_stranded("h2", now + second));
+    host.keeper.apply_stranded("h2", true, now);
+    assert!(
+        !host.keeper.is_host_stranded("h2", now + 4 * second),
+        "it has gone silent"
+    );
+}
+
+#[test]
+fn test_announcements_of_earlier_releases_are_read() {
+    let sent = HostAnnouncement {
+        host: "h2".to_owned(),
+        is_leaving: false,
+        acquired_jobs: Vec::new(),
+        silent_hosts: Vec::new(),
+        is_stranded: false,
+    };
+    let value = ciborium::Value::serialized(&sent).unwrap();
+    let fields = value.into_map().unwrap();
+    assert!(!fields.iter().any(|(key, _)| key.as_text() == Some("t")));
+    for is_stranded in [false, true] {
+        let sent = HostAnnouncement {
+            is_stranded,
+            ..sent.clone()
+        };
+        let sent = HostDatagram::Announcement(sent);
+        assert_eq!(HostDatagram::decode(&sent.encode()), Some(sent));
+    }
+}
