--- a/lib/src/reach/keeper.rs
+++ b/lib/src/reach/keeper.rs
@@ -88,6 +88,31 @@
         self.table().apply_report(host, loads, notice, now);
     }
 
+    /// Whether no other host has been heard lately.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.table().is_alone(now)
+    }
+
+    /// Whether connections to an upstream fail here while another host hears it.
+    pub fn is_lost(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.table().is_lost(upstream, now)
+    }
+
+    /// Applies what another host tells all of whether it is stranded.
+    pub fn apply_stranded(&self, host: &str, is_stranded: bool, now: Instant) {
+        self.table().apply_stranded(host, is_stranded, now);
+    }
+
+    /// Whether another host is stranded, by what it said last.
+    pub fn is_host_stranded(&self, host: &str, now: Instant) -> bool {
+        self.table().is_host_stranded(host, now)
+    }
+
+    /// Whether callers should rather use other hosts, as this one is stranded from half of its services.
+    pub fn is_mostly_stranded(&self) -> bool {
+        self.table().is_mostly_stranded()
+    }
+
     /// What this host tells the others in its load reports.
     pub fn own_notice(&self, now: Instant) -> ReachNotice {
         self.table().own_notice(now)
