--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::handle::LoadBalancer;
+use crate::balancer::message_order::MessageOrder;
 use crate::balancer::report::HostAnnouncement;
 use crate::balancer::report::HostDatagram;
 use crate::balancer::report::HostLoadReport;
@@ -24,6 +25,8 @@
 use crate::origins::OriginQuery;
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
+use crate::reach::ReachKeeper;
+use crate::reach::stranded_interval;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
 
@@ -73,6 +76,8 @@
     peers_read_at: Instant,
     reported_at: Instant,
     announced_at: Option<Instant>,
+    /// When this host last became stranded, or reached upstreams again.
+    stranded_changed_at: Option<Instant>,
     /// When the current run of uninterrupted reports to other hosts began; `None` before it knew any.
     present_since: Option<Instant>,
     crashes: CrashKeeper,
@@ -81,6 +86,7 @@
     news_budget: NewsBudget,
     log: EventLog,
     origins: OriginKeeper,
+    reach: ReachKeeper,
     views: HostViews,
     /// When the last step began.
     stepped_at: Instant,
@@ -88,6 +94,8 @@
     emptied_at: Instant,
     /// State of the limits that the last report told of.
     limit_revision: u64,
+    /// Order of the messages that tell of the reach of other hosts.
+    reach_order: MessageOrder,
 }
 
 /// Bytes that may be sent in news of crashes. A message may overdraw it; the next one waits until
@@ -136,6 +144,7 @@
             is_leaving: false,
             acquired_jobs: Vec::new(),
             silent_hosts: Vec::new(),
+            is_stranded: false,
         };
         let crashes = CrashKeeper::new(&host, EventLog::disabled());
         let report = HostLoadReport {
@@ -149,6 +158,7 @@
             waiting: Vec::new(),
             convictions: 0,
             limits: Vec::new(),
+            reach: Box::default(),
         };
         Self {
             socket,
@@ -160,16 +170,19 @@
             peers_read_at: Instant::now(),
             reported_at: Instant::now(),
             announced_at: None,
+            stranded_changed_at: None,
             present_since: None,
             crashes,
             convictions_sent: HashMap::default(),
             news_budget: NewsBudget::new(Instant::now()),
             log: EventLog::disabled(),
             origins: OriginKeeper::default(),
+            reach: ReachKeeper::default(),
             views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
             stepped_at: Instant::now(),
             emptied_at: Instant::now(),
             limit_revision: 0,
+            reach_order: MessageOrder::default(),
         }
     }
 
@@ -191,6 +204,12 @@
         self
     }
 
+    /// Also exchanges what `reach` knows of the reach of hosts.
+    pub fn with_reach(mut self, reach: ReachKeeper) -> Self {
+        self.reach = reach;
+        self
+    }
+
     /// Also exchanges what proves `views`.
     pub fn with_views(mut self, views: HostViews) -> Self {
         self.views = views;
@@ -263,6 +282,10 @@
         match HostDatagram::decode(bytes) {
             Some(HostDatagram::Load(report)) => {
                 self.send_convictions(&report, sender, now).await;
+                if self.is_newest_of_reach(&report.host, report.incarnation, report.sequence, now) {
+                    let reach = &self.reach;
+                    reach.apply_report(&report.host, &report.loads, &report.reach, now);
+                }
                 let has_changed = self.balancer.state().apply_report(report, now);
                 if has_changed {
                     self.balancer.notify_waiters();
@@ -273,6 +296,11 @@
                 if is_newest {
                     note_jobs(&announcement.host, &announcement.acquired_jobs);
                 }
+                let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
+                if self.is_newest_of_reach(&announcement.host, incarnation, sequence, now) {
+                    let reach = &self.reach;
+                    reach.apply_stranded(&announcement.host, announcement.is_stranded, now);
+                }
             }
             Some(HostDatagram::Crashes(news)) => self.apply_news(news),
             Some(HostDatagram::GrantRequest(request)) => {
@@ -305,6 +333,19 @@
         }
     }
 
+    /// Whether a report or broadcast with this sequence number is the newest that tells of the reach of
+    /// another host.
+    fn is_newest_of_reach(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        sequence: u64,
+        now: Instant,
+    ) -> bool {
+        let order = &mut self.reach_order;
+        host != self.report.host && order.accept(host, incarnation, sequence, now)
+    }
+
     fn apply_news(&self, news: CrashNews) {
         let fleet = self.balancer.state().fleet_size();
         self.crashes.apply_arrived(news, self.emptied_at, fleet);
@@ -414,6 +455,7 @@
                 self.origins.announce_again();
             }
             self.views.set_hosts(self.peers.all.len() + 1);
+            self.reach.set_hosts(self.peers.by_name.clone());
             self.peers_read_at = now;
             if was_alone && !self.peers.all.is_empty() {
                 self.present_since = Some(now);
@@ -438,12 +480,17 @@
         };
         let is_leaving = self.leaving.is_cancelled();
         let convictions = self.crashes.digest();
+        let mut reach = Box::new(self.reach.own_notice(now));
+        if is_leaving {
+            reach.reached.clear();
+        }
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
             || ended != self.report.ended
             || !is_same_backlog(&waiting, &self.report.waiting)
             || convictions != self.report.convictions
             || limit_revision != self.limit_revision
+            || reach != self.report.reach
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -459,6 +506,7 @@
         self.report.is_leaving = is_leaving;
         self.report.convictions = convictions;
         self.report.limits = self.balancer.state().limit_notices(now);
+        self.report.reach = reach;
         self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
@@ -467,11 +515,17 @@
 
     /// Broadcasts the jobs that this host acquired, its silent neighbours and whether it is leaving:
     /// to all hosts at each change, and every [`ANNOUNCEMENT_INTERVAL`] while there is something to
-    /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago.
+    /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago. That it is stranded is
+    /// repeated for as long after a change, and then at an interval that grows with the number of hosts.
     async fn announce(&mut self, now: Instant, acquired_jobs: Vec<String>) {
         let is_leaving = self.leaving.is_cancelled();
         let silent_hosts = self.balancer.state().silent_neighbours(now);
+        let is_stranded = self.reach.is_mostly_stranded();
+        if is_stranded != self.announcement.is_stranded {
+            self.stranded_changed_at = Some(now);
+        }
         let is_unchanged = is_leaving == self.announcement.is_leaving
+            && is_stranded == self.announcement.is_stranded
             && acquired_jobs
                 .iter()
                 .all(|job| self.announcement.acquired_jobs.contains(job))
@@ -481,6 +535,7 @@
         self.announcement.is_leaving = is_leaving;
         self.announcement.acquired_jobs = acquired_jobs;
         self.announcement.silent_hosts = silent_hosts;
+        self.announcement.is_stranded = is_stranded;
         let is_empty =
             self.announcement.acquired_jobs.is_empty() && self.announcement.silent_hosts.is_empty();
         let is_repeated = is_unchanged
@@ -490,7 +545,13 @@
         let is_new = self
             .present_since
             .is_some_and(|since| now - since < PRESENCE_TIME);
-        if (is_empty && !is_leaving && !is_new) || is_repeated {
+        let has_just_changed = self
+            .stranded_changed_at
+            .is_some_and(|at| now - at < PRESENCE_TIME);
+        let interval = stranded_interval(self.peers.all.len());
+        let is_due = self.announced_at.is_none_or(|at| now - at >= interval);
+        let tells_reach = has_just_changed || (is_stranded && is_due);
+        if (is_empty && !is_leaving && !is_new && !tells_reach) || is_repeated {
             return;
         }
         self.announced_at = Some(now);
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -47,6 +47,7 @@
 use crate::limits::LimitTable;
 use crate::limits::ReturnSchedule;
 use crate::origins::HostTag;
+use crate::reach::ProbeTarget;
 use crate::suspects::FleetSize;
 
 /// Number of reporting hosts from which each request chooses among a random sample of the
@@ -70,6 +71,11 @@
 /// Slots by which an upstream in the host's own data centre counts as less loaded.
 const LOCAL_SLOT_BONUS: f64 = 0.5;
 
+/// Upstreams of one service by which a host judges its reach.
+const MAX_PROBE_TARGETS: usize = 16;
+/// Upstreams that tell whether a host or an upstream is at fault.
+const MAX_CONTROL_TARGETS: usize = 2;
+
 /// Whether an upstream accepts new requests, as its registration says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -541,6 +547,68 @@
             .take(size)
     }
 
+    /// Upstreams in this host's window of `service`, [`MAX_PROBE_TARGETS`] at most.
+    pub fn probe_targets(&self, service: &ServiceName) -> Vec<ProbeTarget> {
+        let near = self.window(service, |_| true).take(MAX_PROBE_TARGETS);
+        near.map(|(_, upstream)| ProbeTarget {
+            id: upstream.entry.id.clone(),
+            service: service.clone(),
+            address: upstream.entry.address,
+        })
+        .collect()
+    }
+
+    /// Upstreams by which to tell whether this host or the upstream `key` is at fault: others of its service
+    /// first.
+    pub fn control_targets(&self, key: BalancerKey) -> Vec<ProbeTarget> {
+        let Some(upstream) = self.upstreams.get(&key) else {
+            return Vec::new();
+        };
+        let own = &upstream.entry;
+        let others = self.services().into_iter();
+        let others = others.filter(|service| *service != own.service);
+        let services = std::iter::once(own.service.clone()).chain(others);
+        let targets = services.flat_map(|service| self.probe_targets(&service));
+        let targets = targets.filter(|target| target.id != own.id);
+        targets.take(MAX_CONTROL_TARGETS).collect()
+    }
+
+    /// Ends the ejections of all upstreams of `service`. Returns those that were ejected, with the time
+    /// since.
+    pub fn end_ejections(
+        &mut self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Vec<(UpstreamId, Duration)> {
+        let upstreams = self.upstreams.values_mut();
+        let upstreams = upstreams.filter(|upstream| upstream.entry.service == *service);
+        upstreams
+            .filter_map(|upstream| {
+                let ejected = upstream.backoff.note_success(now)?;
+                Some((upstream.entry.id.clone(), ejected))
+            })
+            .collect()
+    }
+
+    /// Services with upstreams that accept requests.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let serving = self.serving.iter().filter(|(_, all)| !all.is_empty());
+        serving.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Registered upstreams at which this host has running work.
+    pub fn busy_targets(&self) -> Vec<ProbeTarget> {
+        let busy = self.busy.iter().map(|key| &self.upstreams[key]);
+        let registered = busy.filter(|upstream| upstream.is_registered);
+        registered
+            .map(|upstream| ProbeTarget {
+                id: upstream.entry.id.clone(),
+                service: upstream.entry.service.clone(),
+                address: upstream.entry.address,
+            })
+            .collect()
+    }
+
     /// Chooses an upstream for one piece of work and counts the work there, or returns `None` if no
     /// upstream may take it.
     ///
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -161,6 +161,27 @@
         /// Version of the software in its entry.
         software: String,
     },
+    /// The reach of this host has changed: whether connections to upstreams of a service fail for it alone.
+    ReachChanged {
+        /// Service of the upstreams.
+        service: String,
+        /// State before: `reached`, `partial` or `stranded`.
+        before: String,
+        /// State from now on.
+        state: String,
+        /// Upstreams of the service that this host uses, 16 at most.
+        serving: usize,
+        /// Those that fail here while another host hears them.
+        lost: usize,
+        /// Those that fail here and of which nothing is known from others.
+        unreached: usize,
+        /// Those that took a connection of this host meanwhile.
+        connected: usize,
+        /// How the last one failed: `refused`, `timed_out`, `closed` or `silent`.
+        cause: Option<String>,
+        /// Time that the state before had lasted.
+        lasted_ms: u64,
+    },
     /// An upstream announced in an answer that it is shutting down; it gets no more requests until
     /// it has restarted.
     UpstreamLeaves {
@@ -472,10 +493,79 @@
         outcome: String,
         /// Number of events received over all runs.
         events: u64,
-        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up`, `stood_still` or
-        /// `leaving`; absent if it did not.
+        /// Why this host stopped the run: `preempted`, `job_dropped`, `given_up`, `stood_still`, `displaced`,
+        /// `leaving` or `stranded`; absent if it did not.
         reason: Option<String>,
     },
+    /// A request goes on through another host, as this one does not reach the upstreams.
+    DetourSent {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        to: String,
+        /// Number of the sending of the request, from 1.
+        sending: u32,
+        /// How this host reaches the upstreams of the service: `reached`, `partial` or `stranded`.
+        reach: String,
+        /// Attempts before in a row that reached no upstream.
+        unreached: u32,
+        /// Number of the last event of a stream that goes on.
+        resume_after: Option<u64>,
+    },
+    /// It is known whether a request that went through another host has an answer.
+    DetourEnded {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        to: String,
+        /// `answered`, `not_sent`, `lost`, `timed_out`, or the reason why the other host refused.
+        outcome: String,
+        /// Number of upstreams that may have run the request there; absent while it is answered.
+        runs: Option<u32>,
+        /// Cause of a failure.
+        cause: Option<String>,
+        /// Time since the request was sent to the other host, in milliseconds.
+        after_ms: u64,
+    },
+    /// This host takes a request of another host, which does not reach the upstreams.
+    DetourTaken {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        from: String,
+        /// Time left until the deadline, in milliseconds.
+        left_ms: u64,
+        /// Largest number of upstreams that may run the request.
+        max_runs: u32,
+        /// Number of the last event of a stream that goes on.
+        resume_after: Option<u64>,
+    },
+    /// The work on a request of another host has ended here.
+    DetourFinished {
+        /// Identifier of the request.
+        request: String,
+        /// Outcome, as of a request of this host's callers; `caller_left` if the other host gave it up.
+        outcome: String,
+        /// Number of upstreams that may have run the request.
+        runs: u32,
+        /// Time since the request arrived here, in milliseconds.
+        total_ms: u64,
+        /// Upstream of the latest sending, unless the request was served.
+        upstream: Option<String>,
+        /// Time in milliseconds since that upstream last sent something.
+        quiet_ms: Option<u64>,
+    },
+    /// This host refuses a request of another host. No upstream has run it for this host.
+    DetourRefused {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the other host.
+        from: String,
+        /// `stranded`, `overloaded`, `convicted`, `not_resumable`, `shutting_down` or `malformed`.
+        reason: String,
+        /// Delay in milliseconds after which this host may take such a request.
+        retry_ms: u64,
+    },
     /// Log lines were dropped since the previous event of this kind, as there were too many or the
     /// reader of the log was too slow.
     LinesDropped {
@@ -491,7 +581,13 @@
     pub(crate) fn is_routine(&self) -> bool {
         match self {
             Self::RequestSent { resume_after, .. } => resume_after.is_none(),
-            Self::RequestEnded { outcome, .. } => outcome == "served",
+            Self::RequestEnded { outcome, .. } | Self::DetourFinished { outcome, .. } => {
+                outcome == "served"
+            }
+            Self::DetourEnded { outcome, .. } => outcome == "answered",
+            Self::DetourSent { resume_after, .. } | Self::DetourTaken { resume_after, .. } => {
+                resume_after.is_none()
+            }
             Self::Item { .. } => true,
             _ => false,
         }
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 mod spec;
 mod standstill;
 mod store;
+mod stranded;
 mod submission;
 mod table;
 #[cfg(test)]
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -36,6 +36,8 @@
     misidentified: IntCounterVec,
     requests: IntCounterVec,
     take_ups: IntCounterVec,
+    detours: IntCounterVec,
+    detours_taken: IntCounterVec,
     item_runs: IntCounterVec,
     jobs: IntCounterVec,
     name_changes: IntCounterVec,
@@ -55,6 +57,8 @@
     limited_upstreams: IntGauge,
     limit_age: Gauge,
     grants: IntCounterVec,
+    reach_changes: IntCounterVec,
+    stranded: IntGauge,
 }
 
 impl RelayMetrics {
@@ -101,6 +105,16 @@
                 "Streams taken up, by what became of the run before.",
                 &["outcome"],
             ),
+            detours: counter(
+                "detours_total",
+                "Requests sent through other hosts, by outcome up to the head of the answer.",
+                &["outcome"],
+            ),
+            detours_taken: counter(
+                "detours_taken_total",
+                "Requests of other hosts, by whether they were taken or why not.",
+                &["outcome"],
+            ),
             item_runs: counter(
                 "item_runs_total",
                 "Ended runs of items, by outcome.",
@@ -184,6 +198,16 @@
                 "Requests to limited upstreams: granted, denied (withheld for the limit) or unanswered.",
                 &["outcome"],
             ),
+            reach_changes: counter(
+                "reach_changes_total",
+                "Changes of whether this host reaches the upstreams of a service, by the new state.",
+                &["state"],
+            ),
+            stranded: IntGauge::new(
+                "parsleywall_stranded_services",
+                "Services whose upstreams this host does not reach while other hosts do.",
+            )
+            .expect("metric names are valid"),
             view_age: GaugeVec::new(
                 Opts::new(
                     "parsleywall_view_age_seconds",
@@ -216,12 +240,15 @@
             &self.misidentified,
             &self.requests,
             &self.take_ups,
+            &self.detours,
+            &self.detours_taken,
             &self.item_runs,
             &self.jobs,
             &self.name_changes,
             &self.job_claims,
             &self.grants,
             &self.view_calls,
+            &self.reach_changes,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
         all.extend(counters.map(|counter| Box::new(counter.clone()) as _));
@@ -238,6 +265,7 @@
         all.push(Box::new(self.displaced.clone()));
         all.push(Box::new(self.limited_upstreams.clone()));
         all.push(Box::new(self.limit_age.clone()));
+        all.push(Box::new(self.stranded.clone()));
         for collector in all {
             self.registry
                 .register(collector)
@@ -275,9 +303,21 @@
                 let process = started_ms.map_or("unknown", |_| "other");
                 self.misidentified.with_label_values(&[process]).inc();
             }
+            LogEvent::ReachChanged { state, .. } => {
+                self.reach_changes.with_label_values(&[state]).inc();
+            }
             LogEvent::StreamTakenUp { outcome, .. } => {
                 self.take_ups.with_label_values(&[outcome]).inc();
             }
+            LogEvent::DetourEnded { outcome, .. } => {
+                self.detours.with_label_values(&[outcome]).inc();
+            }
+            LogEvent::DetourTaken { .. } => {
+                self.detours_taken.with_label_values(&["taken"]).inc();
+            }
+            LogEvent::DetourRefused { reason, .. } => {
+                self.detours_taken.with_label_values(&[reason]).inc();
+            }
             LogEvent::Item { outcome, .. } => self.item_runs.with_label_values(&[outcome]).inc(),
             LogEvent::HostDisplaced { via, .. } => {
                 let counter = self.name_changes.with_label_values(&["displaced", via]);
@@ -345,6 +385,11 @@
         self.displaced.set(i64::from(is_displaced));
     }
 
+    /// Sets the number of services that this host is stranded from.
+    pub fn set_stranded(&self, services: usize) {
+        self.stranded.set(services as i64);
+    }
+
     /// Counts a refusal that has no line in the log.
     pub fn count_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use futures_util::stream;
 use futures_util::stream::BoxStream;
 use futures_util::stream::StreamExt;
@@ -13,10 +14,17 @@
 
 use crate::balancer::LoadBalancer;
 use crate::balancer::UpstreamChoice;
+use crate::detour::DetourKeeper;
+use crate::detour::DetourRefusal;
+use crate::detour::NO_HOST_RETRY_DELAY;
+use crate::detour::RunCounter;
+use crate::detour::UpstreamReach;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::host_views::HostViews;
 use crate::host_views::ViewHandle;
+use crate::ids::ServiceName;
+use crate::ids::SoftwareVersion;
 use crate::memory_budget::MemoryBudget;
 use crate::origins::EndableBody;
 use crate::origins::OriginKeeper;
@@ -24,6 +32,10 @@
 use crate::origins::RunEndCause;
 use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
+use crate::reach::DetourHost;
+use crate::reach::ReachChange;
+use crate::reach::ReachKeeper;
+use crate::reach::ReachState;
 use crate::relay::answered::AnsweredRequests;
 use crate::relay::dispatch::OpenedAnswer;
 use crate::relay::dispatch::RelayFailure;
@@ -64,9 +76,26 @@
 const NOT_RESUMABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay for a request that a host refuses as it shuts down: another host can serve it at once.
 const STOPPING_RETRY_DELAY: Duration = Duration::ZERO;
+/// Time after a host is found to be stranded in which an answer may still come on a connection that lives
+/// on.
+const STRANDED_GRACE: Duration = Duration::from_millis(100);
 /// Lower bound of the retry delay for a request that limits of upstreams leave no room for.
 const MIN_LIMITED_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after which other hosts have told whether they hear an upstream that refuses connections here.
+const REFUSAL_CONFIRMATION: Duration = Duration::from_millis(700);
+
+/// Why an upstream refuses connections of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalCause {
+    /// It does not, or that is not known.
+    None,
+    /// The upstream has crashed or ended.
+    Upstream,
+    /// No other upstream takes a connection of this host either, or other hosts hear this one.
+    Unclear,
+}
+
 /// Why a request is refused, for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -128,6 +157,23 @@
     stop_gate: StopGate,
     crashes: CrashKeeper,
     origins: OriginKeeper,
+    reach: ReachKeeper,
+    detours: DetourKeeper,
+}
+
+/// Outcome of a request that came from another host.
+pub(crate) struct DetouredAnswer {
+    /// The outcome, as for a caller of this host.
+    pub(crate) answer: RelayAnswer,
+    /// Version of the software that began a stream.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+/// Bounds of a request that came from another host.
+struct DetouredRun {
+    /// Largest number of upstreams that may run it.
+    max_runs: u32,
+    counter: RunCounter,
 }
 
 impl RequestRelay {
@@ -148,6 +194,8 @@
             stop_gate: StopGate::default(),
             crashes: CrashKeeper::new(&host, log.clone()),
             origins: OriginKeeper::new(&host),
+            reach: ReachKeeper::default(),
+            detours: DetourKeeper::default(),
             log,
         }
     }
@@ -194,6 +242,107 @@
         &self.origins
     }
 
+    /// What this host knows of its own reach of upstreams and of that of other hosts.
+    pub fn reach(&self) -> &ReachKeeper {
+        &self.reach
+    }
+
+    /// Detours of this host's requests through others.
+    pub fn detours(&self) -> &DetourKeeper {
+        &self.detours
+    }
+
+    /// How this host reaches the upstreams of `service`.
+    pub(crate) fn reach_of(&self, service: &ServiceName) -> UpstreamReach {
+        match self.reach.state(service) {
+            ReachState::Reached => UpstreamReach::Reached,
+            ReachState::Partial(_) => UpstreamReach::Partial,
+            ReachState::Stranded => UpstreamReach::Stranded,
+        }
+    }
+
+    /// Whether this host reaches no upstream of `service`, while other hosts do.
+    pub(crate) fn is_stranded(&self, service: &ServiceName) -> bool {
+        self.reach_of(service) == UpstreamReach::Stranded
+    }
+
+    /// Whether requests of this host for `service` go through other hosts.
+    fn takes_detours(&self, service: &ServiceName) -> bool {
+        self.detours.has_link() && self.is_stranded(service)
+    }
+
+    /// Judges anew how this host reaches upstreams, from what is known now, and probes some if need be.
+    pub fn judge_reach(&self) {
+        let (changes, probes) = self.reach.step(&self.balancer, Instant::now());
+        for change in &changes {
+            self.log_reach(change);
+            if change.before == ReachState::Stranded {
+                self.return_upstreams(&change.service);
+            }
+        }
+        for target in probes {
+            let relay = self.clone();
+            tokio::spawn(async move {
+                let result = relay.transport.probe(&target).await;
+                relay.reach.record_probe(&target, result, Instant::now());
+            });
+        }
+        self.detours
+            .set_stranded(self.reach.stranded_services() > 0);
+    }
+
+    /// Ends the ejections of upstreams that were due to this host.
+    fn return_upstreams(&self, service: &ServiceName) {
+        let returned = self.balancer.state().end_ejections(service, Instant::now());
+        for (upstream, ejected) in returned {
+            self.log.write(LogEvent::UpstreamReturned {
+                upstream: upstream.to_string(),
+                ejected_ms: ejected.as_millis() as u64,
+            });
+        }
+        self.balancer.notify_waiters();
+    }
+
+    fn log_reach(&self, change: &ReachChange) {
+        self.log.write(LogEvent::ReachChanged {
+            service: change.service.to_string(),
+            before: change.before.to_string(),
+            state: change.state.to_string(),
+            serving: change.evidence.serving,
+            lost: change.evidence.lost,
+            unreached: change.evidence.unreached,
+            connected: change.evidence.connected,
+            cause: change.cause.map(|cause| cause.to_string()),
+            lasted_ms: change.lasted.as_millis() as u64,
+        });
+    }
+
+    /// Waits until this host is known to be stranded from `service`, and has been for a while.
+    pub(crate) async fn await_stranded(&self, service: &ServiceName) {
+        loop {
+            self.detours.await_stranded().await;
+            tokio::time::sleep(STRANDED_GRACE).await;
+            if self.is_stranded(service) {
+                return;
+            }
+        }
+    }
+
+    /// Chooses the host through which a request for `service` takes a detour; none of the `excluded` ones.
+    pub(crate) fn choose_detour(
+        &self,
+        service: &ServiceName,
+        excluded: &[String],
+    ) -> Option<DetourHost> {
+        let mut hosts = self.reach.detour_hosts(service);
+        let names: Vec<&str> = hosts.iter().map(|host| host.host.as_str()).collect();
+        let draw = rand::random();
+        let table = self.detours.table();
+        let chosen = table.choose(&names, excluded, Instant::now(), draw)?;
+        drop(table);
+        Some(hosts.swap_remove(chosen))
+    }
+
     /// Takes over the versions of the upstreams that serve now into the history of versions.
     pub fn update_versions(&self) {
         let state = self.balancer.state();
@@ -210,13 +359,48 @@
         }
         let (relay, choice) = (self.clone(), choice.clone());
         tokio::spawn(async move {
-            if !relay.transport.refuses_connections(&choice).await {
-                return;
+            let has_ended = match relay.check_refusal(&choice).await {
+                RefusalCause::Upstream => true,
+                RefusalCause::Unclear => relay.confirm_refusal(&choice).await,
+                RefusalCause::None => false,
+            };
+            if has_ended {
+                relay.note_ended(&choice);
             }
-            relay.note_ended(&choice);
         });
     }
 
+    /// Whether an upstream refuses connections, and whether by itself. That it does so to a host which no
+    /// other upstream takes a connection of either may be due to the host.
+    pub(crate) async fn check_refusal(&self, choice: &UpstreamChoice) -> RefusalCause {
+        let begun = Instant::now();
+        if !self.transport.refuses_connections(choice).await {
+            return RefusalCause::None;
+        }
+        if self.reach.is_alone(begun) {
+            return RefusalCause::Upstream;
+        }
+        let controls = self.balancer.state().control_targets(choice.key);
+        let probes = controls.into_iter().map(async |target| {
+            let result = self.transport.probe(&target).await;
+            self.reach.record_probe(&target, result, Instant::now());
+            result.is_ok()
+        });
+        let has_connected = join_all(probes).await.contains(&true);
+        match has_connected && !self.reach.is_lost(&choice.id, Instant::now()) {
+            true => RefusalCause::Upstream,
+            false => RefusalCause::Unclear,
+        }
+    }
+
+    /// Whether an upstream that refuses connections does so by itself, by what the other hosts have heard of
+    /// it a while later.
+    pub(crate) async fn confirm_refusal(&self, choice: &UpstreamChoice) -> bool {
+        tokio::time::sleep(REFUSAL_CONFIRMATION).await;
+        let is_lost = self.reach.is_lost(&choice.id, Instant::now());
+        !is_lost && !self.reach.is_stranded()
+    }
+
     /// Records that the process which wrote the entry of an upstream has ended.
     pub(crate) fn note_ended(&self, choice: &UpstreamChoice) {
         let is_new = {
@@ -247,7 +431,7 @@
     }
 
     /// The log that decisions about requests are written to.
-    pub(crate) fn log(&self) -> &EventLog {
+    pub fn log(&self) -> &EventLog {
         &self.log
     }
 
@@ -266,27 +450,81 @@
                 };
             }
         };
+        self.run(request, taken_up, None).await.answer
+    }
+
+    /// Relays a request that another host took from its caller. Up to `max_runs` upstreams may run it;
+    /// `counter` is told how many may have. The other host knows the run and the version that began it.
+    pub(crate) async fn relay_detoured(
+        &self,
+        request: RelayRequest,
+        max_runs: u32,
+        counter: RunCounter,
+    ) -> DetouredAnswer {
+        let detoured = DetouredRun { max_runs, counter };
+        self.run(request, None, Some(detoured)).await
+    }
+
+    async fn run(
+        &self,
+        request: RelayRequest,
+        taken_up: Option<RunRegistration>,
+        detoured: Option<DetouredRun>,
+    ) -> DetouredAnswer {
+        let mut software = None;
+        let answer = self
+            .run_and_tell(request, taken_up, detoured, &mut software)
+            .await;
+        DetouredAnswer { answer, software }
+    }
+
+    /// Runs a request. Sets `software` to the version that began its stream.
+    async fn run_and_tell(
+        &self,
+        request: RelayRequest,
+        taken_up: Option<RunRegistration>,
+        detoured: Option<DetouredRun>,
+        software: &mut Option<SoftwareVersion>,
+    ) -> RelayAnswer {
         let load = self.load(&request);
         let now = Instant::now();
         let left = request.deadline.saturating_duration_since(now);
+        let is_own = detoured.is_none();
+        // One of another host's requests is logged where that host is told.
+        let log_refusal = |request: &RelayRequest, reason: &str, load, delay, subject| {
+            if is_own {
+                self.log_refusal(request, reason, load, delay, subject);
+            }
+        };
+        let takes_detour = is_own && self.takes_detours(&request.service);
         if !self.stop_gate.admits(&request.route.name, left, now) {
-            self.log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
+            log_refusal(&request, "shutting_down", load, STOPPING_RETRY_DELAY, None);
             return RelayAnswer::Refused {
                 retry_after: STOPPING_RETRY_DELAY,
                 reason: RelayRefusal::ShuttingDown,
             };
         }
-        if let ShedDecision::Refuse(delay) = decide_shedding(load, request.route.objective, left) {
-            self.log_refusal(&request, "no_free_place", load, delay, None);
+        // The other host knows what room there is.
+        if !takes_detour
+            && let ShedDecision::Refuse(delay) =
+                decide_shedding(load, request.route.objective, left)
+        {
+            log_refusal(&request, "no_free_place", load, delay, None);
             return RelayAnswer::Refused {
                 retry_after: delay,
                 reason: RelayRefusal::Overloaded,
             };
         }
         let request = Arc::new(request);
-        let policy = online_policy(&request.route);
-        let run = RequestDispatch::new(self.clone(), request.clone(), policy);
-        let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone());
+        let mut policy = online_policy(&request.route);
+        if let Some(detoured) = &detoured {
+            policy.max_runs = policy.max_runs.min(detoured.max_runs);
+        }
+        let mut run = RequestDispatch::new(self.clone(), request.clone(), policy);
+        if let Some(detoured) = detoured {
+            run = run.with_run_counter(detoured.counter);
+        }
+        let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone(), is_own);
         let started = match &taken_up {
             None => dispatch.run.start().await,
             Some(registration) => {
@@ -315,36 +553,45 @@
             }
             Ok(OpenedAnswer::Stream { status, headers }) => {
                 dispatch.record_first();
-                let registration = taken_up.or_else(|| self.register_run(&request));
+                *software = dispatch.run.software().cloned();
+                let registration = match is_own {
+                    true => taken_up.or_else(|| self.register_run(&request)),
+                    false => None,
+                };
                 RelayAnswer::Stream {
                     status,
                     headers,
                     body: stream_body(dispatch, registration),
                 }
             }
-            Err(RelayFailure::NotRun) if self.is_version_gone(&request) => {
+            Err(RelayFailure::NotRun) if !takes_detour && self.is_version_gone(&request) => {
                 dispatch.finish("refused");
                 let delay = NOT_RESUMABLE_RETRY_DELAY;
-                self.log_refusal(&request, "version_gone", load, delay, None);
+                log_refusal(&request, "version_gone", load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: RelayRefusal::NotResumable,
                 }
             }
             Err(RelayFailure::NotRun) => {
-                let (reason, delay) = self.unplaced_delay(&request);
+                let refusal = dispatch.run.refusal();
+                let (reason, delay) = match refusal {
+                    Some((_, delay)) => ("detour_refused", delay),
+                    None if takes_detour => ("stranded", self.detour_delay(&request.service)),
+                    None => self.unplaced_delay(&request),
+                };
                 let delay = delay.min(left / 3);
                 dispatch.finish("refused");
-                self.log_refusal(&request, reason, load, delay, None);
+                log_refusal(&request, reason, load, delay, None);
                 RelayAnswer::Refused {
                     retry_after: delay,
-                    reason: RelayRefusal::Overloaded,
+                    reason: refusal.map_or(RelayRefusal::Overloaded, caller_refusal),
                 }
             }
             Err(RelayFailure::Convicted(refusal)) => {
                 dispatch.finish("refused");
                 let (delay, subject) = (refusal.retry_after, refusal.subject);
-                self.log_refusal(&request, "convicted", load, delay, Some(subject));
+                log_refusal(&request, "convicted", load, delay, Some(subject));
                 RelayAnswer::Refused {
                     retry_after: delay,
                     reason: RelayRefusal::Convicted,
@@ -396,10 +643,12 @@
         let version = version.ok_or("origin_unknown")?;
         // Whether the stream can go on or not: the caller has left the run before.
         let run = take_up::end_run_before(self, request, &version);
-        let is_served = self
-            .balancer
-            .state()
-            .serves_version(&request.service, &version);
+        // A stranded host takes upstreams for ended whose connections are refused; another one decides.
+        let is_served = self.takes_detours(&request.service)
+            || self
+                .balancer
+                .state()
+                .serves_version(&request.service, &version);
         request.software = Some(version);
         is_served.then_some(run).ok_or("version_gone")
     }
@@ -420,6 +669,16 @@
         }
     }
 
+    /// When a caller should come back whose request no other host takes.
+    fn detour_delay(&self, service: &ServiceName) -> Duration {
+        let hosts = self.reach.detour_hosts(service);
+        let names: Vec<&str> = hosts.iter().map(|host| host.host.as_str()).collect();
+        let table = self.detours.table();
+        table
+            .shortest_avoidance(&names, Instant::now())
+            .unwrap_or(NO_HOST_RETRY_DELAY)
+    }
+
     fn log_refusal(
         &self,
         request: &RelayRequest,
@@ -440,6 +699,18 @@
     }
 }
 
+/// What a refusal of another host means to a caller of this one.
+fn caller_refusal((reason, _): (DetourRefusal, Duration)) -> RelayRefusal {
+    match reason {
+        DetourRefusal::Convicted => RelayRefusal::Convicted,
+        DetourRefusal::NotResumable => RelayRefusal::NotResumable,
+        DetourRefusal::Stranded
+        | DetourRefusal::Overloaded
+        | DetourRefusal::ShuttingDown
+        | DetourRefusal::Malformed => RelayRefusal::Overloaded,
+    }
+}
+
 fn online_policy(route: &Route) -> RetryPolicy {
     let gap = route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE);
     let is_stream = matches!(route.kind, RouteKind::Stream { .. });
@@ -511,11 +782,13 @@
     events: u64,
     /// Tells whether the run was ended from outside; `None` before it can be.
     run_end: Option<RunEnd>,
+    /// Whether this host took the request from its caller.
+    is_own: bool,
     logged: bool,
 }
 
 impl LoggedDispatch {
-    fn new(run: RequestDispatch, log: EventLog, request: Arc<RelayRequest>) -> Self {
+    fn new(run: RequestDispatch, log: EventLog, request: Arc<RelayRequest>, is_own: bool) -> Self {
         Self {
             run,
             log,
@@ -523,6 +796,7 @@
             first: None,
             events: 0,
             run_end: None,
+            is_own,
             logged: false,
         }
     }
@@ -545,6 +819,17 @@
             .is_some()
             .then_some(state.silent_for.as_millis() as u64);
         let received = self.request.received;
+        if !self.is_own {
+            self.log.write(LogEvent::DetourFinished {
+                request: self.request.id.to_string(),
+                outcome: outcome.to_owned(),
+                runs: state.runs,
+                total_ms: received.elapsed().as_millis() as u64,
+                upstream: unserved.map(|upstream| upstream.to_string()),
+                quiet_ms,
+            });
+            return;
+        }
         let first = self
             .first
             .map(|first| (first - received).as_millis() as u64);
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -24,6 +24,8 @@
 use crate::balancer::UpstreamEntry;
 use crate::balancer::UpstreamState;
 use crate::counters::CounterSet;
+use crate::detour::DetourClient;
+use crate::detour::DetourServer;
 use crate::edges::kv::KvStore;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
@@ -45,6 +47,8 @@
 use crate::peers::PeerError;
 use crate::peers::PeerHandlers;
 use crate::peers::PeerServer;
+use crate::reach::ReachMonitor;
+use crate::reach::preferred_hosts;
 use crate::registry::HostEntry;
 use crate::registry::HostReadiness;
 use crate::registry::HostRegistry;
@@ -105,6 +109,7 @@
     routes: watch::Sender<Arc<RouteTable>>,
     reconciler: Mutex<EntryReconciler>,
     views: HostViews,
+    detour_server: DetourServer,
     stop: CancellationToken,
     leaving: CancellationToken,
 }
@@ -154,6 +159,7 @@
             config.incarnation,
             config.jobs,
         );
+        let detour_server = DetourServer::new(relay.clone());
         let host = Arc::new(Self {
             config,
             log,
@@ -164,6 +170,7 @@
             routes,
             reconciler: Mutex::default(),
             views,
+            detour_server,
             stop: CancellationToken::new(),
             leaving: CancellationToken::new(),
         });
@@ -188,6 +195,7 @@
         .with_crashes(self.relay.crashes().clone())
         .with_log(self.log.clone())
         .with_origins(self.relay.origins().clone())
+        .with_reach(self.relay.reach().clone())
         .with_views(self.views.clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
@@ -214,6 +222,8 @@
         tokio::spawn(async move { host.serve_peers(listener, peer_client, kv).await });
         let host = self.clone();
         tokio::spawn(async move { host.sweep_upstreams().await });
+        let (monitor, stop) = (ReachMonitor::new(self.relay.clone()), self.stop.clone());
+        tokio::spawn(async move { monitor.run(stop).await });
     }
 
     /// Addresses of the other hosts, as registered. Also updates the ring of hosts, which
@@ -229,6 +239,10 @@
             let neighbours = balancer_state.neighbours();
             let is_near = |entry: &&&HostEntry| neighbours.contains(&entry.host);
             let near = others.iter().filter(is_near);
+            let is_near_host = |entry: &&&HostEntry| entry.data_centre == self.config.data_centre;
+            let near_hosts = others.iter().filter(is_near_host);
+            let near_hosts = near_hosts.map(|entry| entry.host.clone()).collect();
+            self.relay.detours().set_near_hosts(near_hosts);
             let by_name = others.iter().map(|entry| (entry.host.clone(), entry.peers));
             PeerAddresses {
                 neighbours: near.map(|entry| entry.peers).collect(),
@@ -250,11 +264,12 @@
                 Err(_) => tokio::time::sleep(SECRET_RETRY_DELAY).await,
             }
         };
-        peer_client.set(PeerClient::new(
-            HostId::new(&self.config.host),
-            secret.clone(),
-        ));
-        let server = PeerServer::new(listener, secret, Arc::new(CounterSet::default()));
+        let client = PeerClient::new(HostId::new(&self.config.host), secret.clone());
+        let detour_client = DetourClient::new(client.clone());
+        self.relay.detours().set_link(Arc::new(detour_client));
+        peer_client.set(client);
+        let server = PeerServer::new(listener, secret, Arc::new(CounterSet::default()))
+            .with_detours(self.detour_server.clone());
         let jobs = self.jobs.clone();
         let handlers = PeerHandlers::new().with(move |_, call: JobCall| {
             let jobs = jobs.clone();
@@ -422,6 +437,7 @@
         metrics.set_config_version(table.version(), self.views.configuration.age());
         self.views.set_gauges(&self.log);
         metrics.set_displaced(self.is_displaced());
+        metrics.set_stranded(self.relay.reach().stranded_services());
         metrics.text()
     }
 
@@ -442,7 +458,16 @@
         is_staying && self.routes.borrow().version() > 0
     }
 
-    /// Addresses of the hosts that callers should use. A leaving host lists itself only if it is
+    fn is_stranded(&self, host: &str) -> bool {
+        let reach = self.relay.reach();
+        match host == self.config.host {
+            true => reach.is_mostly_stranded(),
+            false => reach.is_host_stranded(host, Instant::now()),
+        }
+    }
+
+    /// Addresses of the hosts that callers should use: those that reach upstreams, unless they are too few
+    /// to carry the load. A leaving host lists itself only if it is
     /// the only one, a displaced one never; a ready host lists itself if there is no other.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
         let balancer_state = self.balancer.state();
@@ -453,7 +478,10 @@
             let usable = ready
                 .iter()
                 .filter(|entry| usable.contains(&entry.host.as_str()));
-            usable.filter_map(|entry| entry.callers).collect::<Vec<_>>()
+            let preferred =
+                preferred_hosts(usable.collect(), |entry| self.is_stranded(&entry.host));
+            let callers = preferred.into_iter().filter_map(|entry| entry.callers);
+            callers.collect::<Vec<_>>()
         });
         let is_alone = addresses.len() == 1;
         if self.is_displaced() || (self.leaving.is_cancelled() && !is_alone) {
@@ -487,6 +515,7 @@
             tokio::time::sleep(caller_move_time)
         );
         shutdown.finish(in_flight, deadline).await;
+        self.detour_server.finish(deadline).await;
         self.registry.end().await;
         self.stop.cancel();
         in_flight.count()
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -103,6 +103,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: Vec::new(),
+        reach: Box::default(),
     }
 }
 
@@ -510,6 +511,7 @@
                 waiting: Vec::new(),
                 convictions: 0,
                 limits: Vec::new(),
+                reach: Box::default(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
@@ -874,6 +876,7 @@
         is_leaving: false,
         acquired_jobs: Vec::new(),
         silent_hosts: balancers[announcers[0]].silent_neighbours(later),
+        is_stranded: false,
     };
     assert_eq!(announcement.silent_hosts, ["host-7"]);
     let hosts: Vec<&str> = names.iter().map(String::as_str).collect();
@@ -929,6 +932,7 @@
         is_leaving,
         acquired_jobs: Vec::new(),
         silent_hosts: Vec::new(),
+        is_stranded: false,
     };
     let mut balancer = BalancerState::new(HostId::new("host-a"), DataCentre::new("west"));
     balancer.set_hosts(hosts);
