batch: an announcement that was overtaken changes nothing

Cause: claims, releases and ends of jobs are announced by calls of their own, which may overtake one another. Within one epoch the last one read counted: a claim that was read after its release hid that the job was free, until its former owner left. An announcement read after the end of its job made the job open again.

Change: a release is later than the claim of its epoch, and an end is final.

--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -147,9 +147,7 @@
             .open_jobs
             .get(&id)
             .map(|known| known.announcement.epoch);
-        let has_ended =
-            self.ended_jobs.contains_key(&id) || self.final_record_hosts.contains_key(&id);
-        if has_ended || newest.is_some_and(|newest| newest > epoch) {
+        if self.has_ended(&id) || newest.is_some_and(|newest| newest > epoch) {
             return false;
         }
         let known = KnownJob::new(run.announcement());
@@ -158,6 +156,22 @@
         true
     }
 
+    /// Whether the job is known to have ended.
+    pub(crate) fn has_ended(&self, job: &JobId) -> bool {
+        self.ended_jobs.contains_key(job) || self.final_record_hosts.contains_key(job)
+    }
+
+    /// Whether `announcement` tells nothing new: a later state of the job was announced before it.
+    pub(crate) fn is_overtaken(&self, announcement: &JobAnnouncement) -> bool {
+        if self.has_ended(&announcement.job) {
+            return true;
+        }
+        // A claim that was released is not taken up again under its epoch.
+        let state = |job: &JobAnnouncement| (job.epoch, job.owner.is_none());
+        let known = self.open_jobs.get(&announcement.job);
+        known.is_some_and(|known| state(&known.announcement) > state(announcement))
+    }
+
     /// The run of the claim with `epoch` on `job`, if this host still has it. An answer to a call that one
     /// run has made doesn't concern a later run of the same job.
     pub(crate) fn run_of(&mut self, job: &JobId, epoch: u64) -> Option<&mut JobRun> {
@@ -459,16 +473,11 @@
         }
     }
 
-    /// Records an open job and its owner. An announcement with an older epoch than the known one,
-    /// or of a job that has ended, is ignored.
+    /// Records an open job and its owner, unless a later state of the job is known.
     pub(crate) fn record_open_job(&self, announcement: JobAnnouncement) {
         let mut state = self.lock();
         let job = announcement.job.clone();
-        if state.ended_jobs.contains_key(&job) {
-            return;
-        }
-        let known = state.open_jobs.get(&job);
-        if known.is_some_and(|known| known.announcement.epoch > announcement.epoch) {
+        if state.is_overtaken(&announcement) {
             return;
         }
         let own_run = state.runs.get(&job);
--- a/lib/src/batch/tests.rs
+++ b/lib/src/batch/tests.rs
@@ -270,3 +270,35 @@
     run.confirm_version(KvVersion(2), Instant::now());
     assert!(run.is_fresh());
 }
+
+/// Announcements are calls of their own, and may overtake one another.
+#[tokio::test(start_paused = true)]
+async fn test_announcement_of_a_claim_after_that_of_its_release_is_overtaken() {
+    let mut state = CoordinatorState::new(HostId::new("host-1"));
+    let mut record = open_job();
+    let (_, holder) = claim(&mut record, 1);
+    let claimed = announcement_of(&record);
+    record.release(&holder).unwrap();
+    let released = announcement_of(&record);
+    assert!(!state.is_overtaken(&claimed));
+    assert!(!state.is_overtaken(&released));
+    state
+        .open_jobs
+        .insert(job_id(), KnownJob::new(released.clone()));
+    assert!(state.is_overtaken(&claimed));
+    assert!(!state.is_overtaken(&released));
+    let (run, _) = claim(&mut record, 3);
+    assert!(!state.is_overtaken(&run.announcement()));
+}
+
+/// The end of a job is announced by a call of its own as well.
+#[tokio::test(start_paused = true)]
+async fn test_announcement_of_an_ended_job_is_overtaken() {
+    let mut state = CoordinatorState::new(HostId::new("host-1"));
+    let mut record = open_job();
+    claim(&mut record, 1);
+    state
+        .final_record_hosts
+        .insert(job_id(), HostId::new("host-0"));
+    assert!(state.is_overtaken(&announcement_of(&record)));
+}
