--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -12,6 +12,7 @@
 use crate::balancer::report::HostAnnouncement;
 use crate::balancer::report::HostDatagram;
 use crate::balancer::report::HostLoadReport;
+use crate::balancer::report::UpstreamLoad;
 use crate::balancer::report::is_same_work;
 use crate::balancer::waiting::is_same_backlog;
 use crate::collections::HashMap;
@@ -25,6 +26,7 @@
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
 use crate::reach::ReachKeeper;
+use crate::reach::ReachNotice;
 use crate::reach::stranded_interval;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
@@ -86,6 +88,9 @@
     log: EventLog,
     origins: OriginKeeper,
     reach: ReachKeeper,
+    /// What this host last told of its reach, and when.
+    reach_notice: ReachNotice,
+    reach_told_at: Option<Instant>,
     views: HostViews,
     /// When the last step began.
     stepped_at: Instant,
@@ -153,7 +158,7 @@
             waiting: Vec::new(),
             convictions: 0,
             limits: Vec::new(),
-            reach: Box::default(),
+            reach: None,
         };
         Self {
             socket,
@@ -173,6 +178,8 @@
             log: EventLog::disabled(),
             origins: OriginKeeper::default(),
             reach: ReachKeeper::default(),
+            reach_notice: ReachNotice::default(),
+            reach_told_at: None,
             views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
             stepped_at: Instant::now(),
             emptied_at: Instant::now(),
@@ -277,8 +284,11 @@
             Some(HostDatagram::Load(report)) => {
                 self.send_convictions(&report, sender, now).await;
                 if report.host != self.report.host {
-                    let reach = &self.reach;
-                    reach.apply_report(&report.host, &report.loads, &report.reach, now);
+                    let (host, loads) = (&report.host, &report.loads);
+                    match &report.reach {
+                        Some(notice) => self.reach.apply_report(host, loads, notice, now),
+                        None => self.reach.apply_loads(host, loads, now),
+                    }
                 }
                 let has_changed = self.balancer.state().apply_report(report, now);
                 if has_changed {
@@ -458,17 +468,15 @@
         };
         let is_leaving = self.leaving.is_cancelled();
         let convictions = self.crashes.digest();
-        let mut reach = Box::new(self.reach.own_notice(now));
-        if is_leaving {
-            reach.reached.clear();
-        }
+        let reach = self.own_reach(&loads, is_leaving, now);
+        let tells_reach = reach.is_news_after(&self.reach_notice);
         let has_changed = !is_same_work(&loads, &self.report.loads)
             || leaving != self.report.leaving
             || ended != self.report.ended
             || !is_same_backlog(&waiting, &self.report.waiting)
             || convictions != self.report.convictions
             || limit_revision != self.limit_revision
-            || reach != self.report.reach
+            || tells_reach
             || is_leaving != self.report.is_leaving;
         if !has_changed && now - self.reported_at < IDLE_INTERVAL {
             return;
@@ -484,13 +492,31 @@
         self.report.is_leaving = is_leaving;
         self.report.convictions = convictions;
         self.report.limits = self.balancer.state().limit_notices(now);
-        self.report.reach = reach;
+        let is_reach_due = self
+            .reach_told_at
+            .is_none_or(|at| now - at >= IDLE_INTERVAL);
+        self.report.reach = (tells_reach || is_reach_due).then(|| {
+            self.reach_told_at = Some(now);
+            self.reach_notice = reach.clone();
+            Box::new(reach)
+        });
         self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
         self.send(&report, &self.peers.neighbours).await;
     }
 
+    /// What this host tells of its reach beside `loads`, which tell that upstreams are heard as well.
+    fn own_reach(&self, loads: &[UpstreamLoad], is_leaving: bool, now: Instant) -> ReachNotice {
+        let mut reach = self.reach.own_notice(now);
+        if is_leaving {
+            reach.reached.clear();
+        }
+        let is_told = |tag: &u32| loads.iter().any(|load| load.0 == *tag && load.3);
+        reach.heard.retain(|tag| !is_told(tag));
+        reach
+    }
+
     /// Broadcasts the jobs that this host acquired, its silent neighbours and whether it is leaving:
     /// to all hosts at each change, and every [`ANNOUNCEMENT_INTERVAL`] while there is something to
     /// announce or the host has begun to report less than [`PRESENCE_TIME`] ago. That it is stranded is
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -73,9 +73,9 @@
     /// Limits of upstreams that the host has observed or granted requests under lately.
     #[serde(rename = "r", default)]
     pub limits: Vec<LimitNotice>,
-    /// Reach of the host.
-    #[serde(rename = "t", default, skip_serializing_if = "ReachNotice::is_empty")]
-    pub reach: Box<ReachNotice>,
+    /// Reach of the host; `None` if it is as in an earlier report, or the host is of a release without it.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<Box<ReachNotice>>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/reach/keeper.rs
+++ b/lib/src/reach/keeper.rs
@@ -113,6 +113,11 @@
         self.table().is_mostly_stranded()
     }
 
+    /// Applies a load report of another host that says nothing new of its reach.
+    pub fn apply_loads(&self, host: &str, loads: &[UpstreamLoad], now: Instant) {
+        self.table().apply_loads(host, loads, now);
+    }
+
     /// What this host tells the others in its load reports.
     pub fn own_notice(&self, now: Instant) -> ReachNotice {
         self.table().own_notice(now)
--- a/lib/src/reach/notice.rs
+++ b/lib/src/reach/notice.rs
@@ -25,8 +25,14 @@
 }
 
 impl ReachNotice {
-    /// Whether the notice says nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+    /// Whether the notice says something that other hosts have to know at once, after `before`. That an
+    /// upstream is heard no more is not: it is no longer said, and so forgotten.
+    pub(crate) fn is_news_after(&self, before: &Self) -> bool {
+        let is_heard_anew = |tag: &u32| !before.heard.contains(tag);
+        self.reached != before.reached
+            || self.stranded != before.stranded
+            || self.is_stranded != before.is_stranded
+            || self.unreached != before.unreached
+            || self.heard.iter().any(is_heard_anew)
     }
 }
--- a/lib/src/reach/table.rs
+++ b/lib/src/reach/table.rs
@@ -108,12 +108,20 @@
 #[derive(Debug)]
 struct PeerReach {
     notice: ReachNotice,
-    received_at: Instant,
+    /// When the notice was received.
+    noticed_at: Instant,
+    /// When anything was received from the host.
+    heard_at: Instant,
 }
 
 impl PeerReach {
+    /// Whether what the host said of its reach still holds.
     fn is_fresh(&self, now: Instant) -> bool {
-        now - self.received_at < NOTICE_TIME
+        now - self.noticed_at < NOTICE_TIME
+    }
+
+    fn is_heard(&self, now: Instant) -> bool {
+        now - self.heard_at < NOTICE_TIME
     }
 }
 
@@ -190,22 +198,43 @@
         notice: &ReachNotice,
         now: Instant,
     ) {
-        let active = loads.iter().filter(|load| load.3).map(|load| load.0);
-        let heard = active.chain(notice.heard.iter().copied());
-        for tag in heard.filter(|tag| !notice.unreached.contains(tag)) {
-            self.heard_elsewhere.insert(tag, now);
+        for tag in &notice.heard {
+            self.heard_elsewhere.insert(*tag, now);
         }
         self.apply_stranded(host, notice.is_stranded, now);
         let peer = PeerReach {
             notice: notice.clone(),
-            received_at: now,
+            noticed_at: now,
+            heard_at: now,
         };
         self.peers.insert(host.to_owned(), peer);
+        self.apply_loads(host, loads, now);
+    }
+
+    /// Applies a load report of another host that says nothing new of its reach. One of a release without
+    /// it says that the host is there.
+    pub(crate) fn apply_loads(&mut self, host: &str, loads: &[UpstreamLoad], now: Instant) {
+        if !self.peers.contains_key(host) {
+            let peer = PeerReach {
+                notice: ReachNotice::default(),
+                noticed_at: now,
+                heard_at: now,
+            };
+            self.peers.insert(host.to_owned(), peer);
+        }
+        let Some(peer) = self.peers.get_mut(host) else {
+            return;
+        };
+        peer.heard_at = now;
+        let active = loads.iter().filter(|load| load.3).map(|load| load.0);
+        for tag in active.filter(|tag| !peer.notice.unreached.contains(tag)) {
+            self.heard_elsewhere.insert(tag, now);
+        }
     }
 
     /// Whether no other host has been heard lately.
     pub(crate) fn is_alone(&self, now: Instant) -> bool {
-        !self.peers.values().any(|peer| peer.is_fresh(now))
+        !self.peers.values().any(|peer| peer.is_heard(now))
     }
 
     /// Whether connections to an upstream fail here while another host hears it.
@@ -509,7 +538,7 @@
     pub(crate) fn expire(&mut self, now: Instant) {
         self.heard_elsewhere
             .retain(|_, at| now - *at < ELSEWHERE_TIME);
-        self.peers.retain(|_, peer| peer.is_fresh(now));
+        self.peers.retain(|_, peer| peer.is_heard(now));
         self.stranded_hosts.retain(|_, until| now < *until);
         self.contacts.retain(|_, (_, contact)| {
             let last = contact.last_evidence();
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -368,7 +368,7 @@
                 waiting: Vec::new(),
                 convictions: 0,
                 limits: host.state.limit_notices(now),
-                reach: Box::default(),
+                reach: None,
             };
             let neighbours = host.state.neighbours();
             for other in 0..self.hosts.len() {
@@ -501,7 +501,7 @@
                         waiting: Vec::new(),
                         convictions: 0,
                         limits: state.limit_notices(now),
-                        reach: Box::default(),
+                        reach: None,
                     };
                     (state.take_grant_requests(), report)
                 };
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -183,7 +183,7 @@
                 waiting: host.balancer.own_waiting(now),
                 convictions: 0,
                 limits: Vec::new(),
-                reach: Box::default(),
+                reach: None,
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -103,7 +103,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: Vec::new(),
-        reach: Box::default(),
+        reach: None,
     }
 }
 
@@ -511,7 +511,7 @@
                 waiting: Vec::new(),
                 convictions: 0,
                 limits: Vec::new(),
-                reach: Box::default(),
+                reach: None,
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -241,7 +241,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: vec![LimitNotice(observation, u32::MAX, u32::MAX)],
-        reach: Box::default(),
+        reach: None,
     };
     state.apply_report(report, now);
     assert_eq!(
@@ -278,7 +278,7 @@
             waiting: Vec::new(),
             convictions: 0,
             limits: vec![LimitNotice(observation, *grants, *grants)],
-            reach: Box::default(),
+            reach: None,
         };
         state.apply_report(report, now);
     }
@@ -379,7 +379,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: Vec::new(),
-        reach: Box::default(),
+        reach: None,
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let mut fields = value.into_map().unwrap();
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -309,7 +309,7 @@
         waiting: Vec::new(),
         convictions: 0,
         limits: Vec::new(),
-        reach: Box::default(),
+        reach: None,
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let fields = value.into_map().unwrap();
@@ -593,3 +593,47 @@
         assert_eq!(HostDatagram::decode(&sent.encode()), Some(sent));
     }
 }
+
+#[test]
+fn test_sizes_of_notices() {
+    let report = |reach: Option<ReachNotice>| HostLoadReport {
+        host: "front-west-b-3".to_owned(),
+        incarnation: 1_770_000_000_000,
+        sequence: 1_000,
+        is_leaving: false,
+        loads: Vec::new(),
+        leaving: Vec::new(),
+        ended: Vec::new(),
+        waiting: Vec::new(),
+        convictions: 0,
+        limits: Vec::new(),
+        reach: reach.map(Box::new),
+    };
+    let size = |reach| HostDatagram::Load(report(reach)).encode().len();
+    let tags = |count: u32| {
+        (0..count)
+            .map(|number| u32::MAX - number)
+            .collect::<Vec<u32>>()
+    };
+    let before = size(None);
+    let steady = ReachNotice {
+        reached: tags(5),
+        ..ReachNotice::default()
+    };
+    assert_eq!(size(Some(steady)) - before, 31);
+    let stranded = ReachNotice {
+        stranded: tags(5),
+        is_stranded: true,
+        unreached: tags(16),
+        ..ReachNotice::default()
+    };
+    assert_eq!(size(Some(stranded)) - before, 117);
+    let announcement = HostAnnouncement {
+        host: "front-west-b-3".to_owned(),
+        is_leaving: false,
+        acquired_jobs: Vec::new(),
+        silent_hosts: Vec::new(),
+        is_stranded: true,
+    };
+    assert_eq!(HostDatagram::Announcement(announcement).encode().len(), 33);
+}
