tests: the answer to a creation that comes after the close runs nothing

A host runs and closes a job that a scan has found, while the answer to its creation is on its way. The answer then inserts the job as a new one, by the same claim, so that its items run again and its reader sees no results: fewest results read 0 instead of 3, runs of each item [2, 2, 2] instead of [1, 1, 1]. Not mended here.

--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -8,6 +8,7 @@
 use job_fleet::JobFleet;
 use job_fleet::assert_complete;
 use job_fleet::job;
+use job_fleet::read;
 use job_fleet::read_all;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
@@ -16,6 +17,8 @@
 
 /// Number of items for which the job runs on while the first segment is written.
 const ITEMS: usize = 120;
+/// Number of items of a job that is closed soon.
+const FEW_ITEMS: usize = 3;
 /// Time after a job's acceptance at which its first segment is being written.
 const FIRST_SEGMENT_TIME: Duration = Duration::from_millis(2_500);
 
@@ -58,3 +61,34 @@
         assert_eq!(runs.len(), 1, "{runs:?}");
     }
 }
+
+/// Guards against a closed job that runs again: the answer to its creation comes after the host, told by a
+/// scan, has run and closed it.
+#[tokio::test(start_paused = true)]
+async fn test_answer_to_a_creation_after_the_close_runs_nothing() {
+    let mut fleet = JobFleet::new();
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    link.set_next_commit(CommitFault::AnswersAfter(Duration::from_secs(10)));
+    let submission = {
+        let keeper = host.keeper.clone();
+        tokio::spawn(async move { keeper.submit(job("j1", FEW_ITEMS)).await })
+    };
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    read_all(&host, "j1").await;
+    assert!(!submission.is_finished(), "the answer is still on its way");
+    assert!(fleet.kv.value("open/j1").is_none(), "the job is closed");
+    let mut shortest = FEW_ITEMS;
+    for _ in 0..200 {
+        shortest = shortest.min(read(&host, "j1", 0).await.results.len());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(submission.await.unwrap(), SubmitOutcome::Accepted);
+    let ids = (0..FEW_ITEMS).map(|number| format!("j1-{number}"));
+    let runs: Vec<usize> = ids.map(|id| fleet.transport.runs(&id).len()).collect();
+    assert_eq!(
+        (shortest, runs),
+        (FEW_ITEMS, vec![1; FEW_ITEMS]),
+        "fewest results read, and runs of each item"
+    );
+}
