tests: a late read of a claim does not revive a closed job

The owner key is deleted; the host claims its own job again, and the read for that claim is answered 10 s late. The items end, a write by the earlier claim is rejected, the reload loads the same claim, goes on by it and closes the job. The late read then inserts the job again by the same claim: fewest results read 0 instead of 3, runs of each item [2, 2, 2] instead of [1, 1, 1]. Not mended here. KvLink can answer one up-to-date listing late for it.

--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -19,6 +19,8 @@
 const ITEMS: usize = 120;
 /// Number of items of a job that is closed soon.
 const FEW_ITEMS: usize = 3;
+/// Gap between the events of items that outlast a scan.
+const LONG_GAP: Duration = Duration::from_millis(100);
 /// Time after a job's acceptance at which its first segment is being written.
 const FIRST_SEGMENT_TIME: Duration = Duration::from_millis(2_500);
 
@@ -92,3 +94,31 @@
         "fewest results read, and runs of each item"
     );
 }
+
+/// Guards against a closed job that runs again: a read of it for an own claim is answered after the close, as
+/// another read of the same claim let the host go on.
+#[tokio::test(start_paused = true)]
+async fn test_late_read_of_a_claim_does_not_revive_a_closed_job() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", FEW_ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    link.set_next_listing_late("job/j1/", Duration::from_secs(10));
+    let key = "open/j1/owner";
+    fleet.kv.delete(key, Expect::Any).await.unwrap();
+    read_all(&host, "j1").await;
+    assert!(fleet.kv.value("open/j1").is_none(), "the job is closed");
+    let mut shortest = FEW_ITEMS;
+    for _ in 0..200 {
+        shortest = shortest.min(read(&host, "j1", 0).await.results.len());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let ids = (0..FEW_ITEMS).map(|number| format!("j1-{number}"));
+    let runs: Vec<usize> = ids.map(|id| fleet.transport.runs(&id).len()).collect();
+    assert_eq!(
+        (shortest, runs),
+        (FEW_ITEMS, vec![1; FEW_ITEMS]),
+        "fewest results read, and runs of each item"
+    );
+}
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -45,6 +45,8 @@
     next_commit: Mutex<Option<CommitFault>>,
     /// The first pages of the stale listings that are held, by prefix; `None` before the first listing.
     held_pages: Mutex<HashMap<String, Option<KvPage>>>,
+    /// Prefix of the next up-to-date listing that is answered late, and how late.
+    late_listing: Mutex<Option<(String, Duration)>>,
     /// Delay of commits in milliseconds; zero: none.
     lateness_ms: AtomicU64,
     is_stale: AtomicBool,
@@ -60,6 +62,7 @@
             is_cut: AtomicBool::new(false),
             next_commit: Mutex::default(),
             held_pages: Mutex::default(),
+            late_listing: Mutex::default(),
             lateness_ms: AtomicU64::new(0),
             is_stale: AtomicBool::new(false),
             pages: Mutex::default(),
@@ -76,6 +79,18 @@
         *self.next_commit.lock().expect("link lock") = Some(fault);
     }
 
+    /// Executes the next up-to-date listing of `prefix` at once, and answers it after `delay`.
+    pub fn set_next_listing_late(&self, prefix: &str, delay: Duration) {
+        let listing = (prefix.to_owned(), delay);
+        *self.late_listing.lock().expect("link lock") = Some(listing);
+    }
+
+    fn take_listing_delay(&self, prefix: &str) -> Duration {
+        let mut late = self.late_listing.lock().expect("link lock");
+        let late = late.take_if(|(known, _)| known == prefix);
+        late.map_or(Duration::ZERO, |(_, delay)| delay)
+    }
+
     /// Answers stale listings of `prefix` from now on as the first one after this call.
     pub fn hold_listings(&self, prefix: &str) {
         let mut held = self.held_pages.lock().expect("link lock");
@@ -127,7 +142,10 @@
         after: Option<&str>,
         limit: usize,
     ) -> Result<KvPage, KvError> {
-        self.pass().await?.list(prefix, after, limit).await
+        let delay = self.take_listing_delay(prefix);
+        let page = self.pass().await?.list(prefix, after, limit).await;
+        tokio::time::sleep(delay).await;
+        page
     }
 
     async fn list_stale(
