tests: a full open job that was read is closed after a lost claim

Fails on ("the job is closed"): a host that has read all results of an open job, as an earlier release leaves it, caches them, and a scan then takes the job for known, so that the host never loads it when the answer to its claim was lost. Passes without the read, and without the lost answer. Not mended here.

--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use job_fleet::JobFleet;
 use job_fleet::assert_complete;
 use job_fleet::job;
@@ -122,3 +123,32 @@
         "fewest results read, and runs of each item"
     );
 }
+
+/// Guards against a job that stays open: its results are all stored, as by an earlier release, and this host
+/// has read them before it claims the job and the answer is lost.
+#[tokio::test(start_paused = true)]
+async fn test_full_open_job_that_was_read_is_closed_after_a_lost_claim() {
+    let mut fleet = JobFleet::new();
+    let first = fleet.host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = first.keeper.submit(job("j1", FEW_ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    read_all(&first, "j1").await;
+    first.kill();
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let (host, link) = fleet.linked_host("host-b").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.kv.delete("closed/j1", Expect::Any).await.unwrap();
+    let open = fleet
+        .kv
+        .put("open/j1", Bytes::new(), Expect::Any, None)
+        .await;
+    open.unwrap();
+    link.set_next_commit(CommitFault::LosesAnswer);
+    read_all(&host, "j1").await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert!(
+        fleet.kv.value("open/j1/owner").is_none() && fleet.kv.value("open/j1").is_none(),
+        "the job is closed"
+    );
+}
