--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -13,8 +13,10 @@
 use job_fleet::read_all;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::jobs::JobConfig;
 use parsleywall::jobs::SubmitOutcome;
 use parsleywall_standins::kv_link::CommitFault;
+use parsleywall_standins::kv_link::KvLink;
 
 /// Number of items for which the job runs on while the first segment is written.
 const ITEMS: usize = 120;
@@ -152,3 +154,38 @@
         "the job is closed"
     );
 }
+
+/// Guards against results of a removed job in a later one of its identifier: its removal failed halfway.
+#[tokio::test(start_paused = true)]
+async fn test_removal_that_failed_halfway_is_completed_by_a_later_sweep() {
+    let mut fleet = JobFleet::new();
+    let link = KvLink::new(fleet.kv.clone());
+    let config = JobConfig {
+        keep_time: Duration::from_secs(20),
+        sweep_interval: Duration::from_secs(5),
+        ..JobConfig::default()
+    };
+    let host = fleet.host_on("host-a", config, link.clone()).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", FEW_ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    read_all(&host, "j1").await;
+    let first = fleet.kv.value("job/j1/seg/00000").unwrap();
+    // A job of more segments than one commit deletes; what is in them does not matter here.
+    for number in 1..40 {
+        let key = format!("job/j1/seg/{number:05}");
+        let put = fleet.kv.put(&key, first.clone(), Expect::Any, None).await;
+        put.unwrap();
+    }
+    link.set_next_commit(CommitFault::LosesAnswer);
+    while fleet.kv.value("job/j1/info").is_some() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert!(fleet.kv.value("closed/j1").is_none(), "the job is removed");
+    let left = (0..40).filter(|number| {
+        let key = format!("job/j1/seg/{number:05}");
+        fleet.kv.value(&key).is_some()
+    });
+    assert_eq!(left.count(), 0, "segments that are left");
+}
