tests: a late read of a claim does not revive an ended job

Fails on: the owner key is deleted; the read for the host's own claim is answered 5 s late, after the host has ended and dropped the job. Not mended here.

--- a/lib/tests/test_result_positions.rs
+++ b/lib/tests/test_result_positions.rs
@@ -13,6 +13,7 @@
 use job_fleet::read_all;
 use parsleywall::edges::kv::Expect;
 use parsleywall::edges::kv::KvStore;
+use parsleywall::jobs::EndOutcome;
 use parsleywall::jobs::JobConfig;
 use parsleywall::jobs::SubmitOutcome;
 use parsleywall_standins::kv_link::CommitFault;
@@ -219,3 +220,27 @@
         "the accepted job is stored"
     );
 }
+
+/// Guards against items that run after their job's end is confirmed: a read of the job for an own claim is
+/// answered after the end.
+#[tokio::test(start_paused = true)]
+async fn test_late_read_of_a_claim_does_not_revive_an_ended_job() {
+    let mut fleet = JobFleet::with_gap(LONG_GAP);
+    let (host, link) = fleet.linked_host("host-a").await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let outcome = host.keeper.submit(job("j1", FEW_ITEMS)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    link.set_next_listing_late("job/j1/", Duration::from_secs(5));
+    let key = "open/j1/owner";
+    fleet.kv.delete(key, Expect::Any).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(host.keeper.end("j1").await, EndOutcome::Ended);
+    let ids: Vec<String> = (0..FEW_ITEMS)
+        .map(|number| format!("j1-{number}"))
+        .collect();
+    let count_runs = || ids.iter().map(|id| fleet.transport.runs(id).len());
+    let before: Vec<usize> = count_runs().collect();
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let after: Vec<usize> = count_runs().collect();
+    assert_eq!(before, after, "runs of each item at the end and later");
+}
