jobs: test that an item selected before a hold or an end does not begin after it

Fails on (begun after ["hold", "end"]): begin_run looks at the item's state only, and the job may be held or marked as ending by another thread since its item was selected. Not mended here.

--- a/lib/src/jobs/tests.rs
+++ b/lib/src/jobs/tests.rs
@@ -362,6 +362,27 @@
     assert_eq!(table.open_item_count(), 3);
 }
 
+/// An item that was selected before its job was held or marked as ending does not begin after that.
+#[test]
+fn test_item_selected_before_a_hold_or_an_end_does_not_begin_after_it() {
+    let mut begun = Vec::new();
+    for name in ["hold", "end"] {
+        let mut play = Play::new();
+        play.apply(Step::Claim(0));
+        play.apply(Step::Arrive(0));
+        let table = &mut play.tables[0];
+        let heads = table.route_heads(&Default::default(), play.now, 0);
+        match name {
+            "hold" => table.hold(JOB),
+            _ => table.mark_ending(JOB),
+        }
+        if table.begin_run(&heads[0], play.now).is_some() {
+            begun.push(name);
+        }
+    }
+    assert!(begun.is_empty(), "begun after {begun:?}");
+}
+
 fn done(item: &JobItem) -> JobResult {
     JobResult {
         id: item.id.clone(),
