standins: a listing that is not late does not wait

A listing over KvLink slept for no time since, which may add a tick of the clock to each; now it does not sleep.

--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -144,7 +144,9 @@
     ) -> Result<KvPage, KvError> {
         let delay = self.take_listing_delay(prefix);
         let page = self.pass().await?.list(prefix, after, limit).await;
-        tokio::time::sleep(delay).await;
+        if delay > Duration::ZERO {
+            tokio::time::sleep(delay).await;
+        }
         page
     }
 
