--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -632,6 +632,8 @@
     assert_eq!(size(Some(stranded)) - before, 117);
     let announcement = HostAnnouncement {
         host: "front-west-b-3".to_owned(),
+        incarnation: 1,
+        sequence: 1,
         is_leaving: false,
         acquired_jobs: Vec::new(),
         silent_hosts: Vec::new(),
