detour: a stopping host waits until the last message of a request is sent

Cause: a request of another host counted as ended as soon as its last messages were queued, so that a host which stops could close the connection before they were sent, and the stream would have broken off.

Change: it counts until the messages are dropped, which the connection does after the last one is sent.

cargo test -p parsleywall: test_detours 15 passed, test_detour_sockets 7; the new test failed before ("assertion failed: !finishing.is_finished()").

--- a/lib/src/detour/server.rs
+++ b/lib/src/detour/server.rs
@@ -101,21 +101,20 @@
             frames,
             runs: RunCounter::default(),
         };
-        let task = match TakenGuard::enter(&self.taken) {
-            Some(guard) => tokio::spawn(async move {
-                run.serve(call).await;
-                drop(guard);
-            }),
-            None => tokio::spawn(async move {
+        let guard = TakenGuard::enter(&self.taken);
+        let task = match guard.is_some() {
+            true => tokio::spawn(run.serve(call)),
+            false => tokio::spawn(async move {
                 let request = call.id.to_string();
                 run.refuse(request, DetourRefusal::Overloaded, FULL_RETRY_DELAY)
                     .await;
             }),
         };
-        let state = (queue, AbortOnDropHandle::new(task));
-        stream::unfold(state, |(mut queue, task)| async move {
+        // The request counts until its last message has been sent.
+        let state = (queue, AbortOnDropHandle::new(task), guard);
+        stream::unfold(state, |(mut queue, task, guard)| async move {
             let frame = queue.recv().await?;
-            Some((frame, (queue, task)))
+            Some((frame, (queue, task, guard)))
         })
         .boxed()
     }
--- a/lib/tests/test_detours.rs
+++ b/lib/tests/test_detours.rs
@@ -416,3 +416,30 @@
             .all(|text| !text.contains("parsleywall_requests_total{"))
     );
 }
+
+/// A host that stops waits for the requests that it took from others, and no longer than its grace lasts.
+#[tokio::test(start_paused = true)]
+async fn test_stopping_host_waits_for_the_requests_that_it_took() {
+    let fleet = DetourFleet::start(2).await;
+    fleet.cut(&[0], CutKind::Hangs).await;
+    let answer = fleet.relays[0].relay(request("r", route(RESUMABLE, 2)));
+    let mut body = stream(answer.await);
+    read_events(&mut body, 5).await;
+    let server = fleet.servers[1].server.clone();
+    let deadline = Instant::now() + Duration::from_secs(2);
+    fleet.relays[1].stop_gate().begin(deadline);
+    let finishing = tokio::spawn(async move { server.finish(deadline).await });
+    read_events(&mut body, EVENTS as usize - 5).await;
+    assert!(!finishing.is_finished());
+    assert!(body.next().await.is_none());
+    finishing.await.unwrap();
+    assert!(Instant::now() < deadline);
+    // Nobody reads this one.
+    let answer = fleet.relays[0].relay(request("s", route(RESUMABLE, 2)));
+    let mut body = stream(answer.await);
+    read_events(&mut body, 1).await;
+    let deadline = Instant::now() + Duration::from_millis(100);
+    fleet.servers[1].server.finish(deadline).await;
+    assert!(Instant::now() >= deadline);
+    assert_eq!(fleet.taking_hosts(), vec![1]);
+}
