stand-ins: the platform's store answers late what it has executed at once

Cause: a slow store delayed calls before their effect only, so that no answer could come after what followed it. Change: KvFaults::late_answers delays answers over HTTP by a time drawn from a seed, for calls about some keys or all.

--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -29,6 +29,9 @@
 use parsleywall::edges::kv::MAX_VALUE_BYTES;
 use parsleywall::edges::kv::PutAnswer;
 use parsleywall::edges::kv::PutBody;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -54,6 +57,46 @@
     pub delay_ms: AtomicU64,
     /// Number of coming writes whose response is lost after they took effect.
     pub lose_answers: AtomicU64,
+    /// Answers that servers of the store give late.
+    pub late_answers: Mutex<Option<LateAnswers>>,
+}
+
+impl KvFaults {
+    /// Draws how much later than its effect a call about `keys` is answered.
+    pub(crate) fn answer_delay(&self, keys: &[String]) -> Duration {
+        let mut late = self.late_answers.lock().expect("late answers lock");
+        late.as_mut().map_or(Duration::ZERO, |late| late.draw(keys))
+    }
+}
+
+/// Calls that take effect at once and are answered late, each after a time of its own, so that answers
+/// come in another order than their calls.
+#[derive(Debug)]
+pub struct LateAnswers {
+    part: &'static str,
+    most: Duration,
+    random: StdRng,
+}
+
+impl LateAnswers {
+    /// Answers calls about keys with `part` in their names, or all calls if it is empty, up to `most`
+    /// late. The delays follow from `seed`.
+    pub fn new(part: &'static str, most: Duration, seed: u64) -> Self {
+        Self {
+            part,
+            most,
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Draws how much later than its effect a call about `keys` is answered.
+    pub fn draw(&mut self, keys: &[String]) -> Duration {
+        if !self.part.is_empty() && !keys.iter().any(|key| key.contains(self.part)) {
+            return Duration::ZERO;
+        }
+        let most_ms = self.most.as_millis() as u64;
+        Duration::from_millis(self.random.random_range(0..=most_ms))
+    }
 }
 
 /// Number of calls that reached the store, failed ones included.
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -46,19 +46,34 @@
 ) -> std::io::Result<StandinServer> {
     StandinServer::start(move |request| {
         let (store, view) = (store.clone(), view.clone());
-        async move { answer(&store, &view, request).await }
+        async move { answer_late(&store, &view, request).await }
     })
     .await
 }
 
+/// Answers a request as late as the injected faults say. It takes effect at once.
+async fn answer_late(
+    store: &KvMemory,
+    view: &ValueView,
+    request: Request<Incoming>,
+) -> Option<StandinReply> {
+    let mut keys = Vec::new();
+    let reply = answer(store, view, request, &mut keys).await;
+    tokio::time::sleep(store.faults.answer_delay(&keys)).await;
+    reply
+}
+
+/// Answers a request, and adds the keys or the prefix that it reads or writes to `keys`.
 async fn answer(
     store: &KvMemory,
     view: &ValueView,
     request: Request<Incoming>,
+    keys: &mut Vec<String>,
 ) -> Option<StandinReply> {
     let item = |entry: &KvEntry| item(entry, view);
     let path = request.uri().path().to_owned();
     let query = |name| query_value(&request, name).unwrap_or_default();
+    keys.extend(["key", "prefix"].map(query));
     match (request.method().clone(), path.as_str()) {
         (Method::GET, "/kv-key") => match store.get(&query("key")).await {
             Ok(Some(entry)) => Some(json_reply(StatusCode::OK, &item(&entry))),
@@ -94,7 +109,9 @@
         }
         (Method::POST, "/kv-txn") => {
             let body: Value = serde_json::from_slice(&read_body(request).await).ok()?;
-            let committed = store.commit(commit(&body)?).await;
+            let commit = commit(&body)?;
+            keys.extend(commit.puts.iter().map(|put| put.key.clone()));
+            let committed = store.commit(commit).await;
             reply(committed, |version| json!({ "rev": version.0 }))
         }
         (Method::POST, "/kv-lease") => {
