soak: readers at all fronts while the store answers late and owner keys are deleted

Cause: the soak read a job at one front at a time, ended with as many results as items (an item listed twice counted as two), and no store answered after a later effect. JobRecord counts distinct items. No existing test was changed.

--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Clients with batch jobs: they submit and resubmit, read results from any position through any
 //! front, and cancel some jobs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use crate::callers;
 use crate::content;
 use crate::fleet::SoakFleet;
+use crate::history::Records;
 use crate::history::SoakHistory;
 use crate::plan::FIRST_DOUBLED_SEED;
 
@@ -63,7 +65,26 @@
 impl JobRecord {
     /// Whether a result of every item is listed.
     pub fn is_complete(&self) -> bool {
-        self.results.len() == self.items.len()
+        self.distinct_results() == self.items.len()
+    }
+
+    /// Number of the job's items that have a result.
+    pub fn distinct_results(&self) -> usize {
+        let listed: BTreeSet<&str> = self.results.iter().map(|one| one.id.as_str()).collect();
+        let listed = self.items.iter().filter(|id| listed.contains(id.as_str()));
+        listed.count()
+    }
+
+    /// Number of items that began to run after the job had been read as complete.
+    pub fn run_again(&self, records: &Records) -> usize {
+        let Some(completed_at) = self.completed_at else {
+            return 0;
+        };
+        let runs_again = |item: &&String| {
+            let mut runs = records.executions.iter();
+            runs.any(|run| run.id == **item && run.began_at > completed_at)
+        };
+        self.items.iter().filter(runs_again).count()
     }
 
     /// Notes the result that a page lists at `position`; returns the rules that it breaks, and by what.
--- a/soak/src/owner_watch.rs
+++ b/soak/src/owner_watch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use parsleywall::edges::kv::KvStore;
 use parsleywall::edges::kv::KvVersion;
 use parsleywall_standins::kv::KvMemory;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::sync::DropGuard;
 
@@ -20,9 +22,23 @@
 const WATCH_TIME: Duration = Duration::from_secs(1);
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// A change of the key of a job's owner.
+#[derive(Clone, Debug)]
+pub struct OwnerChange {
+    /// When it was seen.
+    pub at: Instant,
+    /// The key.
+    pub key: String,
+    /// Version of the key.
+    pub version: u64,
+    /// Value of the key; `None` if it was deleted or has lapsed.
+    pub owner: Option<String>,
+}
+
 /// Counts changes of owners until dropped.
 pub struct OwnerWatch {
     changes: Arc<AtomicUsize>,
+    log: Arc<Mutex<Vec<OwnerChange>>>,
     _stop: DropGuard,
 }
 
@@ -31,9 +47,15 @@
     pub fn start(kv: Arc<KvMemory>) -> Self {
         let (changes, stop) = (Arc::new(AtomicUsize::new(0)), CancellationToken::new());
         let (counted, stopped) = (changes.clone(), stop.clone());
-        tokio::spawn(async move { stopped.run_until_cancelled(count(&kv, &counted)).await });
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let noted = log.clone();
+        tokio::spawn(async move {
+            let count = count(&kv, &counted, &noted);
+            stopped.run_until_cancelled(count).await
+        });
         Self {
             changes,
+            log,
             _stop: stop.drop_guard(),
         }
     }
@@ -43,6 +65,11 @@
     pub fn changes(&self) -> usize {
         self.changes.load(Ordering::Relaxed)
     }
+
+    /// All changes of owners' keys so far, deletions included.
+    pub fn log(&self) -> Vec<OwnerChange> {
+        self.log.lock().expect("owner log lock").clone()
+    }
 }
 
 /// The last owner of each job, by the owner's key.
@@ -65,7 +92,25 @@
     }
 }
 
-async fn count(kv: &KvMemory, counted: &AtomicUsize) {
+fn owner_change(change: &KvChange) -> OwnerChange {
+    let at = Instant::now();
+    match change {
+        KvChange::Put(entry) => OwnerChange {
+            at,
+            key: entry.key.clone(),
+            version: entry.version.0,
+            owner: Some(String::from_utf8_lossy(&entry.value).into_owned()),
+        },
+        KvChange::Deleted { key, version } => OwnerChange {
+            at,
+            key: key.clone(),
+            version: version.0,
+            owner: None,
+        },
+    }
+}
+
+async fn count(kv: &KvMemory, counted: &AtomicUsize, log: &Mutex<Vec<OwnerChange>>) {
     let mut owners = LastOwners::default();
     let mut after = KvVersion(0);
     loop {
@@ -75,6 +120,10 @@
         };
         after = changes.revision;
         for change in changes.changes {
+            let noted = owner_change(&change);
+            if noted.key.ends_with(OWNER_SUFFIX) {
+                log.lock().expect("owner log lock").push(noted);
+            }
             counted.fetch_add(usize::from(owners.note(change)), Ordering::Relaxed);
         }
     }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -136,6 +136,19 @@
     SilentCallerAtStart,
     /// The owner of running items stands still for 9 s.
     FrozenOwner,
+    /// The store executes calls at once and answers them up to 2.5 s late, while the owner keys of jobs
+    /// are deleted again and again; readers at all fronts read the jobs.
+    LateAnswers,
+    /// As `LateAnswers`, up to 150 ms late.
+    LateAnswersShort,
+    /// As `LateAnswers`, up to 700 ms late.
+    LateAnswersMedium,
+    /// As `LateAnswers`; fronts are killed, stopped and suspended meanwhile.
+    LateAnswersRestarts,
+    /// As `LateAnswers`; only writes of results are answered late.
+    LateSegments,
+    /// As `LateSegments`; fronts are killed, stopped and suspended meanwhile.
+    LateSegmentsRestarts,
 }
 
 /// Configuration of a play.
@@ -216,7 +229,7 @@
         workers: WorkerConfig {
             desk: 2,
             annex: 2,
-            slots: 2 * STREAMS as u64,
+            slots: config.kind.slots(),
         },
         clock_shifts_ms: config.kind.clock_shifts_ms(),
         ..config.fleet.clone()
--- a/soak/src/play_overlaps.rs
+++ b/soak/src/play_overlaps.rs
@@ -14,7 +14,6 @@
 use crate::history::CallKind;
 use crate::history::FaultRecord;
 use crate::history::Records;
-use crate::jobs::JobRecord;
 use crate::overlap;
 use crate::owner_watch::OwnerWatch;
 use crate::play::Play;
@@ -140,28 +139,17 @@
         self.done = jobs.done();
         self.not_found = jobs.not_found;
         self.broken_results = jobs.broken.clone();
-        self.again = jobs.jobs.iter().map(|job| run_again(records, job)).sum();
+        self.again = jobs.jobs.iter().map(|job| job.run_again(records)).sum();
     }
 }
 
-/// Number of items of `job` that began to run after it had been read as complete.
-fn run_again(records: &Records, job: &JobRecord) -> usize {
-    let Some(completed_at) = job.completed_at else {
-        return 0;
-    };
-    let runs_again = |item: &&String| {
-        let mut runs = records.executions.iter();
-        runs.any(|run| run.id == **item && run.began_at > completed_at)
-    };
-    job.items.iter().filter(runs_again).count()
-}
-
 impl PlayKind {
     /// Whether the play is about runs beside one another, and records all faults that excuse them.
     pub(crate) fn judges_overlaps(self) -> bool {
         self.doubles_a_name()
             || self.sends_jobs_again()
             || self.silences_callers()
+            || self.judges_results()
             || self == Self::FrozenOwner
     }
 
@@ -213,11 +201,12 @@
             kind if kind.doubles_a_name() => self.play_namesakes().await,
             kind if kind.silences_callers() => self.play_silent_callers().await,
             PlayKind::FrozenOwner => self.play_frozen_owner().await,
+            kind if kind.judges_results() => self.play_late_answers().await,
             _ => self.play_closed_jobs().await,
         }
     }
 
-    fn jobs(&self) -> PlayJobs {
+    pub(crate) fn jobs(&self) -> PlayJobs {
         PlayJobs::new(self.fleet.clone(), self.history.clone())
     }
 
@@ -231,7 +220,7 @@
     }
 
     /// Records a fault from `from` until now that excuses runs beside one another.
-    fn record_excuse(&self, name: &str, from: Duration) {
+    pub(crate) fn record_excuse(&self, name: &str, from: Duration) {
         let fault = FaultRecord {
             name: name.to_owned(),
             planned: false,
