soak: seeds in which the store answers late and jobs lose their owners' keys

Change: seeds from 2000 on draw late answers (all, or those to writes of results) and deletions of owner keys, beside kills, stops and standstills of fronts; jobs are read at all fronts to their end and must be closed within 10 s. Plans of lower seeds stay. A page that lists nothing at a position counts once the position was read over a second before (settleMs), and then at any front; before, at once, and only at a front that had listed it.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -45,6 +45,13 @@
         .any(|fault| !fault.planned && fault.from <= to && fault.to >= begin)
 }
 
+/// When no unplanned fault was in effect any more; `now` if one still is.
+pub fn calm_since(faults: &[FaultRecord], now: Duration) -> Duration {
+    let ends = faults.iter().filter(|fault| !fault.planned);
+    let last = ends.map(|fault| fault.to).max().unwrap_or_default();
+    last.saturating_add(SETTLE_TIME).min(now)
+}
+
 /// Returns all violations, one line each, which begins with the name of the rule.
 ///
 /// Requests sent after `recovered_at` are expected to be served again.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -6,6 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use parsleywall::edges::kv::Expect;
+use parsleywall::edges::kv::KvStore;
+use parsleywall_standins::kv::LateAnswers;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use tokio::task::JoinSet;
 
 use crate::content;
@@ -15,12 +21,15 @@
 use crate::history::FaultRecord;
 use crate::history::MoveRecord;
 use crate::history::SoakHistory;
+use crate::owner_watch::OPEN_PREFIX;
+use crate::owner_watch::OWNER_SUFFIX;
 use crate::plan::FaultKind;
 use crate::plan::FaultPlan;
 use crate::plan::PlannedFault;
 use crate::play::CONFIG_WATCH;
 use crate::play::ENTRY_WATCH;
 use crate::play_clients::BrokenStream;
+use crate::play_results::SEGMENT_KEYS;
 use crate::proxy::Direction;
 use crate::proxy::LinkFault;
 use crate::proxy::LinkProxy;
@@ -31,6 +40,10 @@
 const SLOW_STORE_MS: u64 = 400;
 const LINK_DELAY: Duration = Duration::from_millis(80);
 const LOST_RESPONSES: u64 = 6;
+/// Longest time by which answers of the store are late.
+const LATE_ANSWERS: Duration = Duration::from_millis(2_500);
+/// Time between two deletions of owner keys.
+const DELETION_GAP_MS: std::ops::Range<u64> = 40..1_000;
 /// Share of the length of a restart for which the worker is away.
 const RESTART_AWAY_ONE_IN: u32 = 40;
 const MANIFEST_WRITE_ATTEMPTS: usize = 40;
@@ -118,7 +131,9 @@
                 name: fault.kind.to_string(),
                 planned: fault.kind.is_planned(),
                 at_store: fault.kind.is_at_store(),
-                excuses_overlap: !fault.kind.is_planned() && !fault.kind.doubles_runs(),
+                excuses_overlap: !fault.kind.is_planned()
+                    && !fault.kind.doubles_runs()
+                    && !fault.kind.unsettles_jobs(),
                 from,
                 to: Duration::MAX,
             });
@@ -266,10 +281,42 @@
                 front.restart_with_clock(fault.clock_shift_ms()).await?;
             }
             FaultKind::CallersGone => self.leave_silently(target).await,
+            FaultKind::StoreAnswersLate => self.answer_late("", fault).await,
+            FaultKind::StoreResultsLate => self.answer_late(SEGMENT_KEYS, fault).await,
+            FaultKind::OwnersDeleted => self.delete_owners(fault).await,
         }
         Ok(())
     }
 
+    /// Answers calls about keys with `part` in their names late.
+    async fn answer_late(&self, part: &'static str, fault: PlannedFault) {
+        let set = |late| {
+            let faults = &self.fleet.kv.faults;
+            *faults.late_answers.lock().expect("late answers lock") = late;
+        };
+        let seed = fault.at.as_millis() as u64;
+        set(Some(LateAnswers::new(part, LATE_ANSWERS, seed)));
+        tokio::time::sleep(fault.length).await;
+        set(None);
+    }
+
+    /// Deletes the owner keys of all open jobs, and of some of them, again and again.
+    async fn delete_owners(&self, fault: PlannedFault) {
+        let mut rng = StdRng::seed_from_u64(fault.at.as_millis() as u64);
+        let until = tokio::time::Instant::now() + fault.length;
+        while tokio::time::Instant::now() < until {
+            let keys = self.fleet.kv.keys(OPEN_PREFIX);
+            let all = rng.random_bool(0.5);
+            for key in keys.iter().filter(|key| key.ends_with(OWNER_SUFFIX)) {
+                if all || rng.random_bool(0.5) {
+                    let _ = self.fleet.kv.delete(key, Expect::Any).await;
+                }
+            }
+            let gap = rng.random_range(DELETION_GAP_MS);
+            tokio::time::sleep(Duration::from_millis(gap)).await;
+        }
+    }
+
     /// Starts a second process of the name of a front, and ends it after the length of the fault.
     async fn start_namesake(&self, fault: PlannedFault) -> std::io::Result<()> {
         let address = self.namesakes.fetch_add(1, Ordering::Relaxed) % MAX_NAMESAKES;
--- a/soak/src/job_reads.rs
+++ b/soak/src/job_reads.rs
@@ -24,6 +24,9 @@
 /// Time for which a job may be open after a reader has got all its results.
 pub const FULL_AND_OPEN_TIME: Duration = Duration::from_secs(10);
 
+/// Time from the first read of a position until all fronts list it (`settleMs`).
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// One page of a job's results at one front.
 #[derive(Clone, Debug)]
 pub struct ReadPage {
@@ -37,15 +40,27 @@
     pub sent: Duration,
 }
 
+impl ReadPage {
+    /// Returns the page from position `after` on that `front` answered with `body`.
+    pub fn from_body(front: usize, after: usize, body: &[u8], sent: Duration) -> Self {
+        let page: Value = serde_json::from_slice(body).unwrap_or_default();
+        let rows = page["results"].as_array().cloned().unwrap_or_default();
+        Self {
+            front,
+            after,
+            results: rows.iter().map(ItemResult::from_row).collect(),
+            sent,
+        }
+    }
+}
+
 /// A job as its readers at all fronts saw it.
 #[derive(Clone, Debug)]
 pub struct JobReads {
     /// The job, with the results that any reader saw first at each position.
     pub job: JobRecord,
-    /// Front that first listed each position.
-    first_fronts: Vec<usize>,
-    /// Number of positions that each front has listed.
-    listed: Vec<usize>,
+    /// Front that first listed each position, and when that was read.
+    first_reads: Vec<(usize, Duration)>,
     /// When each front was last asked for a page that it answered with the job's last result.
     read_whole: Vec<Option<Duration>>,
     /// When the job was first seen closed in the store.
@@ -62,8 +77,7 @@
     pub fn new(job: JobRecord, fronts: usize) -> Self {
         Self {
             job,
-            first_fronts: Vec::new(),
-            listed: vec![0; fronts],
+            first_reads: Vec::new(),
             read_whole: vec![None; fronts],
             closed_at: None,
             is_full_and_open: false,
@@ -75,24 +89,26 @@
     /// Notes a page that was read by `now`.
     pub fn note_page(&mut self, page: ReadPage, now: Duration) {
         let (front, end) = (page.front, page.after + page.results.len());
-        if page.results.is_empty() && page.after < self.listed[front] {
+        let first_read = self.first_reads.get(page.after);
+        let is_settled = first_read.is_some_and(|(_, at)| page.sent > *at + SETTLE_TIME);
+        if page.results.is_empty() && is_settled {
             self.note_broken(format!(
-                "LOST: {} at {}: front {front} listed it and now lists nothing from there",
+                "LOST: {} at {}: was read, and front {front} lists nothing from there",
                 self.job.id, page.after
             ));
         }
         for (offset, result) in page.results.into_iter().enumerate() {
             let position = page.after + offset;
-            let first = self.first_fronts.get(position).copied();
+            let first = self.first_reads.get(position).copied();
             for (rule, detail) in self.job.note_result(position, result) {
-                let seen = first.map(|first| format!(", first listed by front {first}"));
+                let seen = first.map(|(first, _)| format!(", first listed by front {first}"));
                 let seen = seen.unwrap_or_default();
                 self.broken
                     .push(format!("{rule}: front {front}{seen}: {detail}"));
             }
-            self.first_fronts.resize(self.job.results.len(), front);
+            self.first_reads
+                .resize(self.job.results.len(), (front, now));
         }
-        self.listed[front] = self.listed[front].max(end);
         if end >= self.job.items.len() && self.job.is_complete() {
             self.read_whole[front] = Some(page.sent);
         }
@@ -253,14 +269,7 @@
         let mut reads = self.lock();
         match answer {
             Some((StatusCode::OK, body)) => {
-                let page: Value = serde_json::from_slice(&body).unwrap_or_default();
-                let rows = page["results"].as_array().cloned().unwrap_or_default();
-                let page = ReadPage {
-                    front: self.front,
-                    after,
-                    results: rows.iter().map(ItemResult::from_row).collect(),
-                    sent,
-                };
+                let page = ReadPage::from_body(self.front, after, &body, sent);
                 reads[number].note_page(page, now);
             }
             Some((StatusCode::NOT_FOUND, _)) => reads[number].not_found += 1,
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -19,11 +19,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::callers;
+use crate::check;
 use crate::content;
 use crate::fleet::SoakFleet;
 use crate::history::Records;
 use crate::history::SoakHistory;
+use crate::job_reads::JobReads;
+use crate::job_reads::ReadPage;
 use crate::plan::FIRST_DOUBLED_SEED;
+use crate::plan::FIRST_LATE_SEED;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const SUBMIT_ATTEMPTS: usize = 8;
@@ -38,6 +42,9 @@
 /// readable.
 const SEND_AGAIN_MS: std::ops::Range<u64> = 500..75_000;
 const READS_AGAIN: usize = 4;
+/// Number of the items of half of the jobs from [`FIRST_LATE_SEED`] on, and the seconds that each takes.
+const LASTING_ITEM_COUNT: std::ops::Range<usize> = 10..30;
+const LASTING_ITEM_S: u64 = 1;
 /// Time after an acknowledged cancellation from which no item of the job may begin to execute.
 pub const CANCEL_EFFECT_TIME: Duration = Duration::from_secs(3);
 
@@ -162,6 +169,8 @@
     job: JobRecord,
     /// Whether the job is submitted once more after its end.
     sends_again: bool,
+    /// Whether the job is read at all fronts to its end.
+    reads_everywhere: bool,
 }
 
 impl JobClient {
@@ -170,7 +179,19 @@
         let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(31) + number);
         let count = rng.random_range(ITEM_COUNT);
         let id = format!("lot-{seed}-{number}");
-        let items = (0..count).map(|item| format!("{}-{id}-{item}", content::ITEM_PREFIX));
+        let is_late = seed >= FIRST_LATE_SEED;
+        let lasts = is_late && rng.random_ratio(1, 2);
+        let count = match lasts {
+            true => rng.random_range(LASTING_ITEM_COUNT),
+            false => count,
+        };
+        let items = (0..count).map(|item| {
+            let name = format!("{}-{id}-{item}", content::ITEM_PREFIX);
+            match lasts {
+                true => content::lasting(&name, LASTING_ITEM_S),
+                false => name,
+            }
+        });
         let job = JobRecord {
             items: items.collect(),
             id,
@@ -181,7 +202,8 @@
             history,
             rng,
             job,
-            sends_again: seed >= FIRST_DOUBLED_SEED,
+            sends_again: (FIRST_DOUBLED_SEED..FIRST_LATE_SEED).contains(&seed),
+            reads_everywhere: is_late,
         }
     }
 
@@ -207,12 +229,46 @@
             reads_left = usize::saturating_sub(reads_left, 1);
             self.read_next().await;
         }
+        if self.reads_everywhere && self.job.is_complete() {
+            self.read_everywhere(&end).await;
+        }
         if self.sends_again && self.job.is_complete() {
             end.run_until_cancelled(self.send_again()).await;
         }
         self.job
     }
 
+    /// Reads the complete job at all fronts, from any position, until each has listed it to its end and it
+    /// is closed in the store, or `end` is cancelled.
+    async fn read_everywhere(&mut self, end: &CancellationToken) {
+        let fronts = self.fleet.fronts.len();
+        let mut reads = JobReads::new(self.job.clone(), fronts);
+        while !end.is_cancelled() && !reads.is_read() {
+            for front in 0..fronts {
+                let after = match self.rng.random_bool(0.5) {
+                    true => 0,
+                    false => self.rng.random_range(0..=self.job.items.len()),
+                };
+                let path = format!("/lots/{}?after={after}", self.job.id);
+                let sent = self.history.now();
+                let answer = self.call_at(front, Method::GET, &path, "").await;
+                if let Some((StatusCode::OK, body)) = answer {
+                    let page = ReadPage::from_body(front, after, &body, sent);
+                    reads.note_page(page, self.history.now());
+                }
+            }
+            let now = self.history.now();
+            let calm_since = check::calm_since(&self.history.records().faults, now);
+            reads.note_open(&self.fleet.kv, calm_since, now);
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+        reads.conclude(&self.fleet.kv, self.history.now());
+        for line in &reads.broken {
+            let (rule, detail) = line.split_once(": ").unwrap_or(("MIXED", line));
+            self.history.record_violation(rule, detail);
+        }
+    }
+
     /// Submits the complete job once more after a while, and reads its results again.
     async fn send_again(&mut self) {
         let pause = self.rng.random_range(SEND_AGAIN_MS);
@@ -321,6 +377,17 @@
         body: &str,
     ) -> Option<(StatusCode, Bytes)> {
         let front = self.rng.random_range(0..self.fleet.fronts.len());
+        self.call_at(front, method, path, body).await
+    }
+
+    /// As [`JobClient::call`], at `front`.
+    async fn call_at(
+        &self,
+        front: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Option<(StatusCode, Bytes)> {
         let request = callers::request(method, path, body.to_owned())
             .header("attempt-id", &self.job.id)
             .header("content-type", "application/json")
--- a/soak/src/owner_watch.rs
+++ b/soak/src/owner_watch.rs
@@ -17,8 +17,9 @@
 use tokio_util::sync::DropGuard;
 
 /// Prefix of the keys of open jobs.
-const OPEN_PREFIX: &str = "open/";
-const OWNER_SUFFIX: &str = "/owner";
+pub const OPEN_PREFIX: &str = "open/";
+/// End of the keys of owners.
+pub const OWNER_SUFFIX: &str = "/owner";
 const WATCH_TIME: Duration = Duration::from_secs(1);
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -23,6 +23,9 @@
 /// First seed of the plans with faults that may double runs. The plans of lower seeds have none, so that
 /// they stay as they were when these seeds found a fault.
 pub const FIRST_DOUBLED_SEED: u64 = 1000;
+/// First seed of the plans in which the store answers late and jobs lose their owners' keys. Lower seeds
+/// draw neither.
+pub const FIRST_LATE_SEED: u64 = 2000;
 /// One in this many of these seeds has all kinds, and the others have planned maintenance and faults that
 /// may double runs only, as most other faults excuse runs beside one another.
 const ALL_KINDS_ONE_IN: u64 = 3;
@@ -122,6 +125,12 @@
     /// Callers of a front fall silent without closing their connections, and take their streams up at
     /// another front.
     CallersGone,
+    /// The store executes calls at once and answers them late.
+    StoreAnswersLate,
+    /// The store answers only writes of results of jobs late.
+    StoreResultsLate,
+    /// The keys of owners of open jobs are deleted again and again.
+    OwnersDeleted,
 }
 
 impl FaultKind {
@@ -155,11 +164,33 @@
         )
     }
 
+    /// Whether the fault brings answers of the store behind later ones, or takes jobs from their owners,
+    /// which it excuses as little as planned maintenance does.
+    pub fn unsettles_jobs(self) -> bool {
+        matches!(
+            self,
+            Self::StoreAnswersLate | Self::StoreResultsLate | Self::OwnersDeleted
+        )
+    }
+
+    /// Whether a front ends or stands still, and starts or goes on.
+    pub fn interrupts_fronts(self) -> bool {
+        matches!(
+            self,
+            Self::FrontKilled | Self::FrontStopped | Self::FrontPaused | Self::FrontsRolled
+        )
+    }
+
     /// Whether the fault impairs the store itself, and not the ways to it.
     pub fn is_at_store(self) -> bool {
         matches!(
             self,
-            Self::StoreDown | Self::StoreSlow | Self::StoreAnswersLost | Self::StoreForgets
+            Self::StoreDown
+                | Self::StoreSlow
+                | Self::StoreAnswersLost
+                | Self::StoreForgets
+                | Self::StoreAnswersLate
+                | Self::StoreResultsLate
         )
     }
 
@@ -252,6 +283,13 @@
 
 /// Whether plans of `seed` have faults of `kind`.
 fn is_drawn(kind: FaultKind, seed: u64) -> bool {
+    if seed >= FIRST_LATE_SEED {
+        let all_kinds = seed.is_multiple_of(ALL_KINDS_ONE_IN);
+        return all_kinds || kind.interrupts_fronts() || kind.unsettles_jobs();
+    }
+    if kind.unsettles_jobs() {
+        return false;
+    }
     if seed >= FIRST_DOUBLED_SEED {
         let all_kinds = seed.is_multiple_of(ALL_KINDS_ONE_IN);
         return all_kinds || kind.is_planned() || kind.doubles_runs();
--- a/soak/src/play_results.rs
+++ b/soak/src/play_results.rs
@@ -28,7 +28,7 @@
 use crate::play_overlaps::OverlapReport;
 
 /// Part of the keys under which results of jobs are written.
-const SEGMENT_KEYS: &str = "/seg/";
+pub const SEGMENT_KEYS: &str = "/seg/";
 const JOBS: usize = 3;
 const ITEMS_OF_JOB: usize = 24;
 const ITEM_S: u64 = 4;
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -5,12 +5,14 @@
 
 use soak::fleet::FleetConfig;
 use soak::plan::FIRST_DOUBLED_SEED;
+use soak::plan::FIRST_LATE_SEED;
 use soak::plan::FaultKind;
 use soak::plan::FaultPlan;
 use soak::plan::FaultScope;
 use soak::run::SoakConfig;
 use soak::run::run_soak;
 use soak::workers::WorkerConfig;
+use strum::IntoEnumIterator;
 
 const FRONTS: usize = 5;
 const WORKERS: usize = 6;
@@ -114,6 +116,28 @@
     }
 }
 
+#[test]
+fn test_soak_plans_that_unsettle_jobs() {
+    let time = Duration::from_secs(60);
+    let kinds = |seed| -> Vec<FaultKind> {
+        let plan = FaultPlan::new(seed, time, FRONTS, WORKERS);
+        plan.faults.iter().map(|fault| fault.kind).collect()
+    };
+    for seed in (0..100).chain(FIRST_DOUBLED_SEED..FIRST_DOUBLED_SEED + 100) {
+        let unsettles = kinds(seed).into_iter().any(FaultKind::unsettles_jobs);
+        assert!(!unsettles, "{seed}");
+    }
+    for seed in FIRST_LATE_SEED..FIRST_LATE_SEED + 10 {
+        let kinds = kinds(seed);
+        let is_drawn = |kind: &FaultKind| kind.unsettles_jobs() || kind.interrupts_fronts();
+        let has_all_kinds = seed.is_multiple_of(3);
+        assert_eq!(!kinds.iter().all(is_drawn), has_all_kinds, "{seed}");
+        for kind in FaultKind::iter().filter(|kind| !has_all_kinds && is_drawn(kind)) {
+            assert!(kinds.contains(&kind), "{seed}: {kind}");
+        }
+    }
+}
+
 #[test]
 fn test_soak_fault_scope() {
     assert_eq!(FaultScope::One.fronts(4, 5), [4]);
@@ -137,3 +161,9 @@
 async fn test_soak_suspended_front() {
     play(5, 20).await;
 }
+
+/// The store answers late and jobs lose their owners' keys, between restarts.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_soak_late_answers() {
+    play(2002, 8).await;
+}
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -152,6 +152,15 @@
         self.with_state(|state| state.values.get(key).map(|stored| stored.value.clone()))
     }
 
+    /// Returns all keys with `prefix`, as [`KvMemory::value`] does.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.with_state(|state| {
+            let keys = state.values.range(prefix.to_owned()..);
+            let keys = keys.map(|(key, _)| key.clone());
+            keys.take_while(|key| key.starts_with(prefix)).collect()
+        })
+    }
+
     /// Compacts all changes so far: watches from an earlier revision are answered as compacted.
     pub fn forget_history(&self) {
         let mut state = self.state.lock().expect("store lock");
