soak: fronts lose the workers while clients, the store and the other fronts reach them

Cause: all fronts shared one proxy for each worker, so that none could be cut off alone. Change: in the stranded plays each front has proxies of its own, named in the entries that it reads (WorkerLinks). Connections to all workers, all but one or one service's hang, are reset, or live on while new ones are refused, also in series with kills and stops.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -29,6 +29,7 @@
 use crate::peer_link;
 use crate::peer_link::PeerLink;
 use crate::proxy::LinkProxy;
+use crate::worker_link::WorkerLinks;
 use crate::workers::ANNEX;
 use crate::workers::DESK;
 use crate::workers::WorkerConfig;
@@ -58,6 +59,8 @@
     /// Milliseconds by which the time of day of each front is shifted, by number of the front; those
     /// that have none are right.
     pub clock_shifts_ms: Vec<i64>,
+    /// Whether each front has proxies of its own to the workers, so that it can lose them alone.
+    pub has_worker_links: bool,
     /// Binary that is run with the arguments `platform front`.
     pub binary: PathBuf,
     /// Folder for settings files and logs.
@@ -229,8 +232,11 @@
     pub doubled: Vec<AtomicUsize>,
     /// The workers.
     pub workers: Arc<WorkerPool>,
+    /// Proxies between each front and each worker, if there are some.
+    pub worker_links: Option<Arc<WorkerLinks>>,
     config: FleetConfig,
-    _store: StandinServer,
+    /// The store as each front sees it.
+    _stores: Vec<StandinServer>,
 }
 
 impl SoakFleet {
@@ -247,12 +253,22 @@
         let links = peer_links.iter();
         let links = links.map(|(front, link)| (*front, link.address()));
         let view = peer_link::link_view(links.collect());
-        let store = serve_platform_store_view(kv.clone(), view).await?;
+        let worker_links = config.has_worker_links;
+        let worker_links = worker_links.then(|| WorkerLinks::new(platform_ip, config.fronts));
+        let mut stores = Vec::new();
+        for number in 0..config.fronts {
+            let view = match &worker_links {
+                Some(links) => links.view(number, view.clone()),
+                None => view.clone(),
+            };
+            stores.push(serve_platform_store_view(kv.clone(), view).await?);
+        }
         let pool = WorkerPool::start(
             platform_ip,
             kv.clone(),
             history.clone(),
             config.workers.clone(),
+            worker_links.clone(),
         );
         let mut fleet = Self {
             workers: pool.await?,
@@ -262,13 +278,14 @@
             caller_links: Vec::new(),
             doubled: (0..config.fronts).map(|_| AtomicUsize::new(0)).collect(),
             peer_links: peer_links.into_iter().map(|(_, link)| link).collect(),
+            worker_links,
             config,
-            _store: store,
+            _stores: stores,
         };
         fleet.put_manifest(&Manifest::new(1)).await;
         for number in 0..fleet.config.fronts {
             let ip = fleet.config.ip(number);
-            let link = LinkProxy::start(platform_ip, fleet._store.address()).await?;
+            let link = LinkProxy::start(platform_ip, fleet._stores[number].address()).await?;
             let callers = SocketAddr::new(ip, CALLER_PORT);
             let caller_link = LinkProxy::start(platform_ip, callers).await?;
             let shift_ms = fleet.config.clock_shifts_ms.get(number);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod play_jobs;
 pub mod play_overlaps;
 pub mod play_results;
+pub mod play_stranded;
 pub mod proxy;
 pub mod run;
+pub mod worker_link;
 pub mod workers;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -123,6 +123,7 @@
                 fronts: play.fronts,
                 workers: WorkerConfig::default(),
                 clock_shifts_ms: Vec::new(),
+                has_worker_links: false,
                 binary: match &play.program {
                     Some(program) => program.clone(),
                     None => std::env::current_exe()?,
@@ -160,6 +161,7 @@
                     ..WorkerConfig::default()
                 },
                 clock_shifts_ms: Vec::new(),
+                has_worker_links: false,
                 binary: std::env::current_exe()?,
                 out: args.out.join(format!("seed-{seed}")),
                 network: [100 + (std::process::id() % 100) as u8, (seed % 250) as u8],
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -27,6 +27,7 @@
 use crate::play_clients::BrokenStream;
 use crate::play_clients::StreamEnd;
 use crate::play_overlaps::OverlapReport;
+use crate::play_stranded::ReachReport;
 use crate::proxy::Direction;
 use crate::proxy::LinkFault;
 use crate::workers::ANNEX;
@@ -149,6 +150,15 @@
     LateSegments,
     /// As `LateSegments`; fronts are killed, stopped and suspended meanwhile.
     LateSegmentsRestarts,
+    /// Connections of some fronts to all workers hang, open ones and new ones.
+    StrandedHang,
+    /// Connections of some fronts to all workers are reset, and new ones refused.
+    StrandedReset,
+    /// New connections of some fronts to all workers are refused; open ones live on.
+    StrandedRefuse,
+    /// Fronts lose all workers, most or one service's again and again, while fronts are killed, stopped
+    /// and started.
+    StrandedSeries,
 }
 
 /// Configuration of a play.
@@ -186,6 +196,8 @@
     pub stalled: usize,
     /// Runs of the streams and items.
     pub overlap: OverlapReport,
+    /// How first tries fared at fronts without workers, if the play takes them away.
+    pub reach: ReachReport,
 }
 
 impl PlayReport {
@@ -195,6 +207,7 @@
             || self.drain[1] > 0
             || self.count(StreamEnd::Joined) > 0
             || self.overlap.is_broken()
+            || self.reach.is_broken()
     }
 
     fn count(&self, end: StreamEnd) -> usize {
@@ -214,9 +227,10 @@
             "whole": self.count(StreamEnd::Whole), "refused": self.count(StreamEnd::Refused),
             "cut": self.count(StreamEnd::CutOff), "other": self.count(StreamEnd::Mismatched),
         });
-        let mut overlap = self.overlap.to_json();
-        if let (Some(report), Some(overlap)) = (report.as_object_mut(), overlap.as_object_mut()) {
-            report.append(overlap);
+        for mut part in [self.overlap.to_json(), self.reach.to_json()] {
+            if let (Some(report), Some(part)) = (report.as_object_mut(), part.as_object_mut()) {
+                report.append(part);
+            }
         }
         report
     }
@@ -232,6 +246,7 @@
             slots: config.kind.slots(),
         },
         clock_shifts_ms: config.kind.clock_shifts_ms(),
+        has_worker_links: config.kind.strands_fronts(),
         ..config.fleet.clone()
     };
     let play = Play {
@@ -283,6 +298,7 @@
             PlayKind::BegunMeanwhile => self.play_begun_meanwhile().await,
             PlayKind::RestartsWithItems => self.play_items().await,
             kind if kind.judges_overlaps() => self.play_overlaps().await,
+            kind if kind.strands_fronts() => self.play_stranded().await,
             _ => self.play_changes().await,
         }
     }
--- a/soak/src/play_clients.rs
+++ b/soak/src/play_clients.rs
@@ -112,33 +112,49 @@
     let mut count = 0;
     while !end.is_cancelled() {
         count += 1;
-        let (kind, prefix) = match count % 2 {
-            0 => (CallKind::Repeatable, MOVED_PREFIX),
-            _ => (CallKind::Once, "/once/"),
+        let kind = match count % 2 {
+            0 => CallKind::Repeatable,
+            _ => CallKind::Once,
         };
         let id = format!("load-{number}-{count}");
-        let sent = history.now();
-        let request = LoadRequest {
-            kind,
-            prefix,
-            ..LoadRequest::stream(number, &id)
-        };
-        let outcome = request.read_in_time(&fleet).await.outcome(kind, &id);
-        let record = CallRecord {
-            id,
-            kind,
-            prefix: prefix.to_owned(),
-            front: number,
-            sent,
-            ended: history.now(),
-            outcome,
-            route_acknowledged_at: Duration::ZERO,
-        };
-        history.update(|records| records.calls.push(record));
+        send_one(&fleet, &history, number, kind, id).await;
         tokio::time::sleep(LOAD_INTERVAL).await;
     }
 }
 
+/// Sends one request to front `number`, and records it.
+pub async fn send_one(
+    fleet: &SoakFleet,
+    history: &SoakHistory,
+    number: usize,
+    kind: CallKind,
+    id: String,
+) {
+    let prefix = match kind {
+        CallKind::Stream => "/ask/",
+        CallKind::Repeatable => MOVED_PREFIX,
+        CallKind::Once => "/once/",
+    };
+    let sent = history.now();
+    let request = LoadRequest {
+        kind,
+        prefix,
+        ..LoadRequest::stream(number, &id)
+    };
+    let outcome = request.read_in_time(fleet).await.outcome(kind, &id);
+    let record = CallRecord {
+        id,
+        kind,
+        prefix: prefix.to_owned(),
+        front: number,
+        sent,
+        ended: history.now(),
+        outcome,
+        route_acknowledged_at: Duration::ZERO,
+    };
+    history.update(|records| records.calls.push(record));
+}
+
 /// An answer as far as it was read.
 #[derive(Default)]
 struct ReadAnswer {
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -47,6 +47,8 @@
     /// Withholds bytes for good on the connections that are open now, and on those that clients open
     /// until the fault ends.
     AwayMute,
+    /// Refuses new connections until the fault ends; those that are open now work.
+    RefuseNew,
 }
 
 /// A direction of the bytes on a connection.
@@ -246,7 +248,8 @@
     async fn run(mut self, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
-            let refuses = self.state.borrow_and_update().fault == LinkFault::AwayRefusing;
+            let fault = self.state.borrow_and_update().fault;
+            let refuses = matches!(fault, LinkFault::AwayRefusing | LinkFault::RefuseNew);
             // The kernel refuses connections while no socket listens.
             listener = match (refuses, listener.take()) {
                 (true, _) => None,
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -40,6 +40,7 @@
 use crate::history::LeaveRecord;
 use crate::history::SoakHistory;
 use crate::proxy::LinkProxy;
+use crate::worker_link::WorkerLinks;
 
 /// Time that a worker takes for an answer that is no stream.
 const WORK_TIME: Duration = Duration::from_millis(8);
@@ -122,6 +123,8 @@
     history: SoakHistory,
     config: WorkerConfig,
     running: Mutex<BTreeMap<usize, RunningWorker>>,
+    /// Proxies between each front and each worker, if there are some.
+    links: Option<Arc<WorkerLinks>>,
     starts: AtomicU64,
 }
 
@@ -132,6 +135,7 @@
         kv: Arc<KvMemory>,
         history: SoakHistory,
         config: WorkerConfig,
+        links: Option<Arc<WorkerLinks>>,
     ) -> std::io::Result<Arc<Self>> {
         let pool = Arc::new(Self {
             ip,
@@ -139,6 +143,7 @@
             history,
             config,
             running: Mutex::default(),
+            links,
             starts: AtomicU64::new(0),
         });
         for number in 0..pool.config.desk + pool.config.annex {
@@ -312,6 +317,9 @@
                 Err(err) => return Err(err),
             }
         };
+        if let Some(links) = &self.links {
+            links.add(link.address(), process.service).await?;
+        }
         Ok(RunningWorker {
             process,
             link,
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -29,6 +29,7 @@
                 ..WorkerConfig::default()
             },
             clock_shifts_ms: Vec::new(),
+            has_worker_links: false,
             binary: PathBuf::from(env!("CARGO_BIN_EXE_soak")),
             out: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
             network: [99, seed as u8],
