--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -125,7 +125,7 @@
 }
 
 impl CoordinatorState {
-    fn new(host: HostId) -> Self {
+    pub(crate) fn new(host: HostId) -> Self {
         Self {
             host,
             runs: HashMap::default(),
@@ -137,6 +137,84 @@
             virtual_clock: VirtualClock::default(),
         }
     }
+
+    /// Adds the run of a job whose claim this process has written, unless a newer claim is known or the job
+    /// has ended: the answer to the claim may have come late. Returns whether it was added.
+    pub(crate) fn insert_run(&mut self, run: JobRun) -> bool {
+        let id = run.record().id.clone();
+        let epoch = run.claim().epoch;
+        let newest = self
+            .open_jobs
+            .get(&id)
+            .map(|known| known.announcement.epoch);
+        let has_ended =
+            self.ended_jobs.contains_key(&id) || self.final_record_hosts.contains_key(&id);
+        if has_ended || newest.is_some_and(|newest| newest > epoch) {
+            return false;
+        }
+        let known = KnownJob::new(run.announcement());
+        self.runs.insert(id.clone(), run);
+        self.open_jobs.insert(id, known);
+        true
+    }
+
+    /// The run of the claim with `epoch` on `job`, if this host still has it. An answer to a call that one
+    /// run has made doesn't concern a later run of the same job.
+    pub(crate) fn run_of(&mut self, job: &JobId, epoch: u64) -> Option<&mut JobRun> {
+        let run = self.runs.get_mut(job);
+        run.filter(|run| run.claim().epoch == epoch)
+    }
+
+    /// Applies the answer to a write of the run with `epoch`: `job` is what is stored since, as a call
+    /// that was sent at `sent_at` shows it.
+    pub(crate) fn finish_write(&mut self, epoch: u64, job: VersionedJob, sent_at: Instant) {
+        let id = job.record.id.clone();
+        let Some(run) = self.run_of(&id, epoch) else {
+            return;
+        };
+        let holds_claim = job.record.claim.as_ref() == Some(run.claim());
+        run.finish_write(job.record, job.version, sent_at);
+        if !holds_claim {
+            self.abandon_run(&id, epoch);
+        }
+    }
+
+    /// Drops the run of the claim with `epoch`, which is lost, if this host still has it. Its uncommitted
+    /// results are queued as reports to the new owner.
+    pub(crate) fn abandon_run(&mut self, job: &JobId, epoch: u64) {
+        if self.run_of(job, epoch).is_none() {
+            return;
+        }
+        let Some(run) = self.runs.remove(job) else {
+            return;
+        };
+        let outcomes = run.into_uncommitted_outcomes();
+        if !outcomes.is_empty() {
+            let assigned = self
+                .assigned
+                .entry(job.clone())
+                .or_insert_with(AssignedItems::new);
+            assigned.unreported.extend(outcomes);
+        }
+    }
+
+    /// Applies the answer to `load`; `None` if it failed.
+    pub(crate) fn finish_load(&mut self, load: &SegmentLoad, content: Option<&[u8]>) {
+        let Some(run) = self.run_of(&load.record.id, load.epoch) else {
+            return;
+        };
+        match content {
+            Some(content) => run.add_segment(content),
+            None => run.abandon_segment_load(),
+        }
+    }
+}
+
+/// A read of one segment of a job's input, for the run of one claim.
+pub(crate) struct SegmentLoad {
+    pub(crate) record: JobRecord,
+    pub(crate) epoch: u64,
+    pub(crate) number: u32,
 }
 
 /// Components of the host that batch processing uses.
@@ -310,17 +388,19 @@
         }
     }
 
-    /// Starts a job whose claim this process has just written, and announces the claim.
+    /// Starts a job whose claim this process has written by a call that was sent at `sent_at`, and
+    /// announces the claim.
     ///
     /// `content` is the first segment of the input, if the caller already has it in memory.
     pub(crate) fn start_run(
         self: &Arc<Self>,
         job: VersionedJob,
         claim: JobHolder,
+        sent_at: Instant,
         content: Option<&[u8]>,
     ) {
         let id = job.record.id.clone();
-        let mut run = JobRun::new(job, claim);
+        let mut run = JobRun::new(job, claim, sent_at);
         if let Some(content) = content
             && run.begin_segment_load().is_some()
         {
@@ -328,12 +408,9 @@
         }
         let announcement = run.announcement();
         let detail = format!("claimed with epoch {}", announcement.epoch);
-        let mut state = self.lock();
-        state.runs.insert(id.clone(), run);
-        state
-            .open_jobs
-            .insert(id.clone(), KnownJob::new(announcement.clone()));
-        drop(state);
+        if !self.lock().insert_run(run) {
+            return;
+        }
         self.dependencies
             .counters
             .event(CounterEvent::SegmentClaimed);
@@ -395,9 +472,10 @@
             return;
         }
         let own_run = state.runs.get(&job);
-        if own_run.is_some_and(|run| run.claim().epoch < announcement.epoch) {
+        if let Some(run) = own_run.filter(|run| run.claim().epoch < announcement.epoch) {
             // Another host holds a newer claim; it gets the uncommitted results as reports.
-            Self::abandon_run(&mut state, &job);
+            let epoch = run.claim().epoch;
+            state.abandon_run(&job, epoch);
             self.dependencies.counters.event(CounterEvent::CommitFenced);
         }
         let is_released = announcement.owner.is_none();
@@ -409,22 +487,6 @@
         self.worker_wakeup.notify_one();
     }
 
-    /// Drops the run of a job whose claim is lost. Its uncommitted results are queued as reports to
-    /// the new owner.
-    pub(crate) fn abandon_run(state: &mut CoordinatorState, job: &JobId) {
-        let Some(run) = state.runs.remove(job) else {
-            return;
-        };
-        let outcomes = run.into_uncommitted_outcomes();
-        if !outcomes.is_empty() {
-            let assigned = state
-                .assigned
-                .entry(job.clone())
-                .or_insert_with(AssignedItems::new);
-            assigned.unreported.extend(outcomes);
-        }
-    }
-
     /// Whether the uncommitted results of all own jobs are below [`MAX_UNCOMMITTED_BYTES`].
     pub(crate) fn may_buffer_results(state: &CoordinatorState) -> bool {
         let bytes: usize = state.runs.values().map(JobRun::uncommitted_bytes).sum();
@@ -447,27 +509,25 @@
             return Vec::new();
         };
         let items = run.dispatch(host, max);
-        let segment = run
-            .begin_segment_load()
-            .map(|number| (number, run.record().clone()));
+        let load = run.begin_segment_load().map(|number| SegmentLoad {
+            record: run.record().clone(),
+            epoch: run.claim().epoch,
+            number,
+        });
         drop(state);
-        if let Some((number, record)) = segment {
-            tokio::spawn(self.clone().load_segment(record, number));
+        if let Some(load) = load {
+            tokio::spawn(self.clone().load_segment(load));
         }
         items
     }
 
-    async fn load_segment(self: Arc<Self>, record: JobRecord, number: u32) {
-        let content = self.dependencies.store.segment(&record, number).await;
+    async fn load_segment(self: Arc<Self>, load: SegmentLoad) {
+        let store = &self.dependencies.store;
+        let content = store.segment(&load.record, load.number).await;
         if content.is_err() {
             tokio::time::sleep(ANNOUNCEMENT_TIMEOUT).await;
         }
-        if let Some(run) = self.lock().runs.get_mut(&record.id) {
-            match content {
-                Ok(content) => run.add_segment(&content),
-                Err(_) => run.abandon_segment_load(),
-            }
-        }
+        self.lock().finish_load(&load, content.ok().as_deref());
         self.worker_wakeup.notify_one();
     }
 
@@ -493,7 +553,7 @@
             return BatchReply::NotOwner;
         };
         for outcome in report.outcomes {
-            run.apply_outcome(outcome);
+            run.apply_outcome(from, outcome);
         }
         run.renew_leases(from, &report.running);
         drop(state);
@@ -528,7 +588,7 @@
         };
         assigned.items.remove(&outcome.item);
         match state.runs.get_mut(job) {
-            Some(run) => run.apply_outcome(outcome),
+            Some(run) => run.apply_outcome(&state.host, outcome),
             None => assigned.unreported.push(outcome),
         }
     }
--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -292,15 +292,37 @@
 /// Number of keys that [`list_all`] requests per page.
 const LIST_PAGE_KEYS: usize = 500;
 
-/// Lists all keys with `prefix`, page by page. Returns them with the revision of the first page,
-/// after which a watch misses no change; later pages may already show changes after it.
+/// Lists all keys with `prefix`, page by page. Returns them with the revision of the oldest page, after
+/// which a watch misses no change; other pages may already show changes after it. Pages of up-to-date
+/// listings get newer from the first on, but those of stale ones may come from replicas of any age.
 pub async fn list_all(
     kv: &dyn KvStore,
     prefix: &str,
     freshness: Freshness,
 ) -> Result<(Vec<KvEntry>, KvVersion), KvError> {
+    let listing = list_pages(kv, prefix, freshness).await?;
+    Ok((listing.entries, listing.revision))
+}
+
+/// All keys with a prefix, as read page by page.
+#[derive(Clone, Debug)]
+pub(crate) struct KvListing {
+    pub(crate) entries: Vec<KvEntry>,
+    /// Oldest revision of its pages.
+    pub(crate) revision: KvVersion,
+    /// Number of pages. Several are no snapshot: keys may have changed between two of them.
+    pub(crate) pages: usize,
+}
+
+/// Lists as [`list_all`] does, and also returns the number of pages.
+pub(crate) async fn list_pages(
+    kv: &dyn KvStore,
+    prefix: &str,
+    freshness: Freshness,
+) -> Result<KvListing, KvError> {
     let mut entries: Vec<KvEntry> = Vec::new();
-    let mut revision = None;
+    let mut revision: Option<KvVersion> = None;
+    let mut pages = 0;
     loop {
         let after = entries.last().map(|entry| entry.key.clone());
         let page = match freshness {
@@ -310,11 +332,16 @@
                     .await?
             }
         };
-        revision.get_or_insert(page.revision);
+        revision = Some(revision.map_or(page.revision, |oldest| oldest.min(page.revision)));
+        pages += 1;
         let is_last = !page.more || page.entries.is_empty();
         entries.extend(page.entries);
         if is_last {
-            return Ok((entries, revision.unwrap_or_default()));
+            return Ok(KvListing {
+                entries,
+                revision: revision.unwrap_or_default(),
+                pages,
+            });
         }
     }
 }
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -284,7 +284,10 @@
     async fn store_end(&self, job: &str) -> EndOutcome {
         for _ in 0..MAX_STORE_ATTEMPTS {
             match self.shared.store.end(job).await {
-                Ok(()) => return EndOutcome::Ended,
+                Ok(version) => {
+                    self.shared.owners.record_closed(job, version);
+                    return EndOutcome::Ended;
+                }
                 Err(_) => tokio::time::sleep(STORE_RETRY_DELAY).await,
             }
         }
@@ -378,10 +381,7 @@
                     process: 0,
                     peers: None,
                 };
-                match self.give_up(&job, KvVersion(owner_version), to).await {
-                    Some(given_up) => JobReply::GivenUp(given_up),
-                    None => JobReply::NotOwner,
-                }
+                self.give_up(&job, KvVersion(owner_version), to).await
             }
             JobCall::Submit { spec } => self.answer_submission(spec).await,
             JobCall::End { job } => {
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -30,6 +30,8 @@
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
+use crate::edges::kv::list_pages;
+use crate::jobs::message::KnownOwner;
 use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::decode;
@@ -75,6 +77,17 @@
     }
 }
 
+impl From<KnownOwner> for JobOwner {
+    fn from(known: KnownOwner) -> Self {
+        Self {
+            host: known.host,
+            incarnation: known.incarnation,
+            process: known.process,
+            peers: known.peers,
+        }
+    }
+}
+
 impl JobOwner {
     fn process_id(&self) -> HostProcess {
         HostProcess {
@@ -348,14 +361,14 @@
     }
 
     /// Ends and closes a job unconditionally. Deleting its `open` key makes later segment writes
-    /// fail.
-    pub(crate) async fn end(&self, id: &str) -> Result<(), KvError> {
+    /// fail. Returns the version at which it is closed.
+    pub(crate) async fn end(&self, id: &str) -> Result<KvVersion, KvError> {
         let commit = KvCommit {
             expect: Vec::new(),
             puts: vec![put_without_lease(end_key(id), Bytes::new()), put_closed(id)],
             deletes: vec![open_key(id), owner_key(id)],
         };
-        self.kv.commit(commit).await.map(|_| ())
+        self.kv.commit(commit).await
     }
 
     /// Lists all open jobs, possibly as of some seconds ago (a stale read).
@@ -380,29 +393,43 @@
 
     /// Reads the `open` and owner keys of one job, up to date; `None` if the job is not open.
     pub(crate) async fn open_job(&self, id: &str) -> Result<Option<OpenJob>, KvError> {
+        Ok(self.open_job_at(id).await?.0)
+    }
+
+    /// Reads as [`Self::open_job`] does, and returns the revision at which it was read.
+    pub(crate) async fn open_job_at(
+        &self,
+        id: &str,
+    ) -> Result<(Option<OpenJob>, KvVersion), KvError> {
         let mut jobs = HashMap::default();
         let mut owners = HashMap::default();
         let kv = self.kv.as_ref();
-        let (entries, _) = list_all(kv, &open_key(id), Freshness::Current).await?;
+        let (entries, revision) = list_all(kv, &open_key(id), Freshness::Current).await?;
         for entry in &entries {
             collect_open_entry(entry, &mut jobs, &mut owners);
         }
-        let job = jobs.remove(id);
-        Ok(job.map(|job| OpenJob {
+        let job = jobs.remove(id).map(|job| OpenJob {
             owner: owners.remove(id),
             ..job
-        }))
+        });
+        Ok((job, revision))
     }
 
     /// Reads the stored state of a job, up to date; `None` if no such job is stored.
+    ///
+    /// Segments are listed in the order in which they are written, so that those of several pages are all
+    /// up to the last one. A job that was removed between two pages is not stored.
     pub(crate) async fn load(&self, id: &str) -> Result<Option<StoredJob>, KvError> {
-        let prefix = format!("job/{id}/");
+        let prefix = job_prefix(id);
         let mut info: Option<JobInfo> = None;
         let mut segments: Vec<ResultSegment> = Vec::new();
         let mut is_ended = false;
         let kv = self.kv.as_ref();
-        let (entries, revision) = list_all(kv, &prefix, Freshness::Current).await?;
-        for entry in &entries {
+        let listing = list_pages(kv, &prefix, Freshness::Current).await?;
+        if listing.pages > 1 && kv.get(&info_key(id)).await?.is_none() {
+            return Ok(None);
+        }
+        for entry in &listing.entries {
             let name = &entry.key[prefix.len()..];
             match name.strip_prefix("seg/") {
                 Some(number) => {
@@ -423,7 +450,7 @@
             info,
             segments,
             is_ended,
-            revision,
+            revision: listing.revision,
         }))
     }
 
@@ -442,7 +469,7 @@
 
     /// Reads the specification of a job with all items; `None` if no such job is stored.
     pub(crate) async fn load_spec(&self, id: &str) -> Result<Option<JobSpec>, KvError> {
-        let prefix = format!("spec/{id}/");
+        let prefix = spec_prefix(id);
         let kv = self.kv.as_ref();
         let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
         let bytes: Vec<u8> = entries
@@ -475,11 +502,11 @@
     /// Deletes all keys of a closed job. The `closed` key goes last, so that a removal that failed
     /// halfway is found and repeated by a later sweep.
     pub(crate) async fn remove(&self, id: &str) -> Result<(), KvError> {
-        let mut deletes = vec![info_key(id), end_key(id)];
-        if let Some(stored) = self.load(id).await? {
-            deletes.extend((0..stored.info.parts).map(|number| part_key(id, number)));
-            let segments = stored.segments.iter();
-            deletes.extend(segments.map(|segment| segment_key(id, segment.number)));
+        let kv = self.kv.as_ref();
+        let mut deletes = Vec::new();
+        for prefix in [job_prefix(id), spec_prefix(id)] {
+            let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+            deletes.extend(entries.into_iter().map(|entry| entry.key));
         }
         deletes.push(closed_key(id));
         for keys in deletes.chunks(MAX_PARTS) {
@@ -546,6 +573,14 @@
         .collect()
 }
 
+fn job_prefix(id: &str) -> String {
+    format!("job/{id}/")
+}
+
+fn spec_prefix(id: &str) -> String {
+    format!("spec/{id}/")
+}
+
 fn info_key(id: &str) -> String {
     format!("job/{id}/info")
 }
