jobs: a removal deletes only the job that it found closed

A removal whose commit was late deleted a job of the same identifier that was accepted since: after the 202 its summary was gone.

--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -187,24 +187,25 @@
                 continue;
             };
             self.record_revision(closed.revision);
-            for id in self.removable_jobs(closed) {
-                if self.shared.store.remove(&id).await.is_ok() {
+            for (id, version) in self.removable_jobs(closed) {
+                if self.shared.store.remove(&id, version).await.is_ok() {
                     self.log_job(&id, "removed", 0, 0);
                 }
             }
         }
     }
 
-    /// The closed jobs that have been kept long enough and are this host's to remove.
-    fn removable_jobs(&self, closed: ClosedJobListing) -> Vec<String> {
+    /// The closed jobs that have been kept long enough and are this host's to remove, with the versions of
+    /// their `closed` keys.
+    fn removable_jobs(&self, closed: ClosedJobListing) -> Vec<(String, KvVersion)> {
         let keep_time = self.shared.config.keep_time;
         let now = Instant::now();
         let mut jobs = closed.jobs;
         self.with_ages(|ages| {
             jobs.retain(|(_, version)| ages.is_older_than(*version, keep_time, now))
         });
-        let ids = jobs.into_iter().map(|(id, _)| id);
-        ids.filter(|id| self.rank_for(id) == 0).collect()
+        jobs.retain(|(id, _)| self.rank_for(id) == 0);
+        jobs
     }
 
     /// Records that a listing which was answered just now had `revision`.
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -499,9 +499,12 @@
         })
     }
 
-    /// Deletes all keys of a closed job. The `closed` key goes last, so that a removal that failed
-    /// halfway is found and repeated by a later sweep.
-    pub(crate) async fn remove(&self, id: &str) -> Result<(), KvError> {
+    /// Deletes all keys of a job that was closed at `closed`. The `closed` key goes last, so that a removal
+    /// that failed halfway is found and repeated by a later sweep.
+    ///
+    /// Fails with [`KvError::Conflict`] if that is not the version of the `closed` key: a late removal must
+    /// not delete a job of the same identifier that was accepted since.
+    pub(crate) async fn remove(&self, id: &str, closed: KvVersion) -> Result<(), KvError> {
         let kv = self.kv.as_ref();
         let mut deletes = Vec::new();
         for prefix in [job_prefix(id), spec_prefix(id)] {
@@ -511,6 +514,7 @@
         deletes.push(closed_key(id));
         for keys in deletes.chunks(MAX_PARTS) {
             let commit = KvCommit {
+                expect: vec![(closed_key(id), Some(closed))],
                 deletes: keys.to_vec(),
                 ..KvCommit::default()
             };
