jobs: a listing that names this host as the owner goes before its result cache

A full open job that a host had read, claimed, and lost the answer of the claim for was taken for known, as its results were cached, so that nobody closed it. A host knows a job that it runs, or that was closed after the version in the listing. test_full_open_job_that_was_read_is_closed_after_a_lost_claim failed before.

--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -111,7 +111,7 @@
                 }
                 // The store names this process as the owner, though it does not run the job: the
                 // answer to its submission or claim was lost.
-                Some((owner, _)) if owner == own && !self.is_known(&job.id) => {
+                Some((owner, version)) if owner == own && !self.is_known(&job.id, *version) => {
                     unknown.push(job.id.clone());
                 }
                 Some(_) => {}
@@ -149,8 +149,11 @@
         }
     }
 
-    fn is_known(&self, job: &str) -> bool {
-        self.with_table(|table| table.owns(job)) || self.shared.result_cache.contains(job)
+    /// Whether this host runs a job of which a listing has its owner key at `version`, or knows that the job
+    /// was closed since.
+    fn is_known(&self, job: &str, version: KvVersion) -> bool {
+        let newest = self.shared.owners.version(job);
+        self.with_table(|table| table.owns(job)) || newest > Some(version)
     }
 
     /// Loads and runs a job if the key-value service names this process as its owner and the job is
