--- a/lib/src/jobs/changeover.rs
+++ b/lib/src/jobs/changeover.rs
@@ -218,18 +218,17 @@
     /// if this host does not have the job, or by a later claim.
     pub(super) async fn give_up(&self, job: &str, version: KvVersion, to: JobOwner) -> JobReply {
         let known = self.known_owner(job, &to);
+        let not_owner = |known: Option<_>| known.map_or(JobReply::NotOwner, JobReply::OwnedBy);
         // Also keeps a claim that is being loaded from beginning the job's items.
         self.see_owner(job, &to, version);
-        let not_owner = || known.clone().map_or(JobReply::NotOwner, JobReply::OwnedBy);
-        if !self.is_claim_before(job, version) {
-            return not_owner();
+        if !self.with_table(|table| table.hold_claimed_before(job, version)) {
+            return not_owner(known);
         }
-        self.with_table(|table| table.hold(job));
         let items = self.with_table(|table| table.running_items(job));
         self.shared.running.stop_job(job, StopReason::GivenUp);
         self.wait_for_stopped_items(Some(job)).await;
         if !self.is_claim_before(job, version) {
-            return not_owner();
+            return not_owner(self.known_owner(job, &to));
         }
         let given_up = self.with_table(|table| GivenUpJob {
             progress: table.checkpoints(job),
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -404,13 +404,14 @@
             true => self.shared.store.load_spec(id).await.ok().flatten(),
             false => spec,
         };
-        if self.is_claimed_after(id, &claim) {
-            return false;
-        }
         self.log_reloaded(id, &stored);
         let age = self.job_age(claim.open_version);
         let now = Instant::now();
         let has_job = self.with_table(|table| {
+            // Under the lock of the table, as a call to give the job up may come at the same time.
+            if self.is_claimed_after(id, &claim) {
+                return false;
+            }
             match spec {
                 Some(spec) if !table.owns(id) => {
                     self.log_job(id, "taken_over", spec.items.len(), stored.result_count());
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -211,12 +211,18 @@
                     &Takeover::submitted(),
                     &PreviousOwner::Absent,
                 );
-                // By a late answer, another host may have the job, or this one since a scan.
-                if !self.is_claimed_after(&spec.id, &claim) {
-                    self.see_owner(&spec.id, &self.shared.identity, claim.version());
+                self.see_owner(&spec.id, &self.shared.identity, claim.version());
+                let now = Instant::now();
+                // By a late answer, another host may have the job, or this one may have closed it.
+                let is_inserted = self.with_table(|table| {
+                    let is_current = !self.is_claimed_after(&spec.id, &claim);
+                    if is_current {
+                        table.insert(spec.clone(), claim, Vec::new(), now);
+                    }
+                    is_current
+                });
+                if is_inserted {
                     self.shared.announcer.add(&spec.id);
-                    let now = Instant::now();
-                    self.with_table(|table| table.insert(spec.clone(), claim, Vec::new(), now));
                     self.shared.work_available.notify_one();
                 }
                 StoreOutcome::Stored
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -395,11 +395,15 @@
         }
     }
 
-    /// Begins no item of `job` and commits no result of it until it is claimed again or removed.
-    pub(crate) fn hold(&mut self, job: &str) {
-        if let Some(job) = self.jobs.get_mut(job) {
-            job.is_held = true;
-        }
+    /// Begins no item of `job` and commits no result of it until it is claimed again or removed, if it is
+    /// held by a claim before `version`. Returns whether it is.
+    pub(crate) fn hold_claimed_before(&mut self, job: &str, version: KvVersion) -> bool {
+        let job = self.jobs.get_mut(job);
+        let Some(job) = job.filter(|job| job.claim.version() < version) else {
+            return false;
+        };
+        job.is_held = true;
+        true
     }
 
     /// Holds all jobs; returns their number.
@@ -533,9 +537,12 @@
     }
 
     /// Marks a waiting item as running, and returns the output to resume from; `None` if it does not
-    /// wait any more.
+    /// wait any more, or its job is held or ended.
     pub(crate) fn begin_run(&mut self, head: &RouteHead, now: Instant) -> Option<ItemDispatch> {
         let job = self.jobs.get_mut(&head.spec.id)?;
+        if !job.is_active() {
+            return None;
+        }
         let is_job_doubtful = job.doubtful_until.is_some_and(|until| now < until);
         let owned_item = job.owned_items.get_mut(head.index)?;
         if owned_item.state != ItemState::Waiting {
--- a/lib/src/jobs/tests.rs
+++ b/lib/src/jobs/tests.rs
@@ -373,7 +373,7 @@
         let table = &mut play.tables[0];
         let heads = table.route_heads(&Default::default(), play.now, 0);
         match name {
-            "hold" => table.hold(JOB),
+            "hold" => assert!(table.hold_claimed_before(JOB, KvVersion(u64::MAX))),
             _ => table.mark_ending(JOB),
         }
         if table.begin_run(&heads[0], play.now).is_some() {
