--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -307,6 +307,7 @@
             .with_table(|table| table.result_counts(job))
             .unwrap_or_default();
         if outcome == FINISHED_OUTCOME
+            && self.with_table(|table| table.is_complete(job))
             && let Some(page) = self.with_table(|table| table.full_page(job))
         {
             self.shared.result_cache.insert(job, page);
