--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -547,7 +547,7 @@
             .take(size)
     }
 
-    /// Upstreams in this host's window of `service`, [`MAX_PROBE_TARGETS`] at most.
+    /// Upstreams in this host's window of `service`, `MAX_PROBE_TARGETS` at most.
     pub fn probe_targets(&self, service: &ServiceName) -> Vec<ProbeTarget> {
         let near = self.window(service, |_| true).take(MAX_PROBE_TARGETS);
         near.map(|(_, upstream)| ProbeTarget {
--- a/lib/src/reach/directory.rs
+++ b/lib/src/reach/directory.rs
@@ -4,7 +4,7 @@
 const MAX_LOAD_FACTOR: usize = 4;
 
 /// Those of `hosts` that callers should use: the ones that reach upstreams, and as many of the others as it
-/// takes so that no host gets more than [`MAX_LOAD_FACTOR`] times the callers that it has else.
+/// takes so that no host gets more than `MAX_LOAD_FACTOR` times the callers that it has else.
 pub fn preferred_hosts<T>(hosts: Vec<T>, is_stranded: impl Fn(&T) -> bool) -> Vec<T> {
     let needed = hosts.len().div_ceil(MAX_LOAD_FACTOR);
     let (stranded, mut preferred): (Vec<T>, Vec<T>) = hosts.into_iter().partition(is_stranded);
