workspaces: callers' keys lead to workspaces, which upstreams are told of

No code knew keys: the caller's key reached the upstream and unknown keys were served.

The configuration's workspaces are a directory of the digests of their keys. The key is dropped where the request is taken, and the upstream learns the workspace's name. Jobs keep the name, detours pass it on, and the called host checks it; one of an earlier release passes the key on, which the called host looks up.

--- a/bench/src/scenarios/backlog.rs
+++ b/bench/src/scenarios/backlog.rs
@@ -204,6 +204,7 @@
         priority: 0,
         run_objective: Duration::from_secs(600),
         retention: Duration::from_secs(600),
+        is_public: false,
     }
 }
 
@@ -225,6 +226,7 @@
             retention_ms: now + 600_000,
             attempts: 3,
             version: 1,
+            workspace: None,
             items: items.collect(),
         };
         if keeper.submit(spec).await != SubmitOutcome::Accepted {
--- a/lib/src/admin/mod.rs
+++ b/lib/src/admin/mod.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::admission::LoadSnapshot;
-use crate::callers::bearer_key;
+use crate::api_key::bearer_key;
 use crate::caps::CapKey;
 use crate::collections::HashMap;
 use crate::counters::CounterSet;
@@ -104,7 +104,7 @@
     }
 
     fn authenticate(&self, headers: &HeaderMap) -> Result<(), Refusal> {
-        let key = bearer_key(headers).ok_or_else(|| {
+        let key = bearer_key(headers).map_err(|_| {
             let message = "an Authorization header with an operator key is required";
             Refusal::new(RefusalReason::Unauthenticated, message)
         })?;
--- a/lib/src/callers/entries.rs
+++ b/lib/src/callers/entries.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use serde_json::json;
 
-use crate::callers::request::bearer_key;
+use crate::api_key::bearer_key;
 use crate::callers::router::CallerApi;
 use crate::http::reply::Reply;
 use crate::http::reply::json_reply;
--- a/lib/src/callers/mod.rs
+++ b/lib/src/callers/mod.rs
@@ -9,6 +9,5 @@
 mod router;
 mod services;
 
-pub(crate) use request::bearer_key;
 pub(crate) use request::read_json;
 pub(crate) use router::CallerApi;
--- a/lib/src/callers/request.rs
+++ b/lib/src/callers/request.rs
@@ -9,13 +9,6 @@
 use crate::http::body::BodyReader;
 use crate::refusal::Refusal;
 
-/// Returns the key of an `Authorization: Bearer` header, or `None` without a valid one.
-pub(crate) fn bearer_key(headers: &HeaderMap) -> Option<&str> {
-    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-    let (scheme, key) = value.split_once(' ')?;
-    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
-}
-
 /// Reads a JSON body within the size and time limits of `reader`.
 ///
 /// Refuses a `Content-Type` other than `application/json`; a missing one is accepted.
--- a/lib/src/callers/router.rs
+++ b/lib/src/callers/router.rs
@@ -10,9 +10,9 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::api_key::bearer_key;
 use crate::batch::BatchError;
 use crate::batch::BatchService;
-use crate::callers::request::bearer_key;
 use crate::counters::CounterEvent;
 use crate::counters::CounterSet;
 use crate::counters::RefusalReason;
@@ -145,7 +145,7 @@
             return Err(Refusal::new(RefusalReason::Starting, message)
                 .with_retry_after(std::time::Duration::from_secs(1)));
         }
-        let Some(key) = bearer_key(&parts.headers) else {
+        let Ok(key) = bearer_key(&parts.headers) else {
             let message = "an Authorization header with a bearer key is required";
             return Err(Refusal::new(RefusalReason::Unauthenticated, message));
         };
--- a/lib/src/detour/message.rs
+++ b/lib/src/detour/message.rs
@@ -20,6 +20,7 @@
 use crate::relay::RelayRequest;
 use crate::routes::Route;
 use crate::suspects::Fingerprint;
+use crate::workspaces::CallerIdentity;
 
 /// Headers on the wire: names with values, in their order.
 pub(crate) type WireHeaders = Vec<(String, Bytes)>;
@@ -44,6 +45,10 @@
     pub(crate) software: Option<SoftwareVersion>,
     /// Largest number of upstreams that may still run the request.
     pub(crate) max_runs: u32,
+    /// Who sent the request, as the host found that took it; [`CallerIdentity::Unchecked`] from an
+    /// earlier release.
+    #[serde(default)]
+    pub(crate) caller: CallerIdentity,
     /// Length of the body, which follows in parts.
     pub(crate) body_bytes: usize,
     /// Body. It is not part of the encoded call.
@@ -75,6 +80,7 @@
             resumes: request.resumes.clone(),
             software,
             max_runs,
+            caller: request.caller.clone(),
             body_bytes: request.body.len(),
             body: request.body.clone(),
         }
@@ -99,6 +105,7 @@
             resume_after: self.resume_after,
             resumes: self.resumes,
             software: self.software,
+            caller: self.caller,
         })
     }
 }
--- a/lib/src/detour/server.rs
+++ b/lib/src/detour/server.rs
@@ -13,6 +13,7 @@
 use futures_util::stream::BoxStream;
 use futures_util::stream::SplitStream;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 use tokio::time::timeout;
@@ -39,7 +40,10 @@
 use crate::relay::DetouredAnswer;
 use crate::relay::RelayAnswer;
 use crate::relay::RelayRefusal;
+use crate::relay::RelayRequest;
 use crate::relay::RequestRelay;
+use crate::routes::RouteTable;
+use crate::workspaces::CallerIdentity;
 
 /// Requests of other hosts that a host works on at a time.
 const MAX_TAKEN: usize = 1024;
@@ -62,6 +66,7 @@
 #[derive(Clone)]
 pub struct DetourServer {
     relay: RequestRelay,
+    routes: Option<watch::Receiver<Arc<RouteTable>>>,
     body_memory: MemoryBudget,
     taken: Arc<AtomicUsize>,
 }
@@ -71,11 +76,18 @@
     pub fn new(relay: RequestRelay) -> Self {
         Self {
             relay,
+            routes: None,
             body_memory: MemoryBudget::new(BODY_MEMORY_BYTES),
             taken: Arc::default(),
         }
     }
 
+    /// Checks the callers of requests by the workspaces of the table in force.
+    pub fn with_routes(mut self, routes: watch::Receiver<Arc<RouteTable>>) -> Self {
+        self.routes = Some(routes);
+        self
+    }
+
     /// Number of requests of other hosts that are under way.
     pub fn taken_count(&self) -> usize {
         self.taken.load(Ordering::Relaxed)
@@ -97,6 +109,7 @@
         let (frames, queue) = mpsc::channel(FRAME_QUEUE_LENGTH);
         let run = DetourRun {
             relay: self.relay.clone(),
+            routes: self.routes.clone(),
             from,
             frames,
             runs: RunCounter::default(),
@@ -254,6 +267,7 @@
 /// One request of another host.
 struct DetourRun {
     relay: RequestRelay,
+    routes: Option<watch::Receiver<Arc<RouteTable>>>,
     from: HostId,
     frames: mpsc::Sender<DetourFrame>,
     runs: RunCounter,
@@ -271,7 +285,8 @@
             return self.refuse(request_id, reason, NO_HOST_RETRY_DELAY).await;
         }
         let max_runs = call.max_runs;
-        let Some(request) = call.into_request() else {
+        let request = call.into_request();
+        let Some(request) = request.and_then(|request| self.with_caller(request)) else {
             let reason = DetourRefusal::Malformed;
             return self.refuse(request_id, reason, Duration::ZERO).await;
         };
@@ -292,6 +307,35 @@
         self.pass_on(request_id, answered).await;
     }
 
+    /// Checks who sent the request; `None` if its caller has no right to it. Only hosts of the fleet have
+    /// the link's secret, so that their word counts for a workspace that this host knows, or can't know
+    /// yet. A host of an earlier release names no caller and passes the caller's headers on.
+    fn with_caller(&self, mut request: RelayRequest) -> Option<RelayRequest> {
+        let Some(routes) = &self.routes else {
+            return Some(request);
+        };
+        let table = routes.borrow().clone();
+        let Some(workspaces) = table.workspaces() else {
+            return Some(request);
+        };
+        let is_newer = request.version > table.version();
+        request.caller = match &request.caller {
+            CallerIdentity::Member(workspace) => match workspaces.named(&workspace.name) {
+                Some(known) => CallerIdentity::Member(known.clone()),
+                None if is_newer => request.caller,
+                None => return None,
+            },
+            CallerIdentity::Anonymous if request.route.is_public => CallerIdentity::Anonymous,
+            CallerIdentity::Anonymous => return None,
+            CallerIdentity::Unchecked => {
+                let route = table.select(&request.route.host, &request.target);
+                let is_public = route.is_some_and(|route| route.is_public);
+                table.identify(&request.headers, is_public).ok()?
+            }
+        };
+        Some(request)
+    }
+
     /// Awaits `work` and tells at intervals that it goes on. `None` if the other host is gone.
     async fn await_with_progress<T>(&self, work: impl Future<Output = T>) -> Option<T> {
         let mut work = std::pin::pin!(work);
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -238,6 +238,17 @@
         /// What the request is refused for, if it is convicted of crashing upstreams.
         subject: Option<String>,
     },
+    /// A request was refused as it has no key that it needs. The key itself is never logged.
+    KeyRefused {
+        /// Identifier of the request; `None` if it has none.
+        request: Option<String>,
+        /// What is wrong with the key, such as `unknown`.
+        reason: String,
+        /// Version of the configuration whose keys this host knows.
+        version: u64,
+        /// Age in milliseconds of this host's view of the configuration.
+        config_ms: u64,
+    },
     /// An attempt to send a request to an upstream has begun.
     RequestSent {
         /// Identifier of the request or item.
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -47,6 +47,7 @@
 use crate::routes::Route;
 use crate::routes::RouteKey;
 use crate::routes::RouteTable;
+use crate::workspaces::CallerIdentity;
 
 /// Deadline of one run of an item.
 pub(super) const RUN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -269,7 +270,9 @@
         stop: RunStop,
     ) {
         let upstream_key = permit.choice.key;
-        let request = item_request(&dispatch, route, service, version);
+        let workspace = dispatch.spec.workspace.as_ref();
+        let caller = self.shared.routes.borrow().identity_of(workspace);
+        let request = item_request(&dispatch, route, service, version, caller);
         let run = RequestDispatch::new(self.shared.relay.clone(), Arc::new(request), item_policy())
             .with_slot(permit);
         let began = Instant::now();
@@ -520,6 +523,7 @@
     route: Arc<Route>,
     service: ServiceName,
     version: u64,
+    caller: CallerIdentity,
 ) -> RelayRequest {
     let item = &dispatch.spec.items[dispatch.index];
     let mut headers = HeaderMap::new();
@@ -549,5 +553,6 @@
         resumes: None,
         software: dispatch.progress.software.clone(),
         prompt_parts: Vec::new(),
+        caller,
     }
 }
--- a/lib/src/jobs/spec.rs
+++ b/lib/src/jobs/spec.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::ids::WorkspaceName;
+
 /// One item of a job: an HTTP request that is sent to an upstream later.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobItem {
@@ -40,6 +42,10 @@
     pub attempts: u32,
     /// Version of the configuration that the job was accepted under.
     pub version: u64,
+    /// Workspace of the caller that submitted the job, whose callers alone may read and end it; `None`
+    /// for a job that needs no key, and in jobs of an earlier release.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
     /// Items, in the order submitted.
     pub items: Vec<JobItem>,
 }
--- a/lib/src/jobs/tests.rs
+++ b/lib/src/jobs/tests.rs
@@ -152,6 +152,7 @@
             retention_ms: u64::MAX,
             attempts: 1,
             version: 1,
+            workspace: None,
             items: items.collect(),
         };
         Self {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod api_key;
 pub mod balancer;
 pub mod batch;
 mod callers;
@@ -47,3 +48,4 @@
 pub mod trace;
 pub mod upstreams;
 pub mod view_monitor;
+pub mod workspaces;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -278,7 +278,7 @@
         let name: &'static str = event.into();
         self.events.with_label_values(&[name]).inc();
         match event {
-            LogEvent::RequestRefused { reason, .. } => {
+            LogEvent::RequestRefused { reason, .. } | LogEvent::KeyRefused { reason, .. } => {
                 self.refusals.with_label_values(&[reason]).inc();
             }
             LogEvent::SendingFailed { fault, .. } => {
--- a/lib/src/relay/request.rs
+++ b/lib/src/relay/request.rs
@@ -16,6 +16,7 @@
 use crate::routes::RouteKind;
 use crate::suspects::CrashSubject;
 use crate::suspects::Fingerprint;
+use crate::workspaces::CallerIdentity;
 
 /// A completely read request with the route that was selected for it.
 #[derive(Clone, Debug)]
@@ -51,6 +52,8 @@
     pub resumes: Option<RequestId>,
     /// Version of the software at which the answer has to go on; `None` if it starts anew.
     pub software: Option<SoftwareVersion>,
+    /// Who sent the request; the transport tells the upstream, whatever the headers say.
+    pub caller: CallerIdentity,
 }
 
 impl RelayRequest {
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -159,7 +159,7 @@
             config.incarnation,
             config.jobs,
         );
-        let detour_server = DetourServer::new(relay.clone());
+        let detour_server = DetourServer::new(relay.clone()).with_routes(routes.subscribe());
         let host = Arc::new(Self {
             config,
             log,
--- a/lib/src/routes.rs
+++ b/lib/src/routes.rs
@@ -4,11 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::api_key::KeyFault;
 use crate::collections::HashMap;
 use crate::ids::ServiceName;
+use crate::ids::WorkspaceName;
+use crate::workspaces::CallerIdentity;
+use crate::workspaces::Workspace;
+use crate::workspaces::WorkspaceDirectory;
 
 /// Kind of the answers of a route, which decides whether a request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
@@ -75,6 +81,9 @@
     pub run_objective: Duration,
     /// Time from the first submission of a batch job after which its items may be given up.
     pub retention: Duration,
+    /// Whether its requests need no key, also where the configuration has workspaces.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 impl Route {
@@ -158,6 +167,8 @@
     /// Routes of each host name, those with the longest prefixes first.
     keys_by_host: HashMap<String, Vec<RouteKey>>,
     services: Vec<ServiceName>,
+    /// `None` if the configuration has no workspaces.
+    workspaces: Option<WorkspaceDirectory>,
 }
 
 impl RouteTable {
@@ -183,6 +194,48 @@
             routes,
             keys_by_host,
             services,
+            workspaces: None,
+        }
+    }
+
+    /// Requires keys of `workspaces` for the requests of all routes that are not public.
+    pub fn with_workspaces(mut self, workspaces: WorkspaceDirectory) -> Self {
+        self.workspaces = Some(workspaces);
+        self
+    }
+
+    /// The workspaces; `None` if the configuration has none, so that requests need no keys.
+    pub fn workspaces(&self) -> Option<&WorkspaceDirectory> {
+        self.workspaces.as_ref()
+    }
+
+    /// Who sent a request with `headers` on a route that `is_public` or not. The error says why the
+    /// request has no key that its route needs.
+    pub fn identify(
+        &self,
+        headers: &HeaderMap,
+        is_public: bool,
+    ) -> Result<CallerIdentity, KeyFault> {
+        let Some(workspaces) = &self.workspaces else {
+            return Ok(CallerIdentity::Unchecked);
+        };
+        match workspaces.identify(headers) {
+            Ok(workspace) => Ok(CallerIdentity::Member(workspace.clone())),
+            Err(_) if is_public => Ok(CallerIdentity::Anonymous),
+            Err(fault) => Err(fault),
+        }
+    }
+
+    /// Identity of work that a caller of the workspace `name` left here to be done later; `None` names no
+    /// workspace. A workspace that the configuration no longer has keeps its name.
+    pub fn identity_of(&self, name: Option<&WorkspaceName>) -> CallerIdentity {
+        let known = |name| self.workspaces.as_ref()?.named(name).cloned();
+        match (name, &self.workspaces) {
+            (Some(name), _) => CallerIdentity::Member(
+                known(name).unwrap_or_else(|| Arc::new(Workspace::new(name.clone()))),
+            ),
+            (None, Some(_)) => CallerIdentity::Anonymous,
+            (None, None) => CallerIdentity::Unchecked,
         }
     }
 
--- a/lib/src/terms/view.rs
+++ b/lib/src/terms/view.rs
@@ -3,10 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use sha2::Digest;
-use sha2::Sha256;
-use subtle::ConstantTimeEq;
-
+use crate::api_key::KeyDigest;
 use crate::collections::HashMap;
 use crate::ids::ModelName;
 use crate::ids::Revision;
@@ -49,8 +46,6 @@
     }
 }
 
-type KeyDigest = [u8; 32];
-
 /// Immutable view of one revision of the terms, with workspaces resolved and indexed by key digest.
 #[derive(Clone, Debug, Default)]
 pub struct TermsView {
@@ -73,7 +68,11 @@
                 continue;
             };
             let terms = Arc::new(terms);
-            for digest in workspace.key_digests.iter().filter_map(|text| decode(text)) {
+            for digest in workspace
+                .key_digests
+                .iter()
+                .filter_map(|text| KeyDigest::from_hex(text))
+            {
                 members.insert(digest, terms.clone());
             }
             workspaces.insert(name.clone(), terms);
@@ -81,7 +80,9 @@
         let operators = document.operator_digests.iter();
         Self {
             revision,
-            operators: operators.filter_map(|text| decode(text)).collect(),
+            operators: operators
+                .filter_map(|text| KeyDigest::from_hex(text))
+                .collect(),
             document,
             workspaces,
             members,
@@ -91,7 +92,7 @@
     /// Also accepts the operator key with the hexadecimal SHA-256 `digest`; ignored if it is
     /// malformed.
     pub fn with_operator(mut self, digest: &str) -> Self {
-        self.operators.extend(decode(digest));
+        self.operators.extend(KeyDigest::from_hex(digest));
         self
     }
 
@@ -108,11 +109,11 @@
     /// Holder of the API key `key`; `None` if the key is unknown. Keys are looked up by their
     /// digest, so that the time of a look-up reveals nothing about other keys.
     pub fn principal(&self, key: &str) -> Option<Principal> {
-        let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
+        let digest = KeyDigest::of(key);
         if let Some(terms) = self.members.get(&digest) {
             return Some(Principal::Member(terms.clone()));
         }
-        let matches = |known: &KeyDigest| bool::from(known.ct_eq(&digest));
+        let matches = |known: &KeyDigest| known.is_same(&digest);
         self.operators
             .iter()
             .any(matches)
@@ -122,7 +123,7 @@
 
 /// SHA-256 digest of `key` in lower-case hexadecimal, as the terms hold it.
 pub fn digest_key(key: &str) -> String {
-    hex::encode(Sha256::digest(key.as_bytes()))
+    KeyDigest::of(key).to_hex()
 }
 
 fn resolve(document: &TermsDocument, name: &WorkspaceName) -> Option<WorkspaceTerms> {
@@ -138,7 +139,3 @@
         models: models.union(adapters).cloned().collect(),
     })
 }
-
-fn decode(text: &str) -> Option<KeyDigest> {
-    hex::decode(text).ok()?.try_into().ok()
-}
--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -284,6 +284,8 @@
         retention_ms: now + 60_000,
         attempts: 3,
         version: 1,
+        workspace: None,
+        workspace: None,
         items: items.collect(),
     }
 }
--- a/lib/tests/opaque/mod.rs
+++ b/lib/tests/opaque/mod.rs
@@ -32,6 +32,7 @@
 use parsleywall::routes::RouteKind;
 use parsleywall::routes::RouteTable;
 use parsleywall::routes::ServiceWeight;
+use parsleywall::workspaces::CallerIdentity;
 use tokio::time::Instant;
 
 pub(crate) const HOST: &str = "desk.example";
@@ -54,6 +55,7 @@
         priority: 0,
         run_objective: Duration::from_secs(18),
         retention: Duration::from_secs(60),
+        is_public: false,
     }
 }
 
@@ -195,6 +197,7 @@
         resumes: None,
         software: None,
         prompt_parts: Vec::new(),
+        caller: CallerIdentity::Unchecked,
         route: Arc::new(route),
     }
 }
--- a/lib/tests/test_host_names.rs
+++ b/lib/tests/test_host_names.rs
@@ -345,6 +345,8 @@
         retention_ms: now + 120_000,
         attempts: 3,
         version: 1,
+        workspace: None,
+        workspace: None,
         items: items.collect(),
     }
 }
--- a/lib/tests/test_routes.rs
+++ b/lib/tests/test_routes.rs
@@ -30,6 +30,7 @@
         priority: 0,
         run_objective: Duration::from_secs(10),
         retention: Duration::from_secs(60),
+        is_public: false,
     }
 }
 
