quotas: limits on the requests of workspaces, paced by one host each

Cause: nobody kept the limit that the configuration gives a workspace over all hosts: requests beyond it took the room of those within.

Change: one host, drawn by rendezvous hashing, keeps a token bucket for each workspace and grants requests before they are sent; the others hold grants, know for how long there is nothing, and use a share of their own when nobody replies. The relay asks first; what is beyond the limit gets 429. The drawing and the share of heard hosts are one unit with those of upstreams' limits.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -26,6 +26,7 @@
 use crate::origins::OriginQuery;
 use crate::origins::REGISTRARS;
 use crate::origins::StreamTag;
+use crate::quotas::QuotaKeeper;
 use crate::reach::ReachKeeper;
 use crate::reach::ReachNotice;
 use crate::reach::stranded_interval;
@@ -88,6 +89,9 @@
     news_budget: NewsBudget,
     log: EventLog,
     origins: OriginKeeper,
+    quotas: QuotaKeeper,
+    /// When the hosts that may pace workspaces were last looked at.
+    quota_fleet_at: Option<Instant>,
     reach: ReachKeeper,
     /// What this host last told of its reach, and when.
     reach_notice: ReachNotice,
@@ -152,6 +156,7 @@
             is_stranded: false,
         };
         let crashes = CrashKeeper::new(&host, EventLog::disabled());
+        let quotas = QuotaKeeper::new(&host);
         let report = HostLoadReport {
             host,
             incarnation,
@@ -182,6 +187,8 @@
             news_budget: NewsBudget::new(Instant::now()),
             log: EventLog::disabled(),
             origins: OriginKeeper::default(),
+            quotas,
+            quota_fleet_at: None,
             reach: ReachKeeper::default(),
             reach_notice: ReachNotice::default(),
             reach_told_at: None,
@@ -211,6 +218,12 @@
         self
     }
 
+    /// Also exchanges what `quotas` asks and grants of requests of workspaces.
+    pub fn with_quotas(mut self, quotas: QuotaKeeper) -> Self {
+        self.quotas = quotas;
+        self
+    }
+
     /// Also exchanges what `reach` knows of the reach of hosts.
     pub fn with_reach(mut self, reach: ReachKeeper) -> Self {
         self.reach = reach;
@@ -237,7 +250,7 @@
         let mut next = Instant::now();
         let crashes = self.crashes.clone();
         let (balancer, origins) = (self.balancer.clone(), self.origins.clone());
-        let views = self.views.clone();
+        let (views, quotas) = (self.views.clone(), self.quotas.clone());
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -248,6 +261,7 @@
                 () = crashes.news_added() => self.send_news(Instant::now()).await,
                 () = balancer.grants_requested() => self.send_grant_requests().await,
                 () = origins.messages_added() => self.send_origins().await,
+                () = quotas.asks_added() => self.send_quota_asks().await,
                 () = views.notice_added() => self.send_view_notices().await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
@@ -256,6 +270,9 @@
                     self.report_load(now).await;
                     self.announce(now, acquired_jobs()).await;
                     self.send_news(now).await;
+                    if self.quotas.is_active() {
+                        self.send_quota_asks().await;
+                    }
                     let neighbours = self.peers.neighbours.len() as u32;
                     next = now + FAST_INTERVAL * (neighbours + 1).div_ceil(FAST_NEIGHBOURS);
                 }
@@ -338,6 +355,13 @@
                     .await;
             }
             Some(HostDatagram::OriginReply(reply)) => self.origins.apply_reply(&reply),
+            Some(HostDatagram::QuotaAsk(ask)) => {
+                self.refresh_quota_fleet(now);
+                if let Some(reply) = self.quotas.answer(&ask, now) {
+                    self.send(&HostDatagram::QuotaReply(reply), &[sender]).await;
+                }
+            }
+            Some(HostDatagram::QuotaReply(reply)) => self.quotas.apply_reply(&reply, now),
             Some(HostDatagram::View(notice)) => self.views.apply(&notice, self.emptied_at),
             None => {}
         }
@@ -389,6 +413,31 @@
         }
     }
 
+    /// Asks the hosts that pace workspaces, and tells them what this host owes and returns.
+    async fn send_quota_asks(&mut self) {
+        let now = Instant::now();
+        self.refresh_quota_fleet(now);
+        for (host, ask) in self.quotas.take_asks(now) {
+            // Without an address, the question counts as one without a reply.
+            if let Some(address) = self.peers.by_name.get(&host) {
+                self.send(&HostDatagram::QuotaAsk(ask), &[*address]).await;
+            }
+        }
+    }
+
+    /// Looks at the hosts that may pace workspaces, if that is due.
+    fn refresh_quota_fleet(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now - at < NEIGHBOUR_INTERVAL;
+        if self.quota_fleet_at.is_some_and(is_recent) {
+            return;
+        }
+        self.quota_fleet_at = Some(now);
+        let mut names: Vec<&str> = self.peers.by_name.keys().map(String::as_str).collect();
+        names.sort_unstable();
+        let view = self.balancer.state().quota_fleet(&names, now);
+        self.quotas.set_fleet(view);
+    }
+
     /// Tells registrars of streams that have begun here, and asks them about others. Tells hosts that ran
     /// streams of their take-ups.
     async fn send_origins(&self) {
--- a/lib/src/balancer/limited.rs
+++ b/lib/src/balancer/limited.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::balancer::backoff::UpstreamAvailability;
 use crate::balancer::capacity::SlotUsage;
@@ -20,6 +19,7 @@
 use crate::balancer::state::SlotRequest;
 use crate::balancer::state::UpstreamRecord;
 use crate::balancer::state::availability;
+use crate::host_draw::draw_weight;
 use crate::ids::ServiceName;
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
@@ -108,7 +108,7 @@
     /// upstream and that this one hears, all choose the same by their names.
     fn grant_authority(&self, key: BalancerKey, now: Instant) -> GrantAuthority {
         let tag = self.upstreams[&key].tag;
-        let weight = |host: &str| xxh3_64_with_seed(host.as_bytes(), u64::from(tag));
+        let weight = |host: &str| draw_weight(host, tag);
         let heard = self
             .window_users(key)
             .filter(|host| self.tracker.peer_state(host, now) == PeerState::Heard);
@@ -127,13 +127,7 @@
 
     /// Share of the hosts that use the upstream that this one hears, itself included.
     fn heard_share(&self, key: BalancerKey, now: Instant) -> f64 {
-        let (mut known, mut heard) = (1, 1);
-        for host in self.window_users(key) {
-            let state = self.tracker.peer_state(host, now);
-            known += u32::from(state != PeerState::Leaving);
-            heard += u32::from(state == PeerState::Heard);
-        }
-        f64::from(heard) / f64::from(known)
+        self.tracker.heard_share(self.window_users(key), now)
     }
 
     /// Whether this host is among those that use the upstream, as [`Self::window_users`] are.
--- a/lib/src/balancer/mod.rs
+++ b/lib/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod message_order;
 mod neighbours;
 mod peer_loads;
+mod quota_fleet;
 mod reconciler;
 mod report;
 mod ring;
--- a/lib/src/balancer/neighbours.rs
+++ b/lib/src/balancer/neighbours.rs
@@ -110,6 +110,22 @@
         }
     }
 
+    /// Share of this host and `others` that this host hears, itself included. Those that leave are not
+    /// counted.
+    pub(crate) fn heard_share<'a>(
+        &self,
+        others: impl IntoIterator<Item = &'a str>,
+        now: Instant,
+    ) -> f64 {
+        let (mut known, mut heard) = (1, 1);
+        for host in others {
+            let state = self.peer_state(host, now);
+            known += u32::from(state != PeerState::Leaving);
+            heard += u32::from(state == PeerState::Heard);
+        }
+        f64::from(heard) / f64::from(known)
+    }
+
     /// Records a heartbeat of `host`: any load report or broadcast from it.
     pub(crate) fn record_heartbeat(&mut self, host: &str, is_leaving: bool, now: Instant) {
         self.liveness.record_heartbeat(host, is_leaving, now);
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -15,6 +15,8 @@
 use crate::origins::OriginReply;
 use crate::origins::TakeUpNotice;
 use crate::origins::TakeUpReply;
+use crate::quotas::QuotaAsk;
+use crate::quotas::QuotaReply;
 use crate::reach::ReachNotice;
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
@@ -141,6 +143,12 @@
     /// Result of a check of a view, for all hosts.
     #[serde(rename = "w")]
     View(ViewNotice),
+    /// Question about requests of workspaces, to the host that paces them.
+    #[serde(rename = "q")]
+    QuotaAsk(QuotaAsk),
+    /// Reply to it.
+    #[serde(rename = "r")]
+    QuotaReply(QuotaReply),
 }
 
 impl HostDatagram {
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -382,7 +382,7 @@
 
     /// Largest reach on the ring over all services with upstreams, where
     /// `reach_of(upstreams, hosts)` computes the reach of one service.
-    fn max_reach(&self, reach_of: impl Fn(usize, usize) -> f64) -> f64 {
+    pub(super) fn max_reach(&self, reach_of: impl Fn(usize, usize) -> f64) -> f64 {
         let hosts = self.tracker.hosts();
         let services = self.serving.values().filter(|all| !all.is_empty());
         services
--- a/lib/src/detour/server.rs
+++ b/lib/src/detour/server.rs
@@ -382,7 +382,7 @@
                 reason,
             } => {
                 let reason = match reason {
-                    RelayRefusal::Overloaded => DetourRefusal::Overloaded,
+                    RelayRefusal::Overloaded | RelayRefusal::OverQuota => DetourRefusal::Overloaded,
                     RelayRefusal::Convicted => DetourRefusal::Convicted,
                     RelayRefusal::NotResumable => DetourRefusal::NotResumable,
                     RelayRefusal::ShuttingDown => DetourRefusal::ShuttingDown,
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -238,6 +238,23 @@
         /// What the request is refused for, if it is convicted of crashing upstreams.
         subject: Option<String>,
     },
+    /// A request was refused as its workspace has sent as many as its limit allows. It has not run.
+    RequestOverQuota {
+        /// Identifier of the request.
+        request: String,
+        /// Name of the workspace.
+        workspace: String,
+        /// Requests that were left by the last reply about the workspace; `None` without one.
+        level: Option<f64>,
+        /// Age of that reply in milliseconds.
+        level_ms: Option<u64>,
+        /// Host that replied; `None` if this host used its own share of the limit.
+        authority: Option<String>,
+        /// Retry delay in milliseconds that the caller was told.
+        retry_ms: u64,
+        /// Version of the configuration that has the limit.
+        version: u64,
+    },
     /// A request was refused as it has no key that it needs. The key itself is never logged.
     KeyRefused {
         /// Identifier of the request; `None` if it has none.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -20,12 +20,16 @@
 use crate::events::LogEvent;
 use crate::limits::GrantCounts;
 use crate::limits::KnownLimit;
+use crate::quotas::QuotaCounts;
 
 /// Upper bounds, in seconds, of the buckets of all latency histograms.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Counted reason of a refusal for the limit of a workspace.
+const OVER_QUOTA: &str = "quota_exhausted";
+
 /// Metrics of one process, under the prefix `parsleywall_`.
 pub struct RelayMetrics {
     registry: Registry,
@@ -57,6 +61,7 @@
     limited_upstreams: IntGauge,
     limit_age: Gauge,
     grants: IntCounterVec,
+    quota_asks: IntCounterVec,
     reach_changes: IntCounterVec,
     stranded: IntGauge,
 }
@@ -198,6 +203,11 @@
                 "Requests to limited upstreams: granted, denied (withheld for the limit) or unanswered.",
                 &["outcome"],
             ),
+            quota_asks: counter(
+                "quota_asks_total",
+                "Questions about limits of workspaces to the hosts that pace them: asked, unanswered (in time), denied (by a host that does not pace) and local (requests from this host's own share instead).",
+                &["outcome"],
+            ),
             reach_changes: counter(
                 "reach_changes_total",
                 "Changes of whether this host reaches the upstreams of a service, by the new state.",
@@ -247,6 +257,7 @@
             &self.name_changes,
             &self.job_claims,
             &self.grants,
+            &self.quota_asks,
             &self.view_calls,
             &self.reach_changes,
         ];
@@ -281,6 +292,7 @@
             LogEvent::RequestRefused { reason, .. } | LogEvent::KeyRefused { reason, .. } => {
                 self.refusals.with_label_values(&[reason]).inc();
             }
+            LogEvent::RequestOverQuota { .. } => self.count_refusal(OVER_QUOTA),
             LogEvent::SendingFailed { fault, .. } => {
                 self.faults.with_label_values(&[fault]).inc();
             }
@@ -413,6 +425,18 @@
         }
     }
 
+    /// Counts questions about limits of workspaces.
+    pub fn count_quotas(&self, counts: QuotaCounts) {
+        for (outcome, count) in [
+            ("asked", counts.asked),
+            ("unanswered", counts.unanswered),
+            ("denied", counts.denied),
+            ("local", counts.local),
+        ] {
+            self.quota_asks.with_label_values(&[outcome]).inc_by(count);
+        }
+    }
+
     /// Sets the version of the configuration in force, and the time since it was last known to be
     /// the newest.
     pub fn set_config_version(&self, version: u64, age: Duration) {
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -32,6 +32,8 @@
 use crate::origins::RunEndCause;
 use crate::origins::RunHandle;
 use crate::origins::RunRegistration;
+use crate::quotas::QuotaKeeper;
+use crate::quotas::QuotaRefusal;
 use crate::reach::DetourHost;
 use crate::reach::ReachChange;
 use crate::reach::ReachKeeper;
@@ -53,6 +55,7 @@
 use crate::routes::RouteKind;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashSubject;
+use crate::workspaces::Workspace;
 
 /// Lower bound of the wait for a stream's first event before another upstream is tried.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_millis(150);
@@ -109,6 +112,8 @@
     NotResumable,
     /// The host shuts down before the request would be complete.
     ShuttingDown,
+    /// The workspace has sent as many requests as its limit allows.
+    OverQuota,
 }
 
 /// Outcome of a relayed request, for its caller.
@@ -157,6 +162,7 @@
     stop_gate: StopGate,
     crashes: CrashKeeper,
     origins: OriginKeeper,
+    quotas: QuotaKeeper,
     reach: ReachKeeper,
     detours: DetourKeeper,
 }
@@ -194,6 +200,7 @@
             stop_gate: StopGate::default(),
             crashes: CrashKeeper::new(&host, log.clone()),
             origins: OriginKeeper::new(&host),
+            quotas: QuotaKeeper::new(&host),
             reach: ReachKeeper::default(),
             detours: DetourKeeper::default(),
             log,
@@ -242,6 +249,11 @@
         &self.origins
     }
 
+    /// Limits on the requests of workspaces.
+    pub fn quotas(&self) -> &QuotaKeeper {
+        &self.quotas
+    }
+
     /// What this host knows of its own reach of upstreams and of that of other hosts.
     pub fn reach(&self) -> &ReachKeeper {
         &self.reach
@@ -465,6 +477,8 @@
         self.run(request, None, Some(detoured)).await
     }
 
+    /// Runs a request. One of this host's own callers counts for the limit of its workspace, unless it is
+    /// refused.
     async fn run(
         &self,
         request: RelayRequest,
@@ -472,9 +486,27 @@
         detoured: Option<DetouredRun>,
     ) -> DetouredAnswer {
         let mut software = None;
+        let is_own = detoured.is_none();
+        let workspace = request.caller.workspace().filter(|_| is_own).cloned();
+        if let Some(workspace) = &workspace
+            && let Err(refusal) = self.quotas.admit(workspace, request.version).await
+        {
+            let retry_after = refusal.retry_after;
+            self.log_over_quota(&request, workspace, refusal);
+            let answer = RelayAnswer::Refused {
+                retry_after,
+                reason: RelayRefusal::OverQuota,
+            };
+            return DetouredAnswer { answer, software };
+        }
         let answer = self
             .run_and_tell(request, taken_up, detoured, &mut software)
             .await;
+        if let Some(workspace) = &workspace
+            && matches!(answer, RelayAnswer::Refused { .. })
+        {
+            self.quotas.give_back(workspace);
+        }
         DetouredAnswer { answer, software }
     }
 
@@ -679,6 +711,18 @@
             .unwrap_or(NO_HOST_RETRY_DELAY)
     }
 
+    fn log_over_quota(&self, request: &RelayRequest, workspace: &Workspace, refusal: QuotaRefusal) {
+        self.log.write(LogEvent::RequestOverQuota {
+            request: request.id.to_string(),
+            workspace: workspace.name.to_string(),
+            level: refusal.known.map(|(level, _)| level),
+            level_ms: refusal.known.map(|(_, age)| age.as_millis() as u64),
+            authority: refusal.authority,
+            retry_ms: refusal.retry_after.as_millis() as u64,
+            version: request.version,
+        });
+    }
+
     fn log_refusal(
         &self,
         request: &RelayRequest,
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -195,6 +195,7 @@
         .with_crashes(self.relay.crashes().clone())
         .with_log(self.log.clone())
         .with_origins(self.relay.origins().clone())
+        .with_quotas(self.relay.quotas().clone())
         .with_reach(self.relay.reach().clone())
         .with_views(self.views.clone());
         let host = self.clone();
@@ -431,6 +432,7 @@
         metrics.set_limits(&balancer_state.known_limits(Instant::now()));
         metrics.count_grants(balancer_state.take_grant_counts());
         drop(balancer_state);
+        metrics.count_quotas(self.relay.quotas().take_counts());
         let (waiting, running) = self.jobs.item_counts();
         metrics.set_item_counts(waiting, running);
         metrics.set_convictions(self.relay.crashes().convictions());
--- a/lib/src/trace.rs
+++ b/lib/src/trace.rs
@@ -281,6 +281,12 @@
                     open.remove(&run);
                     ended.push(RequestSummary::new(request, "refused", 0));
                 }
+                "request_over_quota" => {
+                    let workspace = line.text("workspace").unwrap_or_default();
+                    reasons.insert(request, format!("limit of {workspace} is used up"));
+                    open.remove(&run);
+                    ended.push(RequestSummary::new(request, "refused", 0));
+                }
                 "request_ended" if line.text("outcome") != Some("refused") => {
                     open.remove(&run);
                     let outcome = line.text("outcome").unwrap_or_default();
