--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -42,7 +42,7 @@
 }
 
 #[derive(Debug)]
-struct QuotaRecord {
+pub(crate) struct QuotaRecord {
     bucket: RequestBucket,
     /// Version of the configuration that has the limit.
     version: u64,
--- a/lib/src/quotas/fleet.rs
+++ b/lib/src/quotas/fleet.rs
@@ -57,7 +57,7 @@
 }
 
 /// The first hosts by weight for one workspace.
-type HeirOrder = [Option<HostKey>; HEIRS];
+pub(crate) type HeirOrder = [Option<HostKey>; HEIRS];
 
 /// The hosts of the fleet, and which of them reply.
 #[derive(Debug)]
--- a/lib/src/quotas/mod.rs
+++ b/lib/src/quotas/mod.rs
@@ -10,6 +10,8 @@
 mod keeper;
 mod message;
 mod table;
+#[cfg(test)]
+mod tests;
 
 pub use fleet::FleetView;
 pub use keeper::QuotaKeeper;
--- a/lib/tests/quota_fleet/mod.rs
+++ b/lib/tests/quota_fleet/mod.rs
@@ -329,7 +329,7 @@
         let now = self.now;
         self.resume(|_, until| until <= now);
         let (steps, count) = (self.steps, self.hosts.len());
-        let due = (0..count).filter(|host| (steps + *host as u64) % EXCHANGE_STEPS == 0);
+        let due = (0..count).filter(|host| (steps + *host as u64).is_multiple_of(EXCHANGE_STEPS));
         for host in due.collect::<Vec<usize>>() {
             if self.hosts[host].is_up {
                 if count < 100 || self.split_at.is_some() || self.healed_at.is_some() {
--- a/lib/tests/test_quotas.rs
+++ b/lib/tests/test_quotas.rs
@@ -1,19 +1,31 @@
 //! Limits on the requests of workspaces over all hosts.
 
+mod opaque;
 mod quota_fleet;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use opaque::new_relay;
+use opaque::request;
+use opaque::route;
 use parsleywall::balancer::BalancerState;
 use parsleywall::balancer::HostAnnouncement;
 use parsleywall::balancer::HostDatagram;
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
+use parsleywall::ids::WorkspaceName;
 use parsleywall::quotas::QuotaEntry;
 use parsleywall::quotas::QuotaLevel;
 use parsleywall::quotas::QuotaTable;
 use parsleywall::quotas::QuotaVerdict;
+use parsleywall::relay::RelayAnswer;
+use parsleywall::relay::RelayRefusal;
+use parsleywall::routes::RouteKind;
+use parsleywall::workspaces::CallerIdentity;
 use parsleywall::workspaces::RequestAllowance;
+use parsleywall::workspaces::Workspace;
+use parsleywall_standins::opaque::OpaqueUpstreams;
 use quota_fleet::Outcome;
 use quota_fleet::QuotaModel;
 use quota_fleet::WINDOW;
@@ -389,3 +401,49 @@
     }
     assert_eq!(admitted, 30);
 }
+
+/// A caller of a workspace that may send two requests at once.
+fn limited_caller() -> CallerIdentity {
+    let allowance = RequestAllowance {
+        per_second: 0.1,
+        burst: 2.0,
+    };
+    CallerIdentity::Member(Arc::new(Workspace {
+        allowance: Some(allowance),
+        ..Workspace::new(WorkspaceName::new("workspace-0"))
+    }))
+}
+
+async fn refusals(upstreams: &[&str], caller: CallerIdentity) -> Vec<RelayRefusal> {
+    let wire = OpaqueUpstreams::new(3, SECOND / 100, SECOND / 100);
+    let relay = new_relay("host-0", wire, upstreams);
+    tokio::time::advance(30 * SECOND).await;
+    let mut reasons = Vec::new();
+    for number in 0..5 {
+        let mut request = request(
+            &format!("r{number}"),
+            route(RouteKind::Stream { resumable: false }, 1),
+        );
+        request.caller = caller.clone();
+        if let RelayAnswer::Refused {
+            retry_after,
+            reason,
+        } = relay.relay(request).await
+        {
+            assert!(reason != RelayRefusal::OverQuota || retry_after > 9 * SECOND);
+            reasons.push(reason);
+        }
+    }
+    reasons
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_relay_counts_requests_that_may_run() {
+    let reasons = refusals(&["upstream-0"], limited_caller()).await;
+    assert_eq!(reasons, [RelayRefusal::OverQuota; 3]);
+    // What is refused for want of an upstream doesn't count.
+    let reasons = refusals(&[], limited_caller()).await;
+    assert_eq!(reasons, [RelayRefusal::Overloaded; 5]);
+    let reasons = refusals(&["upstream-0"], CallerIdentity::Anonymous).await;
+    assert_eq!(reasons, []);
+}
