quotas: a host looks at the others before it decides on its first request

Cause: the view of the other hosts was renewed only once a limited workspace had sent a request, so that the first one at each host was decided as if the host were alone: two fronts admitted one more than the limit (4 of 6 plays of platform/tests/test_quotas.rs failed with 9 or 10 of 8). Change: the first request, and one after half a second without any, waits for a look at the hosts, 40 ms at most. Measured: platform/tests/test_quotas.rs passes 3 of 3.

--- a/lib/src/quotas/keeper.rs
+++ b/lib/src/quotas/keeper.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::quotas::fleet::FleetView;
@@ -19,6 +21,12 @@
 use crate::quotas::table::QuotaVerdict;
 use crate::workspaces::Workspace;
 
+/// Age from which a view of the other hosts is renewed before a decision that rests on it. It is renewed all the
+/// time only while there are requests of workspaces with limits.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(500);
+/// Longest wait for that.
+const VIEW_TIME: Duration = Duration::from_millis(40);
+
 /// Shared handle to a [`QuotaTable`]. Clones refer to the same table.
 #[derive(Clone)]
 pub struct QuotaKeeper {
@@ -30,6 +38,9 @@
     /// Notified when requests that wait may go on.
     answered: Notify,
     asks_added: Notify,
+    /// When the other hosts were last looked at.
+    viewed_at: Mutex<Option<Instant>>,
+    viewed: Notify,
 }
 
 /// A request that waits for a grant; ends its wait when it is dropped.
@@ -63,6 +74,8 @@
                 table: Mutex::new(QuotaTable::new(host, rand::random(), Instant::now())),
                 answered: Notify::new(),
                 asks_added: Notify::new(),
+                viewed_at: Mutex::default(),
+                viewed: Notify::new(),
             }),
         }
     }
@@ -77,6 +90,7 @@
         let Some(allowance) = workspace.allowance else {
             return Ok(());
         };
+        self.renew_view().await;
         let tag = WorkspaceTag::new(&workspace.name);
         let mut verdict = self.table().admit(tag, allowance, version, Instant::now());
         let mut waiting = WaitingRequest {
@@ -103,6 +117,17 @@
         }
     }
 
+    /// Waits until this host has looked at the others lately: before it has, it takes itself for alone.
+    async fn renew_view(&self) {
+        let mut viewed = pin!(self.shared.viewed.notified());
+        viewed.as_mut().enable();
+        let viewed_at = *self.shared.viewed_at.lock().expect("view time lock");
+        if viewed_at.is_none_or(|at| at.elapsed() >= MAX_VIEW_AGE) {
+            self.shared.asks_added.notify_one();
+            let _ = timeout(VIEW_TIME, viewed).await;
+        }
+    }
+
     /// Returns a request of `workspace` that was admitted and has not run.
     pub(crate) fn give_back(&self, workspace: &Workspace) {
         if workspace.allowance.is_some() {
@@ -130,6 +155,8 @@
     /// See [`QuotaTable::set_fleet`].
     pub(crate) fn set_fleet(&self, view: FleetView) {
         self.table().set_fleet(view);
+        *self.shared.viewed_at.lock().expect("view time lock") = Some(Instant::now());
+        self.shared.viewed.notify_waiters();
     }
 
     /// See [`QuotaTable::take_asks`].
