jobs: only callers of a job's workspace read it, end it and send it again

Any key of the configuration read and ended the jobs of all workspaces, and a job of an identifier in use was accepted again for whoever sent it.

The summary of a job names the workspace it was accepted for. Log lines of jobs name the workspace.

Doubled fields in two test files, which did not compile, are removed.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::ids::WorkspaceName;
+
 /// A decision of the host, or a change in the state that it knows of its surroundings.
 ///
 /// Names of variants and fields are the names in the log; `docs/OPERATIONS.md` lists all of them.
@@ -386,6 +388,9 @@
     Job {
         /// Identifier of the job.
         job: String,
+        /// Workspace that the job was accepted for; `None` without one, or if this host does not know it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        workspace: Option<WorkspaceName>,
         /// Change of the job, such as `accepted` or `finished`.
         outcome: String,
         /// Number of items of the job.
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -14,7 +14,8 @@
 use crate::edges::kv::KvVersion;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
-use crate::jobs::acceptance::HostNameCache;
+use crate::jobs::acceptance::AcceptanceCache;
+use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::announcer::OwnershipAnnouncer;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobPeerClient;
@@ -111,7 +112,7 @@
     pub(super) owners: OwnerCache,
     /// Revisions that scans and sweeps saw.
     pub(super) ages: Mutex<RevisionAges>,
-    pub(super) host_names: HostNameCache,
+    pub(super) acceptances: AcceptanceCache,
     pub(super) announcer: OwnershipAnnouncer,
     pub(super) results_committed: Notify,
     pub(super) work_available: Notify,
@@ -154,7 +155,7 @@
             orphans: Mutex::default(),
             owners: OwnerCache::default(),
             ages: Mutex::new(RevisionAges::new(AGE_STEP, MAX_AGE.max(config.keep_time))),
-            host_names: HostNameCache::default(),
+            acceptances: AcceptanceCache::default(),
             announcer: OwnershipAnnouncer::default(),
             results_committed: Notify::new(),
             work_available: Notify::new(),
@@ -312,6 +313,11 @@
         {
             self.shared.result_cache.insert(job, page);
         }
+        // The job stays readable, and its acceptance is the first thing that readers need.
+        if let Some(spec) = self.with_table(|table| table.spec(job)) {
+            let acceptance = JobAcceptance::from(&*spec);
+            self.shared.acceptances.insert(job, acceptance);
+        }
         if self.with_table(|table| table.remove(job)) {
             self.log_job(job, outcome, items, committed);
         }
@@ -388,6 +394,7 @@
                 self.give_up(&job, KvVersion(owner_version), to).await
             }
             JobCall::Submit { spec } => self.answer_submission(spec).await,
+            JobCall::Acceptance { job } => self.answer_acceptance(&job),
             JobCall::End { job } => {
                 if !self.with_table(|table| table.owns(&job)) {
                     return JobReply::NotOwner;
@@ -405,8 +412,11 @@
     }
 
     pub(super) fn log_job(&self, job: &str, outcome: &str, items: usize, listed: usize) {
+        // The table may be locked here.
+        let known = self.shared.acceptances.get(job);
         self.shared.log.write(LogEvent::Job {
             job: job.to_owned(),
+            workspace: known.and_then(|known| known.workspace),
             outcome: outcome.to_owned(),
             items,
             listed,
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::ids::SoftwareVersion;
+use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
@@ -107,6 +108,12 @@
         /// Identifier of the job.
         job: String,
     },
+    /// Asks for whom and under which host name a job was accepted. A host of an earlier release does not
+    /// know the call.
+    Acceptance {
+        /// Identifier of the job.
+        job: String,
+    },
 }
 
 /// Reply to a [`JobCall`].
@@ -122,8 +129,12 @@
     Stored,
     /// The called host did not store the submitted job and will not.
     NotStored,
+    /// Another workspace has a job with the identifier of the submitted one, which is not stored.
+    HeldByOther,
     /// The end of the job is stored.
     Ended,
+    /// For whom and under which host name the job was accepted.
+    Acceptance(JobAcceptance),
     /// The called host has claimed the job and owns it now.
     Taken,
     /// The called host has stopped the job's items, and commits no results of it any more.
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -28,6 +28,7 @@
 mod tests;
 
 pub use acceptance::AcceptanceOutcome;
+pub use acceptance::JobAcceptance;
 pub use keeper::EndOutcome;
 pub use keeper::JobConfig;
 pub use keeper::JobKeeper;
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -10,6 +10,7 @@
 use crate::edges::kv::KvError;
 use crate::edges::kv::KvVersion;
 use crate::events::LogEvent;
+use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::changeover::ClaimReason;
 use crate::jobs::changeover::PreviousOwner;
 use crate::jobs::changeover::Takeover;
@@ -414,6 +415,8 @@
             }
             match spec {
                 Some(spec) if !table.owns(id) => {
+                    let acceptance = JobAcceptance::from(&spec);
+                    self.shared.acceptances.insert(id, acceptance);
                     self.log_job(id, "taken_over", spec.items.len(), stored.result_count());
                     let spec = spec.timed_at(steady_unix_millis(), age);
                     table.insert(Arc::new(spec), claim, stored.segments, now);
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -31,6 +31,8 @@
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
 use crate::edges::kv::list_pages;
+use crate::ids::WorkspaceName;
+use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::message::KnownOwner;
 use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
@@ -121,6 +123,10 @@
     /// Host name that the job was submitted to; `None` in jobs of an earlier release.
     #[serde(default)]
     pub(crate) host: Option<String>,
+    /// Workspace that the job was accepted for; `None` if it needs no key, and in jobs of an earlier
+    /// release.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) workspace: Option<WorkspaceName>,
     /// Host that stored the job as its first owner; `None` in jobs of an earlier release, and in jobs that
     /// were stored without an owner.
     #[serde(default)]
@@ -217,6 +223,7 @@
             submitted_ms: spec.submitted_ms,
             parts: parts.len(),
             host: Some(spec.host.clone()),
+            workspace: spec.workspace.clone(),
             first_owner: lease.map(|_| owner.clone()),
         };
         let info_key = info_key(&spec.id);
@@ -454,16 +461,20 @@
         }))
     }
 
-    /// Reads the host name that a job was submitted to, up to date; `None` if no such job is stored.
-    pub(crate) async fn load_host(&self, id: &str) -> Result<Option<String>, KvError> {
+    /// Reads for whom and under which host name a job was accepted, up to date; `None` if no such job is
+    /// stored.
+    pub(crate) async fn load_acceptance(&self, id: &str) -> Result<Option<JobAcceptance>, KvError> {
         let key = info_key(id);
         let Some(entry) = self.kv.get(&key).await? else {
             return Ok(None);
         };
         let info: JobInfo = decode(&entry.value).ok_or_else(|| malformed_value(&key))?;
         match info.host {
-            Some(host) => Ok(Some(host)),
-            None => Ok(self.load_spec(id).await?.map(|spec| spec.host)),
+            Some(host) => Ok(Some(JobAcceptance {
+                host,
+                workspace: info.workspace,
+            })),
+            None => Ok(self.load_spec(id).await?.map(|spec| (&spec).into())),
         }
     }
 
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -16,6 +16,8 @@
 use crate::clock::steady_unix_millis;
 use crate::edges::kv::KvError;
 use crate::edges::kv::LeaseId;
+use crate::jobs::acceptance::AcceptanceOutcome;
+use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::changeover::PreviousOwner;
 use crate::jobs::changeover::Takeover;
 use crate::jobs::keeper::JobKeeper;
@@ -50,6 +52,8 @@
         /// Delay after which the caller may submit the job again.
         retry_after: Duration,
     },
+    /// Another workspace has a job with this identifier, which stays as it is.
+    HeldByOther,
     /// The writes had no definite answer: the job may be stored and run, or not.
     Unknown,
 }
@@ -58,6 +62,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StoreOutcome {
     Stored,
+    /// A job with this identifier is stored for another workspace.
+    HeldByOther,
     /// The job exceeds what the key-value service can hold.
     TooLarge,
     /// No attempt has had an effect, nor will it have one.
@@ -66,9 +72,18 @@
 }
 
 impl StoreOutcome {
+    /// Whether further attempts would have the same outcome.
+    fn is_final(self) -> bool {
+        match self {
+            Self::Stored | Self::HeldByOther | Self::TooLarge => true,
+            Self::NotStored | Self::Unknown => false,
+        }
+    }
+
     /// The outcome of two attempts together.
     fn or(self, other: Self) -> Self {
         match (self, other) {
+            (Self::HeldByOther, _) | (_, Self::HeldByOther) => Self::HeldByOther,
             (Self::Stored, _) | (_, Self::Stored) => Self::Stored,
             (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
             (Self::TooLarge, _) | (_, Self::TooLarge) => Self::TooLarge,
@@ -100,13 +115,16 @@
                 tokio::time::sleep(STORE_RETRY_DELAY).await;
             }
             outcome = outcome.or(self.store_anywhere(&spec).await);
-            let is_final = matches!(outcome, StoreOutcome::Stored | StoreOutcome::TooLarge);
-            if is_final || self.shared.registry.has_outage() {
+            if outcome.is_final() || self.shared.registry.has_outage() {
                 break;
             }
         }
         match outcome {
             StoreOutcome::Stored => SubmitOutcome::Accepted,
+            StoreOutcome::HeldByOther => {
+                self.log_job(&spec.id, "held_by_other", spec.items.len(), 0);
+                SubmitOutcome::HeldByOther
+            }
             StoreOutcome::TooLarge => self.refuse(&spec, "too_large", Duration::from_secs(10)),
             StoreOutcome::NotStored => self.refuse(&spec, "key_value_service", RETRY_AFTER),
             StoreOutcome::Unknown => {
@@ -125,6 +143,7 @@
         let spec = spec.timed_at(steady_unix_millis(), JobAge::NEW);
         match self.store_once(&Arc::new(spec)).await {
             StoreOutcome::Stored => JobReply::Stored,
+            StoreOutcome::HeldByOther => JobReply::HeldByOther,
             StoreOutcome::TooLarge | StoreOutcome::NotStored => JobReply::NotStored,
             StoreOutcome::Unknown => JobReply::Unsure,
         }
@@ -142,7 +161,7 @@
         });
         let in_time = tokio::time::timeout(FORWARD_DELAY, &mut own).await;
         match in_time.map(joined) {
-            Ok(outcome @ (StoreOutcome::Stored | StoreOutcome::TooLarge)) => outcome,
+            Ok(outcome) if outcome.is_final() => outcome,
             Ok(outcome) => outcome.or(self.forward(spec).await),
             Err(_) => self.forward_beside(own, spec).await,
         }
@@ -156,11 +175,11 @@
     ) -> StoreOutcome {
         tokio::select! {
             own = &mut own => match joined(own) {
-                StoreOutcome::Stored => StoreOutcome::Stored,
+                outcome if outcome.is_final() => outcome,
                 outcome => outcome.or(self.forward(spec).await),
             },
             forwarded = self.forward(spec) => match forwarded {
-                StoreOutcome::Stored => StoreOutcome::Stored,
+                outcome if outcome.is_final() => outcome,
                 outcome => outcome.or(joined(own.await)),
             },
         }
@@ -175,7 +194,7 @@
         let mut outcome = StoreOutcome::NotStored;
         while let Some(reply) = replies.next().await {
             outcome = outcome.or(reply);
-            if outcome == StoreOutcome::Stored {
+            if outcome.is_final() {
                 break;
             }
         }
@@ -189,6 +208,7 @@
                 self.cache_owner(&spec.id, &host.host);
                 StoreOutcome::Stored
             }
+            Ok(JobReply::HeldByOther) => StoreOutcome::HeldByOther,
             Ok(JobReply::NotStored) => StoreOutcome::NotStored,
             // Without a reply, the host may have stored the job.
             Ok(_) | Err(_) => StoreOutcome::Unknown,
@@ -204,6 +224,9 @@
         let created = self.shared.store.create(spec, &self.shared.identity, lease);
         match created.await {
             Ok(claim) => {
+                self.shared
+                    .acceptances
+                    .insert(&spec.id, JobAcceptance::from(&**spec));
                 self.log_job(&spec.id, "accepted", spec.items.len(), 0);
                 self.log_claimed(
                     &spec.id,
@@ -227,10 +250,7 @@
                 }
                 StoreOutcome::Stored
             }
-            Err(KvError::Conflict { .. }) => {
-                self.log_job(&spec.id, "accepted_before", spec.items.len(), 0);
-                StoreOutcome::Stored
-            }
+            Err(KvError::Conflict { .. }) => self.accept_again(spec).await,
             Err(KvError::LeaseLost) => {
                 if let Some(lease) = lease {
                     self.shared.registry.note_lease_lost(lease);
@@ -248,6 +268,20 @@
         }
     }
 
+    /// Outcome of submitting a job whose identifier is that of a stored one.
+    async fn accept_again(&self, spec: &JobSpec) -> StoreOutcome {
+        let routes = self.shared.routes.borrow().clone();
+        let caller = routes.identity_of(spec.workspace.as_ref());
+        match self.accepted_for(&spec.id, &caller).await {
+            AcceptanceOutcome::Accepted => {
+                self.log_job(&spec.id, "accepted_before", spec.items.len(), 0);
+                StoreOutcome::Stored
+            }
+            AcceptanceOutcome::NotAccepted => StoreOutcome::HeldByOther,
+            AcceptanceOutcome::Unknown => StoreOutcome::Unknown,
+        }
+    }
+
     /// Lease to bind the owner key of a new job to. A leaving host uses none and so stores the job
     /// without an owner, for another host to claim.
     fn lease_for_new_job(&self) -> Option<LeaseId> {
--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -285,7 +285,6 @@
         attempts: 3,
         version: 1,
         workspace: None,
-        workspace: None,
         items: items.collect(),
     }
 }
--- a/lib/tests/test_host_names.rs
+++ b/lib/tests/test_host_names.rs
@@ -346,7 +346,6 @@
         attempts: 3,
         version: 1,
         workspace: None,
-        workspace: None,
         items: items.collect(),
     }
 }
