--- a/lib/src/quotas/tests.rs
+++ b/lib/src/quotas/tests.rs
@@ -23,5 +23,4 @@
     let asking = map_bytes::<(u32, tokio::time::Instant)>(HOSTS) * WORKSPACES * 10 / HOSTS;
     let bytes = accounts + orders + records + asking;
     assert!(bytes < 4_000_000, "{bytes} bytes");
-    println!("{accounts} + {orders} + {records} + {asking} bytes");
 }
