quotas: extreme limits overflow nothing

Cause: a rate of almost nothing made the wait for the next request unbounded, and counts from other hosts could add up beyond 16 bits. Change: waits are told up to an hour, counts saturate.

--- a/lib/src/quotas/account.rs
+++ b/lib/src/quotas/account.rs
@@ -273,7 +273,7 @@
         self.local = None;
         self.local_until = None;
         self.return_expired(now);
-        self.granted += granted;
+        self.granted = self.granted.saturating_add(granted);
         self.granted_until = asked_at + GRANT_TIME;
         self.return_expired(now);
         let mut pause = Duration::from_millis(u64::from(pause_ms));
--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -221,7 +221,7 @@
         let ahead = self.bucket.take(ahead.min(spare.max(0.0) as u16));
         self.granted_since_opening += f64::from(granted) + f64::from(ahead);
         let mut grant = QuotaGrant(
-            granted + ahead,
+            granted.saturating_add(ahead),
             QuotaLevel::new(self.bucket.whole_level()),
             0,
             0,
--- a/lib/src/quotas/bucket.rs
+++ b/lib/src/quotas/bucket.rs
@@ -11,6 +11,8 @@
 const MIN_CAPACITY_SECONDS: f64 = 0.1;
 /// Time at the whole rate by which a bucket may be overdrawn at most, in seconds.
 const MAX_DEBT_SECONDS: f64 = 1.0;
+/// Longest wait for a request that is told.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 /// Requests of one workspace that may be sent, filled at a share of its rate.
 ///
@@ -117,10 +119,11 @@
         self.level = (self.level - f64::from(count)).max(floor.min(self.level));
     }
 
-    /// Time until the next request may be taken.
+    /// Time until the next request may be taken, an hour at most.
     pub(crate) fn wait(&self) -> Duration {
         let missing = (1.0 - self.level).max(0.0);
-        Duration::try_from_secs_f64(missing / self.rate()).unwrap_or(Duration::MAX)
+        let wait = Duration::try_from_secs_f64(missing / self.rate());
+        wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
     }
 
     fn limit(&mut self) {
--- a/lib/tests/test_quotas.rs
+++ b/lib/tests/test_quotas.rs
@@ -15,6 +15,7 @@
 use parsleywall::ids::DataCentre;
 use parsleywall::ids::HostId;
 use parsleywall::ids::WorkspaceName;
+use parsleywall::quotas::FleetView;
 use parsleywall::quotas::QuotaEntry;
 use parsleywall::quotas::QuotaLevel;
 use parsleywall::quotas::QuotaTable;
@@ -342,6 +343,36 @@
     assert!(table.answer(&ask, now).is_none());
 }
 
+#[tokio::test(start_paused = true)]
+async fn test_extreme_limits_are_kept_without_overflow() {
+    tokio::time::advance(10 * SECOND).await;
+    for (per_second, burst, admitted) in [
+        (f64::MIN_POSITIVE, 0.0, 1),
+        (1e-9, 1.0, 1),
+        (1e308, 0.0, 50),
+        (1e308, 1e308, 50),
+    ] {
+        let now = Instant::now();
+        let mut table = QuotaTable::new("host-0", 1, now);
+        let allowance = RequestAllowance { per_second, burst };
+        let verdicts = (0..50).map(|_| table.admit(QuotaModel::tag(0), allowance, 1, now));
+        let count = verdicts.filter(|verdict| *verdict == QuotaVerdict::Admitted);
+        assert_eq!(count.count(), admitted, "{per_second} a second");
+        // Nobody replies: the host uses its own share.
+        let fleet = FleetView {
+            others: vec!["host-1".to_owned(); 3],
+            hosts: 1_400,
+            share: 1.0 / 1_400.0,
+        };
+        table.set_fleet(fleet);
+        for step in 0..200 {
+            let now = now + Duration::from_millis(50 * step);
+            table.admit(QuotaModel::tag(1), allowance, 1, now);
+            table.take_asks(now);
+        }
+    }
+}
+
 #[test]
 fn test_datagrams_of_quotas_survive_coding_and_are_small() {
     let entry = QuotaEntry(
