http: a status outside 200 to 599 is no answer

A worker in trouble that answered with 101, 600 or 999 had its answer passed on. Whatever sends a request (to workers, engines, the store, the operators' services) takes such a status for a broken connection now, and an answer by way of another host, which may be of an earlier release, is lost.

Before: test_unsound_answers printed '101: Ok(101)' for the client and for a single connection; test_broken_answers got 101 for 502 on /once/. Items and streams that go on at another worker passed before and are covered now, as are 1,000 uploads whose answer without a length is reset halfway (none was complete) and an upload that the client has not finished (no worker gets it). Not tested: an answer with such a status by way of another host.

--- a/lib/src/detour/keeper.rs
+++ b/lib/src/detour/keeper.rs
@@ -26,6 +26,7 @@
 use crate::detour::message::DetourFrame;
 use crate::detour::message::DetourRefusal;
 use crate::detour::message::decode_headers;
+use crate::http::client::is_answer_status;
 use crate::ids::SoftwareVersion;
 use crate::relay::UpstreamBody;
 use crate::relay::wait_until;
@@ -167,9 +168,10 @@
                 is_stream,
                 software,
             }) => {
-                let (Ok(status), Some(headers)) =
-                    (StatusCode::from_u16(status), decode_headers(&headers))
-                else {
+                let status = StatusCode::from_u16(status).ok();
+                // A host of an earlier release passes on whatever status it got.
+                let status = status.filter(|status| is_answer_status(*status));
+                let (Some(status), Some(headers)) = (status, decode_headers(&headers)) else {
                     return DetourOutcome::Lost(reading.possible_runs());
                 };
                 let runs = reading.runs.clone();
--- a/lib/src/http/client.rs
+++ b/lib/src/http/client.rs
@@ -126,11 +126,32 @@
                 false => ClientError::Broken(cause),
             }
         })?;
+        if let Err(err) = check_status(answer.status()) {
+            connection.discard();
+            return Err(err);
+        }
         answer.extensions_mut().insert(connection);
         Ok(answer)
     }
 }
 
+/// Whether a whole answer may have `status`. One of 600 and more is none of HTTP, and one below 200 is
+/// interim: no request here asks for an upgrade.
+pub(crate) fn is_answer_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Fails if no answer has `status`, so that the server is in trouble or speaks no HTTP.
+pub(super) fn check_status(status: StatusCode) -> Result<(), ClientError> {
+    match is_answer_status(status) {
+        true => Ok(()),
+        false => Err(ClientError::Broken(format!(
+            "status {} is none of an answer",
+            status.as_u16()
+        ))),
+    }
+}
+
 /// Returns a notification that fires when `request` gets more interim responses than allowed.
 pub(super) fn watch_interim_answers<B>(request: &mut Request<B>) -> Arc<Notify> {
     let excess = Arc::new(Notify::new());
--- a/lib/src/http/connection.rs
+++ b/lib/src/http/connection.rs
@@ -16,6 +16,7 @@
 
 use crate::http::client::ClientError;
 use crate::http::client::MAX_HEAD_BYTES;
+use crate::http::client::check_status;
 use crate::http::client::error_chain;
 use crate::http::client::watch_interim_answers;
 
@@ -52,14 +53,16 @@
     ) -> Result<Response<Incoming>, ClientError> {
         let excess = watch_interim_answers(&mut request);
         self.sender.ready().await.map_err(|err| not_sent(&err))?;
-        tokio::select! {
+        let answer = tokio::select! {
             answer = self.sender.send_request(request) => {
-                answer.map_err(|err| ClientError::Broken(error_chain(&err)))
+                answer.map_err(|err| ClientError::Broken(error_chain(&err)))?
             }
             () = excess.notified() => {
-                Err(ClientError::Broken("too many interim answers".to_owned()))
+                return Err(ClientError::Broken("too many interim answers".to_owned()));
             }
-        }
+        };
+        check_status(answer.status())?;
+        Ok(answer)
     }
 }
 
