--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -54,7 +54,7 @@
 pub(crate) enum PeerFault {
     /// Calls reach the host, and no answer comes back.
     Silent,
-    /// The host does not know calls to give a job up, as one of an earlier release.
+    /// The host knows no calls to give a job up or for whom it was accepted, as one of an earlier release.
     Earlier,
 }
 
@@ -100,12 +100,12 @@
             return Err(PeerError::NotSent("connection refused".to_owned()));
         };
         let fault = self.faults.lock().unwrap().get(&host.peers).copied();
-        let is_give_up = matches!(call, JobCall::GiveUp { .. });
+        let is_new = matches!(call, JobCall::GiveUp { .. } | JobCall::Acceptance { .. });
         if fault == Some(PeerFault::Silent) {
             tokio::time::sleep(timeout).await;
             return Err(PeerError::NoReply("no reply in time".to_owned()));
         }
-        if fault == Some(PeerFault::Earlier) && is_give_up {
+        if fault == Some(PeerFault::Earlier) && is_new {
             return Err(PeerError::NoReply("no handler for the call".to_owned()));
         }
         // The called host goes on when the caller stops waiting.
--- a/lib/tests/test_job_workspaces.rs
+++ b/lib/tests/test_job_workspaces.rs
@@ -9,6 +9,7 @@
 
 use job_fleet::JobFleet;
 use job_fleet::JobHost;
+use job_fleet::PeerFault;
 use job_fleet::assert_complete;
 use job_fleet::job;
 use job_fleet::read;
@@ -16,6 +17,7 @@
 use opaque::table;
 use parsleywall::ids::WorkspaceName;
 use parsleywall::jobs::AcceptanceOutcome;
+use parsleywall::jobs::JobConfig;
 use parsleywall::jobs::JobSpec;
 use parsleywall::jobs::SubmitOutcome;
 use parsleywall::routes::RouteKind;
@@ -185,3 +187,47 @@
     let again = host.keeper.submit(job("j1", 2)).await;
     assert_eq!(again, SubmitOutcome::Accepted);
 }
+
+/// An owner of an earlier release can't say whom a job is for, so that the summary decides.
+#[tokio::test(start_paused = true)]
+async fn test_workspace_of_a_job_owned_by_an_earlier_release() {
+    let mut fleet = JobFleet::with_gap(Duration::from_millis(200));
+    let host_a = configured(&mut fleet, "host-a").await;
+    let host_b = configured(&mut fleet, "host-b").await;
+    host_a.keeper.submit(job_of("north", "j1", 6)).await;
+    fleet.spawn_announcements();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    host_a.set_fault(PeerFault::Earlier);
+    assert_only_for_north(&host_b, "j1").await;
+    let again = host_b.keeper.submit(job_of("south", "j1", 6)).await;
+    assert_eq!(again, SubmitOutcome::HeldByOther);
+}
+
+/// An identifier that is used again is for the new workspace once the old acceptance is forgotten, and at
+/// no time denied to it.
+#[tokio::test(start_paused = true)]
+async fn test_identifier_of_a_removed_job_is_free_for_another_workspace() {
+    let mut fleet = JobFleet::new();
+    let jobs = JobConfig {
+        keep_time: Duration::from_secs(100),
+        sweep_interval: Duration::from_secs(1),
+        ..JobConfig::default()
+    };
+    let host_a = fleet.host_with("host-a", jobs).await;
+    let host_b = fleet.host_with("host-b", jobs).await;
+    configure(&host_a);
+    configure(&host_b);
+    host_a.keeper.submit(job_of("north", "j1", 2)).await;
+    assert_only_for_north(&host_b, "j1").await;
+    read_all(&host_b, "j1").await;
+    tokio::time::sleep(Duration::from_secs(130)).await;
+    assert!(fleet.kv.keys("job/j1/").is_empty());
+    let outcome = host_a.keeper.submit(job_of("south", "j1", 2)).await;
+    assert_eq!(outcome, SubmitOutcome::Accepted);
+    for host in [&host_a, &host_b] {
+        let keeper = &host.keeper;
+        assert_eq!(keeper.accepted_for("j1", &member("south")).await, ACCEPTED);
+        let before = keeper.accepted_for("j1", &member("north")).await;
+        assert_eq!(before, NOT_ACCEPTED);
+    }
+}
