--- a/lib/src/edges/kv.rs
+++ b/lib/src/edges/kv.rs
@@ -4,6 +4,7 @@
 //! `POST /commits`, `POST /leases`, `POST /leases/{id}` and `DELETE /leases/{id}`. Values are
 //! encoded as base64.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -16,6 +17,7 @@
 use serde::de::DeserializeOwned;
 use url::Url;
 
+use crate::edges::kv_calls::CallMeter;
 use crate::http::service_connections::CallError;
 use crate::http::service_connections::CallKind;
 use crate::http::service_connections::ConnectionBounds;
@@ -244,6 +246,11 @@
 
     /// Revokes a lease and deletes the keys attached to it.
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KvError>;
+
+    /// Meter of the calls that are made for a purpose; `None` if they are not counted.
+    fn meter(&self) -> Option<Arc<CallMeter>> {
+        None
+    }
 }
 
 /// Request body of a write to one key.
--- a/lib/src/edges/mod.rs
+++ b/lib/src/edges/mod.rs
@@ -4,4 +4,5 @@
 pub mod engine;
 pub mod host_list;
 pub mod kv;
+pub mod kv_calls;
 pub mod weights;
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -122,6 +122,11 @@
         /// Time in milliseconds since the view is known to be current.
         age_ms: u64,
     },
+    /// Calls of this process to the key-value service since its start, at intervals and at its stop.
+    StoreCalls {
+        /// Number of ended calls by `purpose.call.outcome`.
+        calls: BTreeMap<String, u64>,
+    },
     /// An upstream has registered itself or changed its entry.
     UpstreamListed {
         /// Identifier of the upstream.
--- a/lib/src/jobs/store.rs
+++ b/lib/src/jobs/store.rs
@@ -31,6 +31,8 @@
 use crate::edges::kv::MAX_VALUE_BYTES;
 use crate::edges::kv::list_all;
 use crate::edges::kv::list_pages;
+use crate::edges::kv_calls::CallPurpose;
+use crate::edges::kv_calls::kv_for;
 use crate::jobs::message::KnownOwner;
 use crate::jobs::segments::ResultSegment;
 use crate::jobs::spec::JobSpec;
@@ -196,6 +198,10 @@
         Self { kv }
     }
 
+    fn kv(&self, purpose: CallPurpose) -> Arc<dyn KvStore> {
+        kv_for(&self.kv, purpose)
+    }
+
     /// Stores a new job in one commit, with `owner` as its owner if there is a lease, and without
     /// an owner otherwise.
     ///
@@ -240,7 +246,7 @@
                 lease: Some(lease),
             });
         }
-        let version = self.kv.commit(commit).await?;
+        let version = self.kv(CallPurpose::JobCreation).commit(commit).await?;
         Ok(JobClaim {
             open_version: version,
             owner_version: lease.map(|_| version),
@@ -273,7 +279,7 @@
             }],
             deletes: Vec::new(),
         };
-        let version = self.kv.commit(commit).await?;
+        let version = self.kv(CallPurpose::JobClaim).commit(commit).await?;
         Ok(JobClaim {
             open_version: job.version,
             owner_version: Some(version),
@@ -321,7 +327,7 @@
             }
         }
         if !commit.deletes.is_empty() {
-            self.kv.commit(commit).await?;
+            self.kv(CallPurpose::JobClaim).commit(commit).await?;
         }
         Ok(claims.iter().map(|(id, _)| id.clone()).collect())
     }
@@ -357,7 +363,7 @@
             commit.puts.push(put_closed(id));
             commit.deletes = vec![open_key(id), owner_key(id)];
         }
-        self.kv.commit(commit).await
+        self.kv(CallPurpose::JobCommit).commit(commit).await
     }
 
     /// Ends and closes a job unconditionally. Deleting its `open` key makes later segment writes
@@ -368,15 +374,15 @@
             puts: vec![put_without_lease(end_key(id), Bytes::new()), put_closed(id)],
             deletes: vec![open_key(id), owner_key(id)],
         };
-        self.kv.commit(commit).await
+        self.kv(CallPurpose::JobEnd).commit(commit).await
     }
 
     /// Lists all open jobs, possibly as of some seconds ago (a stale read).
     pub(crate) async fn open_jobs(&self) -> Result<OpenJobListing, KvError> {
         let mut jobs: HashMap<String, OpenJob> = HashMap::default();
         let mut owners: HashMap<String, (JobOwner, KvVersion)> = HashMap::default();
-        let kv = self.kv.as_ref();
-        let (entries, revision) = list_all(kv, OPEN_PREFIX, Freshness::Stale).await?;
+        let kv = self.kv(CallPurpose::JobScan);
+        let (entries, revision) = list_all(kv.as_ref(), OPEN_PREFIX, Freshness::Stale).await?;
         for entry in &entries {
             collect_open_entry(entry, &mut jobs, &mut owners);
         }
@@ -403,8 +409,8 @@
     ) -> Result<(Option<OpenJob>, KvVersion), KvError> {
         let mut jobs = HashMap::default();
         let mut owners = HashMap::default();
-        let kv = self.kv.as_ref();
-        let (entries, revision) = list_all(kv, &open_key(id), Freshness::Current).await?;
+        let kv = self.kv(CallPurpose::JobRead);
+        let (entries, revision) = list_all(kv.as_ref(), &open_key(id), Freshness::Current).await?;
         for entry in &entries {
             collect_open_entry(entry, &mut jobs, &mut owners);
         }
@@ -424,8 +430,8 @@
         let mut info: Option<JobInfo> = None;
         let mut segments: Vec<ResultSegment> = Vec::new();
         let mut is_ended = false;
-        let kv = self.kv.as_ref();
-        let listing = list_pages(kv, &prefix, Freshness::Current).await?;
+        let kv = self.kv(CallPurpose::JobRead);
+        let listing = list_pages(kv.as_ref(), &prefix, Freshness::Current).await?;
         if listing.pages > 1 && kv.get(&info_key(id)).await?.is_none() {
             return Ok(None);
         }
@@ -457,7 +463,7 @@
     /// Reads the host name that a job was submitted to, up to date; `None` if no such job is stored.
     pub(crate) async fn load_host(&self, id: &str) -> Result<Option<String>, KvError> {
         let key = info_key(id);
-        let Some(entry) = self.kv.get(&key).await? else {
+        let Some(entry) = self.kv(CallPurpose::JobRead).get(&key).await? else {
             return Ok(None);
         };
         let info: JobInfo = decode(&entry.value).ok_or_else(|| malformed_value(&key))?;
@@ -470,8 +476,8 @@
     /// Reads the specification of a job with all items; `None` if no such job is stored.
     pub(crate) async fn load_spec(&self, id: &str) -> Result<Option<JobSpec>, KvError> {
         let prefix = spec_prefix(id);
-        let kv = self.kv.as_ref();
-        let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+        let kv = self.kv(CallPurpose::JobRead);
+        let (entries, _) = list_all(kv.as_ref(), &prefix, Freshness::Current).await?;
         let bytes: Vec<u8> = entries
             .iter()
             .flat_map(|entry| entry.value.clone())
@@ -487,8 +493,8 @@
     /// Lists closed jobs with the versions of their `closed` keys, and the revision of the listing;
     /// possibly as of some seconds ago (a stale read).
     pub(crate) async fn closed_jobs(&self) -> Result<ClosedJobListing, KvError> {
-        let kv = self.kv.as_ref();
-        let (entries, revision) = list_all(kv, CLOSED_PREFIX, Freshness::Stale).await?;
+        let kv = self.kv(CallPurpose::JobSweep);
+        let (entries, revision) = list_all(kv.as_ref(), CLOSED_PREFIX, Freshness::Stale).await?;
         let jobs = entries.iter().filter_map(|entry| {
             let id = entry.key.strip_prefix(CLOSED_PREFIX)?;
             Some((id.to_owned(), entry.version))
@@ -505,10 +511,10 @@
     /// Fails with [`KvError::Conflict`] if that is not the version of the `closed` key: a late removal must
     /// not delete a job of the same identifier that was accepted since.
     pub(crate) async fn remove(&self, id: &str, closed: KvVersion) -> Result<(), KvError> {
-        let kv = self.kv.as_ref();
+        let kv = self.kv(CallPurpose::JobSweep);
         let mut deletes = Vec::new();
         for prefix in [job_prefix(id), spec_prefix(id)] {
-            let (entries, _) = list_all(kv, &prefix, Freshness::Current).await?;
+            let (entries, _) = list_all(kv.as_ref(), &prefix, Freshness::Current).await?;
             deletes.extend(entries.into_iter().map(|entry| entry.key));
         }
         deletes.push(closed_key(id));
@@ -518,7 +524,7 @@
                 deletes: keys.to_vec(),
                 ..KvCommit::default()
             };
-            self.kv.commit(commit).await?;
+            self.kv(CallPurpose::JobSweep).commit(commit).await?;
         }
         Ok(())
     }
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Counters are derived from the events of the structured log, so that the two always agree.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use prometheus::Gauge;
@@ -17,6 +18,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::edges::kv_calls::CallClass;
 use crate::events::LogEvent;
 use crate::limits::GrantCounts;
 use crate::limits::KnownLimit;
@@ -52,6 +54,7 @@
     config_age: Gauge,
     view_age: GaugeVec,
     view_calls: IntCounterVec,
+    store_calls: IntCounterVec,
     convictions: IntGauge,
     displaced: IntGauge,
     limited_upstreams: IntGauge,
@@ -221,6 +224,11 @@
                 "Calls that read a view, by what they are and by outcome: changed, unchanged or failed.",
                 &["view", "via", "outcome"],
             ),
+            store_calls: counter(
+                "store_calls_total",
+                "Ended calls to the key-value service, by what they are made for, kind and outcome.",
+                &["purpose", "call", "outcome"],
+            ),
             config_age: Gauge::new(
                 "parsleywall_config_age_seconds",
                 "Time since the configuration in force was last known to be the newest.",
@@ -248,6 +256,7 @@
             &self.job_claims,
             &self.grants,
             &self.view_calls,
+            &self.store_calls,
             &self.reach_changes,
         ];
         let mut all: Vec<Box<dyn prometheus::core::Collector>> = Vec::new();
@@ -355,6 +364,19 @@
         counter.inc();
     }
 
+    /// Sets the counts of calls to the key-value service.
+    pub fn set_store_calls(&self, counts: &BTreeMap<CallClass, u64>) {
+        for (class, total) in counts {
+            let labels: [&str; 3] = [
+                class.purpose.into(),
+                class.call.into(),
+                class.outcome.into(),
+            ];
+            let counter = self.store_calls.with_label_values(&labels);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the time since `view` was last known to be current.
     pub fn set_view_age(&self, view: &str, age: Duration) {
         let gauge = self.view_age.with_label_values(&[view]);
--- a/lib/src/registry/host_registry.rs
+++ b/lib/src/registry/host_registry.rs
@@ -14,6 +14,8 @@
 use crate::edges::kv::KvVersion;
 use crate::edges::kv::LeaseId;
 use crate::edges::kv::list_all;
+use crate::edges::kv_calls::CallPurpose;
+use crate::edges::kv_calls::kv_for;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::registry::entry::HostEntry;
@@ -259,7 +261,7 @@
             state.lease.take()
         });
         if let Some(lease) = lease {
-            let _ = self.shared.kv.revoke_lease(lease).await;
+            let _ = self.entry_kv().revoke_lease(lease).await;
         }
     }
 
@@ -267,6 +269,11 @@
         self.with_state(|state| state.own.clone())
     }
 
+    /// The key-value service, for calls about the entry and the lease of this host.
+    pub(super) fn entry_kv(&self) -> Arc<dyn KvStore> {
+        kv_for(&self.shared.kv, CallPurpose::HostEntry)
+    }
+
     async fn refresh_list(&self) {
         loop {
             if let Ok(listing) = self.read_list().await {
@@ -315,8 +322,8 @@
     }
 
     async fn read_list(&self) -> Result<HostListing, KvError> {
-        let kv = self.shared.kv.as_ref();
-        let (entries, revision) = list_all(kv, HOSTS_PREFIX, Freshness::Stale).await?;
+        let kv = kv_for(&self.shared.kv, CallPurpose::Hosts);
+        let (entries, revision) = list_all(kv.as_ref(), HOSTS_PREFIX, Freshness::Stale).await?;
         let decoded = entries
             .iter()
             .filter_map(|entry| Some((HostEntry::decode(&entry.value)?, entry.version)));
--- a/lib/src/registry/own_entry.rs
+++ b/lib/src/registry/own_entry.rs
@@ -127,7 +127,7 @@
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), KvError> {
         let sent_at = Instant::now();
-        let renewed = self.shared.kv.renew_lease(lease).await;
+        let renewed = self.entry_kv().renew_lease(lease).await;
         match &renewed {
             Ok(()) => self.prove_lease(lease, sent_at),
             Err(KvError::LeaseLost) => self.note_lease_lost(lease),
@@ -153,7 +153,7 @@
         }
         let sent_at = Instant::now();
         let ttl = self.shared.config.lease_ttl;
-        let lease = self.shared.kv.grant_lease(ttl).await?;
+        let lease = self.entry_kv().grant_lease(ttl).await?;
         let is_displaced = self.with_state(|state| {
             let is_displaced = state.hold == NameHold::Displaced;
             if !is_displaced {
@@ -163,7 +163,7 @@
             is_displaced
         });
         if is_displaced {
-            let _ = self.shared.kv.revoke_lease(lease).await;
+            let _ = self.entry_kv().revoke_lease(lease).await;
             return Ok(None);
         }
         self.prove_lease(lease, sent_at);
@@ -253,7 +253,7 @@
         };
         // Until the outcome is known, a read has to show it. The write may be dropped meanwhile.
         self.with_state(|state| state.condition = EntryCondition::Read);
-        match self.shared.kv.commit(commit).await {
+        match self.entry_kv().commit(commit).await {
             Ok(version) => {
                 self.hold_name(version, &own);
                 Ok(())
@@ -315,7 +315,7 @@
     async fn revoke_until_lapsed(&self, lease: LeaseId) {
         let lapsed_at = Instant::now() + self.shared.config.lease_ttl;
         while Instant::now() < lapsed_at {
-            match self.shared.kv.revoke_lease(lease).await {
+            match self.entry_kv().revoke_lease(lease).await {
                 Ok(()) | Err(KvError::LeaseLost) => return,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
@@ -325,7 +325,7 @@
     /// Reads the entry of this host's name, up to date.
     pub(super) async fn find_entry(&self) -> Result<FoundEntry, KvError> {
         let key = entry_key(&self.own().host);
-        let found = self.shared.kv.get(&key).await?;
+        let found = self.entry_kv().get(&key).await?;
         Ok(found.map_or(FoundEntry::Absent, |entry| {
             match HostEntry::decode(&entry.value) {
                 Some(decoded) => FoundEntry::Process(decoded, entry.version),
--- a/lib/src/registry/replacement.rs
+++ b/lib/src/registry/replacement.rs
@@ -119,7 +119,7 @@
         match earlier.lease {
             None => true,
             Some(lease) => matches!(
-                self.shared.kv.revoke_lease(lease).await,
+                self.entry_kv().revoke_lease(lease).await,
                 Ok(()) | Err(KvError::LeaseLost)
             ),
         }
