follow, views: three hosts hold the watches and tell the others of changes

Each host held watches, so that each change woke all of them: calls to the key-value service grew with hosts times changes, and a host that the service turned away knew by notices that it lacked a change without learning it.

The three hosts nearest to a position on the ring, among those that are heard, watch. They tell all others the changes with the revision after which these are complete, authenticated with the shared secret, in parts that fit into datagrams. A host that is told opens no watch; gaps and silence lead to checks, which now fall to the tellers first. Changes that are told are applied during an outage too. A position that others prove moves on, so that no host asks for a history that was dropped and lists again.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -2,6 +2,8 @@
 //! UDP.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
@@ -31,6 +33,10 @@
 use crate::reach::stranded_interval;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashNews;
+use crate::view_monitor::ViewRole;
+use crate::view_news::NewsAssembly;
+use crate::view_news::NewsPart;
+use crate::view_news::encode_news;
 
 /// Interval of load reports while the load changes, with fewer than [`FAST_NEIGHBOURS`] neighbours.
 const FAST_INTERVAL: Duration = Duration::from_millis(30);
@@ -48,6 +54,10 @@
 const PRESENCE_TIME: Duration = Duration::from_secs(1);
 /// Shortest gap between two reports after which the host broadcasts that it is there.
 const MIN_REPORT_GAP: Duration = Duration::from_secs(1);
+/// Position on the ring near which hosts hold the watches of all.
+const TELLER_POSITION: f64 = 0.5;
+/// Time after the start within which a host that hears no other one opens no watches.
+const STARTING_TIME: Duration = Duration::from_secs(2);
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Shortest interval between two messages with this host's convictions to the same host.
 const CONVICTIONS_INTERVAL: Duration = Duration::from_millis(300);
@@ -93,6 +103,12 @@
     reach_notice: ReachNotice,
     reach_told_at: Option<Instant>,
     views: HostViews,
+    /// Shared secret of the hosts, once it is known.
+    secret: Arc<OnceLock<String>>,
+    /// Until when the host may wait for others before it opens watches; `None` if it holds its own ones
+    /// whatever others tell.
+    starting_until: Option<Instant>,
+    news_assembly: NewsAssembly,
     /// When the last step began.
     stepped_at: Instant,
     /// Time before which all datagrams that have been received since the last step had not arrived.
@@ -186,6 +202,9 @@
             reach_notice: ReachNotice::default(),
             reach_told_at: None,
             views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
+            secret: Arc::default(),
+            starting_until: None,
+            news_assembly: NewsAssembly::default(),
             stepped_at: Instant::now(),
             emptied_at: Instant::now(),
             limit_revision: 0,
@@ -223,6 +242,14 @@
         self
     }
 
+    /// Also exchanges changes of the views once `secret` is set, and has some hosts hold the watches of all.
+    pub fn with_secret(mut self, secret: Arc<OnceLock<String>>) -> Self {
+        self.views.set_role(ViewRole::Starting);
+        self.starting_until = Some(Instant::now() + STARTING_TIME);
+        self.secret = secret;
+        self
+    }
+
     /// Exchanges datagrams with the hosts that `peers` returns, until the future is dropped.
     ///
     /// Broadcasts announce the jobs that `acquired_jobs` returns. For each broadcast received,
@@ -248,7 +275,7 @@
                 () = crashes.news_added() => self.send_news(Instant::now()).await,
                 () = balancer.grants_requested() => self.send_grant_requests().await,
                 () = origins.messages_added() => self.send_origins().await,
-                () = views.notice_added() => self.send_view_notices().await,
+                () = views.notice_added() => self.send_view_messages().await,
                 () = tokio::time::sleep_until(next) => {
                     let now = Instant::now();
                     self.receive_arrived(&mut buffer, now, &note_jobs).await;
@@ -256,6 +283,7 @@
                     self.report_load(now).await;
                     self.announce(now, acquired_jobs()).await;
                     self.send_news(now).await;
+                    self.send_view_messages().await;
                     let neighbours = self.peers.neighbours.len() as u32;
                     next = now + FAST_INTERVAL * (neighbours + 1).div_ceil(FAST_NEIGHBOURS);
                 }
@@ -339,6 +367,7 @@
             }
             Some(HostDatagram::OriginReply(reply)) => self.origins.apply_reply(&reply),
             Some(HostDatagram::View(notice)) => self.views.apply(&notice, self.emptied_at),
+            Some(HostDatagram::ViewNews(part)) => self.apply_view_news(part),
             None => {}
         }
     }
@@ -434,11 +463,35 @@
         }
     }
 
-    /// Broadcasts what this host's checks of its views have brought.
-    async fn send_view_notices(&self) {
-        for notice in self.views.take_notices() {
-            self.send(&HostDatagram::View(notice), &self.peers.all)
-                .await;
+    /// Broadcasts what this host's calls about its views have brought.
+    async fn send_view_messages(&self) {
+        for messages in self.views.take_messages() {
+            let secret = self.secret.get();
+            // Hosts that lack the changes have them before the notice says so.
+            if let Some((news, secret)) = messages.news.zip(secret) {
+                let parts = encode_news(&news, secret, rand::random());
+                if parts.is_empty() {
+                    self.send(&HostDatagram::View(news.notice), &self.peers.all)
+                        .await;
+                }
+                for part in parts {
+                    self.send(&HostDatagram::ViewNews(part), &self.peers.all)
+                        .await;
+                }
+            }
+            if let Some(notice) = messages.notice {
+                self.send(&HostDatagram::View(notice), &self.peers.all)
+                    .await;
+            }
+        }
+    }
+
+    fn apply_view_news(&mut self, part: NewsPart) {
+        let Some(secret) = self.secret.get() else {
+            return;
+        };
+        if let Some((news, arrived)) = self.news_assembly.add(part, secret, self.emptied_at) {
+            self.views.apply_news(news, arrived);
         }
     }
 
@@ -465,6 +518,7 @@
                 self.origins.announce_again();
             }
             self.views.set_hosts(self.peers.all.len() + 1);
+            self.refresh_role(now);
             self.reach.set_hosts(self.peers.by_name.clone());
             self.peers_read_at = now;
             if was_alone && !self.peers.all.is_empty() {
@@ -473,6 +527,23 @@
         }
     }
 
+    /// Decides whether this host holds watches for all others, or is told by those that do.
+    fn refresh_role(&self, now: Instant) {
+        let Some(starting_until) = self.starting_until else {
+            return;
+        };
+        let (rank, hears_any) = {
+            let state = self.balancer.state();
+            (state.rank_heard(TELLER_POSITION, now), state.hears_any(now))
+        };
+        let is_told = self.secret.get().is_some() && hears_any;
+        self.views.set_role(match is_told {
+            true => ViewRole::of_rank(rank),
+            false if now < starting_until => ViewRole::Starting,
+            false => ViewRole::Alone,
+        });
+    }
+
     /// Sends a load report to the neighbours if the load has changed or [`IDLE_INTERVAL`] has
     /// passed.
     async fn report_load(&mut self, now: Instant) {
--- a/lib/src/balancer/neighbours.rs
+++ b/lib/src/balancer/neighbours.rs
@@ -94,6 +94,22 @@
         nearest.is_none_or(|host| host == own)
     }
 
+    /// Number of hosts nearer to `position` than this one among those that it hears.
+    pub(crate) fn rank_heard(&self, position: f64, now: Instant) -> usize {
+        let own = self.own();
+        let nearer = self.ring.near_position(position, 1.0);
+        let nearer = nearer.take_while(|host| *host != own);
+        nearer
+            .filter(|host| self.peer_state(host, now) == PeerState::Heard)
+            .count()
+    }
+
+    /// Whether this host hears any other one on the ring.
+    pub(crate) fn hears_any(&self, now: Instant) -> bool {
+        let mut others = self.near_position(self.position, 1.0);
+        others.any(|host| self.peer_state(host, now) == PeerState::Heard)
+    }
+
     /// Those of `hosts` that callers should use, where the hosts within `reach` are expected to
     /// report to this one.
     pub(crate) fn usable<'a>(&self, hosts: &[&'a str], reach: f64, now: Instant) -> Vec<&'a str> {
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -18,6 +18,7 @@
 use crate::reach::ReachNotice;
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
+use crate::view_news::NewsPart;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,6 +142,9 @@
     /// Result of a check of a view, for all hosts.
     #[serde(rename = "w")]
     View(ViewNotice),
+    /// Part of a message with changes of a view, for all hosts.
+    #[serde(rename = "e")]
+    ViewNews(NewsPart),
 }
 
 impl HostDatagram {
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -455,6 +455,16 @@
         self.tracker.is_nearest_heard(position, now)
     }
 
+    /// Number of hosts nearer to `position` on the ring than this one among those that it hears.
+    pub fn rank_heard(&self, position: f64, now: Instant) -> usize {
+        self.tracker.rank_heard(position, now)
+    }
+
+    /// Whether this host hears any other one.
+    pub fn hears_any(&self, now: Instant) -> bool {
+        self.tracker.hears_any(now)
+    }
+
     /// Removes all upstreams for whose identifiers `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(&UpstreamId) -> bool) {
         let gone: Vec<UpstreamId> = self
--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -4,6 +4,7 @@
 //! Beside the open watch, short calls check for changes whenever nothing else proves the view.
 
 use std::future::pending;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::view_monitor::LastChange;
 use crate::view_monitor::ViewAnswer;
 use crate::view_monitor::ViewCall;
+use crate::view_news::ViewNews;
 
 /// Longest time that a watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
@@ -45,6 +47,8 @@
 /// Greatest random part of these delays, as a fraction, so that hosts whose calls failed at the same moment
 /// don't retry at the same moment.
 const RETRY_JITTER: f64 = 0.5;
+/// Factor of the delays between listings while other hosts prove the view.
+const TOLD_RETRY_FACTOR: u32 = 3;
 /// Number of consecutive failures that count as an outage of the service. A single one may be a
 /// watch whose connection was cut.
 const OUTAGE_FAILURES: u32 = 2;
@@ -112,6 +116,7 @@
 /// Calls that follow one listing.
 struct FollowedCalls {
     position: KvVersion,
+    listed_at: Instant,
     watch: Option<PendingCall>,
     /// When the next watch may begin.
     watch_at: Instant,
@@ -156,22 +161,55 @@
     }
 
     async fn follow(mut self, mut handle: impl FnMut(PrefixEvent)) {
+        let view = self.view.clone();
+        // Position during an outage, from which changes that other hosts tell of may follow.
+        let mut position = None;
         loop {
-            match self.list(&mut handle).await {
-                Ok(position) => self.follow_changes(position, &mut handle).await,
+            let (kv, prefix) = (self.kv.clone(), self.prefix.clone());
+            let started = Instant::now();
+            let listing = list_all(kv.as_ref(), &prefix, Freshness::Current);
+            match self.with_told(listing, &mut position, &mut handle).await {
+                Ok((entries, revision)) => {
+                    self.note_listing(started, entries, revision, &mut handle);
+                    position = self.follow_changes(revision, &mut handle).await;
+                }
                 Err(err) => {
-                    self.view.note_failure(ViewCall::Listing);
+                    view.note_failure(ViewCall::Listing);
                     self.note_failure(err, &mut handle);
                 }
             }
-            tokio::time::sleep(self.retry_delay()).await;
+            let delay = tokio::time::sleep(self.listing_delay(position));
+            self.with_told(delay, &mut position, &mut handle).await;
         }
     }
 
-    async fn list(&mut self, handle: &mut impl FnMut(PrefixEvent)) -> Result<KvVersion, KvError> {
-        let started = Instant::now();
-        let (entries, revision) =
-            list_all(self.kv.as_ref(), &self.prefix, Freshness::Current).await?;
+    /// Waits for `future`, and reports what other hosts tell of meanwhile if there is a position.
+    async fn with_told<T>(
+        &self,
+        future: impl Future<Output = T>,
+        position: &mut Option<KvVersion>,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) -> T {
+        let mut future = pin!(future);
+        loop {
+            let told = tokio::select! {
+                biased;
+                output = &mut future => return output,
+                told = self.view.told(), if position.is_some() => told,
+            };
+            if let Some(position) = position {
+                self.apply_told(told, position, handle);
+            }
+        }
+    }
+
+    fn note_listing(
+        &mut self,
+        started: Instant,
+        entries: Vec<KvEntry>,
+        revision: KvVersion,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) {
         self.note_success(handle);
         // Later pages of the listing may contain changes beyond this revision; the watch reports
         // them again.
@@ -183,19 +221,36 @@
         self.view
             .note_answer(ViewCall::Listing, answer, entries.len());
         handle(PrefixEvent::Listed(entries));
-        Ok(revision)
+    }
+
+    /// Delay before the next listing. It is longer while other hosts prove the view.
+    fn listing_delay(&self, position: Option<KvVersion>) -> Duration {
+        let is_proved = position.is_some() && !self.view.is_overdue();
+        match is_proved {
+            true => self.retry_delay() * TOLD_RETRY_FACTOR,
+            false => self.retry_delay(),
+        }
     }
 
     /// Reports changes after `position`. Returns when the keys have to be listed again: after the
-    /// service has lost its history, or when an outage begins, as it may be restored from a copy.
-    async fn follow_changes(&mut self, position: KvVersion, handle: &mut impl FnMut(PrefixEvent)) {
+    /// service has lost its history, or when an outage begins, as it may be restored from a copy. Then it
+    /// returns the position up to which all changes are known.
+    async fn follow_changes(
+        &mut self,
+        position: KvVersion,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) -> Option<KvVersion> {
         let view = self.view.clone();
         let mut calls = FollowedCalls::new(position);
         loop {
             let now = Instant::now();
             let may_watch = calls.watch.is_none() && !calls.is_doubtful;
             let may_check = calls.check.is_none();
+            let is_told = !view.role().watches();
+            let told_since = is_told.then_some(calls.listed_at);
             let watch_started = calls.watch.as_ref().map(|call| call.started);
+            // A host that is told has what other hosts tell in place of a watch.
+            let watch_started = watch_started.or(told_since);
             let (check_at, is_doubtful) = (calls.check_at, calls.is_doubtful);
             let due = async {
                 tokio::time::sleep_until(check_at).await;
@@ -205,24 +260,31 @@
                 }
             };
             let (watch_at, dead_at) = (calls.watch_at, calls.dead_at);
+            let watch_due = async {
+                tokio::time::sleep_until(watch_at).await;
+                view.watch_allowed().await;
+            };
             tokio::select! {
                 // A check that is due at the same moment as the next watch must not wait for that one's
                 // answer, which would put it off again.
                 biased;
                 answer = answer_to(&mut calls.watch) => {
                     if !self.finish_watch(answer, &mut calls, handle) {
-                        return;
+                        return self.outage_since.and(Some(calls.position));
                     }
                 }
                 answer = answer_to(&mut calls.check) => {
                     if !self.finish_check(answer, &mut calls, handle) {
-                        return;
+                        return self.outage_since.and(Some(calls.position));
                     }
                 }
                 reason = due, if may_check => {
+                    calls.advance(&view);
                     calls.check = Some(self.start_check(calls.position, reason));
                 }
-                () = tokio::time::sleep_until(watch_at), if may_watch => {
+                told = view.told() => self.apply_told(told, &mut calls.position, handle),
+                () = watch_due, if may_watch => {
+                    calls.advance(&view);
                     calls.watch = Some(self.start_watch(calls.position));
                 }
                 () = tokio::time::sleep_until(dead_at.unwrap_or(now)), if dead_at.is_some() => {
@@ -261,6 +323,7 @@
         let Some(call) = calls.watch.take() else {
             return true;
         };
+        calls.advance(&self.view);
         calls.dead_at = None;
         let now = Instant::now();
         match answer {
@@ -290,6 +353,7 @@
         let Some(call) = calls.check.take() else {
             return true;
         };
+        calls.advance(&self.view);
         match answer {
             Ok(changes) => {
                 self.slow_checks = 0;
@@ -362,7 +426,8 @@
             as_of: *position,
             last_change,
         };
-        self.view.note_answer(call.call, view_answer, changes.len());
+        self.view
+            .note_changes(call.call, view_answer, known, &changes);
         let has_changed = !changes.is_empty();
         for change in changes {
             handle(PrefixEvent::Changed(change));
@@ -370,6 +435,32 @@
         AnswerOutcome::Applied(has_changed)
     }
 
+    /// Reports the changes that another host has told of, if they follow those that were reported before.
+    fn apply_told(
+        &self,
+        (news, arrived): (ViewNews, Instant),
+        position: &mut KvVersion,
+        handle: &mut impl FnMut(PrefixEvent),
+    ) {
+        *position = self.view.advanced(*position);
+        let known = *position;
+        if news.after > known {
+            // Changes before these are missing.
+            return self.view.apply(&news.notice, arrived);
+        }
+        if news.notice.as_of < known {
+            return;
+        }
+        let changes = news.changes.into_iter();
+        let changes = changes.filter(|change| change.version > known);
+        let changes: Vec<KvChange> = changes.map(KvChange::from).collect();
+        *position = news.notice.as_of;
+        self.view.note_told(&news.notice, arrived, known, &changes);
+        for change in changes {
+            handle(PrefixEvent::Changed(change));
+        }
+    }
+
     fn note_success(&mut self, handle: &mut impl FnMut(PrefixEvent)) {
         self.failures = 0;
         if let Some(since) = self.outage_since.take() {
@@ -421,6 +512,7 @@
         let now = Instant::now();
         Self {
             position,
+            listed_at: now,
             watch: None,
             watch_at: now,
             dead_at: None,
@@ -430,6 +522,11 @@
         }
     }
 
+    /// Moves the position on if other hosts have told that nothing has changed since.
+    fn advance(&mut self, view: &ViewHandle) {
+        self.position = view.advanced(self.position);
+    }
+
     fn drop_watch(&mut self) {
         self.watch = None;
         self.dead_at = None;
--- a/lib/src/host_views.rs
+++ b/lib/src/host_views.rs
@@ -1,5 +1,6 @@
 //! The views of the key-value service that a host acts on, with their log lines and metrics.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -8,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::edges::kv::KvChange;
 use crate::edges::kv::KvVersion;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
@@ -17,7 +19,12 @@
 use crate::view_monitor::ViewKind;
 use crate::view_monitor::ViewMonitor;
 use crate::view_monitor::ViewNotice;
+use crate::view_monitor::ViewRole;
+use crate::view_news::ChangeLog;
+use crate::view_news::ViewNews;
 
+/// Messages of other hosts that wait to be applied to a view.
+const MAX_TOLD: usize = 64;
 /// Greatest age of a view without a bound of its own.
 const DEFAULT_MAX_AGE: Duration = Duration::from_secs(1);
 
@@ -41,6 +48,21 @@
     monitor: ViewMonitor,
     /// Whether other hosts have to be told of the last check.
     is_untold: bool,
+    /// The last changes, for other hosts.
+    log: ChangeLog,
+    /// Last change that other hosts have to be told of, and when.
+    untold_change: Option<(KvVersion, Instant)>,
+    /// What other hosts have told and is not applied yet, with the time before which it had not arrived.
+    told: VecDeque<(ViewNews, Instant)>,
+}
+
+/// What other hosts have to be told of one view.
+#[derive(Clone, Debug, Default)]
+pub struct ViewMessages {
+    /// State of the view, after a check.
+    pub notice: Option<ViewNotice>,
+    /// Changes of the view.
+    pub news: Option<ViewNews>,
 }
 
 impl ViewHandle {
@@ -60,6 +82,9 @@
         let state = ViewState {
             monitor: ViewMonitor::new(max_age, seed, Instant::now()),
             is_untold: false,
+            log: ChangeLog::default(),
+            untold_change: None,
+            told: VecDeque::new(),
         };
         Self {
             shared: Arc::new(SharedView {
@@ -97,15 +122,67 @@
         let age = {
             let mut state = self.state();
             state.monitor.note_answer(answer);
+            state.log.reset(answer.as_of);
             state.monitor.age(Instant::now())
         };
+        self.note_news(call, answer.as_of, changes, age);
+    }
+
+    /// Records an answer of `call`: `changes` are all changes after `known` up to its revision. A teller
+    /// tells others of them.
+    pub(crate) fn note_changes(
+        &self,
+        call: ViewCall,
+        answer: ViewAnswer,
+        known: KvVersion,
+        changes: &[KvChange],
+    ) {
+        let now = Instant::now();
+        let last = changes.iter().map(KvChange::version).max();
+        let age = {
+            let mut state = self.state();
+            state.monitor.note_answer(answer);
+            state.log.add(known, answer.as_of, changes, now);
+            let is_teller = matches!(state.monitor.role(), ViewRole::Teller(_));
+            if let Some(last) = last.filter(|_| is_teller) {
+                let due_at = now + state.monitor.tell_delay();
+                let due_at = state.untold_change.map_or(due_at, |(_, at)| at.min(due_at));
+                state.untold_change = Some((last, due_at));
+                self.shared.notice_added.notify_one();
+            }
+            state.monitor.age(now)
+        };
+        self.note_news(call, answer.as_of, changes.len(), age);
+    }
+
+    /// Records that `changes`, all changes after `known` up to the revision of `notice`, are applied, as
+    /// another host has told of them. The notice arrived at `arrived` or later.
+    pub(crate) fn note_told(
+        &self,
+        notice: &ViewNotice,
+        arrived: Instant,
+        known: KvVersion,
+        changes: &[KvChange],
+    ) {
+        let now = Instant::now();
+        let age = {
+            let mut state = self.state();
+            state.monitor.note_told(notice, arrived, now);
+            state.log.add(known, notice.as_of, changes, now);
+            state.monitor.age(now)
+        };
+        self.note_news(ViewCall::Told, notice.as_of, changes.len(), age);
+    }
+
+    /// Logs, counts and announces an answer, or what another host has told.
+    fn note_news(&self, call: ViewCall, as_of: KvVersion, changes: usize, age: Duration) {
         self.shared.changed.notify_waiters();
         let has_news = changes > 0 || call == ViewCall::Listing;
         self.count(call, if has_news { "changed" } else { "unchanged" });
         if has_news {
             self.shared.log.write(LogEvent::ViewAdvanced {
                 view: self.shared.kind.to_string(),
-                revision: answer.as_of.0,
+                revision: as_of.0,
                 via: call.to_string(),
                 changes,
                 age_ms: age.as_millis() as u64,
@@ -157,18 +234,100 @@
         self.shared.notice_added.notify_one();
     }
 
+    /// How this host learns of changes.
+    pub fn role(&self) -> ViewRole {
+        self.state().monitor.role()
+    }
+
+    /// Sets how this host learns of changes.
+    pub fn set_role(&self, role: ViewRole) {
+        let before = {
+            let mut state = self.state();
+            let before = state.monitor.role();
+            state.monitor.set_role(role);
+            before
+        };
+        if before != role {
+            self.shared.changed.notify_waiters();
+        }
+    }
+
+    /// `position`, or the revision up to which other hosts have told that nothing has changed since.
+    pub(crate) fn advanced(&self, position: KvVersion) -> KvVersion {
+        let confirmed = self.state().monitor.position().unwrap_or_default();
+        position.max(confirmed)
+    }
+
+    /// Waits until this host is to hold watches.
+    pub(crate) async fn watch_allowed(&self) {
+        loop {
+            let changed = self.shared.changed.notified();
+            if self.role().watches() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits for changes that another host has told of, and returns them with the time before which they
+    /// had not arrived.
+    pub(crate) async fn told(&self) -> (ViewNews, Instant) {
+        loop {
+            let changed = self.shared.changed.notified();
+            if let Some(told) = self.state().told.pop_front() {
+                return told;
+            }
+            changed.await;
+        }
+    }
+
+    /// Takes the changes that another host has told of, which arrived at `arrived` or later.
+    pub fn apply_news(&self, news: ViewNews, arrived: Instant) {
+        {
+            let mut state = self.state();
+            let last = news.notice.last_change;
+            // Another teller has told of the same changes.
+            state.untold_change = state.untold_change.filter(|(version, _)| *version > last);
+            if state.told.len() >= MAX_TOLD {
+                state.told.pop_front();
+            }
+            state.told.push_back((news, arrived));
+        }
+        self.shared.changed.notify_waiters();
+    }
+
     /// Applies the notice of another host that arrived at `arrived` or later.
     pub fn apply(&self, notice: &ViewNotice, arrived: Instant) {
-        self.state().monitor.apply(notice, arrived, Instant::now());
+        {
+            let now = Instant::now();
+            let mut state = self.state();
+            let before = state.monitor.position();
+            state.monitor.apply(notice, arrived, now);
+            if let (Some(before), Some(position)) = (before, state.monitor.position())
+                && before < position
+            {
+                state.log.add(before, position, &[], now);
+            }
+        }
         self.shared.changed.notify_waiters();
     }
 
-    /// What to tell other hosts; `None` if there is nothing that they have not been told.
-    pub fn take_notice(&self) -> Option<ViewNotice> {
+    /// What to tell other hosts now.
+    pub fn take_messages(&self) -> ViewMessages {
+        let now = Instant::now();
         let mut state = self.state();
         let is_untold = std::mem::take(&mut state.is_untold);
-        let notice = state.monitor.notice(self.shared.kind, Instant::now());
-        notice.filter(|_| is_untold)
+        let is_due = state.untold_change.is_some_and(|(_, at)| at <= now);
+        if is_due || is_untold {
+            state.untold_change = None;
+        }
+        let notice = state.monitor.notice(self.shared.kind, now);
+        let notice = notice.filter(|_| is_due || is_untold);
+        let news = notice.and_then(|notice| state.log.news(notice, now));
+        ViewMessages {
+            notice: notice.filter(|_| is_untold || news.is_none()),
+            news,
+        }
     }
 
     /// Logs when the view passes its greatest age and when it is proved again, without end.
@@ -255,10 +414,26 @@
         self.notice_added.notified().await;
     }
 
-    /// What to tell all other hosts.
-    pub fn take_notices(&self) -> Vec<ViewNotice> {
+    /// Sets how this host learns of changes.
+    pub fn set_role(&self, role: ViewRole) {
+        for view in self.all() {
+            view.set_role(role);
+        }
+    }
+
+    /// What to tell all other hosts now, for each view.
+    pub fn take_messages(&self) -> Vec<ViewMessages> {
         let views = self.all().into_iter();
-        views.filter_map(ViewHandle::take_notice).collect()
+        views.map(ViewHandle::take_messages).collect()
+    }
+
+    /// Takes the changes that another host has told of, which arrived at `arrived` or later.
+    pub fn apply_news(&self, news: ViewNews, arrived: Instant) {
+        match news.notice.view {
+            ViewKind::Configuration => self.configuration.apply_news(news, arrived),
+            ViewKind::Upstreams => self.upstreams.apply_news(news, arrived),
+            ViewKind::Retirements => {}
+        }
     }
 
     /// Applies the notice of another host that arrived at `arrived` or later.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -48,4 +48,5 @@
 pub mod trace;
 pub mod upstreams;
 pub mod view_monitor;
+pub mod view_news;
 pub mod workspaces;
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -27,6 +28,8 @@
 use crate::detour::DetourClient;
 use crate::detour::DetourServer;
 use crate::edges::kv::KvStore;
+use crate::edges::kv_calls::CallPurpose;
+use crate::edges::kv_calls::kv_for;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
 use crate::host_views::HostViews;
@@ -109,6 +112,8 @@
     routes: watch::Sender<Arc<RouteTable>>,
     reconciler: Mutex<EntryReconciler>,
     views: HostViews,
+    /// Shared secret of the hosts, once it is known.
+    secret: Arc<OnceLock<String>>,
     detour_server: DetourServer,
     stop: CancellationToken,
     leaving: CancellationToken,
@@ -170,6 +175,7 @@
             routes,
             reconciler: Mutex::default(),
             views,
+            secret: Arc::default(),
             detour_server,
             stop: CancellationToken::new(),
             leaving: CancellationToken::new(),
@@ -196,7 +202,8 @@
         .with_log(self.log.clone())
         .with_origins(self.relay.origins().clone())
         .with_reach(self.relay.reach().clone())
-        .with_views(self.views.clone());
+        .with_views(self.views.clone())
+        .with_secret(self.secret.clone());
         let host = self.clone();
         let peers = move || host.peer_addresses();
         let (announcer, recorder, stop) = (self.jobs.clone(), self.jobs.clone(), self.stop.clone());
@@ -215,7 +222,10 @@
         tokio::spawn(async move { jobs.run(stop).await });
         let (host, archive) = (
             self.clone(),
-            VersionArchive::new(kv.clone(), self.relay.origins().clone()),
+            VersionArchive::new(
+                kv_for(&kv, CallPurpose::Versions),
+                self.relay.origins().clone(),
+            ),
         );
         tokio::spawn(async move { host.follow_versions(archive).await });
         let host = self.clone();
@@ -259,11 +269,12 @@
         kv: Arc<dyn KvStore>,
     ) {
         let secret = loop {
-            match fleet_secret(kv.as_ref()).await {
+            match fleet_secret(kv_for(&kv, CallPurpose::FleetSecret).as_ref()).await {
                 Ok(secret) => break secret,
                 Err(_) => tokio::time::sleep(SECRET_RETRY_DELAY).await,
             }
         };
+        let _ = self.secret.set(secret.clone());
         let client = PeerClient::new(HostId::new(&self.config.host), secret.clone());
         let detour_client = DetourClient::new(client.clone());
         self.relay.detours().set_link(Arc::new(detour_client));
--- a/lib/src/view_monitor.rs
+++ b/lib/src/view_monitor.rs
@@ -28,6 +28,54 @@
 /// age.
 const OUTDATED_PAUSE_SHARE: f64 = 0.1;
 
+/// Hosts that hold watches for all others.
+pub const TELLERS: usize = 3;
+/// Delay of a teller's check after that of the teller before it, and least delay of the checks of hosts that
+/// are told, as fractions of the greatest age.
+const TELLER_STEP_SHARE: f64 = 0.03;
+const TOLD_SHARE: f64 = 0.12;
+
+/// Time after a notice, in greatest ages, after which the position moves on to its revision.
+const CONFIRM_AGES: u32 = 2;
+
+/// How a host learns of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ViewRole {
+    /// By watches of its own; it tells nobody.
+    #[default]
+    Alone,
+    /// It does not know the other hosts yet, and opens no watch.
+    Starting,
+    /// By watches of its own; it tells all others. Holds its rank among the tellers.
+    Teller(usize),
+    /// By other hosts, and by checks while these prove nothing.
+    Told,
+}
+
+impl ViewRole {
+    /// Role of the host that has this rank among those that it hears.
+    pub fn of_rank(rank: usize) -> Self {
+        match rank < TELLERS {
+            true => Self::Teller(rank),
+            false => Self::Told,
+        }
+    }
+
+    /// Whether a host with this role holds watches.
+    pub fn watches(self) -> bool {
+        matches!(self, Self::Alone | Self::Teller(_))
+    }
+
+    /// Delay before this host tells what its own calls have brought, as a fraction of the greatest age:
+    /// other tellers may be faster.
+    fn tell_share(self) -> f64 {
+        match self {
+            Self::Teller(rank) => TELLER_STEP_SHARE * rank as f64,
+            _ => 0.0,
+        }
+    }
+}
+
 /// What a host follows in the key-value service.
 #[derive(
     Clone,
@@ -65,6 +113,8 @@
     Watch,
     /// Asks for changes and returns at once.
     Check,
+    /// No call: another host has told of changes.
+    Told,
 }
 
 /// What an answer of the key-value service shows.
@@ -150,9 +200,12 @@
     /// overtaken.
     heard: Option<(KvVersion, Instant)>,
     missing: Option<MissingChange>,
+    /// Revision up to which nothing has changed, as a notice said, and when.
+    confirmed: Option<(KvVersion, Instant)>,
     /// When the next check may be made after an answer from an older state than another host had told of.
     retry_at: Option<Instant>,
     hosts: usize,
+    role: ViewRole,
     check_delay: Duration,
     is_overdue: bool,
     rng: StdRng,
@@ -170,8 +223,10 @@
             proven_at: None,
             heard: None,
             missing: None,
+            confirmed: None,
             retry_at: None,
             hosts: 1,
+            role: ViewRole::default(),
             check_delay: Duration::ZERO,
             is_overdue: false,
             rng: StdRng::seed_from_u64(seed),
@@ -183,6 +238,26 @@
         self.hosts = hosts.max(1);
     }
 
+    /// How this host learns of changes.
+    pub fn role(&self) -> ViewRole {
+        self.role
+    }
+
+    /// Sets how this host learns of changes, from the next proof on.
+    pub fn set_role(&mut self, role: ViewRole) {
+        self.role = role;
+    }
+
+    /// Revision up to which all changes are applied; `None` before the first listing.
+    pub fn position(&self) -> Option<KvVersion> {
+        self.position
+    }
+
+    /// Delay before this host tells of changes that its own calls have brought.
+    pub(crate) fn tell_delay(&self) -> Duration {
+        self.max_age.mul_f64(self.role.tell_share())
+    }
+
     /// A random number from 0 to 1, which follows from the seed.
     pub(crate) fn draw_share(&mut self) -> f64 {
         self.rng.random()
@@ -215,6 +290,7 @@
     /// Records an answer of a call of this host.
     pub fn note_answer(&mut self, answer: ViewAnswer) {
         let is_outdated = self.is_outdated(&answer);
+        self.confirmed = None;
         self.position = Some(answer.as_of);
         match answer.last_change {
             LastChange::None => {}
@@ -252,6 +328,7 @@
         self.heard = Some((notice.as_of, now));
         if notice.last_change <= position {
             self.confirm(notice);
+            self.confirm_position(notice.as_of, now);
             let age = Duration::from_millis(notice.age_ms);
             if let Some(proven_at) = arrived.checked_sub(age) {
                 self.prove(proven_at);
@@ -261,6 +338,27 @@
         }
     }
 
+    /// Records that all changes up to the revision of `notice` are applied, as another host has told of
+    /// them. The notice arrived at `arrived` or later.
+    pub fn note_told(&mut self, notice: &ViewNotice, arrived: Instant, now: Instant) {
+        self.confirmed = None;
+        self.position = Some(notice.as_of);
+        self.last_change = (notice.last_change, notice.is_exact);
+        let is_newest = self
+            .heard
+            .is_none_or(|(revision, _)| revision <= notice.as_of);
+        if is_newest {
+            self.heard = Some((notice.as_of, now));
+        }
+        self.missing = self
+            .missing
+            .filter(|missing| missing.version > notice.as_of);
+        let age = Duration::from_millis(notice.age_ms);
+        if let Some(proven_at) = arrived.checked_sub(age).filter(|_| is_newest) {
+            self.prove(proven_at);
+        }
+    }
+
     /// No change was made after that of `notice`, up to the position of this view.
     fn confirm(&mut self, notice: &ViewNotice) {
         let (version, is_exact) = self.last_change;
@@ -271,7 +369,22 @@
         }
     }
 
+    /// Moves the position on once a notice has said for [`CONFIRM_AGES`] that nothing has changed up to a
+    /// revision and no other one has told of a change, so that calls don't ask for a history that the
+    /// service has dropped.
+    fn confirm_position(&mut self, as_of: KvVersion, now: Instant) {
+        match self.confirmed {
+            Some((revision, at)) if now >= at + self.max_age * CONFIRM_AGES => {
+                self.position = self.position.max(Some(revision));
+                self.confirmed = Some((as_of, now));
+            }
+            Some(_) => {}
+            None => self.confirmed = Some((as_of, now)),
+        }
+    }
+
     fn note_missing(&mut self, version: KvVersion, now: Instant) {
+        self.confirmed = None;
         match &mut self.missing {
             Some(missing) => missing.version = missing.version.max(version),
             None => {
@@ -298,7 +411,12 @@
             1 => 0.0,
             _ => (1.0 + draw.ln() / hosts.ln()).max(0.0),
         };
-        self.check_delay = self.max_age.mul_f64(SPREAD_SHARE * share);
+        let delay_share = match self.role {
+            ViewRole::Alone | ViewRole::Starting => SPREAD_SHARE * share,
+            ViewRole::Teller(rank) => TELLER_STEP_SHARE * rank as f64,
+            ViewRole::Told => TOLD_SHARE + SPREAD_SHARE * share,
+        };
+        self.check_delay = self.max_age.mul_f64(delay_share);
     }
 
     /// The next check. For a change that this host lacks, an open watch has a while to bring it;
