--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -20,6 +20,7 @@
 use crate::reach::ReachNotice;
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
+use crate::view_news::NewsPart;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -149,6 +150,9 @@
     /// Reply to it.
     #[serde(rename = "r")]
     QuotaReply(QuotaReply),
+    /// Part of a message with changes of a view, for all hosts.
+    #[serde(rename = "e")]
+    ViewNews(NewsPart),
 }
 
 impl HostDatagram {
