fairness: too little room is divided between workspaces

In a peak, requests were refused by the load of their service alone.

Requests under way are counted by workspace and told in load reports. While there is no free slot, a request of a workspace beyond its weighted max-min share is refused at once, or waits here in fair order if its caller has no time to retry. Priorities go first, down to a part of the lower shares. Callers are told to return when they will not be refused again. Without workspaces, requests are decided on as before. `VirtualClock` moves here from batch and serves both.

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -164,6 +164,7 @@
             convictions: 0,
             limits: Vec::new(),
             reach: None,
+            flows: Vec::new(),
         };
         Self {
             socket,
@@ -477,11 +478,12 @@
     /// passed.
     async fn report_load(&mut self, now: Instant) {
         self.log_limit_changes();
-        let (loads, leaving, ended, waiting, limit_revision) = {
+        let (loads, flows, leaving, ended, waiting, limit_revision) = {
             let mut state = self.balancer.state();
             state.expire_reports(now);
             (
                 state.own_loads(now),
+                state.own_flows().loads(),
                 state.recent_leaving(now),
                 state.recent_ended(now),
                 state.own_waiting(now),
@@ -493,6 +495,7 @@
         let reach = self.own_reach(&loads, is_leaving, now);
         let tells_reach = reach.is_news_after(&self.reach_notice);
         let has_changed = !is_same_work(&loads, &self.report.loads)
+            || flows != self.report.flows
             || leaving != self.report.leaving
             || ended != self.report.ended
             || !is_same_backlog(&waiting, &self.report.waiting)
@@ -508,6 +511,7 @@
         }
         self.reported_at = now;
         self.report.loads = loads;
+        self.report.flows = flows;
         self.report.leaving = leaving;
         self.report.ended = ended;
         self.report.waiting = waiting;
--- a/lib/src/balancer/handle.rs
+++ b/lib/src/balancer/handle.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Waits for the next [`Self::notify_waiters`] after this call, whenever the future is first polled, or
+    /// until `limit`.
+    pub fn slots_changed_until(&self, limit: Instant) -> impl Future<Output = ()> {
+        let mut slots_changed = Box::pin(self.shared.slots_changed.notified());
+        slots_changed.as_mut().enable();
+        async move {
+            let _ = timeout_at(limit, slots_changed).await;
+        }
+    }
+
     /// Chooses an upstream for one piece of work, or returns `None` if none may take it. The slot
     /// is freed when the returned value is dropped.
     pub fn acquire(&self, request: SlotRequest<'_>) -> Option<SlotPermit> {
--- a/lib/src/balancer/peer_loads.rs
+++ b/lib/src/balancer/peer_loads.rs
@@ -10,6 +10,8 @@
 use crate::balancer::waiting::ItemUrgency;
 use crate::balancer::waiting::WaitingItems;
 use crate::collections::HashMap;
+use crate::fairness::FlowKey;
+use crate::fairness::FlowLoad;
 use crate::ids::WorkClass;
 
 /// Time after which the work in a host's last report is dropped.
@@ -69,6 +71,7 @@
     received_at: Instant,
     loads: Vec<UpstreamLoad>,
     waiting: Vec<WaitingItems>,
+    flows: Vec<FlowLoad>,
 }
 
 impl PeerLoad {
@@ -152,6 +155,27 @@
         items.sum::<f64>().round() as u32
     }
 
+    /// Adds the online requests of the other hosts to `counts`, by flow. `weight` is the share of a host's
+    /// requests that competes for the upstreams of this one.
+    pub(crate) fn add_flows(
+        &self,
+        counts: &mut HashMap<FlowKey, f64>,
+        weight: impl Fn(&str) -> f64,
+    ) {
+        for (host, peer) in &self.peers {
+            if peer.flows.is_empty() {
+                continue;
+            }
+            let weight = weight(host);
+            if weight <= 0.0 {
+                continue;
+            }
+            for load in &peer.flows {
+                *counts.entry(load.key()).or_default() += f64::from(load.count()) * weight;
+            }
+        }
+    }
+
     /// Whether a report of this process of `host` is counted.
     pub(crate) fn knows(&self, host: &str, incarnation: u64) -> bool {
         let peer = self.peers.get(host);
@@ -195,6 +219,7 @@
             received_at: now,
             loads: report.loads,
             waiting: report.waiting,
+            flows: report.flows,
         };
         self.peers.insert(report.host, peer);
         has_changed
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::balancer::waiting::WaitingItems;
+use crate::fairness::FlowLoad;
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
 use crate::limits::GrantReply;
@@ -76,6 +77,9 @@
     /// Reach of the host; `None` if it is as in an earlier report, or the host is of a release without it.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub reach: Option<Box<ReachNotice>>,
+    /// Online requests of the host by workspace; empty without workspaces, and from earlier releases.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub flows: Vec<FlowLoad>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -36,6 +36,8 @@
 use crate::balancer::waiting::service_tag;
 use crate::collections::HashMap;
 use crate::collections::HashSet;
+use crate::fairness::FlowCounts;
+use crate::fairness::FlowKey;
 use crate::ids::DataCentre;
 use crate::ids::HostId;
 use crate::ids::ServiceName;
@@ -252,6 +254,7 @@
     /// Number of changes of `serving`.
     pub(super) serving_revision: u64,
     pub(super) returns: HashMap<ServiceName, ReturnSchedule>,
+    own_flows: FlowCounts,
 }
 
 impl BalancerState {
@@ -274,6 +277,7 @@
             limits: LimitTable::default(),
             serving_revision: 0,
             returns: HashMap::default(),
+            own_flows: FlowCounts::default(),
         }
     }
 
@@ -519,6 +523,34 @@
         }
     }
 
+    /// Online requests of this host by flow.
+    pub fn own_flows(&self) -> &FlowCounts {
+        &self.own_flows
+    }
+
+    /// Online requests of this host by flow, to count one that begins or ends.
+    pub fn own_flows_mut(&mut self) -> &mut FlowCounts {
+        &mut self.own_flows
+    }
+
+    /// Online requests of all hosts that compete for this host's window of `service`, by flow. Those of
+    /// other hosts are estimated by the parts of their windows that lie in this one.
+    pub fn flows(&self, service: &ServiceName) -> HashMap<FlowKey, f64> {
+        let own = self.own_flows.iter();
+        let mut counts: HashMap<FlowKey, f64> =
+            own.map(|(key, count)| (key, f64::from(count))).collect();
+        let (upstreams, hosts) = (self.ready_count(service), self.tracker.hosts());
+        let weight = |host: &str| window_overlap(self.tracker.distance(host), upstreams, hosts);
+        self.peer_loads.add_flows(&mut counts, weight);
+        counts
+    }
+
+    /// Number of hosts, this one included, that use each upstream of `service`, on the mean.
+    pub fn sharers(&self, service: &ServiceName) -> f64 {
+        let (upstreams, hosts) = (self.ready_count(service).max(1), self.tracker.hosts());
+        hosts as f64 * window_size(upstreams, hosts) as f64 / upstreams as f64
+    }
+
     /// Online and batch work of all hosts at the upstreams in this host's window of `service`.
     pub fn running_work(&self, service: &ServiceName) -> (u32, u32) {
         let works = self
--- a/lib/src/batch/coordinator.rs
+++ b/lib/src/batch/coordinator.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::batch::fair_queueing::VirtualClock;
 use crate::batch::ledger::JobHolder;
 use crate::batch::ledger::JobRecord;
 use crate::batch::message::BatchReply;
@@ -35,6 +34,7 @@
 use crate::decisions::DecisionKind;
 use crate::decisions::DecisionRing;
 use crate::edges::kv::KvVersion;
+use crate::fairness::VirtualClock;
 use crate::ids::HostId;
 use crate::ids::JobId;
 use crate::ids::WorkspaceName;
@@ -121,7 +121,7 @@
     pub(crate) final_record_hosts: HashMap<JobId, HostId>,
     /// When this host takes items of a workspace again that was over its cap.
     pub(crate) paused_until: HashMap<WorkspaceName, Instant>,
-    pub(crate) virtual_clock: VirtualClock,
+    pub(crate) virtual_clock: VirtualClock<WorkspaceName>,
 }
 
 impl CoordinatorState {
--- a/lib/src/batch/mod.rs
+++ b/lib/src/batch/mod.rs
@@ -8,7 +8,6 @@
 
 mod commits;
 mod coordinator;
-mod fair_queueing;
 mod input;
 mod item_set;
 mod ledger;
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -4,6 +4,22 @@
 
 use serde::Serialize;
 
+/// Why a request of a workspace was sent, or refused, while there was too little room.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RoomRecord {
+    /// Workspace of the caller; `None` if its request needs no key and has none.
+    pub workspace: Option<String>,
+    /// Reason of the decision, such as `below_share`.
+    pub reason: String,
+    /// Estimated number of requests of the workspace under way at the upstreams that this host uses, to a
+    /// tenth; `None` if that did not matter.
+    pub under_way: Option<f64>,
+    /// Fair share of the workspace in requests under way there, to a tenth; `None` if that did not matter.
+    pub share: Option<f64>,
+    /// Time in milliseconds for which the request waited at this host for room.
+    pub waited_ms: u64,
+}
+
 /// A decision of the host, or a change in the state that it knows of its surroundings.
 ///
 /// Names of variants and fields are the names in the log; `docs/OPERATIONS.md` lists all of them.
@@ -237,6 +253,8 @@
         version: u64,
         /// What the request is refused for, if it is convicted of crashing upstreams.
         subject: Option<String>,
+        /// What the room of its workspace said; absent where that is not decided by workspace.
+        room: Option<Box<RoomRecord>>,
     },
     /// A request was refused as it has no key that it needs. The key itself is never logged.
     KeyRefused {
@@ -286,6 +304,8 @@
         started_ms: Option<u64>,
         /// Version of the software that began the answer; absent if it starts anew.
         began_at: Option<String>,
+        /// What the room of its workspace said; absent if there was room for any request.
+        room: Option<Box<RoomRecord>>,
     },
     /// An attempt to send a request ended without a usable answer.
     SendingFailed {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod edges;
 pub mod event_log;
 pub mod events;
+pub mod fairness;
 pub mod follow;
 pub mod host;
 pub mod host_views;
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -29,6 +29,7 @@
 use crate::detour::decide_detour;
 use crate::event_log::EventLog;
 use crate::events::LogEvent;
+use crate::fairness::RoomReason;
 use crate::ids::SoftwareVersion;
 use crate::ids::UpstreamId;
 use crate::reach::DetourHost;
@@ -39,6 +40,7 @@
 use crate::relay::event::StreamFault;
 use crate::relay::request::RelayRequest;
 use crate::relay::request_relay::RequestRelay;
+use crate::relay::room::RoomNote;
 use crate::relay::stop_gate::StopGate;
 use crate::relay::timeout::wait_until;
 use crate::relay::transport::ExecutionReport;
@@ -223,6 +225,8 @@
     refusal: Option<(DetourRefusal, Duration)>,
     /// Set if the request comes from another host: how many upstreams may have run it here.
     run_counter: Option<RunCounter>,
+    /// Why the request has room; `None` where that is not decided by workspace.
+    room: Option<RoomNote>,
 }
 
 impl RequestDispatch {
@@ -252,6 +256,7 @@
             refusing_hosts: Vec::new(),
             refusal: None,
             run_counter: None,
+            room: None,
         }
     }
 
@@ -262,6 +267,11 @@
         self
     }
 
+    /// Records why the request has room.
+    pub(crate) fn set_room(&mut self, note: RoomNote) {
+        self.room = Some(note);
+    }
+
     /// Makes the first attempt at the upstream whose slot `permit` reserves.
     pub fn with_slot(mut self, permit: SlotPermit) -> Self {
         self.reserved = Some(permit);
@@ -503,6 +513,10 @@
             software: permit.choice.software.to_string(),
             started_ms: self.last_event_id.map(|_| permit.choice.incarnation.1),
             began_at: self.software.as_ref().map(ToString::to_string),
+            room: self
+                .room
+                .filter(|note| note.reason != RoomReason::Room)
+                .map(|note| Box::new(note.record(&request))),
         });
         self.upstream = Some(permit.choice.id.clone());
         self.heard_at = now;
--- a/lib/src/relay/mod.rs
+++ b/lib/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod load_shedding;
 mod request;
 mod request_relay;
+mod room;
 mod stop_gate;
 mod take_up;
 mod timeout;
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -42,10 +42,15 @@
 use crate::relay::dispatch::RequestDispatch;
 use crate::relay::dispatch::RetryPolicy;
 use crate::relay::dispatch::StreamStep;
+use crate::relay::load_shedding::MEAN_SLOT_TIME;
 use crate::relay::load_shedding::ServiceLoad;
 use crate::relay::load_shedding::ShedDecision;
 use crate::relay::load_shedding::decide_shedding;
 use crate::relay::request::RelayRequest;
+use crate::relay::room::RoomKeeper;
+use crate::relay::room::RoomNote;
+use crate::relay::room::RoomPermit;
+use crate::relay::room::RoomRefusal;
 use crate::relay::stop_gate::StopGate;
 use crate::relay::take_up;
 use crate::relay::transport::UpstreamTransport;
@@ -53,6 +58,7 @@
 use crate::routes::RouteKind;
 use crate::suspects::CrashKeeper;
 use crate::suspects::CrashSubject;
+use crate::workspaces::WorkspaceDirectory;
 
 /// Lower bound of the wait for a stream's first event before another upstream is tried.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_millis(150);
@@ -159,6 +165,7 @@
     origins: OriginKeeper,
     reach: ReachKeeper,
     detours: DetourKeeper,
+    room: RoomKeeper,
 }
 
 /// Outcome of a request that came from another host.
@@ -187,6 +194,7 @@
         let host = balancer.state().host().to_owned();
         Self {
             transport,
+            room: RoomKeeper::new(balancer.clone()),
             balancer,
             answer_memory: MemoryBudget::new(ANSWER_MEMORY_BYTES),
             views: None,
@@ -212,6 +220,12 @@
         self
     }
 
+    /// Replaces the workspaces of the configuration, among which too little room is divided; `None` if it has
+    /// none.
+    pub fn set_workspaces(&self, workspaces: Option<&WorkspaceDirectory>) {
+        self.room.set_workspaces(workspaces);
+    }
+
     /// Ages in milliseconds of the configuration and of the list of upstreams; `None` without views.
     pub(crate) fn view_ages_ms(&self) -> (Option<u64>, Option<u64>) {
         let age = |view: &ViewHandle| view.age().as_millis() as u64;
@@ -506,6 +520,7 @@
         }
         // The other host knows what room there is.
         if !takes_detour
+            && !self.room.is_active()
             && let ShedDecision::Refuse(delay) =
                 decide_shedding(load, request.route.objective, left)
         {
@@ -525,18 +540,35 @@
             run = run.with_run_counter(detoured.counter);
         }
         let mut dispatch = LoggedDispatch::new(run, self.log.clone(), request.clone(), is_own);
+        let room = match takes_detour {
+            true => None,
+            false => Some(&self.room),
+        };
         let started = match &taken_up {
-            None => dispatch.run.start().await,
+            None => dispatch.start(room).await,
             Some(registration) => {
                 let end = registration.handle().run_end().clone();
                 dispatch.run_end = Some(end.clone());
                 tokio::select! {
                     biased;
                     () = end.ended() => return RelayAnswer::Lost,
-                    started = dispatch.run.start() => started,
+                    started = dispatch.start(room) => started,
                 }
             }
         };
+        let started = match started {
+            Ok(started) => started,
+            Err(refusal) => {
+                dispatch.logged = true;
+                if is_own {
+                    self.log_room_refusal(&request, refusal);
+                }
+                return RelayAnswer::Refused {
+                    retry_after: refusal.retry_after,
+                    reason: RelayRefusal::Overloaded,
+                };
+            }
+        };
         match started {
             Ok(OpenedAnswer::Whole {
                 status,
@@ -615,6 +647,7 @@
             slots,
             online,
             is_limited: state.has_limited_upstream(&request.service),
+            slot_time: MEAN_SLOT_TIME,
         }
     }
 
@@ -687,15 +720,46 @@
         delay: Duration,
         subject: Option<CrashSubject>,
     ) {
-        self.log.write(LogEvent::RequestRefused {
-            request: request.id.to_string(),
-            reason: reason.to_owned(),
-            places: load.slots,
-            online: load.online,
-            retry_ms: delay.as_millis() as u64,
-            version: request.version,
-            subject: subject.map(|subject| subject.to_string()),
-        });
+        let subject = subject.map(|subject| subject.to_string());
+        self.log
+            .write(refused_event(request, reason, load, delay, subject, None));
+    }
+
+    fn log_room_refusal(&self, request: &RelayRequest, refusal: RoomRefusal) {
+        let RoomRefusal {
+            note,
+            load,
+            retry_after,
+        } = refusal;
+        let reason = note.reason.to_string();
+        self.log.write(refused_event(
+            request,
+            &reason,
+            load,
+            retry_after,
+            None,
+            Some(note),
+        ));
+    }
+}
+
+fn refused_event(
+    request: &RelayRequest,
+    reason: &str,
+    load: ServiceLoad,
+    delay: Duration,
+    subject: Option<String>,
+    room: Option<RoomNote>,
+) -> LogEvent {
+    LogEvent::RequestRefused {
+        request: request.id.to_string(),
+        reason: reason.to_owned(),
+        places: load.slots,
+        online: load.online,
+        retry_ms: delay.as_millis() as u64,
+        version: request.version,
+        subject,
+        room: room.map(|note| Box::new(note.record(request))),
     }
 }
 
@@ -785,6 +849,8 @@
     /// Whether this host took the request from its caller.
     is_own: bool,
     logged: bool,
+    /// Counts the request as under way, where that is needed.
+    permit: Option<RoomPermit>,
 }
 
 impl LoggedDispatch {
@@ -798,7 +864,25 @@
             run_end: None,
             is_own,
             logged: false,
+            permit: None,
+        }
+    }
+
+    /// Starts the request once it has room. The error is its refusal, without having been sent. `room` is
+    /// `None` if another host decides.
+    async fn start(
+        &mut self,
+        room: Option<&RoomKeeper>,
+    ) -> Result<Result<OpenedAnswer, RelayFailure>, RoomRefusal> {
+        if let Some(room) = room {
+            let (relay, request) = (self.run.relay().clone(), self.request.clone());
+            let taken = room.take(&request, || relay.load(&request)).await;
+            if let Some(permit) = taken.transpose()? {
+                self.run.set_room(permit.note);
+                self.permit = Some(permit);
+            }
         }
+        Ok(self.run.start().await)
     }
 
     fn record_first(&mut self) {
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -346,6 +346,7 @@
             version: table.version(),
             routes: table.len(),
         });
+        self.relay.set_workspaces(table.workspaces());
         self.routes.send_replace(Arc::new(table));
     }
 
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -369,6 +369,7 @@
                 convictions: 0,
                 limits: host.state.limit_notices(now),
                 reach: None,
+                flows: Vec::new(),
             };
             let neighbours = host.state.neighbours();
             for other in 0..self.hosts.len() {
@@ -502,6 +503,7 @@
                         convictions: 0,
                         limits: state.limit_notices(now),
                         reach: None,
+                        flows: Vec::new(),
                     };
                     (state.take_grant_requests(), report)
                 };
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -184,6 +184,7 @@
                 convictions: 0,
                 limits: Vec::new(),
                 reach: None,
+                flows: Vec::new(),
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -104,6 +104,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        flows: Vec::new(),
     }
 }
 
@@ -512,6 +513,7 @@
                 convictions: 0,
                 limits: Vec::new(),
                 reach: None,
+                flows: Vec::new(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -57,6 +57,7 @@
         retry_ms: 500,
         version: 3,
         subject: None,
+        room: None,
     }
 }
 
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -310,6 +310,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        flows: Vec::new(),
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let fields = value.into_map().unwrap();
@@ -610,6 +611,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: reach.map(Box::new),
+        flows: Vec::new(),
     };
     let size = |reach| HostDatagram::Load(report(reach)).encode().len();
     let tags = |count: u32| {
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -295,6 +295,7 @@
         slots: 96,
         online,
         is_limited: false,
+        slot_time: Duration::from_millis(800),
     };
     assert_eq!(
         decide_shedding(view(50), objective, left),
@@ -318,6 +319,7 @@
         slots: 0,
         online: 0,
         is_limited: false,
+        slot_time: Duration::from_millis(800),
     };
     assert!(matches!(
         decide_shedding(none, objective, left),
