--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -358,6 +358,7 @@
             version: table.version(),
             routes: table.len(),
         });
+        self.relay.set_workspaces(table.workspaces());
         self.routes.send_replace(Arc::new(table));
     }
 
