--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -515,7 +515,7 @@
             began_at: self.software.as_ref().map(ToString::to_string),
             room: self
                 .room
-                .filter(|note| note.reason != RoomReason::Room)
+                .filter(|note| note.reason != RoomReason::Room || !note.waited.is_zero())
                 .map(|note| Box::new(note.record(&request))),
         });
         self.upstream = Some(permit.choice.id.clone());
