--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -35,6 +35,7 @@
 use crate::history::SoakHistory;
 use crate::inject::FaultInjector;
 use crate::play_clients::BrokenStream;
+use crate::tenants;
 
 /// Time that a client waits for an answer, summed over all attempts at one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -47,6 +48,8 @@
 const CANCEL_AFTER: Duration = Duration::from_millis(400);
 /// One in this many requests is a stream that its client breaks off and takes up.
 const TAKE_UP_ONE_IN: u32 = 20;
+/// Before one in this many requests, a request with an unknown key is sent.
+const UNKNOWN_KEY_ONE_IN: u32 = 10;
 const STREAM_TIME_MS: std::ops::Range<u64> = 50..600;
 const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 100..900;
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..160;
@@ -108,6 +111,9 @@
         if self.rng.random_ratio(1, TAKE_UP_ONE_IN) {
             return self.break_and_take_up().await;
         }
+        if self.fleet.has_tenants() && self.rng.random_ratio(1, UNKNOWN_KEY_ONE_IN) {
+            self.call_with_unknown_key().await;
+        }
         let (kind, prefix, route_acknowledged_at) = self.draw_route();
         self.calls += 1;
         let deadline = Instant::now() + REQUEST_TIMEOUT;
@@ -142,6 +148,33 @@
         }
     }
 
+    /// Sends a request with a key that no manifest holds, which no worker may run.
+    async fn call_with_unknown_key(&mut self) {
+        self.refresh_addresses().await;
+        let Some(front) = self.addresses.choose(&mut self.rng).copied() else {
+            return;
+        };
+        self.calls += 1;
+        let id = format!("call-{}-{}-unknown", self.number, self.calls);
+        let path = format!("/often/{id}");
+        let request = request(Method::POST, &path, content::body(&id)).header("attempt-id", &id);
+        let request = tenants::with_key(request, tenants::UNKNOWN_KEY);
+        let request = request
+            .body(content::body(&id).into())
+            .expect("valid parts");
+        let exchange = async {
+            let mut sender = connect(&self.fleet, front).await?;
+            Some(sender.send_request(request).await.ok()?.status())
+        };
+        let answer = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
+        if let Ok(Some(status)) = answer
+            && !tenants::is_refusal(status)
+        {
+            let detail = format!("{id} with an unknown key was answered {status}");
+            self.history.record_violation("ROUTE", &detail);
+        }
+    }
+
     /// Begins a long stream, breaks it off, and takes it up at another front.
     async fn break_and_take_up(&mut self) {
         self.refresh_addresses().await;
@@ -232,7 +265,8 @@
     ) -> (CallOutcome, usize) {
         let front = connection.front;
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let request = request(Method::POST, path, content::body(id))
+        let request = request(Method::POST, path, content::body(id));
+        let request = tenants::with_tenant(request, tenants::tenant_of(id))
             .header("attempt-id", id)
             .header("time-budget-ms", remaining.as_millis().to_string())
             .header("model", "m")
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -29,6 +29,7 @@
 use crate::peer_link;
 use crate::peer_link::PeerLink;
 use crate::proxy::LinkProxy;
+use crate::tenants;
 use crate::worker_link::WorkerLinks;
 use crate::workers::ANNEX;
 use crate::workers::DESK;
@@ -144,6 +145,12 @@
         self.spawn()
     }
 
+    /// Stops the process as [`SoakProcess::stop_and_restart`] does, and runs `binary` from then on.
+    pub async fn replace_build(&mut self, binary: PathBuf) -> std::io::Result<()> {
+        self.config.binary = binary;
+        self.stop_and_restart().await
+    }
+
     /// Stops the process (SIGTERM, and SIGKILL after [`STOP_GRACE`]) and restarts it after a short
     /// delay.
     pub async fn stop_and_restart(&mut self) -> std::io::Result<()> {
@@ -343,9 +350,18 @@
         )
     }
 
+    /// Whether the manifest has tenants.
+    pub fn has_tenants(&self) -> bool {
+        self.config.workers.has_tenants
+    }
+
     /// Writes `manifest`; returns whether the store acknowledged it.
     pub async fn put_manifest(&self, manifest: &Manifest) -> bool {
-        let text = manifest.to_json().to_string();
+        let mut manifest = manifest.to_json();
+        if self.has_tenants() {
+            manifest["tenants"] = tenants::to_json();
+        }
+        let text = manifest.to_string();
         let put = self
             .kv
             .put("op/config", Bytes::from(text), Expect::Any, None);
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -28,12 +28,15 @@
 use crate::job_reads::ReadPage;
 use crate::plan::FIRST_DOUBLED_SEED;
 use crate::plan::FIRST_LATE_SEED;
+use crate::tenants;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const SUBMIT_ATTEMPTS: usize = 8;
 const SUBMIT_RETRY_DELAY: Duration = Duration::from_millis(400);
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 const ITEM_COUNT: std::ops::Range<usize> = 2..14;
+/// Before one in this many reads, another tenant calls.
+const OTHER_TENANT_ONE_IN: u32 = 3;
 /// One in this many jobs is cancelled by its client.
 const CANCEL_ONE_IN: u32 = 8;
 /// One in this many reads repeats results that the client has, from an earlier position.
@@ -222,6 +225,9 @@
         };
         while !end.is_cancelled() && !self.job.is_complete() {
             tokio::time::sleep(READ_INTERVAL).await;
+            if self.fleet.has_tenants() && self.rng.random_ratio(1, OTHER_TENANT_ONE_IN) {
+                self.call_as_other_tenant().await;
+            }
             if cancels && reads_left == 0 {
                 self.cancel_job().await;
                 return self.job;
@@ -310,6 +316,34 @@
         answer.map(|answer| answer.0)
     }
 
+    /// Reads, ends or submits the job with the key of another tenant, which must have no effect.
+    async fn call_as_other_tenant(&mut self) {
+        let id = self.job.id.clone();
+        let items: Vec<Value> = self.job.items.iter().map(|id| item(id)).collect();
+        let (method, path, body) = match self.rng.random_range(0..4) {
+            0 => (Method::GET, format!("/lots/{id}?after=0"), String::new()),
+            1 => {
+                let path = format!("/items/{id}?id={}", self.job.items[0]);
+                (Method::GET, path, String::new())
+            }
+            2 => (Method::DELETE, format!("/lots/{id}"), String::new()),
+            _ => {
+                let body = json!({ "items": items[..1] }).to_string();
+                (Method::POST, format!("/lot/{id}"), body)
+            }
+        };
+        let front = self.rng.random_range(0..self.fleet.fronts.len());
+        let other = tenants::other_tenant(&id);
+        let called = method.clone();
+        let answer = self.call_as(other, front, method, &path, &body).await;
+        if let Some((status, _)) = answer
+            && !tenants::is_refusal(status)
+        {
+            let detail = format!("{called} {path} by another tenant was answered {status}");
+            self.history.record_violation("UNASKED", &detail);
+        }
+    }
+
     async fn cancel_job(&mut self) {
         let path = format!("/lots/{}", self.job.id);
         self.job.cancel_sent = true;
@@ -388,7 +422,21 @@
         path: &str,
         body: &str,
     ) -> Option<(StatusCode, Bytes)> {
-        let request = callers::request(method, path, body.to_owned())
+        let tenant = tenants::tenant_of(&self.job.id);
+        self.call_as(tenant, front, method, path, body).await
+    }
+
+    /// As [`JobClient::call_at`], with the key of `tenant`.
+    async fn call_as(
+        &self,
+        tenant: &str,
+        front: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Option<(StatusCode, Bytes)> {
+        let request = callers::request(method, path, body.to_owned());
+        let request = tenants::with_tenant(request, tenant)
             .header("attempt-id", &self.job.id)
             .header("content-type", "application/json")
             .header("max-wait-ms", "1000")
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod play_stranded;
 pub mod proxy;
 pub mod run;
+pub mod tenants;
 pub mod worker_link;
 pub mod workers;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,6 +39,12 @@
     /// folder for settings files and logs; default: target/soak
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     out: PathBuf,
+    /// binary of an earlier build, from which the fronts are replaced one by one by this build
+    #[argh(option)]
+    earlier: Option<PathBuf>,
+    /// give the manifest tenants, whose keys clients bring
+    #[argh(switch)]
+    tenants: bool,
     #[argh(subcommand)]
     command: Option<SoakCommand>,
 }
@@ -154,15 +160,23 @@
             seed,
             time: Duration::from_secs(args.seconds),
             callers: args.callers,
+            replaced_by: match &args.earlier {
+                Some(_) => Some(std::env::current_exe()?),
+                None => None,
+            },
             fleet: FleetConfig {
                 fronts: args.fronts,
                 workers: WorkerConfig {
                     desk: args.workers,
+                    has_tenants: args.tenants,
                     ..WorkerConfig::default()
                 },
                 clock_shifts_ms: Vec::new(),
                 has_worker_links: false,
-                binary: std::env::current_exe()?,
+                binary: match &args.earlier {
+                    Some(earlier) => earlier.clone(),
+                    None => std::env::current_exe()?,
+                },
                 out: args.out.join(format!("seed-{seed}")),
                 network: [100 + (std::process::id() % 100) as u8, (seed % 250) as u8],
             },
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -244,6 +244,7 @@
             desk: 2,
             annex: 2,
             slots: config.kind.slots(),
+            ..WorkerConfig::default()
         },
         clock_shifts_ms: config.kind.clock_shifts_ms(),
         has_worker_links: config.kind.strands_fronts(),
--- a/soak/src/play_clients.rs
+++ b/soak/src/play_clients.rs
@@ -27,6 +27,7 @@
 use crate::history::CallRecord;
 use crate::history::SoakHistory;
 use crate::play::stream_id;
+use crate::tenants;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two requests of the load at one front.
@@ -221,7 +222,8 @@
         let open = answer.open.insert(OpenAnswer { sender, body: None });
         let body = content::body(self.id);
         let path = format!("{}{}", self.prefix, self.id);
-        let mut request = callers::request(Method::POST, &path, body.clone())
+        let request = callers::request(Method::POST, &path, body.clone());
+        let mut request = tenants::with_tenant(request, tenants::tenant_of(self.id))
             .header("attempt-id", self.attempt)
             .header("time-budget-ms", REQUEST_TIMEOUT.as_millis().to_string());
         if self.kind == CallKind::Stream {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak, from starting the processes to the verdict.
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     pub time: Duration,
     /// Number of clients that send online requests; batch clients come on top.
     pub callers: usize,
+    /// Binary that replaces that of the fronts one by one while faults begin; `None` if they stay.
+    pub replaced_by: Option<PathBuf>,
     /// Number and location of the processes under test and the workers.
     pub fleet: FleetConfig,
 }
@@ -87,7 +90,9 @@
         config.fleet.fronts,
         config.fleet.workers.desk,
     );
+    let upgrade = tokio::spawn(replace_builds(fleet.clone(), config.clone()));
     injector.play(&faults).await;
+    upgrade.await.map_err(std::io::Error::other)??;
     let recovered = history.now() + RECOVERY_TIME;
     tokio::time::sleep(RECOVERY_TIME + FINAL_LOAD_TIME).await;
     load.cancel();
@@ -110,6 +115,19 @@
     Ok(verdict(&records, &jobs, violations))
 }
 
+/// Replaces the binary of all fronts, evenly over the time in which faults begin.
+async fn replace_builds(fleet: Arc<SoakFleet>, config: SoakConfig) -> std::io::Result<()> {
+    let Some(binary) = &config.replaced_by else {
+        return Ok(());
+    };
+    let pause = config.time / (fleet.fronts.len() as u32 + 1);
+    for front in &fleet.fronts {
+        tokio::time::sleep(pause).await;
+        front.lock().await.replace_build(binary.clone()).await?;
+    }
+    Ok(())
+}
+
 /// Submits batch jobs until `load` is cancelled; their clients read results until `finish` is.
 async fn submit_jobs(
     seed: u64,
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -40,6 +40,7 @@
 use crate::history::LeaveRecord;
 use crate::history::SoakHistory;
 use crate::proxy::LinkProxy;
+use crate::tenants;
 use crate::worker_link::WorkerLinks;
 
 /// Time that a worker takes for an answer that is no stream.
@@ -72,6 +73,8 @@
     pub annex: usize,
     /// Number of requests that a worker executes at the same time.
     pub slots: u64,
+    /// Whether the manifest has tenants, whose names and no keys the workers must get.
+    pub has_tenants: bool,
 }
 
 impl Default for WorkerConfig {
@@ -80,6 +83,7 @@
             desk: 6,
             annex: 2,
             slots: 8,
+            has_tenants: false,
         }
     }
 }
@@ -102,6 +106,7 @@
     version: String,
     /// Start of the process in Unix milliseconds.
     born: u64,
+    has_tenants: bool,
     slots: u64,
     history: SoakHistory,
     active: Arc<AtomicU64>,
@@ -284,6 +289,7 @@
             version,
             born: unix_ms(),
             slots: self.config.slots,
+            has_tenants: self.config.has_tenants,
             history: self.history.clone(),
             active: Arc::default(),
             request_count: AtomicU64::new(0),
@@ -437,6 +443,9 @@
         // What continues the answer to another attempt has the content of that answer.
         let resumes = text(&headers, "resumes");
         let content_id = resumes.clone().unwrap_or_else(|| id.clone());
+        if let Some(detail) = tenants::header_fault(&headers, &id).filter(|_| self.has_tenants) {
+            self.history.record_violation("UNASKED", &detail);
+        }
         let execution = ExecutionRecord {
             worker: self.name.clone(),
             service: self.service.to_owned(),
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -22,6 +22,7 @@
         seed,
         time: Duration::from_secs(seconds),
         callers: 8,
+        replaced_by: None,
         fleet: FleetConfig {
             fronts: FRONTS,
             workers: WorkerConfig {
