--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -36,6 +36,7 @@
 use crate::view_monitor::ViewRole;
 use crate::view_news::NewsAssembly;
 use crate::view_news::NewsPart;
+use crate::view_news::ViewNews;
 use crate::view_news::encode_news;
 
 /// Interval of load reports while the load changes, with fewer than [`FAST_NEIGHBOURS`] neighbours.
@@ -366,7 +367,17 @@
                     .await;
             }
             Some(HostDatagram::OriginReply(reply)) => self.origins.apply_reply(&reply),
-            Some(HostDatagram::View(notice)) => self.views.apply(&notice, self.emptied_at),
+            Some(HostDatagram::View(notice)) => {
+                self.views.apply(&notice, self.emptied_at);
+                if let Some(query) = self.views.query(notice.view) {
+                    self.send(&HostDatagram::ViewQuery(query), &[sender]).await;
+                }
+            }
+            Some(HostDatagram::ViewQuery(query)) => {
+                if let Some(news) = self.views.answer(&query) {
+                    self.send_view_news(&news, &[sender]).await;
+                }
+            }
             Some(HostDatagram::ViewNews(part)) => self.apply_view_news(part),
             None => {}
         }
@@ -466,18 +477,9 @@
     /// Broadcasts what this host's calls about its views have brought.
     async fn send_view_messages(&self) {
         for messages in self.views.take_messages() {
-            let secret = self.secret.get();
             // Hosts that lack the changes have them before the notice says so.
-            if let Some((news, secret)) = messages.news.zip(secret) {
-                let parts = encode_news(&news, secret, rand::random());
-                if parts.is_empty() {
-                    self.send(&HostDatagram::View(news.notice), &self.peers.all)
-                        .await;
-                }
-                for part in parts {
-                    self.send(&HostDatagram::ViewNews(part), &self.peers.all)
-                        .await;
-                }
+            if let Some(news) = messages.news {
+                self.send_view_news(&news, &self.peers.all).await;
             }
             if let Some(notice) = messages.notice {
                 self.send(&HostDatagram::View(notice), &self.peers.all)
@@ -486,6 +488,15 @@
         }
     }
 
+    async fn send_view_news(&self, news: &ViewNews, addresses: &[SocketAddr]) {
+        let Some(secret) = self.secret.get() else {
+            return;
+        };
+        for part in encode_news(news, secret, rand::random()) {
+            self.send(&HostDatagram::ViewNews(part), addresses).await;
+        }
+    }
+
     fn apply_view_news(&mut self, part: NewsPart) {
         let Some(secret) = self.secret.get() else {
             return;
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -19,6 +19,7 @@
 use crate::suspects::CrashNews;
 use crate::view_monitor::ViewNotice;
 use crate::view_news::NewsPart;
+use crate::view_news::ViewQuery;
 
 /// Work of one host at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -145,6 +146,9 @@
     /// Part of a message with changes of a view, for all hosts.
     #[serde(rename = "e")]
     ViewNews(NewsPart),
+    /// Question about changes of a view, to a host that has told that there are some.
+    #[serde(rename = "q")]
+    ViewQuery(ViewQuery),
 }
 
 impl HostDatagram {
--- a/lib/src/host_views.rs
+++ b/lib/src/host_views.rs
@@ -22,6 +22,7 @@
 use crate::view_monitor::ViewRole;
 use crate::view_news::ChangeLog;
 use crate::view_news::ViewNews;
+use crate::view_news::ViewQuery;
 
 /// Messages of other hosts that wait to be applied to a view.
 const MAX_TOLD: usize = 64;
@@ -48,6 +49,8 @@
     monitor: ViewMonitor,
     /// Whether other hosts have to be told of the last check.
     is_untold: bool,
+    /// Whether the last call of this host failed.
+    is_failing: bool,
     /// The last changes, for other hosts.
     log: ChangeLog,
     /// Last change that other hosts have to be told of, and when.
@@ -82,6 +85,7 @@
         let state = ViewState {
             monitor: ViewMonitor::new(max_age, seed, Instant::now()),
             is_untold: false,
+            is_failing: false,
             log: ChangeLog::default(),
             untold_change: None,
             told: VecDeque::new(),
@@ -122,6 +126,7 @@
         let age = {
             let mut state = self.state();
             state.monitor.note_answer(answer);
+            state.is_failing = false;
             state.log.reset(answer.as_of);
             state.monitor.age(Instant::now())
         };
@@ -142,6 +147,7 @@
         let age = {
             let mut state = self.state();
             state.monitor.note_answer(answer);
+            state.is_failing = false;
             state.log.add(known, answer.as_of, changes, now);
             let is_teller = matches!(state.monitor.role(), ViewRole::Teller(_));
             if let Some(last) = last.filter(|_| is_teller) {
@@ -192,6 +198,7 @@
 
     /// Records that `call` failed.
     pub fn note_failure(&self, call: ViewCall) {
+        self.state().is_failing = true;
         self.count(call, "failed");
     }
 
@@ -312,6 +319,25 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Question to a host that has told of a change which this host lacks; `None` if it lacks none or can
+    /// read it.
+    pub fn query(&self) -> Option<ViewQuery> {
+        let state = self.state();
+        let is_asking = state.is_failing && state.monitor.lacks_change();
+        let position = state.monitor.position().filter(|_| is_asking);
+        position.map(|after| ViewQuery {
+            view: self.shared.kind,
+            after,
+        })
+    }
+
+    /// Changes for a host that has asked for them; `None` if they are not known.
+    pub fn answer(&self, query: &ViewQuery) -> Option<ViewNews> {
+        let state = self.state();
+        let notice = state.monitor.notice(self.shared.kind, Instant::now())?;
+        state.log.news_after(notice, query.after)
+    }
+
     /// What to tell other hosts now.
     pub fn take_messages(&self) -> ViewMessages {
         let now = Instant::now();
@@ -429,19 +455,34 @@
 
     /// Takes the changes that another host has told of, which arrived at `arrived` or later.
     pub fn apply_news(&self, news: ViewNews, arrived: Instant) {
-        match news.notice.view {
-            ViewKind::Configuration => self.configuration.apply_news(news, arrived),
-            ViewKind::Upstreams => self.upstreams.apply_news(news, arrived),
-            ViewKind::Retirements => {}
+        if let Some(view) = self.of_kind(news.notice.view) {
+            view.apply_news(news, arrived);
         }
     }
 
+    /// The view of this kind that decisions on requests rest on.
+    fn of_kind(&self, kind: ViewKind) -> Option<&ViewHandle> {
+        match kind {
+            ViewKind::Configuration => Some(&self.configuration),
+            ViewKind::Upstreams => Some(&self.upstreams),
+            ViewKind::Retirements => None,
+        }
+    }
+
+    /// Question to a host that has told of a change of this view.
+    pub fn query(&self, kind: ViewKind) -> Option<ViewQuery> {
+        self.of_kind(kind)?.query()
+    }
+
+    /// Changes for a host that has asked for them.
+    pub fn answer(&self, query: &ViewQuery) -> Option<ViewNews> {
+        self.of_kind(query.view)?.answer(query)
+    }
+
     /// Applies the notice of another host that arrived at `arrived` or later.
     pub fn apply(&self, notice: &ViewNotice, arrived: Instant) {
-        match notice.view {
-            ViewKind::Configuration => self.configuration.apply(notice, arrived),
-            ViewKind::Upstreams => self.upstreams.apply(notice, arrived),
-            ViewKind::Retirements => {}
+        if let Some(view) = self.of_kind(notice.view) {
+            view.apply(notice, arrived);
         }
     }
 
--- a/lib/src/view_monitor.rs
+++ b/lib/src/view_monitor.rs
@@ -253,6 +253,11 @@
         self.position
     }
 
+    /// Whether another host has told of a change that this one lacks.
+    pub(crate) fn lacks_change(&self) -> bool {
+        self.missing.is_some()
+    }
+
     /// Delay before this host tells of changes that its own calls have brought.
     pub(crate) fn tell_delay(&self) -> Duration {
         self.max_age.mul_f64(self.role.tell_share())
--- a/lib/src/view_news.rs
+++ b/lib/src/view_news.rs
@@ -17,6 +17,7 @@
 use crate::edges::kv::KvChange;
 use crate::edges::kv::KvEntry;
 use crate::edges::kv::KvVersion;
+use crate::view_monitor::ViewKind;
 use crate::view_monitor::ViewNotice;
 
 /// Size in bytes of the part of a message in one datagram.
@@ -27,8 +28,12 @@
 const MAX_INCOMPLETE: usize = 4;
 /// Time for which changes are repeated in further messages, as datagrams may be lost.
 const REPEAT_TIME: Duration = Duration::from_secs(2);
-/// Bytes of changes that are repeated beside the newest ones.
-const MAX_REPEATED_BYTES: usize = 6 * 1024;
+/// Most bytes of changes that are told to all hosts. Each teller sends them to each host, which would fill
+/// its link; larger ones are told to hosts that ask for them.
+const MAX_TOLD_BYTES: usize = 6 * 1024;
+/// Time and bytes for which changes are kept for hosts that ask for them.
+const KEEP_TIME: Duration = Duration::from_secs(20);
+const MAX_KEPT_BYTES: usize = 256 * 1024;
 const MAC_LABEL: &[u8] = b"parsleywall view news\0";
 
 /// Changes of a view, as one host tells others.
@@ -268,10 +273,10 @@
         }
     }
 
-    /// Drops changes that need no repetition.
+    /// Drops changes that no host should still ask for.
     fn drop_old(&mut self, now: Instant) {
         while let Some(oldest) = self.changes.front()
-            && (now - oldest.at >= REPEAT_TIME || self.bytes > MAX_REPEATED_BYTES)
+            && (now - oldest.at >= KEEP_TIME || self.bytes > MAX_KEPT_BYTES)
         {
             self.bytes -= oldest.bytes();
             self.after = oldest.change.version;
@@ -279,17 +284,46 @@
         }
     }
 
-    /// News for other hosts beside `notice`; `None` if there has been no change lately.
+    /// News for all other hosts beside `notice`; `None` if there has been no change lately, or only large
+    /// ones.
     pub fn news(&self, notice: ViewNotice, now: Instant) -> Option<ViewNews> {
-        let is_recent = |logged: &LoggedChange| now - logged.at < REPEAT_TIME;
-        if notice.as_of != self.as_of || !self.changes.back().is_some_and(is_recent) {
+        let mut bytes = 0;
+        let recent = self.changes.iter().rev().take_while(|logged| {
+            bytes += logged.bytes();
+            now - logged.at < REPEAT_TIME && bytes <= MAX_TOLD_BYTES
+        });
+        let first = self.changes.len() - recent.count();
+        // The newest change has to be among them.
+        if first == self.changes.len() {
             return None;
         }
-        let changes = self.changes.iter();
+        let before = first.checked_sub(1).and_then(|last| self.changes.get(last));
+        let after = before.map_or(self.after, |logged| logged.change.version);
+        self.news_after(notice, after)
+    }
+
+    /// All changes after `after`; `None` if they are not known.
+    pub fn news_after(&self, notice: ViewNotice, after: KvVersion) -> Option<ViewNews> {
+        if notice.as_of != self.as_of || after < self.after {
+            return None;
+        }
+        let changes = self.changes.iter().map(|logged| &logged.change);
+        let changes = changes.filter(|change| change.version > after);
         Some(ViewNews {
             notice,
-            after: self.after,
-            changes: changes.map(|logged| logged.change.clone()).collect(),
+            after,
+            changes: changes.cloned().collect(),
         })
     }
 }
+
+/// Question of a host that lacks changes and can't read them, to one that has told that there are some.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewQuery {
+    /// What the host follows.
+    #[serde(rename = "v")]
+    pub view: ViewKind,
+    /// Revision after which it lacks changes.
+    #[serde(rename = "b")]
+    pub after: KvVersion,
+}
