--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -159,7 +159,7 @@
     #[serde(rename = "e")]
     ViewNews(NewsPart),
     /// Question about changes of a view, to a host that has told that there are some.
-    #[serde(rename = "q")]
+    #[serde(rename = "v")]
     ViewQuery(ViewQuery),
 }
 
