--- a/lib/src/edges/kv_calls.rs
+++ b/lib/src/edges/kv_calls.rs
@@ -1,6 +1,6 @@
 //! Counts of calls to the key-value service, by what they are made for.
 //!
-//! A component makes its calls through a [`PurposedKv`], which names their purpose. A call counts when it
+//! A component makes its calls through a `PurposedKv`, which names their purpose. A call counts when it
 //! ends, also if nobody waits for its answer any more.
 
 use std::collections::BTreeMap;
