--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -87,13 +87,14 @@
         /// Parse error.
         cause: String,
     },
-    /// An answer of the key-value service has brought a view up to date: a listing, or one with changes.
+    /// A listing, an answer of the key-value service with changes, or another host has brought a view up to
+    /// date.
     ViewAdvanced {
         /// What the host follows, such as `configuration` or `upstreams`.
         view: String,
         /// Revision of the service up to which the view has all changes.
         revision: u64,
-        /// Call that brought them: `listing`, `watch` or `check`.
+        /// What brought them: a `listing`, `watch` or `check`, or another host (`told`).
         via: String,
         /// Number of changes, or of keys of a listing.
         changes: usize,
