balancer: upstreams are chosen by how quickly they serve and how often they fail

Cause: slots were the only measure. Upstreams of different speed got the same number of requests in calm hours, and one that failed a part of its requests kept its share; an answer of 500 that was the caller's last was recorded nowhere.

Change: pace.rs learns time to first event by load, and failures, for each process of an upstream, from samples that load reports carry (field p, left out if empty); score.rs orders candidates; the mean slot time is learnt per service (ServiceLoad::slot_time).

--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -164,6 +164,7 @@
             convictions: 0,
             limits: Vec::new(),
             reach: None,
+            paces: Vec::new(),
         };
         Self {
             socket,
@@ -522,6 +523,8 @@
             self.reach_notice = reach.clone();
             Box::new(reach)
         });
+        let receivers = self.peers.neighbours.len();
+        self.report.paces = self.balancer.state().take_pace_samples(receivers, now);
         self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
--- a/lib/src/balancer/handle.rs
+++ b/lib/src/balancer/handle.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -114,6 +116,8 @@
         Some(SlotPermit {
             balancer: self.clone(),
             class,
+            acquired_at: Instant::now(),
+            has_served: AtomicBool::new(false),
             choice,
         })
     }
@@ -123,6 +127,9 @@
 pub struct SlotPermit {
     balancer: LoadBalancer,
     class: WorkClass,
+    acquired_at: Instant,
+    /// Whether the upstream has served the work, if only in part.
+    has_served: AtomicBool,
     /// The chosen upstream and its loads at the time of the choice.
     pub choice: UpstreamChoice,
 }
@@ -165,9 +172,23 @@
             .note_limit(self.choice.key, signal, Instant::now());
     }
 
+    /// Records that the first event arrived `time` after the request was sent.
+    pub fn note_first_event(&self, time: Duration) {
+        let (key, beside) = (self.choice.key, self.choice.beside);
+        let mut state = self.balancer.state();
+        state.note_first_event(key, beside, time, Instant::now());
+    }
+
+    /// Records a failed attempt that is passed on to the caller, and so is no fault that ejects.
+    pub fn note_failure(&self) {
+        let mut state = self.balancer.state();
+        state.note_failure(self.choice.key, Instant::now());
+    }
+
     /// Records a successful request. Returns the time since the upstream was ejected, or `None` if
     /// it was not.
     pub fn note_success(&self) -> Option<Duration> {
+        self.has_served.store(true, Ordering::Relaxed);
         self.balancer
             .state()
             .note_success(self.choice.key, Instant::now())
@@ -176,7 +197,12 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        self.balancer.state().release(self.choice.key, self.class);
+        let mut state = self.balancer.state();
+        if self.class == WorkClass::Online && self.has_served.load(Ordering::Relaxed) {
+            state.note_slot_time(self.choice.key, self.acquired_at.elapsed());
+        }
+        state.release(self.choice.key, self.class);
+        drop(state);
         self.balancer.notify_waiters();
     }
 }
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::balancer::pace::PaceSample;
 use crate::balancer::waiting::WaitingItems;
 use crate::ids::UpstreamId;
 use crate::ids::UpstreamIncarnation;
@@ -76,6 +77,9 @@
     /// Reach of the host; `None` if it is as in an earlier report, or the host is of a release without it.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub reach: Option<Box<ReachNotice>>,
+    /// Observations of upstreams since the host's last report.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<PaceSample>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -19,6 +19,9 @@
 use crate::balancer::incarnation_notices::IncarnationNotices;
 use crate::balancer::message_order::MessageOrder;
 use crate::balancer::neighbours::NeighbourTracker;
+use crate::balancer::pace::PaceBook;
+use crate::balancer::pace::UpstreamPace;
+use crate::balancer::pace::process_tag;
 use crate::balancer::peer_loads::PeerLoads;
 use crate::balancer::peer_loads::WorkCount;
 use crate::balancer::report::HostAnnouncement;
@@ -30,6 +33,8 @@
 use crate::balancer::ring::neighbour_reach;
 use crate::balancer::ring::window_overlap;
 use crate::balancer::ring::window_size;
+use crate::balancer::score::UpstreamScore;
+use crate::balancer::score::score;
 use crate::balancer::waiting::ItemUrgency;
 use crate::balancer::waiting::MAX_REPORTED_GROUPS;
 use crate::balancer::waiting::WaitingItems;
@@ -56,7 +61,7 @@
 /// Without sampling, all hosts would send their requests to the same least loaded upstreams, as
 /// they decide from the same reports. With it, loads stay close together even if the reports are
 /// stale: Mitzenmacher, "How useful is old information?", 2000.
-const MIN_SAMPLING_PEERS: usize = 12;
+const MIN_SAMPLING_PEERS: usize = 4;
 /// Size of that sample, in upstreams.
 const SAMPLE_SIZE: usize = 4;
 /// Time since the last part of an answer within which a load report marks an upstream as active.
@@ -68,9 +73,6 @@
 /// Time before the end of [`BATCH_START_DELAY`] from which a host reports its waiting items, so that
 /// hosts that start together know one another's items when they begin.
 const WAITING_REPORT_LEAD: Duration = Duration::from_millis(200);
-/// Slots by which an upstream in the host's own data centre counts as less loaded.
-const LOCAL_SLOT_BONUS: f64 = 0.5;
-
 /// Upstreams of one service by which a host judges its reach.
 const MAX_PROBE_TARGETS: usize = 16;
 /// Upstreams that tell whether a host or an upstream is at fault.
@@ -124,6 +126,9 @@
     /// Whether the work may run more than once, so that it can probe an upstream that was ejected
     /// for a fault.
     pub may_probe: bool,
+    /// Whether another attempt is possible if this one fails. Other work avoids upstreams that fail a
+    /// part of their requests.
+    pub may_repeat: bool,
     /// Version of the software at which the work has to go on; `None` for work that has not begun.
     pub software: Option<&'a SoftwareVersion>,
     /// Urgency of a batch item; `None` for an online request.
@@ -149,6 +154,13 @@
     /// Requests of all hosts that were at the upstream before this one; batch items count only if
     /// this work is a batch item itself.
     pub ahead: u32,
+    /// Requests and items of all hosts that were at the upstream before this one.
+    pub beside: u32,
+    /// Expected time until the first event in milliseconds, with what failures cost on the mean; `None`
+    /// while too little is known of the service.
+    pub expected_ms: Option<f64>,
+    /// Time to the first event as a multiple of the service's under the same load; `None` likewise.
+    pub pace: Option<f64>,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// The second-best upstream; `None` if there was only one candidate.
@@ -172,6 +184,8 @@
 pub(super) struct UpstreamRecord {
     pub(super) entry: UpstreamEntry,
     pub(super) tag: u32,
+    pub(super) service_tag: u32,
+    pub(super) pace: UpstreamPace,
     pub(super) own_work: WorkCount,
     backoff: FaultBackoff,
     /// When the upstream last sent this host a part of an answer.
@@ -230,10 +244,14 @@
 /// hosts there.
 #[derive(Debug)]
 pub struct BalancerState {
-    data_centre: DataCentre,
+    pub(super) data_centre: DataCentre,
     next_key: u32,
     pub(super) upstreams: HashMap<BalancerKey, UpstreamRecord>,
     pub(super) keys_by_id: HashMap<UpstreamId, BalancerKey>,
+    /// Keys of the upstreams by the tags of their processes, as samples name them.
+    pub(super) keys_by_process: HashMap<u32, BalancerKey>,
+    pub(super) paces: PaceBook,
+    pub(super) learns_pace: bool,
     /// Upstreams of each service that accept requests, sorted by tag. All hosts sort them alike, so
     /// that their positions on the ring agree.
     pub(super) serving: HashMap<ServiceName, Vec<(u32, BalancerKey)>>,
@@ -262,6 +280,9 @@
             next_key: 0,
             upstreams: HashMap::default(),
             keys_by_id: HashMap::default(),
+            keys_by_process: HashMap::default(),
+            paces: PaceBook::default(),
+            learns_pace: true,
             serving: HashMap::default(),
             busy: BTreeSet::new(),
             tracker: NeighbourTracker::new(host),
@@ -308,8 +329,12 @@
         self.next_key += 1;
         self.keys_by_id.insert(entry.id.clone(), key);
         let tag = upstream_tag(&entry.id);
+        let process = process_tag(UpstreamIncarnation(tag, entry.started_ms));
+        self.keys_by_process.insert(process, key);
         let upstream = UpstreamRecord {
             tag,
+            service_tag: service_tag(&entry.service),
+            pace: UpstreamPace::default(),
             has_announced_shutdown: self
                 .leaving
                 .contains(UpstreamIncarnation(tag, entry.started_ms)),
@@ -640,7 +665,9 @@
         });
         let oldest = self.peer_loads.oldest_report();
         let limit = self.take_grant(key, class, now);
+        let expected = self.expected_first_event(self.upstreams.get(&key)?, request, now);
         let upstream = self.upstreams.get_mut(&key)?;
+        let beside = upstream.work(&self.peer_loads).total();
         let ahead = upstream.ahead(class, &self.peer_loads);
         *upstream.own_work.count_mut(class) += 1;
         self.busy.insert(key);
@@ -651,6 +678,9 @@
             address: upstream.entry.address,
             software: upstream.software(),
             ahead,
+            beside,
+            expected_ms: expected.map(|(expected_ms, _)| expected_ms),
+            pace: expected.map(|(_, pace)| pace),
             slots: upstream.entry.slots,
             next,
             report_age: oldest.map(|received| now - received),
@@ -687,13 +717,46 @@
         if !request.may_probe && candidates.iter().any(|(_, upstream)| is_healthy(upstream)) {
             candidates.retain(|(_, upstream)| is_healthy(upstream));
         }
-        candidates.sort_unstable_by_key(|(key, _)| random_order(*key, draw));
+        let is_suspect = |upstream: &UpstreamRecord| self.is_suspect(upstream, now);
+        if !request.may_repeat && candidates.iter().any(|(_, upstream)| !is_suspect(upstream)) {
+            candidates.retain(|(_, upstream)| !is_suspect(upstream));
+        }
+        self.shuffle(&mut candidates, now, draw);
         let asks = self.restrict_to_placement(&mut candidates, request, now);
         if self.peer_loads.len() >= MIN_SAMPLING_PEERS {
             candidates.truncate(SAMPLE_SIZE);
         }
-        candidates.sort_by(|(_, a), (_, b)| self.score(a, class).total_cmp(&self.score(b, class)));
-        (candidates.into_iter().map(|(key, _)| key).collect(), asks)
+        let service = self.service_inputs(request.service);
+        let dither = random_fraction(draw);
+        let mut scored: Vec<(BalancerKey, UpstreamScore)> = candidates
+            .into_iter()
+            .map(|(key, upstream)| {
+                let inputs = self.score_inputs(upstream, request, now);
+                (key, score(inputs, service, dither))
+            })
+            .collect();
+        scored.sort_by(|(_, a), (_, b)| a.compare(*b));
+        (scored.into_iter().map(|(key, _)| key).collect(), asks)
+    }
+
+    /// Puts the candidates in a random order, in which quicker ones tend to be earlier: the first one is
+    /// each of them with a probability in proportion to its weight.
+    fn shuffle(
+        &self,
+        candidates: &mut Vec<(BalancerKey, &UpstreamRecord)>,
+        now: Instant,
+        draw: u32,
+    ) {
+        let mut ordered: Vec<(f64, (BalancerKey, &UpstreamRecord))> = candidates
+            .drain(..)
+            .map(|(key, upstream)| {
+                let weight = self.pace_estimate(upstream, now).draw_weight();
+                let uniform = random_fraction(random_order(key, draw));
+                (-(1.0 - uniform).ln() / weight, (key, upstream))
+            })
+            .collect();
+        ordered.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        candidates.extend(ordered.into_iter().map(|(_, candidate)| candidate));
     }
 
     /// Whether the upstream may take work of `class`: a batch item needs a free slot, while an
@@ -705,22 +768,6 @@
         }
     }
 
-    /// Load of the upstream as a fraction of its slots; lower is better.
-    fn score(&self, upstream: &UpstreamRecord, class: WorkClass) -> f64 {
-        let work = upstream.work(&self.peer_loads);
-        let slots = f64::from(upstream.entry.slots);
-        let is_local = upstream.entry.data_centre == self.data_centre;
-        let bonus = if is_local { LOCAL_SLOT_BONUS } else { 0.0 };
-        let used = (f64::from(work.total()) - bonus) / slots;
-        let must_wait = work.total() >= upstream.entry.slots;
-        match class {
-            // Batch items at a full upstream are preempted, so the request queues behind online
-            // work only.
-            WorkClass::Online if must_wait => 1.0 + (f64::from(work.online) - bonus) / slots,
-            WorkClass::Online | WorkClass::Batch => used,
-        }
-    }
-
     /// Ends the count of one piece of work at an upstream, and so frees its slot.
     pub fn release(&mut self, key: BalancerKey, class: WorkClass) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
@@ -741,6 +788,7 @@
         fault: UpstreamFault,
         now: Instant,
     ) -> Option<Duration> {
+        self.note_failing_fault(key, fault, now);
         self.upstreams.get_mut(&key)?.backoff.note_fault(fault, now)
     }
 
@@ -938,6 +986,7 @@
         }
         self.apply_leaving(&report.leaving);
         self.apply_ended(&report.ended);
+        self.apply_paces(&report.host, &report.paces, now);
         if !self.peer_loads.knows(&report.host, report.incarnation) {
             self.limits.note_new_host(now);
         }
@@ -980,7 +1029,17 @@
     fn remove_if_idle(&mut self, key: BalancerKey) {
         let idle = |up: &UpstreamRecord| !up.is_registered && up.own_work.total() == 0;
         if self.upstreams.get(&key).is_some_and(idle) {
-            self.upstreams.remove(&key);
+            self.forget(key);
+        }
+    }
+
+    fn forget(&mut self, key: BalancerKey) {
+        if let Some(upstream) = self.upstreams.remove(&key) {
+            let process = process_tag(upstream.incarnation());
+            // An upstream that was registered anew may have taken the entry.
+            if self.keys_by_process.get(&process) == Some(&key) {
+                self.keys_by_process.remove(&process);
+            }
         }
     }
 }
@@ -994,3 +1053,8 @@
     let seed = (u64::from(draw) << 32) | u64::from(key.0);
     xxh3_64(&seed.to_le_bytes()) as u32
 }
+
+/// Maps a random number to a fraction from 0 to below 1.
+fn random_fraction(random: u32) -> f64 {
+    f64::from(random) / (f64::from(u32::MAX) + 1.0)
+}
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -269,6 +269,11 @@
         next_ahead: Option<u32>,
         /// Age in milliseconds of the oldest load report that the choice was based on.
         report_ms: Option<u64>,
+        /// Expected time in milliseconds until the first event at this upstream, with what its failures cost
+        /// on the mean; absent while too little is known of the service.
+        expected_ms: Option<u64>,
+        /// Time to the first event at this upstream as a multiple of the service's; absent likewise.
+        pace: Option<f64>,
         /// Limit of requests a second that the upstream has named, if it has one.
         limit: Option<f64>,
         /// Time in milliseconds since an answer named that limit.
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -193,6 +193,7 @@
             class: WorkClass::Batch,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: head.software.as_ref(),
             urgency: Some(head.urgency),
             may_wait: false,
--- a/lib/src/relay/dispatch.rs
+++ b/lib/src/relay/dispatch.rs
@@ -457,6 +457,7 @@
             class: request.class,
             excluded: &self.excluded,
             may_probe: self.policy.is_retryable,
+            may_repeat: self.policy.is_retryable && self.runs + 1 < self.policy.max_runs,
             software: self.software.as_ref(),
             urgency: None,
             may_wait: false,
@@ -492,6 +493,14 @@
             next_upstream: permit.choice.next.as_ref().map(|next| next.id.to_string()),
             next_ahead: permit.choice.next.as_ref().map(|next| next.ahead),
             report_ms: permit.choice.report_age.map(|age| age.as_millis() as u64),
+            expected_ms: permit
+                .choice
+                .expected_ms
+                .map(|expected| expected.round() as u64),
+            pace: permit
+                .choice
+                .pace
+                .map(|pace| (pace * 100.0).round() / 100.0),
             limit: permit.choice.limit.map(|known| known.limit.per_second()),
             limit_ms: permit
                 .choice
@@ -643,6 +652,9 @@
             self.record_fault(&permit, sent, UpstreamFault::Failed, cause, true);
             return AttemptOutcome::Retry;
         }
+        if answer.status.is_server_error() {
+            permit.note_failure();
+        }
         self.note_answered();
         let head = OpenedHead {
             status: answer.status,
@@ -1146,6 +1158,7 @@
         };
         if self.events == 1 {
             record_success(log, permit);
+            permit.note_first_event(self.sent.elapsed());
         }
         let is_due = |noted: Instant| self.progressed_at - noted >= PROGRESS_INTERVAL;
         let is_recorded = self.progress_recorded.is_none_or(is_due);
--- a/lib/src/relay/load_shedding.rs
+++ b/lib/src/relay/load_shedding.rs
@@ -10,8 +10,6 @@
 
 /// Largest share of the latency objective that the expected wait for a slot may take.
 const MAX_WAIT_SHARE: f64 = 0.6;
-/// Assumed mean time for which a request occupies its slot, used to estimate queueing time.
-const MEAN_SLOT_TIME: Duration = Duration::from_millis(800);
 /// Largest share of the caller's remaining time that a retry delay may take, so that the retry
 /// still has time to be served.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.33;
@@ -24,6 +22,8 @@
     pub slots: u32,
     /// Online requests at those upstreams, whether they occupy a slot or queue for one.
     pub online: u32,
+    /// Mean time for which an online request holds its slot.
+    pub slot_time: Duration,
     /// Whether any of those upstreams has a limit of requests a second. The lack of room then lasts
     /// longer than a peak.
     pub is_limited: bool,
@@ -48,7 +48,9 @@
         return ShedDecision::Refuse(retry_delay(MIN_RETRY_DELAY, left));
     }
     let waiting = (load.online + 1).saturating_sub(load.slots);
-    let wait = MEAN_SLOT_TIME.mul_f64(f64::from(waiting) / f64::from(load.slots));
+    let wait = load
+        .slot_time
+        .mul_f64(f64::from(waiting) / f64::from(load.slots));
     if wait <= objective.mul_f64(MAX_WAIT_SHARE) {
         return ShedDecision::Admit;
     }
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -614,6 +614,7 @@
         ServiceLoad {
             slots,
             online,
+            slot_time: state.slot_time(&request.service),
             is_limited: state.has_limited_upstream(&request.service),
         }
     }
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -50,6 +50,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        may_repeat: true,
         software: None,
         urgency: match class {
             WorkClass::Online => None,
@@ -369,6 +370,7 @@
                 convictions: 0,
                 limits: host.state.limit_notices(now),
                 reach: None,
+                paces: Vec::new(),
             };
             let neighbours = host.state.neighbours();
             for other in 0..self.hosts.len() {
@@ -502,6 +504,7 @@
                         convictions: 0,
                         limits: state.limit_notices(now),
                         reach: None,
+                        paces: Vec::new(),
                     };
                     (state.take_grant_requests(), report)
                 };
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -149,6 +149,7 @@
                 class: WorkClass::Batch,
                 excluded: &[],
                 may_probe: true,
+                may_repeat: true,
                 software: None,
                 urgency: is_ranked.then(|| item.urgency(now)),
                 may_wait: false,
@@ -184,6 +185,7 @@
                 convictions: 0,
                 limits: Vec::new(),
                 reach: None,
+                paces: Vec::new(),
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
@@ -327,6 +329,7 @@
             class,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: None,
             urgency: None,
             may_wait: false,
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -72,6 +72,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        may_repeat: true,
         software: None,
         urgency: None,
         may_wait: false,
@@ -104,6 +105,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        paces: Vec::new(),
     }
 }
 
@@ -332,6 +334,7 @@
     let service = service();
     let once = SlotRequest {
         may_probe: false,
+        may_repeat: false,
         software: None,
         ..request(&service, WorkClass::Online)
     };
@@ -512,6 +515,7 @@
                 convictions: 0,
                 limits: Vec::new(),
                 reach: None,
+                paces: Vec::new(),
             };
             for neighbour in &self.neighbours[host] {
                 self.balancers[*neighbour].apply_report(report.clone(), now);
--- a/lib/tests/test_jobs.rs
+++ b/lib/tests/test_jobs.rs
@@ -789,6 +789,7 @@
         class: WorkClass::Online,
         excluded: &[],
         may_probe: true,
+        may_repeat: true,
         software: None,
         urgency: None,
         may_wait: false,
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -242,6 +242,7 @@
         convictions: 0,
         limits: vec![LimitNotice(observation, u32::MAX, u32::MAX)],
         reach: None,
+        paces: Vec::new(),
     };
     state.apply_report(report, now);
     assert_eq!(
@@ -279,6 +280,7 @@
             convictions: 0,
             limits: vec![LimitNotice(observation, *grants, *grants)],
             reach: None,
+            paces: Vec::new(),
         };
         state.apply_report(report, now);
     }
@@ -380,6 +382,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        paces: Vec::new(),
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let mut fields = value.into_map().unwrap();
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -310,6 +310,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        paces: Vec::new(),
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let fields = value.into_map().unwrap();
@@ -406,6 +407,7 @@
             class: WorkClass::Online,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: None,
             urgency: None,
             may_wait: false,
@@ -610,6 +612,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: reach.map(Box::new),
+        paces: Vec::new(),
     };
     let size = |reach| HostDatagram::Load(report(reach)).encode().len();
     let tags = |count: u32| {
--- a/lib/tests/test_relay.rs
+++ b/lib/tests/test_relay.rs
@@ -294,6 +294,7 @@
     let view = |online| ServiceLoad {
         slots: 96,
         online,
+        slot_time: Duration::from_millis(800),
         is_limited: false,
     };
     assert_eq!(
@@ -317,6 +318,7 @@
     let none = ServiceLoad {
         slots: 0,
         online: 0,
+        slot_time: Duration::from_millis(800),
         is_limited: false,
     };
     assert!(matches!(
--- a/lib/tests/test_stranded_words.rs
+++ b/lib/tests/test_stranded_words.rs
@@ -33,6 +33,7 @@
         class: WorkClass::Online,
         excluded: &[],
         may_probe: true,
+        may_repeat: true,
         software: None,
         urgency: None,
         may_wait: false,
