--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::balancer::PaceSummary;
 use crate::events::LogEvent;
 use crate::limits::GrantCounts;
 use crate::limits::KnownLimit;
@@ -47,6 +48,9 @@
     request_seconds: Histogram,
     store_call_seconds: HistogramVec,
     slot_counts: IntGaugeVec,
+    paces: GaugeVec,
+    slot_seconds: GaugeVec,
+    failing_upstreams: IntGaugeVec,
     items: IntGaugeVec,
     config_version: IntGauge,
     config_age: Gauge,
@@ -155,6 +159,31 @@
                 &["outcome"],
             )
             .expect("metric names are valid"),
+            paces: GaugeVec::new(
+                Opts::new(
+                    "parsleywall_pace",
+                    "Time to the first event as a multiple of the service's, of the quickest and the slowest \
+                     upstream.",
+                ),
+                &["service", "kind"],
+            )
+            .expect("metric names are valid"),
+            slot_seconds: GaugeVec::new(
+                Opts::new(
+                    "parsleywall_place_seconds",
+                    "Mean time for which an online request holds its place.",
+                ),
+                &["service"],
+            )
+            .expect("metric names are valid"),
+            failing_upstreams: IntGaugeVec::new(
+                Opts::new(
+                    "parsleywall_failing_upstreams",
+                    "Upstreams that fail so much that requests with one attempt avoid them.",
+                ),
+                &["service"],
+            )
+            .expect("metric names are valid"),
             slot_counts: IntGaugeVec::new(
                 Opts::new(
                     "parsleywall_places",
@@ -256,6 +285,9 @@
         all.push(Box::new(self.request_seconds.clone()));
         all.push(Box::new(self.store_call_seconds.clone()));
         all.push(Box::new(self.slot_counts.clone()));
+        all.push(Box::new(self.paces.clone()));
+        all.push(Box::new(self.slot_seconds.clone()));
+        all.push(Box::new(self.failing_upstreams.clone()));
         all.push(Box::new(self.items.clone()));
         all.push(Box::new(self.doubtful_runs.clone()));
         all.push(Box::new(self.config_version.clone()));
@@ -368,6 +400,17 @@
         gauge.set(i64::from(count));
     }
 
+    /// Sets what is known of how quickly the upstreams of `service` serve.
+    pub fn set_paces(&self, service: &str, summary: PaceSummary) {
+        for (kind, pace) in [("quickest", summary.quickest), ("slowest", summary.slowest)] {
+            self.paces.with_label_values(&[service, kind]).set(pace);
+        }
+        let seconds = self.slot_seconds.with_label_values(&[service]);
+        seconds.set(summary.slot_time.as_secs_f64());
+        let failing = self.failing_upstreams.with_label_values(&[service]);
+        failing.set(summary.failing as i64);
+    }
+
     /// Sets the numbers of waiting and running items of this host's jobs.
     pub fn set_item_counts(&self, waiting: usize, running: usize) {
         for (state, count) in [("waiting", waiting), ("running", running)] {
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -427,6 +427,9 @@
             for (kind, count) in [("places", slots), ("online", online), ("batch", batch)] {
                 metrics.set_slot_counts(service.as_str(), kind, count);
             }
+            if let Some(summary) = balancer_state.pace_summary(service, Instant::now()) {
+                metrics.set_paces(service.as_str(), summary);
+            }
         }
         metrics.set_limits(&balancer_state.known_limits(Instant::now()));
         metrics.count_grants(balancer_state.take_grant_counts());
