--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -187,6 +187,7 @@
             limits: Vec::new(),
             reach: None,
             flows: Vec::new(),
+            paces: Vec::new(),
         };
         Self {
             socket,
@@ -657,6 +658,8 @@
             self.reach_notice = reach.clone();
             Box::new(reach)
         });
+        let receivers = self.peers.neighbours.len();
+        self.report.paces = self.balancer.state().take_pace_samples(receivers, now);
         self.limit_revision = limit_revision;
         self.report.sequence += 1;
         let report = HostDatagram::Load(self.report.clone());
--- a/lib/src/balancer/report.rs
+++ b/lib/src/balancer/report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::balancer::pace::PaceSample;
 use crate::balancer::waiting::WaitingItems;
 use crate::fairness::FlowLoad;
 use crate::ids::UpstreamId;
@@ -84,6 +85,9 @@
     /// Online requests of the host by workspace; empty without workspaces, and from earlier releases.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub flows: Vec<FlowLoad>,
+    /// Observations of upstreams since the host's last report.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<PaceSample>,
 }
 
 /// Broadcast of one host to all others: state that every host needs, as a caller may ask any of
--- a/lib/src/relay/load_shedding.rs
+++ b/lib/src/relay/load_shedding.rs
@@ -10,8 +10,6 @@
 
 /// Largest share of the latency objective that the expected wait for a slot may take.
 const MAX_WAIT_SHARE: f64 = 0.6;
-/// Assumed mean time for which a request occupies its slot, used to estimate queueing time.
-pub(crate) const MEAN_SLOT_TIME: Duration = Duration::from_millis(800);
 /// Largest share of the caller's remaining time that a retry delay may take, so that the retry
 /// still has time to be served.
 const MAX_RETRY_DELAY_SHARE: f64 = 0.33;
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -44,7 +44,6 @@
 use crate::relay::dispatch::RequestDispatch;
 use crate::relay::dispatch::RetryPolicy;
 use crate::relay::dispatch::StreamStep;
-use crate::relay::load_shedding::MEAN_SLOT_TIME;
 use crate::relay::load_shedding::ServiceLoad;
 use crate::relay::load_shedding::ShedDecision;
 use crate::relay::load_shedding::decide_shedding;
@@ -678,8 +677,8 @@
         ServiceLoad {
             slots,
             online,
+            slot_time: state.slot_time(&request.service),
             is_limited: state.has_limited_upstream(&request.service),
-            slot_time: MEAN_SLOT_TIME,
         }
     }
 
--- a/lib/tests/limit_fleet/mod.rs
+++ b/lib/tests/limit_fleet/mod.rs
@@ -50,6 +50,7 @@
         class,
         excluded: &[],
         may_probe: true,
+        may_repeat: true,
         software: None,
         urgency: match class {
             WorkClass::Online => None,
@@ -370,6 +371,7 @@
                 limits: host.state.limit_notices(now),
                 reach: None,
                 flows: Vec::new(),
+                paces: Vec::new(),
             };
             let neighbours = host.state.neighbours();
             for other in 0..self.hosts.len() {
@@ -504,6 +506,7 @@
                         limits: state.limit_notices(now),
                         reach: None,
                         flows: Vec::new(),
+                        paces: Vec::new(),
                     };
                     (state.take_grant_requests(), report)
                 };
--- a/lib/tests/test_backlog.rs
+++ b/lib/tests/test_backlog.rs
@@ -149,6 +149,7 @@
                 class: WorkClass::Batch,
                 excluded: &[],
                 may_probe: true,
+                may_repeat: true,
                 software: None,
                 urgency: is_ranked.then(|| item.urgency(now)),
                 may_wait: false,
@@ -185,6 +186,7 @@
                 limits: Vec::new(),
                 reach: None,
                 flows: Vec::new(),
+                paces: Vec::new(),
             });
         for report in reports.collect::<Vec<_>>() {
             for host in &mut self.hosts {
@@ -328,6 +330,7 @@
             class,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: None,
             urgency: None,
             may_wait: false,
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -243,6 +243,7 @@
         limits: vec![LimitNotice(observation, u32::MAX, u32::MAX)],
         reach: None,
         flows: Vec::new(),
+        paces: Vec::new(),
     };
     state.apply_report(report, now);
     assert_eq!(
@@ -281,6 +282,7 @@
             limits: vec![LimitNotice(observation, *grants, *grants)],
             reach: None,
             flows: Vec::new(),
+            paces: Vec::new(),
         };
         state.apply_report(report, now);
     }
@@ -383,6 +385,7 @@
         limits: Vec::new(),
         reach: None,
         flows: Vec::new(),
+        paces: Vec::new(),
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let mut fields = value.into_map().unwrap();
--- a/lib/tests/test_reach.rs
+++ b/lib/tests/test_reach.rs
@@ -311,6 +311,7 @@
         limits: Vec::new(),
         reach: None,
         flows: Vec::new(),
+        paces: Vec::new(),
     };
     let value = ciborium::Value::serialized(&sent).unwrap();
     let fields = value.into_map().unwrap();
@@ -407,6 +408,7 @@
             class: WorkClass::Online,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: None,
             urgency: None,
             may_wait: false,
@@ -612,6 +614,7 @@
         limits: Vec::new(),
         reach: reach.map(Box::new),
         flows: Vec::new(),
+        paces: Vec::new(),
     };
     let size = |reach| HostDatagram::Load(report(reach)).encode().len();
     let tags = |count: u32| {
