relay, follow: a waiting request is decided at its turn; told changes outlast a late listing

Found by reading in the review of the parts. The first request that waited for room compared its turn with a later clock reading than its own, and so slept to a moment past and looped until its limit; a paused clock hides it, so no test shows it. A request that is sent without room no longer delays the next one. A host that shuts down refuses before it asks for a grant. A listing that is older than what other hosts told meanwhile is taken again instead of putting removed upstreams back. Names of workspaces that no header can hold are rejected, and other ones reach upstreams. Tests: test_workspaces; the others were read, not played.

--- a/lib/src/follow.rs
+++ b/lib/src/follow.rs
@@ -168,7 +168,13 @@
             let (kv, prefix) = (self.kv.clone(), self.prefix.clone());
             let started = Instant::now();
             let listing = list_all(kv.as_ref(), &prefix, Freshness::Current);
+            let before = position;
             match self.with_told(listing, &mut position, &mut handle).await {
+                // Changes that were told meanwhile have overtaken the listing, which would take them back.
+                Ok((_, revision)) if position > before && position > Some(revision) => {
+                    self.note_success(&mut handle);
+                    continue;
+                }
                 Ok((entries, revision)) => {
                     self.note_listing(started, entries, revision, &mut handle);
                     position = self.follow_changes(revision, &mut handle).await;
--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -501,7 +501,11 @@
     ) -> DetouredAnswer {
         let mut software = None;
         let is_own = detoured.is_none();
-        let workspace = request.caller.workspace().filter(|_| is_own).cloned();
+        let now = Instant::now();
+        let left = request.deadline.saturating_duration_since(now);
+        // A host that shuts down refuses the request without asking for a grant.
+        let is_counted = is_own && self.stop_gate.admits(&request.route.name, left, now);
+        let workspace = request.caller.workspace().filter(|_| is_counted).cloned();
         if let Some(workspace) = &workspace
             && let Err(refusal) = self.quotas.admit(workspace, request.version).await
         {
--- a/lib/src/relay/room.rs
+++ b/lib/src/relay/room.rs
@@ -158,7 +158,7 @@
                 });
             }
             let changed = self.balancer.slots_changed_until(limit);
-            match waiter.turn() {
+            match waiter.turn(now) {
                 WaiterTurn::Later => changed.await,
                 WaiterTurn::At(at) if at > now => tokio::time::sleep_until(at.min(limit)).await,
                 WaiterTurn::At(_) => {
@@ -171,10 +171,10 @@
             }
         };
         Some(decided.map(|note| {
-            waiter.serve(
-                self.inputs(&room_request, load(), Some(wait))
-                    .release_interval(),
-            );
+            let inputs = self.inputs(&room_request, load(), Some(wait));
+            // A request that is sent without room takes none from the next one.
+            let has_room = note.reason != RoomReason::LastChance;
+            waiter.serve(has_room.then(|| inputs.release_interval()));
             self.begin(&room_request, note)
         }))
     }
@@ -301,19 +301,22 @@
         }
     }
 
-    /// Whether the request is the first, and when it may get room then.
-    fn turn(&self) -> WaiterTurn {
+    /// Whether the request is the first, and when it may get room then: `now` if at once.
+    fn turn(&self, now: Instant) -> WaiterTurn {
         let state = self.keeper.state();
         let line = state.lines.get(self.service);
         match line.filter(|line| line.head() == Some(self.key)) {
             None => WaiterTurn::Later,
-            Some(line) => WaiterTurn::At(line.next_at().unwrap_or_else(Instant::now)),
+            Some(line) => WaiterTurn::At(line.next_at().unwrap_or(now)),
         }
     }
 
-    /// Records that the request got room, so that the next one may get some `interval` later.
-    fn serve(&mut self, interval: Duration) {
+    /// Records that the request is sent. If it got room, the next one may get some `interval` later.
+    fn serve(&mut self, interval: Option<Duration>) {
         self.is_served = true;
+        let Some(interval) = interval else {
+            return;
+        };
         let mut state = self.keeper.state();
         if let Some(line) = state.lines.get_mut(self.service) {
             line.note_served(Instant::now(), interval);
--- a/lib/src/workspaces/directory.rs
+++ b/lib/src/workspaces/directory.rs
@@ -63,6 +63,8 @@
 /// Why a list of workspaces can't be used. Names no key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryError {
+    /// The name is empty or has control characters, so that no header can hold it.
+    MalformedName(WorkspaceName),
     /// Two workspaces have this name.
     RepeatedName(WorkspaceName),
     /// Both workspaces hold the same key.
@@ -76,6 +78,7 @@
 impl fmt::Display for DirectoryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::MalformedName(name) => write!(f, "workspace {:?}: malformed name", name.as_str()),
             Self::RepeatedName(name) => write!(f, "workspace {name}: named twice"),
             Self::SharedKey(one, other) => write!(f, "workspaces {one} and {other}: share a key"),
             Self::MalformedKey(name) => write!(f, "workspace {name}: malformed key"),
@@ -140,6 +143,9 @@
 
     fn add(&mut self, workspace: Workspace, keys: &[String]) -> Result<(), DirectoryError> {
         let name = workspace.name.clone();
+        if name.as_str().trim().is_empty() || name.as_str().chars().any(char::is_control) {
+            return Err(DirectoryError::MalformedName(name));
+        }
         if !workspace.allowance.is_none_or(is_valid) {
             return Err(DirectoryError::InvalidAllowance(name));
         }
--- a/lib/tests/test_workspaces.rs
+++ b/lib/tests/test_workspaces.rs
@@ -128,6 +128,12 @@
         DirectoryError::SharedKey(name("north"), name("south"))
     );
     assert!(!shared.to_string().contains("k1"));
+    for malformed in ["", " ", "a\nb"] {
+        assert_eq!(
+            fault(vec![listed(malformed, &["k1"])]),
+            DirectoryError::MalformedName(name(malformed))
+        );
+    }
     for key in ["", "a b", "k\u{e9}"] {
         assert_eq!(
             fault(vec![listed("north", &[key])]),
