--- a/lib/src/quotas/meter.rs
+++ b/lib/src/quotas/meter.rs
@@ -14,6 +14,8 @@
 const MAX_DEBT_SECONDS: f64 = 1.0;
 /// Requests that a window holds at most: more are not counted one by one.
 const MAX_WINDOW_CAPACITY: f64 = 1e6;
+/// Part of a request that is not missed in a window, as its counts are rounded.
+const ROUNDING: f64 = 1e-6;
 /// Longest wait for a request that is told.
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
@@ -162,7 +164,9 @@
 
     /// Takes up to `count` whole requests, and returns how many.
     pub(crate) fn take(&mut self, count: u16) -> u16 {
-        let taken = f64::from(count).min(self.level.floor()).max(0.0);
+        let rounding = self.counts.as_ref().map_or(0.0, |_| ROUNDING);
+        let whole = (self.level + rounding).floor();
+        let taken = f64::from(count).min(whole).max(0.0);
         self.remove(taken);
         taken as u16
     }
