--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -221,7 +221,12 @@
             && open_time < OPENING_TIME
             && age > open_time
         {
-            let accrued = age.as_secs_f64() * self.meter.rate();
+            // Where a window may be used up, the one before may have granted what accrued until then.
+            let time = match self.meter.allowance().window.is_zero() {
+                true => age,
+                false => open_time,
+            };
+            let accrued = time.as_secs_f64() * self.meter.rate();
             let level = level * self.meter.share() + accrued - self.granted_since_opening;
             self.meter.lower_to(level);
         }
