--- a/cli/src/commands/platform.rs
+++ b/cli/src/commands/platform.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use parsleywall_platform::FrontOptions;
 use parsleywall_platform::NodeFile;
 use parsleywall_platform::Role;
 
@@ -22,6 +23,9 @@
     /// port for the metrics of a front, under /metrics; also PARSLEYWALL_METRICS_PORT
     #[argh(option)]
     metrics: Option<u16>,
+    /// learn how quickly workers serve and how often they fail, and choose by it
+    #[argh(switch)]
+    learn_pace: bool,
     /// only check the settings file
     #[argh(switch)]
     check: bool,
@@ -56,7 +60,11 @@
                 return ExitCode::from(EXIT_USAGE);
             }
         };
-        match parsleywall_platform::run(self.role, file, metrics).await {
+        let options = FrontOptions {
+            metrics,
+            learns_pace: self.learn_pace,
+        };
+        match parsleywall_platform::run(self.role, file, options).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(err) => {
                 eprintln!("error: {err}");
--- a/lib/src/balancer/observations.rs
+++ b/lib/src/balancer/observations.rs
@@ -42,7 +42,7 @@
 }
 
 impl BalancerState {
-    /// Sets whether the paces of upstreams are learnt and used; they are by default.
+    /// Sets whether the paces of upstreams are learnt and used; they are not by default.
     pub fn with_pace(mut self, learns_pace: bool) -> Self {
         self.learns_pace = learns_pace;
         self
--- a/lib/src/balancer/state.rs
+++ b/lib/src/balancer/state.rs
@@ -63,7 +63,9 @@
 /// Without sampling, all hosts would send their requests to the same least loaded upstreams, as
 /// they decide from the same reports. With it, loads stay close together even if the reports are
 /// stale: Mitzenmacher, "How useful is old information?", 2000.
-const MIN_SAMPLING_PEERS: usize = 4;
+const MIN_SAMPLING_PEERS: usize = 12;
+/// The same number where paces are learnt: hosts agree on the quickest upstreams too.
+const MIN_SAMPLING_PEERS_BY_PACE: usize = 4;
 /// Size of that sample, in upstreams.
 const SAMPLE_SIZE: usize = 4;
 /// Time since the last part of an answer within which a load report marks an upstream as active.
@@ -285,7 +287,7 @@
             keys_by_id: HashMap::default(),
             keys_by_process: HashMap::default(),
             paces: PaceBook::default(),
-            learns_pace: true,
+            learns_pace: false,
             serving: HashMap::default(),
             busy: BTreeSet::new(),
             tracker: NeighbourTracker::new(host),
@@ -765,7 +767,11 @@
         }
         self.shuffle(&mut candidates, now, draw);
         let asks = self.restrict_to_placement(&mut candidates, request, now);
-        if self.peer_loads.len() >= MIN_SAMPLING_PEERS {
+        let min_peers = match self.learns_pace {
+            true => MIN_SAMPLING_PEERS_BY_PACE,
+            false => MIN_SAMPLING_PEERS,
+        };
+        if self.peer_loads.len() >= min_peers {
             candidates.truncate(SAMPLE_SIZE);
         }
         let service = self.service_inputs(request.service);
--- a/lib/src/relay_host.rs
+++ b/lib/src/relay_host.rs
@@ -95,6 +95,8 @@
     pub peers: SocketAddr,
     /// Memory limit in bytes for buffered answers, those that are not streamed.
     pub answer_bytes: usize,
+    /// Whether the host learns how quickly upstreams serve and how often they fail, and chooses by it.
+    pub learns_pace: bool,
     /// Greatest ages that the views of the key-value service should reach.
     pub view_ages: ViewAges,
     /// Limits and intervals of the batch work.
@@ -130,10 +132,11 @@
     ) -> std::io::Result<Arc<Self>> {
         let socket = UdpSocket::bind(config.peers).await?;
         let listener = TcpListener::bind(config.peers).await?;
-        let balancer = LoadBalancer::new(BalancerState::new(
+        let balancer_state = BalancerState::new(
             HostId::new(&config.host),
             DataCentre::new(&config.data_centre),
-        ));
+        );
+        let balancer = LoadBalancer::new(balancer_state.with_pace(config.learns_pace));
         let views = HostViews::new(config.view_ages, view_seed(&config), &log);
         let relay = RequestRelay::new(transport, balancer.clone(), log.clone())
             .with_answer_memory(config.answer_bytes)
--- a/lib/tests/test_fairness.rs
+++ b/lib/tests/test_fairness.rs
@@ -258,6 +258,7 @@
             limits: Vec::new(),
             reach: None,
             flows: host.own_flows().loads(),
+            paces: Vec::new(),
         });
         self.reports = own.collect();
     }
@@ -393,6 +394,7 @@
             class: WorkClass::Online,
             excluded: &[],
             may_probe: true,
+            may_repeat: true,
             software: None,
             urgency: None,
             may_wait: false,
@@ -617,6 +619,7 @@
         limits: Vec::new(),
         reach: None,
         flows: state.own_flows().loads(),
+        paces: Vec::new(),
     };
     let without = HostDatagram::Load(report(&state)).encode();
     assert!(matches!(
--- a/lib/tests/test_pace.rs
+++ b/lib/tests/test_pace.rs
@@ -190,7 +190,8 @@
     fn new(hosts: usize, upstreams: Vec<ModelUpstream>, per_second: f64, seed: u64) -> Self {
         let names: Vec<String> = (0..hosts).map(|index| format!("host-{index}")).collect();
         let states = names.iter().map(|name| {
-            let mut state = BalancerState::new(HostId::new(name), DataCentre::new("east"));
+            let state = BalancerState::new(HostId::new(name), DataCentre::new("east"));
+            let mut state = state.with_pace(true);
             state.set_hosts(names.iter().map(String::as_str));
             for upstream in &upstreams {
                 state.put(upstream.entry());
@@ -402,6 +403,7 @@
         }
         let report = HostLoadReport {
             loads: state.own_loads(now),
+            flows: Vec::new(),
             paces,
             ..empty_report(&format!("host-{host}"), sequence)
         };
@@ -431,6 +433,7 @@
         convictions: 0,
         limits: Vec::new(),
         reach: None,
+        flows: Vec::new(),
         paces: Vec::new(),
     }
 }
