--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -15,8 +15,6 @@
 /// Part of the limit that a host grants while another one, which it takes for alive, is the authority: with
 /// [`DOUBT_TIME`], less than a tenth of what the limit allows in five seconds.
 const DOUBT_SHARE: f64 = 0.15;
-/// The same of a limit with a window, which may be used up at once.
-const DOUBT_WINDOW_SHARE: f64 = 0.075;
 /// Time for which a host does so. An authority that has ended is known to be silent after it.
 const DOUBT_TIME: Duration = Duration::from_millis(2_500);
 /// Time after which it may do so again.
@@ -118,13 +116,13 @@
         }
         let started_at = self.started_at;
         let record = self.records.entry(entry.0).or_insert_with(|| {
-            QuotaRecord::new(entry, allowance, rank.part(share, window), started_at, now)
+            QuotaRecord::new(entry, allowance, rank.part(share), started_at, now)
         });
         if !record.is_granting(rank, now) {
             return None;
         }
         record.meter.refill(now);
-        record.apply_terms(entry, allowance, rank.part(share, window));
+        record.apply_terms(entry, allowance, rank.part(share));
         record.apply_known(entry, now);
         Some(record.grant(process, entry, now))
     }
@@ -144,13 +142,12 @@
 }
 
 impl AuthorityRank {
-    /// Part of a limit with a `window`, zero without one, that a host of this rank grants.
-    fn part(self, share: f64, window: Duration) -> f64 {
+    /// Part of the limit that a host of this rank grants.
+    fn part(self, share: f64) -> f64 {
         let share = share.clamp(f64::EPSILON, 1.0);
         match self {
             Self::First => share,
-            Self::Later if window.is_zero() => share * DOUBT_SHARE,
-            Self::Later => share * DOUBT_WINDOW_SHARE,
+            Self::Later => share * DOUBT_SHARE,
         }
     }
 }
@@ -183,12 +180,7 @@
     fn is_granting(&mut self, rank: AuthorityRank, now: Instant) -> bool {
         match rank {
             AuthorityRank::First => {
-                let has_doubted = self.doubted_since.take().is_some();
-                if has_doubted && !self.meter.allowance().window.is_zero() {
-                    // What is left of the part is not what is left of the whole.
-                    self.opened_at = now;
-                    self.granted_since_opening = 0.0;
-                }
+                self.doubted_since = None;
                 true
             }
             AuthorityRank::Later => {
@@ -221,12 +213,7 @@
             && open_time < OPENING_TIME
             && age > open_time
         {
-            // Where a window may be used up, the one before may have granted what accrued until then.
-            let time = match self.meter.allowance().window.is_zero() {
-                true => age,
-                false => open_time,
-            };
-            let accrued = time.as_secs_f64() * self.meter.rate();
+            let accrued = age.as_secs_f64() * self.meter.rate();
             let level = level * self.meter.share() + accrued - self.granted_since_opening;
             self.meter.lower_to(level);
         }
--- a/lib/src/quotas/meter.rs
+++ b/lib/src/quotas/meter.rs
@@ -14,8 +14,6 @@
 const MAX_DEBT_SECONDS: f64 = 1.0;
 /// Requests that a window holds at most: more are not counted one by one.
 const MAX_WINDOW_CAPACITY: f64 = 1e6;
-/// Part of a request that is not missed in a window, as its counts are rounded.
-const ROUNDING: f64 = 1e-6;
 /// Longest wait for a request that is told.
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
@@ -157,18 +155,14 @@
             counts.scale(change.min(1.0));
         }
         self.read_counts();
-        // Others have granted the rest, and may have done so lately.
-        if rises && let Some(counts) = &mut self.counts {
-            counts.spread_late(self.level - level);
-            self.read_counts();
+        if rises {
+            self.lower_to(level);
         }
     }
 
     /// Takes up to `count` whole requests, and returns how many.
     pub(crate) fn take(&mut self, count: u16) -> u16 {
-        let rounding = self.counts.as_ref().map_or(0.0, |_| ROUNDING);
-        let whole = (self.level + rounding).floor();
-        let taken = f64::from(count).min(whole).max(0.0);
+        let taken = f64::from(count).min(self.level.floor()).max(0.0);
         self.remove(taken);
         taken as u16
     }
--- a/lib/src/quotas/tests.rs
+++ b/lib/src/quotas/tests.rs
@@ -25,5 +25,6 @@
     // Each record has a window, and each account where the host uses its own shares.
     let windows = size_of::<WindowCounts>() * (paced + WORKSPACES);
     let bytes = accounts + orders + records + asking + windows;
+    eprintln!("{bytes} bytes");
     assert!(bytes < 4_000_000, "{bytes} bytes");
 }
--- a/lib/src/quotas/window.rs
+++ b/lib/src/quotas/window.rs
@@ -75,15 +75,6 @@
         self.sum();
     }
 
-    /// Counts `count` requests over the window, the more in a step the newer it is.
-    pub(crate) fn spread_late(&mut self, count: f64) {
-        let part = count.max(0.0) / (SLOTS * (SLOTS + 1) / 2) as f64;
-        for (index, slot) in self.counts.iter_mut().enumerate() {
-            *slot += (part * (SLOTS - index) as f64) as f32;
-        }
-        self.sum();
-    }
-
     /// Multiplies the counts by `factor`.
     pub(crate) fn scale(&mut self, factor: f64) {
         self.counts
