quotas: limits are token buckets again

What others sent lately has to be known by time, not only by a level, before a window can take over from a lost authority without refusing too much.

--- a/lib/src/quotas/account.rs
+++ b/lib/src/quotas/account.rs
@@ -5,12 +5,12 @@
 use tokio::time::Instant;
 
 use crate::limits::ReturnSchedule;
+use crate::quotas::bucket::RequestBucket;
 use crate::quotas::fleet::HostKey;
 use crate::quotas::message::QuotaEntry;
 use crate::quotas::message::QuotaGrant;
 use crate::quotas::message::QuotaLevel;
 use crate::quotas::message::WorkspaceTag;
-use crate::quotas::meter::RequestMeter;
 use crate::workspaces::RequestAllowance;
 
 /// Time after the question for them within which granted requests may be admitted.
@@ -69,7 +69,7 @@
     pub(crate) told_by: Option<HostKey>,
     /// Until when this host uses its own share.
     local_until: Option<Instant>,
-    local: Option<RequestMeter>,
+    local: Option<RequestBucket>,
     /// Granted requests that have not run.
     returned: u32,
     /// Requests admitted from the own share that no authority knows of.
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Window of the limit; zero without one.
-    pub(crate) fn window(&self) -> Duration {
-        self.allowance.window
-    }
-
     /// Counts a request that arrives under `allowance` of the configuration `version`.
     pub(crate) fn note_request(&mut self, allowance: RequestAllowance, version: u64, now: Instant) {
         if version >= self.version && allowance != self.allowance {
@@ -211,13 +206,8 @@
             self.known.map_or(started_at, |known| known.1),
         );
         let bucket = self.local.get_or_insert_with(|| {
-            // Of a window, no more is left than an authority told, and nothing of an unknown one.
-            let left = match allowance.window.is_zero() {
-                true => RequestMeter::whole_capacity(allowance),
-                false => self.known.map_or(0.0, |known| known.0),
-            };
-            let level = left * share;
-            RequestMeter::new(allowance, share, level, since)
+            let level = RequestBucket::whole_capacity(allowance) * share;
+            RequestBucket::new(allowance, share, level, since)
         });
         bucket.refill(now);
         if bucket.take(1) == 1 {
--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -5,12 +5,11 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::quotas::bucket::RequestBucket;
 use crate::quotas::message::QuotaEntry;
 use crate::quotas::message::QuotaGrant;
 use crate::quotas::message::QuotaLevel;
 use crate::quotas::message::WorkspaceTag;
-use crate::quotas::meter::RequestMeter;
-use crate::workspaces::RequestAllowance;
 
 /// Part of the limit that a host grants while another one, which it takes for alive, is the authority: with
 /// [`DOUBT_TIME`], less than a tenth of what the limit allows in five seconds.
@@ -44,7 +43,7 @@
 
 #[derive(Debug)]
 pub(crate) struct QuotaRecord {
-    meter: RequestMeter,
+    bucket: RequestBucket,
     /// Version of the configuration that has the limit.
     version: u64,
     opened_at: Instant,
@@ -94,19 +93,17 @@
         is_newer
     }
 
-    /// Answers what `process` asks in `entry` about a limit with a `window`, zero without one, where this
-    /// host is in contact with `share` of the fleet.
+    /// Answers what `process` asks in `entry`, where this host is in contact with `share` of the fleet.
     /// `None` if another host paces the workspace.
     pub(crate) fn answer(
         &mut self,
         process: u32,
         entry: &QuotaEntry,
-        window: Duration,
         rank: AuthorityRank,
         share: f64,
         now: Instant,
     ) -> Option<QuotaGrant> {
-        let allowance = entry.allowance(window);
+        let allowance = entry.allowance();
         let is_limit = allowance.per_second.is_finite()
             && allowance.per_second > 0.0
             && allowance.burst.is_finite()
@@ -115,14 +112,15 @@
             return None;
         }
         let started_at = self.started_at;
-        let record = self.records.entry(entry.0).or_insert_with(|| {
-            QuotaRecord::new(entry, allowance, rank.part(share), started_at, now)
-        });
+        let record = self
+            .records
+            .entry(entry.0)
+            .or_insert_with(|| QuotaRecord::new(entry, rank.part(share), started_at, now));
         if !record.is_granting(rank, now) {
             return None;
         }
-        record.meter.refill(now);
-        record.apply_terms(entry, allowance, rank.part(share));
+        record.bucket.refill(now);
+        record.apply_terms(entry, rank.part(share));
         record.apply_known(entry, now);
         Some(record.grant(process, entry, now))
     }
@@ -155,18 +153,13 @@
 impl QuotaRecord {
     /// The record of a workspace that is asked about for the first time. What was sent while another
     /// process paced it is known from the hosts that ask; a process that has just started waits for them.
-    fn new(
-        entry: &QuotaEntry,
-        allowance: RequestAllowance,
-        part: f64,
-        started_at: Instant,
-        now: Instant,
-    ) -> Self {
+    fn new(entry: &QuotaEntry, part: f64, started_at: Instant, now: Instant) -> Self {
+        let allowance = entry.allowance();
         let run_time = (now - started_at + START_TIME).as_secs_f64();
         let level = allowance.per_second * part * run_time;
-        let least = RequestMeter::whole_capacity(allowance) * part;
+        let least = RequestBucket::whole_capacity(allowance) * part;
         Self {
-            meter: RequestMeter::new(allowance, part, level.min(least).max(part), now),
+            bucket: RequestBucket::new(allowance, part, level.min(least).max(part), now),
             version: entry.1,
             opened_at: now,
             granted_since_opening: 0.0,
@@ -195,14 +188,12 @@
     }
 
     /// Takes over the limit of the newest configuration that a host knows.
-    fn apply_terms(&mut self, entry: &QuotaEntry, told: RequestAllowance, part: f64) {
+    fn apply_terms(&mut self, entry: &QuotaEntry, part: f64) {
         let is_newer = entry.1 > self.version;
-        let known = self.meter.allowance();
-        let mut allowance = if is_newer { told } else { known };
-        // Hosts of an earlier release tell none.
-        allowance.window = known.window.max(told.window);
+        let known = self.bucket.allowance();
+        let allowance = if is_newer { entry.allowance() } else { known };
         self.version = self.version.max(entry.1);
-        self.meter.set_terms(allowance, part);
+        self.bucket.set_terms(allowance, part);
     }
 
     /// Lowers the level to what another host knows of it from the authority before, while this host is new
@@ -213,25 +204,25 @@
             && open_time < OPENING_TIME
             && age > open_time
         {
-            let accrued = age.as_secs_f64() * self.meter.rate();
-            let level = level * self.meter.share() + accrued - self.granted_since_opening;
-            self.meter.lower_to(level);
+            let accrued = age.as_secs_f64() * self.bucket.rate();
+            let level = level * self.bucket.share() + accrued - self.granted_since_opening;
+            self.bucket.lower_to(level);
         }
     }
 
     fn grant(&mut self, process: u32, entry: &QuotaEntry, now: Instant) -> QuotaGrant {
         let QuotaEntry(.., needed, ahead, returned, owed, _) = *entry;
         self.asked_at = now;
-        self.meter.put(returned);
-        self.meter.charge(owed);
-        let granted = self.meter.take(needed);
+        self.bucket.put(returned);
+        self.bucket.charge(owed);
+        let granted = self.bucket.take(needed);
         // What is granted ahead comes from the upper half, so that no host holds what others need.
-        let spare = (self.meter.level() - self.meter.capacity() / 2.0) / 2.0;
-        let ahead = self.meter.take(ahead.min(spare.max(0.0) as u16));
+        let spare = (self.bucket.level() - self.bucket.capacity() / 2.0) / 2.0;
+        let ahead = self.bucket.take(ahead.min(spare.max(0.0) as u16));
         self.granted_since_opening += f64::from(granted) + f64::from(ahead);
         let mut grant = QuotaGrant(
             granted.saturating_add(ahead),
-            QuotaLevel::new(self.meter.whole_level()),
+            QuotaLevel::new(self.bucket.whole_level()),
             0,
             0,
         );
@@ -248,17 +239,17 @@
 
     /// Time for which a host need not ask again, and mean time between two requests of one host.
     fn pause(&mut self, now: Instant) -> (Duration, Duration) {
-        let rate = self.meter.rate();
+        let rate = self.bucket.rate();
         let asking = self.asking.values().filter(|at| now - **at < ASKING_TIME);
         let interval = asking.count().max(1) as f64 / rate;
         // The bucket must not be full before the hosts ask again.
-        let until_half = (self.meter.capacity() - 1.0) / 2.0 / rate;
+        let until_half = (self.bucket.capacity() - 1.0) / 2.0 / rate;
         let extra = (interval / 2.0)
             .min(MAX_PAUSE.as_secs_f64())
             .min(until_half);
         let seconds = |value: f64| Duration::try_from_secs_f64(value).unwrap_or(Duration::MAX);
         (
-            self.meter.wait().saturating_add(seconds(extra)),
+            self.bucket.wait().saturating_add(seconds(extra)),
             seconds(interval),
         )
     }
--- a/lib/src/quotas/message.rs
+++ b/lib/src/quotas/message.rs
@@ -67,12 +67,11 @@
 );
 
 impl QuotaEntry {
-    /// The limit that the host knows, with the window of its question.
-    pub(crate) fn allowance(&self, window: Duration) -> RequestAllowance {
+    /// The limit that the host knows.
+    pub(crate) fn allowance(&self) -> RequestAllowance {
         RequestAllowance {
             per_second: self.2,
             burst: self.3,
-            window,
         }
     }
 
@@ -95,20 +94,6 @@
     /// One entry for each workspace.
     #[serde(rename = "e")]
     pub entries: Vec<QuotaEntry>,
-    /// Window of the limits in milliseconds; 0 without one.
-    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
-    pub window_ms: u32,
-}
-
-impl QuotaAsk {
-    /// Window of the limits; zero without one.
-    pub(crate) fn window(&self) -> Duration {
-        Duration::from_millis(u64::from(self.window_ms))
-    }
-}
-
-fn is_zero(value: &u32) -> bool {
-    *value == 0
 }
 
 /// What the authority of a workspace grants.
--- a/lib/src/quotas/mod.rs
+++ b/lib/src/quotas/mod.rs
@@ -5,14 +5,13 @@
 
 mod account;
 mod authority;
+mod bucket;
 mod fleet;
 mod keeper;
 mod message;
-mod meter;
 mod table;
 #[cfg(test)]
 mod tests;
-mod window;
 
 pub use fleet::FleetView;
 pub use keeper::QuotaKeeper;
--- a/lib/src/quotas/table.rs
+++ b/lib/src/quotas/table.rs
@@ -234,11 +234,8 @@
         let own = self.fleet.own();
         let rank = rank(&mut self.fleet, tag);
         let (entry, owed) = account.take_entry(tag, now);
-        let window = account.window();
         let (process, share) = (self.process, self.fleet.share());
-        let grant = self
-            .authority
-            .answer(process, &entry, window, rank, share, now);
+        let grant = self.authority.answer(process, &entry, rank, share, now);
         if grant.is_none() {
             account.restore_owed(owed);
         }
@@ -280,7 +277,6 @@
                 continue;
             }
             let (entry, owed) = account.take_entry(tag, now);
-            let window_ms = u32::try_from(account.window().as_millis()).unwrap_or(u32::MAX);
             self.counts.asked += 1;
             let index = match by_host.iter().position(|(key, ..)| *key == authority) {
                 Some(index) => index,
@@ -289,9 +285,7 @@
                     by_host.len() - 1
                 }
             };
-            let ask = &mut by_host[index].1;
-            ask.window_ms = ask.window_ms.max(window_ms);
-            ask.entries.push(entry);
+            by_host[index].1.entries.push(entry);
             by_host[index].2.entries.push((tag, owed));
         }
         let mut asks = Vec::with_capacity(by_host.len());
@@ -312,7 +306,6 @@
             process: self.process,
             sequence: self.sequence,
             entries: Vec::new(),
-            window_ms: 0,
         };
         let question = SentQuestion {
             authority,
@@ -354,8 +347,7 @@
         let share = self.fleet.share();
         let grants = ask.entries.iter().map(|entry| {
             let rank = rank(&mut self.fleet, entry.0);
-            self.authority
-                .answer(ask.process, entry, ask.window(), rank, share, now)
+            self.authority.answer(ask.process, entry, rank, share, now)
         });
         Some(QuotaReply {
             sequence: ask.sequence,
--- a/lib/src/quotas/tests.rs
+++ b/lib/src/quotas/tests.rs
@@ -2,7 +2,6 @@
 use crate::quotas::authority::QuotaRecord;
 use crate::quotas::fleet::HeirOrder;
 use crate::quotas::message::WorkspaceTag;
-use crate::quotas::window::WindowCounts;
 
 /// Workspaces of the largest fleet.
 const WORKSPACES: usize = 2_500;
@@ -22,9 +21,6 @@
     let paced = WORKSPACES * 10 / 54;
     let records = map_bytes::<(WorkspaceTag, QuotaRecord)>(paced);
     let asking = map_bytes::<(u32, tokio::time::Instant)>(HOSTS) * WORKSPACES * 10 / HOSTS;
-    // Each record has a window, and each account where the host uses its own shares.
-    let windows = size_of::<WindowCounts>() * (paced + WORKSPACES);
-    let bytes = accounts + orders + records + asking + windows;
-    eprintln!("{bytes} bytes");
+    let bytes = accounts + orders + records + asking;
     assert!(bytes < 4_000_000, "{bytes} bytes");
 }
--- a/lib/src/workspaces/directory.rs
+++ b/lib/src/workspaces/directory.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::HeaderMap;
 use serde::Deserialize;
@@ -22,10 +21,6 @@
     pub per_second: f64,
     /// Requests beyond them at once; not negative, and finite.
     pub burst: f64,
-    /// Sliding time in which at most `per_second` times it and `burst` may be sent. Zero: they are sent by
-    /// a token bucket.
-    #[serde(default, skip_serializing_if = "Duration::is_zero")]
-    pub window: Duration,
 }
 
 /// A workspace as the configuration describes it.
@@ -203,8 +198,6 @@
 }
 
 fn is_valid(allowance: RequestAllowance) -> bool {
-    let RequestAllowance {
-        per_second, burst, ..
-    } = allowance;
+    let RequestAllowance { per_second, burst } = allowance;
     per_second.is_finite() && per_second > 0.0 && burst.is_finite() && burst >= 0.0
 }
