--- a/lib/src/balancer/exchange.rs
+++ b/lib/src/balancer/exchange.rs
@@ -59,6 +59,8 @@
 const TELLER_POSITION: f64 = 0.5;
 /// Time after the start within which a host that hears no other one opens no watches.
 const STARTING_TIME: Duration = Duration::from_secs(2);
+/// The same while it knows of no other one.
+const ALONE_TIME: Duration = Duration::from_millis(100);
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Shortest interval between two messages with this host's convictions to the same host.
 const CONVICTIONS_INTERVAL: Duration = Duration::from_millis(300);
@@ -106,9 +108,9 @@
     views: HostViews,
     /// Shared secret of the hosts, once it is known.
     secret: Arc<OnceLock<String>>,
-    /// Until when the host may wait for others before it opens watches; `None` if it holds its own ones
+    /// Since when the host waits for others before it opens watches; `None` if it holds its own ones
     /// whatever others tell.
-    starting_until: Option<Instant>,
+    started_at: Option<Instant>,
     news_assembly: NewsAssembly,
     /// When the last step began.
     stepped_at: Instant,
@@ -204,7 +206,7 @@
             reach_told_at: None,
             views: HostViews::new(ViewAges::default(), 0, &EventLog::disabled()),
             secret: Arc::default(),
-            starting_until: None,
+            started_at: None,
             news_assembly: NewsAssembly::default(),
             stepped_at: Instant::now(),
             emptied_at: Instant::now(),
@@ -246,7 +248,7 @@
     /// Also exchanges changes of the views once `secret` is set, and has some hosts hold the watches of all.
     pub fn with_secret(mut self, secret: Arc<OnceLock<String>>) -> Self {
         self.views.set_role(ViewRole::Starting);
-        self.starting_until = Some(Instant::now() + STARTING_TIME);
+        self.started_at = Some(Instant::now());
         self.secret = secret;
         self
     }
@@ -540,7 +542,7 @@
 
     /// Decides whether this host holds watches for all others, or is told by those that do.
     fn refresh_role(&self, now: Instant) {
-        let Some(starting_until) = self.starting_until else {
+        let Some(started_at) = self.started_at else {
             return;
         };
         let (rank, hears_any) = {
@@ -548,9 +550,13 @@
             (state.rank_heard(TELLER_POSITION, now), state.hears_any(now))
         };
         let is_told = self.secret.get().is_some() && hears_any;
+        let starting_time = match self.peers.all.is_empty() {
+            true => ALONE_TIME,
+            false => STARTING_TIME,
+        };
         self.views.set_role(match is_told {
             true => ViewRole::of_rank(rank),
-            false if now < starting_until => ViewRole::Starting,
+            false if now - started_at < starting_time => ViewRole::Starting,
             false => ViewRole::Alone,
         });
     }
