quotas: a process that has just started grants less at once

What was sent before is not known after that, so that half a second of the rate at the start comes on top. It is a fifth now.

--- a/lib/src/quotas/authority.rs
+++ b/lib/src/quotas/authority.rs
@@ -20,7 +20,7 @@
 const DOUBT_INTERVAL: Duration = Duration::from_secs(10);
 /// Time at the whole rate that a process which has just started grants at once, as what was sent before is
 /// not known.
-const START_TIME: Duration = Duration::from_millis(500);
+const START_TIME: Duration = Duration::from_millis(200);
 /// Time after the first question about a workspace in which levels that other hosts know still count.
 const OPENING_TIME: Duration = Duration::from_secs(1);
 /// Time since the last question of a host within which it counts among those that ask.
