review: add a case of streams that mix two software versions

A stream is recorded under the version in its worker's entry, which is that of the process before while the entry lags. After a crash it goes on at workers of that version.

--- a/review/tool-2/main.rs
+++ b/review/tool-2/main.rs
@@ -1,7 +1,9 @@
 //! Cases of the second review: each starts the project's programs and stand-ins, disturbs them, and judges
 //! what clients and workers saw.
 
+mod case_mixed_versions;
 mod case_refused_job;
+mod case_resent_job;
 mod client;
 mod fleet;
 mod http;
@@ -40,6 +42,8 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
     let outcome = match name {
+        "mixed-versions" => case_mixed_versions::run(&record, has_trouble),
+        "resent-job" => case_resent_job::run(&record, has_trouble),
         "refused-job" => case_refused_job::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
