--- a/review/tool-2/case_refused_job.rs
+++ b/review/tool-2/case_refused_job.rs
@@ -24,19 +24,19 @@
 const WORKERS: usize = 4;
 /// Length of the store's queue of new connections, so that soon after it has stopped they hang.
 const BACKLOG: i32 = 1;
-const OUTAGES: usize = 8;
+const OUTAGES: usize = 10;
 /// Time for which the store is down.
 const DOWN: Duration = Duration::from_millis(4_500);
 /// Time between two outages.
-const CALM: Duration = Duration::from_millis(6_000);
+const CALM: Duration = Duration::from_millis(4_500);
 /// Jobs are sent from then on after the store has fallen silent.
-const FIRST_JOB: Duration = Duration::from_millis(330);
-const JOB_INTERVAL: Duration = Duration::from_millis(35);
-const JOBS_PER_OUTAGE: usize = 7;
+const FIRST_JOB: Duration = Duration::from_millis(60);
+const JOB_INTERVAL: Duration = Duration::from_millis(20);
+const JOBS_PER_OUTAGE: usize = 14;
 /// Attempts of a client, with its one retry.
 const TRIES: usize = 2;
 /// Time for which it is watched at the end what runs.
-const END_TIME: Duration = Duration::from_millis(5_000);
+const END_TIME: Duration = Duration::from_millis(4_000);
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<Verdict> {
     let store = StoreConfig {
@@ -70,6 +70,8 @@
     fleet.await_ready(&all, FRONTS)?;
     thread::sleep(CALM / 2);
 
+    // Clients pick fronts at random, the same ones in each run.
+    let mut draw: u64 = 1;
     let mut clients = Vec::new();
     for outage in 0..OUTAGES {
         if has_trouble {
@@ -80,7 +82,10 @@
         for number in 0..JOBS_PER_OUTAGE {
             let mut fronts: Vec<SocketAddr> =
                 fleet.fronts.iter().map(|front| front.callers()).collect();
-            fronts.rotate_left((outage * JOBS_PER_OUTAGE + number * 4) % FRONTS);
+            draw = draw
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            fronts.rotate_left((draw >> 33) as usize % FRONTS);
             let record = record.clone();
             let job = Job::new(&format!("j{outage}{number:02}"), "/lot/", 3);
             clients.push(thread::spawn(move || {
