--- a/review/tool-2/client.rs
+++ b/review/tool-2/client.rs
@@ -20,6 +20,8 @@
     pub id: String,
     pub path: String,
     pub items: Vec<String>,
+    /// Part of the prompt that its items share.
+    pub shared_part: String,
 }
 
 impl Job {
@@ -29,15 +31,17 @@
             id: id.to_owned(),
             path: format!("{prefix}{id}"),
             items: items.collect(),
+            shared_part: "9c2e41".to_owned(),
         }
     }
 
     fn body(&self) -> String {
+        let part = &self.shared_part;
         let items = self.items.iter().map(|item| {
             let body = base64(item.as_bytes());
             format!(
                 "{{\"id\":\"{item}\",\"path\":\"{}/{item}\",\"headers\":{{\"Model\":\"m\",\
-                 \"Token-Usage\":\"350,100\",\"Prompt-Prefix\":\"9c2e41:100,{item}:250\"}},\
+                 \"Token-Usage\":\"350,100\",\"Prompt-Prefix\":\"{part}:100,{item}:250\"}},\
                  \"body\":\"{body}\",\"tokens\":450}}",
                 self.path
             )
--- a/review/tool-2/main.rs
+++ b/review/tool-2/main.rs
@@ -2,6 +2,7 @@
 //! what clients and workers saw.
 
 mod case_mixed_versions;
+mod case_poison_items;
 mod case_refused_job;
 mod case_resent_job;
 mod client;
@@ -44,6 +45,7 @@
     let outcome = match name {
         "mixed-versions" => case_mixed_versions::run(&record, has_trouble),
         "resent-job" => case_resent_job::run(&record, has_trouble),
+        "poison-items" => case_poison_items::run(&record, has_trouble),
         "refused-job" => case_refused_job::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/tool-2/worker.rs
+++ b/review/tool-2/worker.rs
@@ -20,6 +20,9 @@
 /// Requests that wait beside those that run.
 const QUEUE: usize = 24;
 
+/// Part of a prompt on which a worker crashes as it begins to answer.
+pub const POISON_PART: &str = "dead01";
+
 /// One run of a request at a worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -31,6 +34,8 @@
     pub began_ms: u64,
     pub events: u64,
     pub is_whole: bool,
+    /// Whether its prompt crashes the worker.
+    pub is_poisonous: bool,
 }
 
 /// What all workers of a case ran.
@@ -152,18 +157,26 @@
 
     /// Ends the process at once, as SIGKILL does: all connections close.
     pub fn kill(&self) {
-        self.shared.is_down.store(true, Ordering::SeqCst);
-        self.shared
-            .runs
+        self.shared.crash();
+    }
+
+    /// Whether the process has ended.
+    pub fn is_down(&self) -> bool {
+        self.shared.is_down.load(Ordering::SeqCst)
+    }
+}
+
+impl Shared {
+    fn crash(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        self.runs
             .record
             .note(format!("worker {} ends", self.config.id));
-        for (_, connection) in self.shared.connections.lock().unwrap().drain() {
+        for (_, connection) in self.connections.lock().unwrap().drain() {
             let _ = connection.shutdown(std::net::Shutdown::Both);
         }
     }
-}
 
-impl Shared {
     fn take(self: Arc<Self>, stream: TcpStream) {
         let number = self.next_connection.fetch_add(1, Ordering::SeqCst);
         let _ = stream.set_nonblocking(false);
@@ -226,6 +239,8 @@
         let last = head
             .header("last-event-id")
             .and_then(|last| last.parse().ok());
+        let prompt = head.header("prompt-prefix").unwrap_or_default();
+        let is_poisonous = prompt.contains(POISON_PART);
         let index = self.runs.begin(Run {
             worker: self.config.id.clone(),
             id: id.to_owned(),
@@ -234,7 +249,12 @@
             began_ms: self.runs.record.now_ms(),
             events: 0,
             is_whole: false,
+            is_poisonous,
         });
+        if is_poisonous {
+            self.crash();
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: seal-of-{}\r\nWeight-Versions: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
