--- a/review/tool-2/case_mixed_versions.rs
+++ b/review/tool-2/case_mixed_versions.rs
@@ -1,8 +1,8 @@
 //! ORDER: streams hold events of two versions of the workers' software.
 //!
 //! A worker crashes while it has nothing to do and starts again under its identifier with the next version.
-//! Streams begin there before its entry changes. It crashes again, and the fronts go on with the streams at
-//! workers of the version before.
+//! Streams begin there before its entry changes. It falls silent for a second, and the fronts go on with the
+//! streams at workers of the version before.
 
 use std::collections::BTreeSet;
 use std::io::Error;
@@ -32,9 +32,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Time for which the worker that crashes is away.
 const AWAY: Duration = Duration::from_millis(500);
-/// Time from the start of the worker to its next crash. That is before its first liveness report, which it
-/// writes `heartbeatMs` (1,200) after its start.
-const UP: Duration = Duration::from_millis(1_000);
+/// Time from the start of the worker to its first liveness report: `heartbeatMs`.
+const FIRST_REPORT: Duration = Duration::from_millis(1_200);
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<Verdict> {
     let mut fleet = Fleet::start(record.clone(), StoreConfig::default())?;
@@ -50,6 +49,7 @@
             events: EVENTS,
             pause: PAUSE,
             born: 1_700_000_000_000 + number as u64,
+            silent_before: None,
         };
         let worker = Worker::start(config, fleet.worker_address(), runs.clone())?;
         fleet.list_worker(&worker, 1)?;
@@ -66,6 +66,7 @@
     let (address, mut config) = (old.address, old.config.clone());
     config.version = "v2".to_owned();
     config.born += 3_600_000;
+    config.silent_before = Some(8);
     let mut restarted = None;
     if has_trouble {
         old.kill();
@@ -82,8 +83,8 @@
         })
         .collect();
     if let Some(worker) = &restarted {
-        thread::sleep(UP.saturating_sub(STREAM_INTERVAL * STREAMS as u32));
-        worker.kill();
+        thread::sleep(FIRST_REPORT.saturating_sub(STREAM_INTERVAL * STREAMS as u32));
+        fleet.list_worker(worker, 1)?;
     }
     let answers = clients
         .into_iter()
--- a/review/tool-2/case_poison_items.rs
+++ b/review/tool-2/case_poison_items.rs
@@ -47,6 +47,7 @@
             events: 10,
             pause: Duration::from_millis(20),
             born: 1_700_000_000_000 + number as u64,
+            silent_before: None,
         };
         let worker = Worker::start(config, fleet.worker_address(), runs.clone())?;
         fleet.list_worker(&worker, 1)?;
--- a/review/tool-2/case_resent_job.rs
+++ b/review/tool-2/case_resent_job.rs
@@ -42,6 +42,7 @@
         events: 5,
         pause: Duration::from_millis(10),
         born: 1_700_000_000_000,
+        silent_before: None,
     };
     let worker = Worker::start(config, fleet.worker_address(), runs)?;
     fleet.list_worker(&worker, 1)?;
--- a/review/tool-2/worker.rs
+++ b/review/tool-2/worker.rs
@@ -17,6 +17,8 @@
 use crate::http;
 use crate::record::Record;
 
+/// Time for which a sound worker may fall silent.
+const SILENCE: Duration = Duration::from_millis(1_000);
 /// Requests that wait beside those that run.
 const QUEUE: usize = 24;
 
@@ -96,6 +98,8 @@
     pub pause: Duration,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub born: u64,
+    /// Event before which the worker falls silent for a second; `None` if it doesn't.
+    pub silent_before: Option<u64>,
 }
 
 /// A running worker process.
@@ -264,6 +268,9 @@
         let mut events = 0;
         for number in last.unwrap_or(0) + 1..=self.config.events {
             std::thread::sleep(self.config.pause);
+            if self.config.silent_before == Some(number) {
+                std::thread::sleep(SILENCE);
+            }
             if self.is_down.load(Ordering::SeqCst) || is_closed(writer) {
                 self.runs.record.note(format!(
                     "worker {} stops {id} before event {number}",
