--- a/review/tool-2/main.rs
+++ b/review/tool-2/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the second review: each starts the project's programs and stand-ins, disturbs them, and judges
 //! what clients and workers saw.
 
+mod case_hidden_jobs;
 mod case_mixed_versions;
 mod case_poison_items;
 mod case_refused_job;
@@ -43,6 +44,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
     let outcome = match name {
+        "hidden-jobs" => case_hidden_jobs::run(&record, has_trouble),
         "mixed-versions" => case_mixed_versions::run(&record, has_trouble),
         "resent-job" => case_resent_job::run(&record, has_trouble),
         "poison-items" => case_poison_items::run(&record, has_trouble),
