--- a/review/tool-2/case_poison_items.rs
+++ b/review/tool-2/case_poison_items.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::client::JOB_LIMIT;
 use crate::client::Job;
 use crate::fleet::Fleet;
 use crate::fleet::HOST;
--- a/review/tool-2/case_refused_job.rs
+++ b/review/tool-2/case_refused_job.rs
@@ -24,15 +24,18 @@
 const WORKERS: usize = 4;
 /// Length of the store's queue of new connections, so that soon after it has stopped they hang.
 const BACKLOG: i32 = 1;
-const OUTAGES: usize = 10;
+const OUTAGES: usize = 12;
 /// Time for which the store is down.
 const DOWN: Duration = Duration::from_millis(4_500);
-/// Time between two outages.
-const CALM: Duration = Duration::from_millis(4_500);
+/// Shortest time between two outages. It varies by up to the interval at which fronts renew their leases, so
+/// that outages meet them at different moments.
+const CALM: Duration = Duration::from_millis(3_000);
+const CALM_STEP: Duration = Duration::from_millis(370);
+const CALM_SPAN: Duration = Duration::from_millis(1_200);
 /// Jobs are sent from then on after the store has fallen silent.
-const FIRST_JOB: Duration = Duration::from_millis(60);
-const JOB_INTERVAL: Duration = Duration::from_millis(20);
-const JOBS_PER_OUTAGE: usize = 14;
+const FIRST_JOB: Duration = Duration::from_millis(90);
+const JOB_INTERVAL: Duration = Duration::from_millis(15);
+const JOBS_PER_OUTAGE: usize = 24;
 /// Attempts of a client, with its one retry.
 const TRIES: usize = 2;
 /// Time for which it is watched at the end what runs.
@@ -69,7 +72,7 @@
     }
     let all: Vec<usize> = (0..FRONTS).collect();
     fleet.await_ready(&all, FRONTS)?;
-    thread::sleep(CALM / 2);
+    thread::sleep(CALM);
 
     // Clients pick fronts at random, the same ones in each run.
     let mut draw: u64 = 1;
@@ -100,7 +103,9 @@
             fleet.store.signal(sys::SIGCONT);
             record.note("the store is back");
         }
-        thread::sleep(CALM);
+        let step = CALM_STEP * outage as u32;
+        let turns = (step.as_millis() / CALM_SPAN.as_millis()) as u32;
+        thread::sleep(CALM + step - CALM_SPAN * turns);
     }
     let jobs = clients.into_iter().filter_map(|client| client.join().ok());
     let jobs: Vec<(Job, Vec<u16>)> = jobs.collect();
--- a/review/tool-2/fleet.rs
+++ b/review/tool-2/fleet.rs
@@ -49,24 +49,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Waits for the end of a process that was told to stop.
-    pub fn wait(&mut self, timeout: Duration) -> bool {
-        let until = Instant::now() + timeout;
-        while let Some(child) = &mut self.child {
-            match child.try_wait() {
-                Ok(Some(_)) => self.child = None,
-                _ if Instant::now() >= until => return false,
-                _ => std::thread::sleep(Duration::from_millis(20)),
-            }
-        }
-        true
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-    }
 }
 
 impl Drop for Process {
@@ -76,7 +58,6 @@
 }
 
 pub struct Front {
-    pub name: String,
     pub ip: IpAddr,
     pub process: Process,
 }
@@ -168,18 +149,10 @@
         let ip = self.ip(number);
         let name = format!("front-west-{number}");
         let process = self.spawn_front(&name, ip)?;
-        self.fronts.push(Front { name, ip, process });
+        self.fronts.push(Front { ip, process });
         Ok(number)
     }
 
-    /// Starts a front again that has ended.
-    pub fn restart_front(&mut self, number: usize) -> Result<()> {
-        let (name, ip) = (self.fronts[number].name.clone(), self.fronts[number].ip);
-        self.record.note(format!("{name} starts again"));
-        self.fronts[number].process = self.spawn_front(&name, ip)?;
-        Ok(())
-    }
-
     fn spawn_front(&self, name: &str, ip: IpAddr) -> Result<Process> {
         let file = self.folder.join(format!("{name}.toml"));
         std::fs::write(&file, settings(name, ip, self.store_address))?;
@@ -235,14 +208,6 @@
         ))
     }
 
-    /// Removes a key as a worker.
-    pub fn remove(&self, key: &str) -> Result<()> {
-        let key = quoted(key);
-        self.transact(&format!(
-            "{{\"expected\":[],\"puts\":[],\"remove\":[{key}]}}"
-        ))
-    }
-
     fn transact(&self, body: &str) -> Result<()> {
         let store = self.store_address;
         let answer = http::call(store, "POST /kv-txn", &[], body.as_bytes(), CALL_TIMEOUT)?;
@@ -267,15 +232,6 @@
             &worker.entry(sequence),
         )
     }
-
-    /// Text of the logs of all fronts.
-    pub fn logs(&self) -> String {
-        let logs = self.fronts.iter().map(|front| {
-            let log = self.folder.join(format!("{}.log", front.name));
-            std::fs::read_to_string(log).unwrap_or_default()
-        });
-        logs.collect()
-    }
 }
 
 impl Drop for Fleet {
--- a/review/tool-2/sys.rs
+++ b/review/tool-2/sys.rs
@@ -3,8 +3,6 @@
 use std::io::Error;
 use std::io::Result;
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
