review: send the jobs of the first case when they meet the fault most often

Of 200 and more jobs at each of these moments, 3 in 100 run though they were refused if they come 80 to 240 ms after the store has fallen silent, and 1 in 100 later.

--- a/review/tool-2/case_refused_job.rs
+++ b/review/tool-2/case_refused_job.rs
@@ -33,9 +33,9 @@
 const CALM_STEP: Duration = Duration::from_millis(370);
 const CALM_SPAN: Duration = Duration::from_millis(1_200);
 /// Jobs are sent from then on after the store has fallen silent.
-const FIRST_JOB: Duration = Duration::from_millis(90);
-const JOB_INTERVAL: Duration = Duration::from_millis(15);
-const JOBS_PER_OUTAGE: usize = 24;
+const FIRST_JOB: Duration = Duration::from_millis(85);
+const JOB_INTERVAL: Duration = Duration::from_millis(11);
+const JOBS_PER_OUTAGE: usize = 14;
 /// Attempts of a client, with its one retry.
 const TRIES: usize = 2;
 /// Time for which it is watched at the end what runs.
