--- a/review/tool-2/case_refused_job.rs
+++ b/review/tool-2/case_refused_job.rs
@@ -33,8 +33,8 @@
 const CALM_STEP: Duration = Duration::from_millis(370);
 const CALM_SPAN: Duration = Duration::from_millis(1_200);
 /// Jobs are sent from then on after the store has fallen silent.
-const FIRST_JOB: Duration = Duration::from_millis(85);
-const JOB_INTERVAL: Duration = Duration::from_millis(11);
+const FIRST_JOB: Duration = Duration::from_millis(60);
+const JOB_INTERVAL: Duration = Duration::from_millis(20);
 const JOBS_PER_OUTAGE: usize = 14;
 /// Attempts of a client, with its one retry.
 const TRIES: usize = 2;
