review: case 10, items that fail are run anew by each owner

Cause: failures of an item are counted in its owner's memory, and neither a hand-over nor the store carries them. Added: the case `failing-items`: fronts are stopped as planned, each time the one that runs the items.

--- a/review/tool-2/fleet.rs
+++ b/review/tool-2/fleet.rs
@@ -16,6 +16,7 @@
 use std::time::Instant;
 
 use crate::http;
+use crate::json::Json;
 use crate::json::quoted;
 use crate::record::Record;
 use crate::sys;
@@ -41,6 +42,11 @@
         }
     }
 
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -171,6 +177,22 @@
         Ok(Process { child: Some(child) })
     }
 
+    /// Tells a front to end.
+    pub fn stop_front(&self, number: usize) {
+        self.fronts[number].process.signal(sys::SIGTERM);
+    }
+
+    /// Starts a front again if its process has ended; returns whether it had.
+    pub fn start_ended_front(&mut self, number: usize) -> Result<bool> {
+        if !self.fronts[number].process.has_ended() {
+            return Ok(false);
+        }
+        let ip = self.fronts[number].ip;
+        let name = format!("front-west-{number}");
+        self.fronts[number].process = self.spawn_front(&name, ip)?;
+        Ok(true)
+    }
+
     /// Waits until fronts are ready and the directory of each lists `count` fronts.
     pub fn await_ready(&self, numbers: &[usize], count: usize) -> Result<()> {
         let until = Instant::now() + START_TIMEOUT;
@@ -217,6 +239,15 @@
         }
     }
 
+    /// Value of a key; `None` without one.
+    pub fn get(&self, key: &str) -> Result<Option<String>> {
+        let line = format!("GET /kv-key?key={key}");
+        let answer = http::call(self.store_address, &line, &[], b"", CALL_TIMEOUT)?;
+        let item = Json::parse(&answer.text()).unwrap_or(Json::Null);
+        let value = item.get("value").text();
+        Ok(value.map(|value| String::from_utf8_lossy(&from_base64(value)).into_owned()))
+    }
+
     pub fn put_manifest(&self, manifest: &str) -> Result<()> {
         self.put("op/config", manifest)?;
         self.record
@@ -322,3 +353,25 @@
     }
     out
 }
+
+/// Decodes what `base64` encodes.
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let digits = text.bytes().filter_map(|digit| match digit {
+        b'A'..=b'Z' => Some(digit - b'A'),
+        b'a'..=b'z' => Some(digit - b'a' + 26),
+        b'0'..=b'9' => Some(digit - b'0' + 52),
+        b'+' => Some(62),
+        b'/' => Some(63),
+        _ => None,
+    });
+    let digits: Vec<u8> = digits.collect();
+    let mut out = Vec::new();
+    for chunk in digits.chunks(4) {
+        let mut word: u32 = 0;
+        for place in 0..4 {
+            word = word << 6 | u32::from(chunk.get(place).copied().unwrap_or(0));
+        }
+        out.extend(&word.to_be_bytes()[1..chunk.len()]);
+    }
+    out
+}
--- a/review/tool-2/http.rs
+++ b/review/tool-2/http.rs
@@ -161,6 +161,12 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
     stream.set_write_timeout(Some(timeout))?;
+    stream.write_all(&request_bytes(to, line, headers, body))?;
+    Ok(BufReader::new(stream))
+}
+
+/// A request to `to`.
+pub fn request_bytes(to: SocketAddr, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut head = format!("{line} HTTP/1.1\r\n");
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
@@ -177,8 +183,7 @@
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
     bytes.extend(body);
-    stream.write_all(&bytes)?;
-    Ok(BufReader::new(stream))
+    bytes
 }
 
 /// Sends a request on a new connection and reads the whole answer.
--- a/review/tool-2/sys.rs
+++ b/review/tool-2/sys.rs
@@ -3,6 +3,7 @@
 use std::io::Error;
 use std::io::Result;
 
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
--- a/review/tool-2/worker.rs
+++ b/review/tool-2/worker.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::http;
 use crate::record::Record;
@@ -22,8 +23,14 @@
 /// Requests that wait beside those that run.
 const QUEUE: usize = 24;
 
-/// Part of a prompt on which a worker crashes as it begins to answer.
-pub const POISON_PART: &str = "dead01";
+/// Part of a prompt whose answer takes `LONG_EVENTS` events.
+pub const LONG_PART: &str = "10c600";
+/// Part of a prompt that a worker answers with 500, after a time that depends on the request's last digits.
+pub const FAILING_PART: &str = "bad001";
+
+const LONG_EVENTS: u64 = 230;
+const FIRST_FAILING_TIME: Duration = Duration::from_millis(300);
+const FAILING_STEP: Duration = Duration::from_millis(30);
 
 /// One run of a request at a worker.
 #[derive(Clone, Debug)]
@@ -36,8 +43,8 @@
     pub began_ms: u64,
     pub events: u64,
     pub is_whole: bool,
-    /// Whether its prompt crashes the worker.
-    pub is_poisonous: bool,
+    /// Whether it was answered 500.
+    pub has_failed: bool,
 }
 
 /// What all workers of a case ran.
@@ -71,6 +78,10 @@
         runs[index].is_whole = is_whole;
     }
 
+    fn fail(&self, index: usize) {
+        self.runs.lock().unwrap()[index].has_failed = true;
+    }
+
     pub fn all(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
@@ -163,11 +174,6 @@
     pub fn kill(&self) {
         self.shared.crash();
     }
-
-    /// Whether the process has ended.
-    pub fn is_down(&self) -> bool {
-        self.shared.is_down.load(Ordering::SeqCst)
-    }
 }
 
 impl Shared {
@@ -239,12 +245,42 @@
         Ok(())
     }
 
+    fn fail(&self, index: usize, id: &str, writer: &mut TcpStream) -> std::io::Result<()> {
+        let number = id
+            .get(id.len().saturating_sub(3)..)
+            .and_then(|digits| digits.parse().ok());
+        let number: u64 = number.unwrap_or(0);
+        let until = Instant::now() + FIRST_FAILING_TIME + FAILING_STEP * number as u32;
+        while Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+            if is_closed(writer) {
+                self.runs.record.note(format!(
+                    "worker {} stops {id}, as its caller left",
+                    self.config.id
+                ));
+                return Err(std::io::ErrorKind::BrokenPipe.into());
+            }
+        }
+        let seal = format!("seal-of-{}", self.config.id);
+        let headers = [("Attempt-Id", id), ("Response-Seal", seal.as_str())];
+        writer.write_all(&http::answer_bytes(
+            "500 Internal Server Error",
+            &headers,
+            b"",
+        ))?;
+        self.runs.fail(index);
+        self.runs
+            .record
+            .note(format!("worker {} answers {id} with 500", self.config.id));
+        Ok(())
+    }
+
     fn run(&self, head: &http::Head, id: &str, writer: &mut TcpStream) -> std::io::Result<()> {
         let last = head
             .header("last-event-id")
             .and_then(|last| last.parse().ok());
         let prompt = head.header("prompt-prefix").unwrap_or_default();
-        let is_poisonous = prompt.contains(POISON_PART);
+        let is_long = prompt.contains(LONG_PART);
         let index = self.runs.begin(Run {
             worker: self.config.id.clone(),
             id: id.to_owned(),
@@ -253,11 +289,10 @@
             began_ms: self.runs.record.now_ms(),
             events: 0,
             is_whole: false,
-            is_poisonous,
+            has_failed: false,
         });
-        if is_poisonous {
-            self.crash();
-            return Err(std::io::ErrorKind::BrokenPipe.into());
+        if prompt.contains(FAILING_PART) {
+            return self.fail(index, id, writer);
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: seal-of-{}\r\nWeight-Versions: 1\r\n\
@@ -266,7 +301,11 @@
         );
         writer.write_all(head.as_bytes())?;
         let mut events = 0;
-        for number in last.unwrap_or(0) + 1..=self.config.events {
+        let all = match is_long {
+            true => LONG_EVENTS,
+            false => self.config.events,
+        };
+        for number in last.unwrap_or(0) + 1..=all {
             std::thread::sleep(self.config.pause);
             if self.config.silent_before == Some(number) {
                 std::thread::sleep(SILENCE);
