review: case 9, a planned stop cuts off long streams that it took late

Cause: `StopGate` goes by the longest recent time of a route, which decays within some hundred requests, so that a rare long stream is taken 3.05 to 3.5 s after SIGTERM and cut off at the end of the grace. Added: the case `cut-streams`, six planned stops under streams on kept connections, one in 40 of 4.6 s.

--- a/review/tool-2/main.rs
+++ b/review/tool-2/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the second review: each starts the project's programs and stand-ins, disturbs them, and judges
 //! what clients and workers saw.
 
+mod case_cut_streams;
 mod case_failing_items;
 mod case_hidden_jobs;
 mod case_mixed_versions;
@@ -45,6 +46,7 @@
     let outcome = match name {
         "hidden-jobs" => case_hidden_jobs::run(&record, has_trouble),
         "mixed-versions" => case_mixed_versions::run(&record, has_trouble),
+        "cut-streams" => case_cut_streams::run(&record, has_trouble),
         "failing-items" => case_failing_items::run(&record, has_trouble),
         "refused-job" => case_refused_job::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
