jobs: refuse a job only if no attempt to store it may take effect later

Cause: the answer of a host spoke of its last attempt, not of the job. Where a host's own attempt was not sent while others were asked to store the job, the calls to them were dropped and asked anew; and a host that was asked again spoke of its second attempt, or of none while it knew of the outage, though its first one sat in an open connection.

Change: AttemptLedger records the attempts of a host to store a job, itself or through others, that are under way or have ended, been dropped or timed out without a definite answer, for a minute. A host with such an attempt answers neither 503 nor NotStored but that it isn't sure, at once. Calls that are under way are awaited unless one has stored the job, and each host is asked once a round instead of twice. A call that was not sent to another host counts as that.

--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -17,6 +17,7 @@
 use crate::jobs::acceptance::AcceptanceCache;
 use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::announcer::OwnershipAnnouncer;
+use crate::jobs::attempts::AttemptLedger;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobPeerClient;
 use crate::jobs::message::JobReply;
@@ -113,6 +114,7 @@
     /// Revisions that scans and sweeps saw.
     pub(super) ages: Mutex<RevisionAges>,
     pub(super) acceptances: AcceptanceCache,
+    pub(super) attempts: Arc<AttemptLedger>,
     pub(super) announcer: OwnershipAnnouncer,
     pub(super) results_committed: Notify,
     pub(super) work_available: Notify,
@@ -156,6 +158,7 @@
             owners: OwnerCache::default(),
             ages: Mutex::new(RevisionAges::new(AGE_STEP, MAX_AGE.max(config.keep_time))),
             acceptances: AcceptanceCache::default(),
+            attempts: Arc::default(),
             announcer: OwnershipAnnouncer::default(),
             results_committed: Notify::new(),
             work_available: Notify::new(),
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 
 mod acceptance;
 mod announcer;
+mod attempts;
 mod changeover;
 mod dispatch;
 mod estimator;
--- a/lib/src/jobs/submission.rs
+++ b/lib/src/jobs/submission.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::clock::steady_unix_millis;
@@ -18,6 +19,7 @@
 use crate::edges::kv::LeaseId;
 use crate::jobs::acceptance::AcceptanceOutcome;
 use crate::jobs::acceptance::JobAcceptance;
+use crate::jobs::attempts::AttemptTicket;
 use crate::jobs::changeover::PreviousOwner;
 use crate::jobs::changeover::Takeover;
 use crate::jobs::keeper::JobKeeper;
@@ -26,6 +28,7 @@
 use crate::jobs::message::JobReply;
 use crate::jobs::spec::JobAge;
 use crate::jobs::spec::JobSpec;
+use crate::peers::PeerError;
 use crate::registry::HostEntry;
 
 /// Time without an answer of the key-value service after which other hosts are asked to store the
@@ -80,6 +83,23 @@
         }
     }
 
+    /// Whether the job is stored, so that attempts under way change nothing any more.
+    fn is_stored(self) -> bool {
+        match self {
+            Self::Stored | Self::HeldByOther => true,
+            Self::TooLarge | Self::NotStored | Self::Unknown => false,
+        }
+    }
+
+    /// Ends an attempt that had this outcome.
+    fn settle(self, ticket: AttemptTicket) -> Self {
+        match self {
+            Self::Unknown => drop(ticket),
+            Self::Stored | Self::HeldByOther | Self::TooLarge | Self::NotStored => ticket.settle(),
+        }
+        self
+    }
+
     /// The outcome of two attempts together.
     fn or(self, other: Self) -> Self {
         match (self, other) {
@@ -98,7 +118,8 @@
     ///
     /// If the key-value service does not answer this host soon, other hosts are asked to store the
     /// job too. While it is known not to answer, the job is refused at once unless another host
-    /// stores it.
+    /// stores it. A job is refused only if no attempt of this host to store it may take effect later, by this
+    /// call or an earlier one.
     pub async fn submit(&self, spec: JobSpec) -> SubmitOutcome {
         if self.shared.registry.is_displaced() {
             return self.refuse(&spec, "displaced", Duration::ZERO);
@@ -127,92 +148,86 @@
             }
             StoreOutcome::TooLarge => self.refuse(&spec, "too_large", Duration::from_secs(10)),
             StoreOutcome::NotStored => self.refuse(&spec, "key_value_service", RETRY_AFTER),
-            StoreOutcome::Unknown => {
-                self.log_job(&spec.id, "outcome_unknown", spec.items.len(), 0);
-                SubmitOutcome::Unknown
-            }
+            StoreOutcome::Unknown => self.leave_open(&spec),
         }
     }
 
     /// Answers another host that asks this one to store a job, which this host then accepts by its own
     /// clock.
     pub(super) async fn answer_submission(&self, spec: JobSpec) -> JobReply {
-        if self.shared.is_leaving.is_cancelled() || self.shared.registry.has_outage() {
-            return JobReply::NotStored;
-        }
-        let spec = spec.timed_at(steady_unix_millis(), JobAge::NEW);
-        match self.store_once(&Arc::new(spec)).await {
+        let id = spec.id.clone();
+        let is_idle = self.shared.is_leaving.is_cancelled() || self.shared.registry.has_outage();
+        let outcome = match is_idle {
+            true => StoreOutcome::NotStored,
+            false => {
+                let spec = spec.timed_at(steady_unix_millis(), JobAge::NEW);
+                self.store_once(&Arc::new(spec)).await
+            }
+        };
+        match outcome {
             StoreOutcome::Stored => JobReply::Stored,
             StoreOutcome::HeldByOther => JobReply::HeldByOther,
+            // An earlier attempt may take effect although this one does not.
+            StoreOutcome::TooLarge | StoreOutcome::NotStored if self.may_be_stored(&id) => {
+                JobReply::Unsure
+            }
             StoreOutcome::TooLarge | StoreOutcome::NotStored => JobReply::NotStored,
             StoreOutcome::Unknown => JobReply::Unsure,
         }
     }
 
-    /// Stores a job from this host, or from another one if this one gets no answer in time.
+    /// Stores a job from this host, or from other ones if this one gets no answer in time. Attempts that are
+    /// under way are awaited unless one stores the job, as each of them may take effect.
     async fn store_anywhere(&self, spec: &Arc<JobSpec>) -> StoreOutcome {
-        if self.shared.registry.has_outage() {
-            return self.forward(spec).await;
-        }
-        // Runs to its end also if another host answers first, as this host may become the owner.
-        let mut own = tokio::spawn({
-            let (keeper, spec) = (self.clone(), spec.clone());
-            async move { keeper.store_once(&spec).await }
-        });
-        let in_time = tokio::time::timeout(FORWARD_DELAY, &mut own).await;
-        match in_time.map(joined) {
-            Ok(outcome) if outcome.is_final() => outcome,
-            Ok(outcome) => outcome.or(self.forward(spec).await),
-            Err(_) => self.forward_beside(own, spec).await,
-        }
-    }
-
-    /// Asks other hosts to store a job while the attempt `own` of this host still waits.
-    async fn forward_beside(
-        &self,
-        mut own: JoinHandle<StoreOutcome>,
-        spec: &Arc<JobSpec>,
-    ) -> StoreOutcome {
-        tokio::select! {
-            own = &mut own => match joined(own) {
-                outcome if outcome.is_final() => outcome,
-                outcome => outcome.or(self.forward(spec).await),
-            },
-            forwarded = self.forward(spec) => match forwarded {
-                outcome if outcome.is_final() => outcome,
-                outcome => outcome.or(joined(own.await)),
-            },
-        }
-    }
-
-    /// Asks the hosts that would claim the job next to store it, all at the same time.
-    async fn forward(&self, spec: &Arc<JobSpec>) -> StoreOutcome {
-        let hosts = self.successors(&spec.id);
-        let asked = hosts.iter().take(MAX_FORWARD_HOSTS);
-        let mut replies: FuturesUnordered<_> =
-            asked.map(|host| self.forward_to(host, spec)).collect();
+        let mut attempts: FuturesUnordered<BoxFuture<'_, StoreOutcome>> = FuturesUnordered::new();
         let mut outcome = StoreOutcome::NotStored;
-        while let Some(reply) = replies.next().await {
-            outcome = outcome.or(reply);
+        if !self.shared.registry.has_outage() {
+            // Runs to its end also if another host answers first, as this host may become the owner.
+            let own = tokio::spawn({
+                let (keeper, spec) = (self.clone(), spec.clone());
+                async move { keeper.store_once(&spec).await }
+            });
+            attempts.push(own.map(joined).boxed());
+            let in_time = tokio::time::timeout(FORWARD_DELAY, attempts.next()).await;
+            if let Ok(Some(own)) = in_time {
+                outcome = own;
+            }
             if outcome.is_final() {
+                return outcome;
+            }
+        }
+        let hosts = self.successors(&spec.id);
+        for host in hosts.iter().take(MAX_FORWARD_HOSTS) {
+            attempts.push(self.forward_to(host.clone(), spec.clone()).boxed());
+        }
+        while let Some(ended) = attempts.next().await {
+            outcome = outcome.or(ended);
+            if outcome.is_stored() {
                 break;
             }
         }
         outcome
     }
 
-    async fn forward_to(&self, host: &HostEntry, spec: &JobSpec) -> StoreOutcome {
-        let call = JobCall::Submit { spec: spec.clone() };
-        match self.shared.peers.call(host, call, FORWARD_TIMEOUT).await {
+    /// Asks another host that would claim the job to store it.
+    async fn forward_to(&self, host: HostEntry, spec: Arc<JobSpec>) -> StoreOutcome {
+        let ticket = self.shared.attempts.begin(&spec.id);
+        let call = JobCall::Submit {
+            spec: (*spec).clone(),
+        };
+        let reply = self.shared.peers.call(&host, call, FORWARD_TIMEOUT).await;
+        let outcome = match reply {
             Ok(JobReply::Stored) => {
                 self.cache_owner(&spec.id, &host.host);
                 StoreOutcome::Stored
             }
             Ok(JobReply::HeldByOther) => StoreOutcome::HeldByOther,
             Ok(JobReply::NotStored) => StoreOutcome::NotStored,
+            Err(PeerError::Refused(_) | PeerError::NotSent(_)) => StoreOutcome::NotStored,
             // Without a reply, the host may have stored the job.
-            Ok(_) | Err(_) => StoreOutcome::Unknown,
-        }
+            Ok(_) | Err(PeerError::NoReply(_)) => StoreOutcome::Unknown,
+        };
+        outcome.settle(ticket)
     }
 
     /// Makes one attempt to store a job that this host then owns. A displaced process makes none.
@@ -220,6 +235,12 @@
         if self.shared.registry.is_displaced() {
             return StoreOutcome::NotStored;
         }
+        let ticket = self.shared.attempts.begin(&spec.id);
+        self.create(spec).await.settle(ticket)
+    }
+
+    /// Stores a job that this host then owns.
+    async fn create(&self, spec: &Arc<JobSpec>) -> StoreOutcome {
         let lease = self.lease_for_new_job();
         let created = self.shared.store.create(spec, &self.shared.identity, lease);
         match created.await {
@@ -291,7 +312,22 @@
         }
     }
 
+    /// Whether a job that this attempt has not stored may be stored all the same, by another attempt.
+    fn may_be_stored(&self, id: &str) -> bool {
+        self.shared.attempts.has_open(id) || self.has_heard_of(id)
+    }
+
+    /// Leaves open whether a job is stored.
+    fn leave_open(&self, spec: &JobSpec) -> SubmitOutcome {
+        self.log_job(&spec.id, "outcome_unknown", spec.items.len(), 0);
+        SubmitOutcome::Unknown
+    }
+
+    /// Refuses a job, of which nothing runs then, unless an earlier attempt may have stored it.
     fn refuse(&self, spec: &JobSpec, reason: &'static str, retry_after: Duration) -> SubmitOutcome {
+        if self.may_be_stored(&spec.id) {
+            return self.leave_open(spec);
+        }
         let outcome = format!("refused: {reason}");
         self.log_job(&spec.id, &outcome, spec.items.len(), 0);
         SubmitOutcome::Refused {
--- a/standins/src/kv_link.rs
+++ b/standins/src/kv_link.rs
@@ -24,6 +24,9 @@
 /// Time after which a call over a cut link fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which a connection over an unreachable link is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Fault of one commit over a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CommitFault {
@@ -42,6 +45,7 @@
 pub struct KvLink {
     store: Arc<dyn KvStore>,
     is_cut: AtomicBool,
+    is_unreachable: AtomicBool,
     next_commit: Mutex<Option<CommitFault>>,
     /// The first pages of the stale listings that are held, by prefix; `None` before the first listing.
     held_pages: Mutex<HashMap<String, Option<KvPage>>>,
@@ -60,6 +64,7 @@
         Arc::new(Self {
             store,
             is_cut: AtomicBool::new(false),
+            is_unreachable: AtomicBool::new(false),
             next_commit: Mutex::default(),
             held_pages: Mutex::default(),
             late_listing: Mutex::default(),
@@ -74,6 +79,12 @@
         self.is_cut.store(is_cut, Ordering::Relaxed);
     }
 
+    /// Lets no further connection be opened over the link, or lets them again. Calls fail as not sent after
+    /// 0.6 s; those that began before go on.
+    pub fn set_unreachable(&self, is_unreachable: bool) {
+        self.is_unreachable.store(is_unreachable, Ordering::Relaxed);
+    }
+
     /// Lets the next commit meet `fault`.
     pub fn set_next_commit(&self, fault: CommitFault) {
         *self.next_commit.lock().expect("link lock") = Some(fault);
@@ -126,6 +137,10 @@
             tokio::time::sleep(CALL_TIMEOUT).await;
             return Err(KvError::Unknown("no answer in time".to_owned()));
         }
+        if self.is_unreachable.load(Ordering::Relaxed) {
+            tokio::time::sleep(CONNECT_TIMEOUT).await;
+            return Err(KvError::Unavailable("no connection in time".to_owned()));
+        }
         Ok(self.store.as_ref())
     }
 }
