jobs: deny no job that an open attempt may still store

The same cause on related paths: a host whose attempt to store a job had no answer read the key-value service, found no job, and answered an end of it, a read, or the body of an item with 404, though the attempt may be executed seconds later. It answers now that it can't be sure. test_job_with_an_open_attempt_is_not_denied failed before (NoSuchJob instead of Unknown).

--- a/lib/src/jobs/acceptance.rs
+++ b/lib/src/jobs/acceptance.rs
@@ -120,6 +120,7 @@
         }
         match self.find_acceptance(job).await {
             Ok(Some(acceptance)) if is_wanted(&acceptance) => AcceptanceOutcome::Accepted,
+            Ok(None) if self.shared.attempts.has_open(job) => AcceptanceOutcome::Unknown,
             Ok(_) => AcceptanceOutcome::NotAccepted,
             Err(_) => AcceptanceOutcome::Unknown,
         }
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -245,6 +245,7 @@
             return EndOutcome::Ended;
         }
         let outcome = match self.shared.store.load(job).await {
+            Ok(None) if self.shared.attempts.has_open(job) => return EndOutcome::Unknown,
             Ok(None) => return EndOutcome::NoSuchJob,
             Ok(Some(stored)) if stored.is_ended => EndOutcome::Ended,
             Ok(Some(_)) => self.store_end(job).await,
--- a/lib/src/jobs/read.rs
+++ b/lib/src/jobs/read.rs
@@ -229,6 +229,7 @@
                 }
                 ReadOutcome::Page(page)
             }
+            Ok(None) if self.shared.attempts.has_open(job) => ReadOutcome::Unknown,
             Ok(None) => ReadOutcome::NoSuchJob,
             Err(_) => ReadOutcome::Unknown,
         }
@@ -265,6 +266,7 @@
                 let found = spec.items.into_iter().find(|known| known.id == item);
                 found.map_or(BodyOutcome::NotFound, |item| BodyOutcome::Body(item.body))
             }
+            Ok(None) if self.shared.attempts.has_open(job) => BodyOutcome::Unknown,
             Ok(None) => BodyOutcome::NotFound,
             Err(_) => BodyOutcome::Unknown,
         }
