jobs: count failed runs of items over all owners of their job

Cause: failed runs were counted in the owner's memory alone. Neither a hand-over nor the answer to a call to give a job up told the count, and items without output were left out of both. A kill lost it as well, and an answer of 422 whose result was not stored yet.

A host of an earlier release ignores the counts and counts by itself.

--- a/lib/src/jobs/changeover.rs
+++ b/lib/src/jobs/changeover.rs
@@ -11,7 +11,6 @@
 use crate::events::LogEvent;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::GivenUpJob;
-use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobReply;
 use crate::jobs::message::KnownOwner;
@@ -53,8 +52,8 @@
     pub(super) reason: ClaimReason,
     /// Owner before, as far as this host knows.
     pub(super) previous: Option<JobOwner>,
-    /// Partial output of items that the owner before handed over.
-    pub(super) checkpoints: Vec<ItemCheckpoint>,
+    /// What the owner before handed over of its own accord.
+    pub(super) handed_over: GivenUpJob,
 }
 
 impl Takeover {
@@ -63,7 +62,7 @@
         Self {
             reason: ClaimReason::Submitted,
             previous: None,
-            checkpoints: Vec::new(),
+            handed_over: GivenUpJob::default(),
         }
     }
 }
@@ -93,8 +92,7 @@
     fn and(self, later: Self) -> Self {
         match (self, later) {
             (Self::Stopped(mut one), Self::Stopped(other)) => {
-                one.progress.extend(other.progress);
-                one.results.extend(other.results);
+                one.extend(other);
                 Self::Stopped(one)
             }
             (Self::Unanswered, _) | (_, Self::Unanswered) => Self::Unanswered,
@@ -231,8 +229,8 @@
             return not_owner(self.known_owner(job, &to));
         }
         let given_up = self.with_table(|table| GivenUpJob {
-            progress: table.checkpoints(job),
             results: table.uncommitted_results(job),
+            ..table.handed_over(job)
         });
         self.shared.log.write(LogEvent::JobGivenUp {
             job: job.to_owned(),
--- a/lib/src/jobs/dispatch.rs
+++ b/lib/src/jobs/dispatch.rs
@@ -251,7 +251,7 @@
                 return false;
             };
             let outcome = match routes.version() >= head.spec.version && routes.version() > 0 {
-                true => ItemOutcome::Impossible,
+                true => ItemOutcome::Unroutable,
                 false => ItemOutcome::Unplaced(dispatch.progress),
             };
             let now_ms = steady_unix_millis();
@@ -494,6 +494,7 @@
         ItemOutcome::Unplaced(_) => "unplaced",
         ItemOutcome::Failed(_) => "failed",
         ItemOutcome::Impossible => "impossible",
+        ItemOutcome::Unroutable => "unroutable",
     }
 }
 
@@ -504,7 +505,7 @@
         | ItemOutcome::Broken(progress)
         | ItemOutcome::Unplaced(progress)
         | ItemOutcome::Failed(progress) => progress.events,
-        ItemOutcome::Impossible => 0,
+        ItemOutcome::Impossible | ItemOutcome::Unroutable => 0,
     }
 }
 
--- a/lib/src/jobs/keeper.rs
+++ b/lib/src/jobs/keeper.rs
@@ -18,6 +18,8 @@
 use crate::jobs::acceptance::JobAcceptance;
 use crate::jobs::announcer::OwnershipAnnouncer;
 use crate::jobs::attempts::AttemptLedger;
+use crate::jobs::failures::FailureNotes;
+use crate::jobs::message::GivenUpJob;
 use crate::jobs::message::JobCall;
 use crate::jobs::message::JobPeerClient;
 use crate::jobs::message::JobReply;
@@ -115,6 +117,7 @@
     pub(super) ages: Mutex<RevisionAges>,
     pub(super) acceptances: AcceptanceCache,
     pub(super) attempts: Arc<AttemptLedger>,
+    pub(super) failure_notes: FailureNotes,
     pub(super) announcer: OwnershipAnnouncer,
     pub(super) results_committed: Notify,
     pub(super) work_available: Notify,
@@ -159,6 +162,7 @@
             ages: Mutex::new(RevisionAges::new(AGE_STEP, MAX_AGE.max(config.keep_time))),
             acceptances: AcceptanceCache::default(),
             attempts: Arc::default(),
+            failure_notes: FailureNotes::default(),
             announcer: OwnershipAnnouncer::default(),
             results_committed: Notify::new(),
             work_available: Notify::new(),
@@ -180,7 +184,8 @@
                 self.run_commits(),
                 self.run_scans(),
                 self.run_sweeps(),
-                self.run_hand_overs()
+                self.run_hand_overs(),
+                self.run_failure_reports()
             );
         };
         tokio::select! {
@@ -322,6 +327,9 @@
             let acceptance = JobAcceptance::from(&*spec);
             self.shared.acceptances.insert(job, acceptance);
         }
+        if let Some((open_version, failures)) = self.with_table(|table| table.failures(job)) {
+            self.shared.failure_notes.add(job, open_version, &failures);
+        }
         if self.with_table(|table| table.remove(job)) {
             self.log_job(job, outcome, items, committed);
         }
@@ -341,14 +349,15 @@
     /// Offers `job` to other hosts in the order in which they would claim it, to those that reach upstreams
     /// first.
     pub(super) async fn hand_over(&self, job: &str) {
-        let progress = self.with_table(|table| table.checkpoints(job));
+        let handed_over = self.with_table(|table| table.handed_over(job));
         let reaching = self.reaching_hosts();
         let mut successors = self.successors(job);
         successors.sort_by_key(|host| !reaching.contains(&host.host));
         for host in successors.iter().take(MAX_HAND_OVER_HOSTS) {
             let call = JobCall::HandOver {
                 job: job.to_owned(),
-                progress: progress.clone(),
+                progress: handed_over.progress.clone(),
+                failures: handed_over.failures.clone(),
             };
             let reply = self.shared.peers.call(host, call, HAND_OVER_TIMEOUT).await;
             if let Ok(JobReply::Taken) = reply {
@@ -379,10 +388,26 @@
                 },
                 None => JobReply::NotOwner,
             },
-            JobCall::HandOver { job, progress } => match self.take_over(&job, progress).await {
-                true => JobReply::Taken,
-                false => JobReply::NotOwner,
-            },
+            JobCall::HandOver {
+                job,
+                progress,
+                failures,
+            } => {
+                let handed_over = GivenUpJob {
+                    progress,
+                    results: Vec::new(),
+                    failures,
+                };
+                match self.take_over(&job, handed_over).await {
+                    true => JobReply::Taken,
+                    false => JobReply::NotOwner,
+                }
+            }
+            JobCall::NoteFailures {
+                job,
+                open_version,
+                failures,
+            } => self.answer_failures(&job, KvVersion(open_version), &failures),
             JobCall::GiveUp {
                 job,
                 owner_version,
--- a/lib/src/jobs/message.rs
+++ b/lib/src/jobs/message.rs
@@ -11,6 +11,7 @@
 
 use crate::ids::SoftwareVersion;
 use crate::jobs::acceptance::JobAcceptance;
+use crate::jobs::failures::ItemFailures;
 use crate::jobs::spec::JobResult;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::ResultPage;
@@ -43,6 +44,18 @@
     /// Results of items that had ended.
     #[serde(default)]
     pub results: Vec<JobResult>,
+    /// Items with failed runs; empty from an earlier release.
+    #[serde(default)]
+    pub failures: Vec<ItemFailures>,
+}
+
+impl GivenUpJob {
+    /// Adds what another owner had.
+    pub(super) fn extend(&mut self, other: Self) {
+        self.progress.extend(other.progress);
+        self.results.extend(other.results);
+        self.failures.extend(other.failures);
+    }
 }
 
 /// Owner of a job that a host knows, by a claim of its own or as it has seen it.
@@ -85,6 +98,9 @@
         job: String,
         /// Partial output of the items that had begun.
         progress: Vec<ItemCheckpoint>,
+        /// Items with failed runs; empty from an earlier release.
+        #[serde(default)]
+        failures: Vec<ItemFailures>,
     },
     /// Has the called host stop a job that the caller has claimed. A host of an earlier release does not
     /// know the call.
@@ -98,6 +114,16 @@
         /// Incarnation of the calling host.
         incarnation: u64,
     },
+    /// Tells a host that may claim the job what its owner knows of failed runs, and asks for what the host
+    /// knows of them. A host of an earlier release does not know the call.
+    NoteFailures {
+        /// Identifier of the job.
+        job: String,
+        /// Version of the job's `open` key.
+        open_version: u64,
+        /// Items with failed runs; empty from a host that only asks.
+        failures: Vec<ItemFailures>,
+    },
     /// Asks the called host to store a new job, as the caller does not reach the key-value service.
     Submit {
         /// The job as it was submitted.
@@ -139,6 +165,8 @@
     Taken,
     /// The called host has stopped the job's items, and commits no results of it any more.
     GivenUp(GivenUpJob),
+    /// What the called host knows of failed runs of the job's items.
+    Failures(Vec<ItemFailures>),
     /// The called host does not own the job, or did not take the offered one.
     NotOwner,
     /// The called host does not have the job by an earlier claim than the caller's, and knows another
--- a/lib/src/jobs/mod.rs
+++ b/lib/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod changeover;
 mod dispatch;
 mod estimator;
+mod failures;
 mod keeper;
 mod message;
 mod owners;
@@ -30,6 +31,7 @@
 
 pub use acceptance::AcceptanceOutcome;
 pub use acceptance::JobAcceptance;
+pub use failures::ItemFailures;
 pub use keeper::EndOutcome;
 pub use keeper::JobConfig;
 pub use keeper::JobKeeper;
--- a/lib/src/jobs/ownership.rs
+++ b/lib/src/jobs/ownership.rs
@@ -15,9 +15,9 @@
 use crate::jobs::changeover::PreviousOwner;
 use crate::jobs::changeover::Takeover;
 use crate::jobs::dispatch::RUN_TIMEOUT;
+use crate::jobs::failures::ItemFailures;
 use crate::jobs::keeper::JobKeeper;
 use crate::jobs::message::GivenUpJob;
-use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::spec::JobAge;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::store::ClosedJobListing;
@@ -171,7 +171,7 @@
             let takeover = Takeover {
                 reason: ClaimReason::OwnAgain,
                 previous: self.previous_owner(id),
-                checkpoints: Vec::new(),
+                handed_over: GivenUpJob::default(),
             };
             let claim = JobClaim {
                 open_version: job.version,
@@ -248,6 +248,17 @@
         }
     }
 
+    /// The other hosts that may own `job`, in the order in which they would claim it.
+    pub(super) fn claimers(&self, job: &str) -> Vec<HostEntry> {
+        let mut hosts = self.successors(SCAN_KEY);
+        let score = |entry: &HostEntry| std::cmp::Reverse(rendezvous_score(&entry.host, job));
+        let frequent = FREQUENT_SCANNERS.min(hosts.len());
+        let (frequent, rare) = hosts.split_at_mut(frequent);
+        frequent.sort_by_key(score);
+        rare.sort_by_key(score);
+        hosts
+    }
+
     /// The other hosts that may own `job`, in its rendezvous order.
     pub(super) fn successors(&self, job: &str) -> Vec<HostEntry> {
         let mut hosts = self.other_hosts();
@@ -267,15 +278,10 @@
 
     /// Claims an open job without a living owner, and runs it.
     pub(super) async fn claim(&self, job: &OpenJob, reason: ClaimReason) {
-        self.claim_with(job, reason, Vec::new()).await;
+        self.claim_with(job, reason, GivenUpJob::default()).await;
     }
 
-    async fn claim_with(
-        &self,
-        job: &OpenJob,
-        reason: ClaimReason,
-        checkpoints: Vec<ItemCheckpoint>,
-    ) {
+    async fn claim_with(&self, job: &OpenJob, reason: ClaimReason, handed_over: GivenUpJob) {
         let registry = &self.shared.registry;
         let (Some(lease), Some(fence)) = (registry.lease(), registry.name_fence()) else {
             return;
@@ -303,21 +309,21 @@
         let takeover = Takeover {
             reason,
             previous: named.or_else(|| self.previous_owner(&job.id)),
-            checkpoints,
+            handed_over,
         };
         self.load(&job.id, claim, takeover).await;
     }
 
-    /// Claims a job that its owner hands over, and resumes its items from `checkpoints`. Returns
+    /// Claims a job that its owner hands over, and continues its items from `handed_over`. Returns
     /// whether this host owns the job now; a leaving or stranded host takes none.
-    pub(super) async fn take_over(&self, id: &str, checkpoints: Vec<ItemCheckpoint>) -> bool {
+    pub(super) async fn take_over(&self, id: &str, handed_over: GivenUpJob) -> bool {
         if self.takes_no_jobs() {
             return false;
         }
         match self.shared.store.open_job(id).await {
             Ok(Some(job)) if job.owner.is_none() => {
                 let reason = ClaimReason::HandedOver;
-                self.claim_with(&job, reason, checkpoints).await;
+                self.claim_with(&job, reason, handed_over).await;
             }
             _ => return false,
         }
@@ -331,32 +337,17 @@
         self.see_owner(id, &self.shared.identity, claim.version());
         let is_known = self.with_table(|table| table.owns(id));
         let read = self.read_claimed(id, is_known);
-        let (takeover, previous, stored) = match takeover.previous {
-            Some(_) => {
-                let (previous, stored) = tokio::join!(self.displace(id, &claim, &takeover), read);
-                (takeover, previous, stored)
-            }
-            // No owner was seen, as by a host that has just started: the first one may still be at work.
-            None => {
-                let stored = read.await;
-                let info = stored.as_ref().map(|(_, stored)| &stored.info);
-                let first = info.and_then(|info| info.first_owner.clone());
-                let first = first.filter(|owner| *owner != self.shared.identity);
-                let takeover = Takeover {
-                    previous: first,
-                    ..takeover
-                };
-                let previous = self.displace(id, &claim, &takeover).await;
-                (takeover, previous, stored)
-            }
-        };
+        let recall = self.recall_for(id, &claim, takeover.reason, is_known);
+        let change = self.displace_and_read(id, &claim, takeover, read);
+        let (recalled, (takeover, previous, stored)) = tokio::join!(recall, change);
         self.log_claimed(id, &claim, &takeover, &previous);
         let is_doubtful = matches!(previous, PreviousOwner::Unanswered);
         let mut given_up = match previous {
             PreviousOwner::Stopped(given_up) => given_up,
             _ => GivenUpJob::default(),
         };
-        given_up.progress.extend(takeover.checkpoints);
+        given_up.extend(takeover.handed_over);
+        given_up.failures.extend(recalled);
         let Some((spec, stored)) = stored else {
             return;
         };
@@ -371,6 +362,59 @@
         self.shared.work_available.notify_one();
     }
 
+    /// Has the owner before of a claimed job stop its items, and reads the job by `read` meanwhile. Also returns
+    /// the takeover with that owner.
+    async fn displace_and_read(
+        &self,
+        id: &str,
+        claim: &JobClaim,
+        takeover: Takeover,
+        read: impl Future<Output = Option<(Option<JobSpec>, StoredJob)>>,
+    ) -> (
+        Takeover,
+        PreviousOwner,
+        Option<(Option<JobSpec>, StoredJob)>,
+    ) {
+        match takeover.previous {
+            Some(_) => {
+                let (previous, stored) = tokio::join!(self.displace(id, claim, &takeover), read);
+                (takeover, previous, stored)
+            }
+            // No owner was seen, as by a host that has just started: the first one may still be at work.
+            None => {
+                let stored = read.await;
+                let info = stored.as_ref().map(|(_, stored)| &stored.info);
+                let first = info.and_then(|info| info.first_owner.clone());
+                let first = first.filter(|owner| *owner != self.shared.identity);
+                let takeover = Takeover {
+                    previous: first,
+                    ..takeover
+                };
+                let previous = self.displace(id, claim, &takeover).await;
+                (takeover, previous, stored)
+            }
+        }
+    }
+
+    /// Failures of items of a job that was claimed, as far as neither this host nor the owner before knows
+    /// them.
+    async fn recall_for(
+        &self,
+        id: &str,
+        claim: &JobClaim,
+        reason: ClaimReason,
+        is_known: bool,
+    ) -> Vec<ItemFailures> {
+        match reason {
+            ClaimReason::Submitted => Vec::new(),
+            ClaimReason::OwnAgain if is_known => Vec::new(),
+            ClaimReason::HandedOver => self.shared.failure_notes.get(id, claim.open_version),
+            ClaimReason::OwnAgain | ClaimReason::Lapsed | ClaimReason::SameName => {
+                self.recall_failures(id, claim.open_version).await
+            }
+        }
+    }
+
     /// The last seen owner of `job` other than this process.
     fn previous_owner(&self, job: &str) -> Option<JobOwner> {
         let own = &self.shared.identity;
@@ -408,10 +452,10 @@
         self.log_reloaded(id, &stored);
         let age = self.job_age(claim.open_version);
         let now = Instant::now();
-        let has_job = self.with_table(|table| {
+        let (has_job, given_up_items) = self.with_table(|table| {
             // Under the lock of the table, as a call to give the job up may come at the same time.
             if self.is_claimed_after(id, &claim) {
-                return false;
+                return (false, Vec::new());
             }
             match spec {
                 Some(spec) if !table.owns(id) => {
@@ -425,8 +469,18 @@
             }
             table.apply_checkpoints(id, given_up.progress);
             table.adopt_results(id, given_up.results, now);
-            table.owns(id)
+            let given_up_items = table.apply_failures(id, given_up.failures, now);
+            (table.owns(id), given_up_items)
         });
+        for item in given_up_items {
+            self.shared.log.write(LogEvent::Item {
+                item,
+                job: id.to_owned(),
+                outcome: "failed_before".to_owned(),
+                events: 0,
+                reason: None,
+            });
+        }
         self.log_repeated(id, self.with_table(|table| table.repeated_results(id)));
         self.shared.results_committed.notify_waiters();
         has_job
--- a/lib/src/jobs/table.rs
+++ b/lib/src/jobs/table.rs
@@ -13,6 +13,8 @@
 use crate::edges::kv::LeaseId;
 use crate::ids::SoftwareVersion;
 use crate::jobs::estimator::DurationEstimator;
+use crate::jobs::failures::ItemFailures;
+use crate::jobs::message::GivenUpJob;
 use crate::jobs::message::ItemCheckpoint;
 use crate::jobs::progress::ItemProgress;
 use crate::jobs::segments::ResultSegment;
@@ -72,8 +74,10 @@
     Unplaced(ItemProgress),
     /// The upstream answered with an internal error; counts as a failed attempt.
     Failed(ItemProgress),
-    /// Will fail in any run; becomes a dead letter at once.
+    /// The upstream said that the item can never succeed; becomes a dead letter at once.
     Impossible,
+    /// Its route was removed; becomes a dead letter at once.
+    Unroutable,
 }
 
 #[derive(Debug)]
@@ -106,6 +110,8 @@
     is_held: bool,
     /// Time until which the owner before may be at work, as it did not answer.
     doubtful_until: Option<Instant>,
+    /// Whether any item has had a failed run.
+    has_failures: bool,
 }
 
 impl OwnedJob {
@@ -121,6 +127,17 @@
         self.finished_since = has_finished.then_some(now);
     }
 
+    /// Items with failed runs and no committed result.
+    fn failures(&self) -> Vec<ItemFailures> {
+        let owned_items = self.owned_items.iter().enumerate();
+        let failed = owned_items.filter(|(_, owned_item)| {
+            owned_item.failures > 0 && owned_item.state != ItemState::Committed
+        });
+        failed
+            .map(|(index, owned_item)| (index, owned_item.failures).into())
+            .collect()
+    }
+
     /// Whether all items have committed results.
     fn is_complete(&self) -> bool {
         let mut owned_items = self.owned_items.iter();
@@ -323,6 +340,7 @@
             is_ending: false,
             is_held: false,
             doubtful_until: None,
+            has_failures: false,
             spec,
         };
         job.select_routes(&self.routes);
@@ -635,9 +653,13 @@
         }
         let result = match outcome {
             ItemOutcome::Done(progress) => Some((ResultState::Done, progress)),
-            ItemOutcome::Impossible => Some((ResultState::DeadLetter, ItemProgress::default())),
+            ItemOutcome::Impossible => {
+                owned_item.failures = ItemFailures::FOR_GOOD;
+                Some((ResultState::DeadLetter, ItemProgress::default()))
+            }
+            ItemOutcome::Unroutable => Some((ResultState::DeadLetter, ItemProgress::default())),
             ItemOutcome::Failed(progress) => {
-                owned_item.failures += 1;
+                owned_item.failures = owned_item.failures.saturating_add(1);
                 let is_over = owned_item.failures >= attempts || is_late;
                 owned_item.requeue(progress, now);
                 is_over.then(|| (ResultState::DeadLetter, ItemProgress::default()))
@@ -653,14 +675,71 @@
                 is_late.then(|| (ResultState::DeadLetter, ItemProgress::default()))
             }
         };
+        owned.has_failures |= owned.owned_items[index].failures > 0;
         if let Some((state, progress)) = result {
             owned.finish_item(index, state, progress.text, now);
         }
         Some(owned.owned_items[index].state)
     }
 
+    /// What this host has of the items of `job` for the host that takes the job over, except for results.
+    pub(crate) fn handed_over(&self, job: &str) -> GivenUpJob {
+        GivenUpJob {
+            progress: self.checkpoints(job),
+            results: Vec::new(),
+            failures: self
+                .failures(job)
+                .map_or_else(Vec::new, |(_, failures)| failures),
+        }
+    }
+
+    /// Items of `job` with failed runs and no committed result, and the version of the job's `open` key;
+    /// `None` if this host does not own it.
+    pub(crate) fn failures(&self, job: &str) -> Option<(KvVersion, Vec<ItemFailures>)> {
+        let job = self.jobs.get(job)?;
+        Some((job.claim.open_version, job.failures()))
+    }
+
+    /// Identifiers of the jobs that have such items, with the same.
+    pub(crate) fn failed_jobs(&self) -> Vec<(String, KvVersion, Vec<ItemFailures>)> {
+        let failed = self.jobs.iter().filter(|(_, job)| job.has_failures);
+        let failed = failed.map(|(id, job)| (id.clone(), job.claim.open_version, job.failures()));
+        failed
+            .filter(|(.., failures)| !failures.is_empty())
+            .collect()
+    }
+
+    /// Adopts counts of failed runs of items of `job`, where they are greater than what this host has. A
+    /// waiting item that has failed as often as the job permits becomes a dead letter. Returns the identifiers
+    /// of those.
+    pub(crate) fn apply_failures(
+        &mut self,
+        job: &str,
+        failures: Vec<ItemFailures>,
+        now: Instant,
+    ) -> Vec<String> {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return Vec::new();
+        };
+        let mut given_up = Vec::new();
+        let attempts = job.spec.attempts.max(1);
+        for known in failures {
+            let Some(owned_item) = job.owned_items.get_mut(known.index) else {
+                continue;
+            };
+            owned_item.failures = owned_item.failures.max(known.failures);
+            let is_over = owned_item.failures >= attempts;
+            job.has_failures = true;
+            if is_over && owned_item.state == ItemState::Waiting {
+                job.finish_item(known.index, ResultState::DeadLetter, Vec::new(), now);
+                given_up.push(job.spec.items[known.index].id.clone());
+            }
+        }
+        given_up
+    }
+
     /// Partial output of the waiting items of `job`, for the host that takes the job over.
-    pub(crate) fn checkpoints(&self, job: &str) -> Vec<ItemCheckpoint> {
+    fn checkpoints(&self, job: &str) -> Vec<ItemCheckpoint> {
         let Some(job) = self.jobs.get(job) else {
             return Vec::new();
         };
--- a/lib/tests/job_fleet/mod.rs
+++ b/lib/tests/job_fleet/mod.rs
@@ -54,7 +54,8 @@
 pub(crate) enum PeerFault {
     /// Calls reach the host, and no answer comes back.
     Silent,
-    /// The host knows no calls to give a job up or for whom it was accepted, as one of an earlier release.
+    /// The host knows no calls to give a job up, for whom it was accepted or about failed runs, as one of an
+    /// earlier release.
     Earlier,
 }
 
@@ -100,7 +101,10 @@
             return Err(PeerError::NotSent("connection refused".to_owned()));
         };
         let fault = self.faults.lock().unwrap().get(&host.peers).copied();
-        let is_new = matches!(call, JobCall::GiveUp { .. } | JobCall::Acceptance { .. });
+        let is_new = matches!(
+            call,
+            JobCall::GiveUp { .. } | JobCall::Acceptance { .. } | JobCall::NoteFailures { .. }
+        );
         if fault == Some(PeerFault::Silent) {
             tokio::time::sleep(timeout).await;
             return Err(PeerError::NoReply("no reply in time".to_owned()));
