soak: items that fail at each run, and rare long requests amid short ones

The soak checks that such items are given up after as many failures as their job permits, no sooner and not many more, over all owners of the job.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -34,6 +34,7 @@
 use crate::history::CallRecord;
 use crate::history::SoakHistory;
 use crate::inject::FaultInjector;
+use crate::plan::FIRST_FAILING_SEED;
 use crate::play_clients::BrokenStream;
 use crate::tenants;
 
@@ -62,6 +63,11 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
+/// One in this many requests that may run once is long, in runs with such.
+const LONG_ONE_IN: u32 = 40;
+/// Seconds that it takes.
+const LONG_S: u64 = 4;
+
 /// A client that sends one request at a time.
 pub struct SoakCaller {
     number: usize,
@@ -73,6 +79,8 @@
     resolved_at: Option<Instant>,
     idle: Option<CallerConnection>,
     calls: u64,
+    /// Whether it keeps its connection until that closes, and sends rare long requests amid short ones.
+    is_lasting: bool,
 }
 
 impl SoakCaller {
@@ -94,6 +102,7 @@
             resolved_at: None,
             idle: None,
             calls: 0,
+            is_lasting: seed >= FIRST_FAILING_SEED,
         }
     }
 
@@ -120,9 +129,12 @@
         for attempt in 0..MAX_ATTEMPTS {
             let id = format!("call-{}-{}-{attempt}", self.number, self.calls);
             let cancels = kind == CallKind::Stream && self.rng.random_ratio(1, CANCEL_ONE_IN);
-            let id = match cancels {
-                true => format!("{id}-{}", content::CANCEL_SUFFIX),
-                false => id,
+            let is_long =
+                self.is_lasting && kind == CallKind::Once && self.rng.random_ratio(1, LONG_ONE_IN);
+            let id = match (cancels, is_long) {
+                (true, _) => format!("{id}-{}", content::CANCEL_SUFFIX),
+                (_, true) => content::lasting(&id, LONG_S),
+                _ => id,
             };
             let Some(connection) = self.connect(attempt > 0).await else {
                 return;
@@ -218,7 +230,8 @@
     async fn connect(&mut self, is_retry: bool) -> Option<CallerConnection> {
         self.refresh_addresses().await;
         let idle = self.idle.take();
-        let idle = idle.filter(|idle| !is_retry && self.addresses.contains(&idle.front));
+        let is_kept = |front: usize| self.is_lasting || self.addresses.contains(&front);
+        let idle = idle.filter(|idle| !is_retry && is_kept(idle.front));
         if let Some(mut idle) = idle
             && idle.sender.ready().await.is_ok()
         {
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -127,6 +127,12 @@
     }
 }
 
+/// Failed runs after which an item is given up (`attempts` of the route of batch jobs).
+const ITEM_ATTEMPTS: usize = 3;
+/// Most failed runs of an item, over all owners of its job. The rules of the platform allow three times
+/// `attempts`.
+const MAX_FAILURES: usize = 2 * ITEM_ATTEMPTS;
+
 /// Whether a request was cut off although only planned maintenance was going on.
 ///
 /// A request that no worker got and that failed quickly doesn't count, as the front may never have
@@ -327,10 +333,12 @@
             violations.push(format!("REFUSED: {} was refused and ran", job.id));
         }
         for result in job.results.iter().filter(|result| result.state != "done") {
-            if !content::is_poison(&result.id) && !job.cancel_sent {
+            let may_fail = content::is_poison(&result.id) || content::is_failing(&result.id);
+            if !may_fail && !job.cancel_sent {
                 violations.push(format!("MIXED: {} is {}", result.id, result.state));
             }
         }
+        check_failing_items(job, executions, violations);
         let Some(ended) = job.cancelled_at else {
             continue;
         };
@@ -349,6 +357,30 @@
     }
 }
 
+/// Checks that items which fail at each run are given up after as many failures as their job permits, and not
+/// many more, over all owners of the job.
+fn check_failing_items(
+    job: &JobRecord,
+    executions: &BTreeMap<&str, Vec<&ExecutionRecord>>,
+    violations: &mut Vec<String>,
+) {
+    for id in job.items.iter().filter(|id| content::is_failing(id)) {
+        let runs = executions.get(id.as_str()).into_iter().flatten();
+        let is_whole = |run: &&&ExecutionRecord| {
+            let ended = run.ended_at;
+            ended.is_some_and(|ended| ended - run.began_at >= content::fail_time(id))
+        };
+        let failures = runs.filter(is_whole).count();
+        if failures > MAX_FAILURES {
+            violations.push(format!("BUDGET: {id} failed {failures} times"));
+        }
+        let is_given_up = job.results.iter().any(|result| result.id == *id);
+        if is_given_up && failures < ITEM_ATTEMPTS && !job.cancel_sent {
+            violations.push(format!("MIXED: {id} is given up after {failures} failures"));
+        }
+    }
+}
+
 /// Checks that at least a quarter of the requests sent after the recovery time are served.
 fn check_recovery(calls: &[CallRecord], from: Duration, violations: &mut Vec<String>) {
     let late: Vec<&CallRecord> = calls
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -20,6 +20,8 @@
 pub const CANCEL_SUFFIX: &str = "leaves";
 /// Suffix of the identifiers of other requests and batch items with long answers.
 pub const LONG_SUFFIX: &str = "long";
+/// Time that a worker takes for a short answer that is no stream.
+pub const WORK_TIME: Duration = Duration::from_millis(8);
 /// Time between two events of an answer.
 const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 /// Text before the length in seconds at the end of the identifiers of requests whose answers take so
@@ -31,6 +33,11 @@
 const VERSION_MARK: &str = " by ";
 /// One in this many batch items is rejected by every worker.
 const POISON_ONE_IN: u64 = 40;
+/// Suffix of the identifiers of batch items that fail at each run (status 500).
+const FAILING_SUFFIX: &str = "-fails";
+/// Shortest time after which a worker fails such an item, in milliseconds, and exclusive upper bound of the
+/// time that is added to it.
+const FAIL_MS: (u64, u64) = (300, 570);
 /// Prefix of the identifiers of batch items.
 pub const ITEM_PREFIX: &str = "item";
 
@@ -101,6 +108,27 @@
     whole.map(|(_, version)| *version).chain(first).collect()
 }
 
+/// Identifier that begins with `name`, of a batch item that fails at each run.
+pub fn failing(name: &str) -> String {
+    format!("{name}{FAILING_SUFFIX}")
+}
+
+/// Whether `id` is a batch item that fails at each run.
+pub fn is_failing(id: &str) -> bool {
+    id.starts_with(ITEM_PREFIX) && id.ends_with(FAILING_SUFFIX)
+}
+
+/// Time after which a worker fails the item `id`.
+pub fn fail_time(id: &str) -> Duration {
+    let (least, range) = FAIL_MS;
+    Duration::from_millis(least + xxh3_64(id.as_bytes()) % range)
+}
+
+/// Time that a worker takes for an answer to `id` that is no stream.
+pub fn work_time(id: &str) -> Duration {
+    length_s(id).map_or(WORK_TIME, Duration::from_secs)
+}
+
 /// Whether workers reject `id` as a batch item that can never succeed (status 422).
 pub fn is_poison(id: &str) -> bool {
     id.starts_with(ITEM_PREFIX)
--- a/soak/src/jobs.rs
+++ b/soak/src/jobs.rs
@@ -27,6 +27,7 @@
 use crate::job_reads::JobReads;
 use crate::job_reads::ReadPage;
 use crate::plan::FIRST_DOUBLED_SEED;
+use crate::plan::FIRST_FAILING_SEED;
 use crate::plan::FIRST_LATE_SEED;
 use crate::tenants;
 
@@ -129,7 +130,7 @@
         let version = versions.first().copied().unwrap_or_default();
         let whole = result.output == content::whole_output(&result.id, version);
         let is_right = match result.state.as_str() {
-            "done" => whole && !content::is_poison(&result.id),
+            "done" => whole && !content::is_poison(&result.id) && !content::is_failing(&result.id),
             _ => true,
         };
         if !is_right {
@@ -183,16 +184,19 @@
         let count = rng.random_range(ITEM_COUNT);
         let id = format!("lot-{seed}-{number}");
         let is_late = seed >= FIRST_LATE_SEED;
-        let lasts = is_late && rng.random_ratio(1, 2);
+        let is_special = is_late && rng.random_ratio(1, 2);
+        let fails = is_special && seed >= FIRST_FAILING_SEED;
+        let lasts = is_special && !fails;
         let count = match lasts {
             true => rng.random_range(LASTING_ITEM_COUNT),
             false => count,
         };
         let items = (0..count).map(|item| {
             let name = format!("{}-{id}-{item}", content::ITEM_PREFIX);
-            match lasts {
-                true => content::lasting(&name, LASTING_ITEM_S),
-                false => name,
+            match (lasts, fails) {
+                (true, _) => content::lasting(&name, LASTING_ITEM_S),
+                (_, true) => content::failing(&name),
+                _ => name,
             }
         });
         let job = JobRecord {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -26,7 +26,10 @@
 /// First seed of the plans in which the store answers late and jobs lose their owners' keys. Lower seeds
 /// draw neither.
 pub const FIRST_LATE_SEED: u64 = 2000;
-/// One in this many of these seeds has all kinds, and the others have planned maintenance and faults that
+/// First seed of the runs with items that fail at each run and with rare long requests amid short ones. Their
+/// faults only stop, suspend and kill fronts; those of even seeds are planned maintenance.
+pub const FIRST_FAILING_SEED: u64 = 3000;
+/// One in this many of the other seeds from `FIRST_DOUBLED_SEED` on has all kinds, and the others have planned maintenance and faults that
 /// may double runs only, as most other faults excuse runs beside one another.
 const ALL_KINDS_ONE_IN: u64 = 3;
 /// Times of day of [`FaultKind::ClockWrong`] less the right one.
@@ -283,6 +286,9 @@
 
 /// Whether plans of `seed` have faults of `kind`.
 fn is_drawn(kind: FaultKind, seed: u64) -> bool {
+    if seed >= FIRST_FAILING_SEED {
+        return kind.interrupts_fronts() && (kind.is_planned() || !seed.is_multiple_of(2));
+    }
     if seed >= FIRST_LATE_SEED {
         let all_kinds = seed.is_multiple_of(ALL_KINDS_ONE_IN);
         return all_kinds || kind.interrupts_fronts() || kind.unsettles_jobs();
--- a/soak/src/workers.rs
+++ b/soak/src/workers.rs
@@ -43,8 +43,6 @@
 use crate::tenants;
 use crate::worker_link::WorkerLinks;
 
-/// Time that a worker takes for an answer that is no stream.
-const WORK_TIME: Duration = Duration::from_millis(8);
 /// Service of all routes in the first manifest.
 pub const DESK: &str = "desk";
 /// Service to which a later manifest may move a route.
@@ -184,7 +182,7 @@
         tokio::time::sleep(DRAIN_TIME).await;
         let _ = self.kv.delete(&entry_key(&name), Expect::Any).await;
         while worker.process.active.load(Ordering::Relaxed) > 0 {
-            tokio::time::sleep(WORK_TIME).await;
+            tokio::time::sleep(content::WORK_TIME).await;
         }
     }
 
@@ -465,11 +463,15 @@
         let fails = self.fails_partly.load(Ordering::Relaxed)
             && request_count.is_multiple_of(PARTIAL_FAILURE_ONE_IN);
         let mut reply = match path.split('/').nth(1) {
+            _ if content::is_failing(&id) => {
+                tokio::time::sleep(content::fail_time(&id)).await;
+                empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
             _ if content::is_poison(&id) => empty(StatusCode::UNPROCESSABLE_ENTITY),
             _ if fails => empty(StatusCode::INTERNAL_SERVER_ERROR),
             Some("ask" | "lot") => events(content_id, self.version.clone(), resume_after, active),
             _ => {
-                tokio::time::sleep(WORK_TIME).await;
+                tokio::time::sleep(content::work_time(&id)).await;
                 let output = content::whole_output(&id, &self.version);
                 Response::new(Full::new(Bytes::from(output)).boxed_unsync())
             }
