--- a/soak/tests/test_check.rs
+++ b/soak/tests/test_check.rs
@@ -462,3 +462,36 @@
     let joined = outcome(&answer(3), true);
     assert!(matches!(joined, CallOutcome::Joined(_)), "{joined:?}");
 }
+
+#[test]
+fn test_check_items_that_fail_at_each_run() {
+    let id = content::failing("item-a");
+    let run = |id: &str| ExecutionRecord {
+        began_at: at(20.0),
+        ended_at: Some(at(20.0) + content::fail_time(id)),
+        ..execution(id)
+    };
+    let broken = |runs: usize, is_listed: bool| {
+        let result = ItemResult {
+            id: id.clone(),
+            state: "dead_letter".to_owned(),
+            output: String::new(),
+        };
+        let job = JobRecord {
+            items: vec![id.clone()],
+            results: is_listed.then_some(result).into_iter().collect(),
+            ..job(0)
+        };
+        let records = Records {
+            executions: (0..runs).map(|_| run(&id)).collect(),
+            ..Records::default()
+        };
+        let broken = rules(&records, &[job]).into_iter();
+        broken.filter(|rule| *rule != "LOST").collect::<Vec<_>>()
+    };
+    assert!(broken(2, false).is_empty());
+    assert_eq!(broken(2, true), ["MIXED"]);
+    assert!(broken(3, true).is_empty());
+    assert!(broken(6, true).is_empty());
+    assert_eq!(broken(7, true), ["BUDGET"]);
+}
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -169,3 +169,10 @@
 async fn test_soak_late_answers() {
     play(2002, 8).await;
 }
+
+/// Items fail at each run while the fronts that own their jobs are stopped, and rare long requests come amid
+/// short ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_soak_failing_items() {
+    play(3000, 8).await;
+}
