--- a/lib/src/relay/request_relay.rs
+++ b/lib/src/relay/request_relay.rs
@@ -465,10 +465,6 @@
     /// at another upstream after a failure, only while its body is polled. It breaks off when the
     /// stream is taken up by another request, here or at another host.
     pub async fn relay(&self, mut request: RelayRequest) -> RelayAnswer {
-        // Before the run that it takes up is ended.
-        if !self.is_admitted(&request) {
-            return self.refuse_stopping(&request, true);
-        }
         let taken_up = match self.set_origin(&mut request).await {
             Ok(taken_up) => taken_up,
             Err(reason) => {
