--- a/lib/tests/test_stop_gate.rs
+++ b/lib/tests/test_stop_gate.rs
@@ -10,12 +10,17 @@
 use opaque::read_stream;
 use opaque::request;
 use opaque::route;
+use parsleywall::ids::WorkspaceName;
 use parsleywall::relay::RelayAnswer;
 use parsleywall::relay::RelayRefusal;
 use parsleywall::relay::RequestRelay;
 use parsleywall::relay::StopGate;
 use parsleywall::routes::Route;
 use parsleywall::routes::RouteKind;
+use parsleywall::workspaces::CallerIdentity;
+use parsleywall::workspaces::Workspace;
+use parsleywall::workspaces::WorkspaceDirectory;
+use parsleywall::workspaces::WorkspaceKeys;
 use parsleywall_standins::opaque::OpaqueUpstreams;
 use rand::Rng;
 use rand::SeedableRng;
@@ -247,3 +252,51 @@
         }
     }
 }
+
+/// Guards against a request that waits for room while a planned stop begins, and is then sent too late or cut
+/// off while it waits.
+#[tokio::test(start_paused = true)]
+async fn test_stop_refuses_a_request_that_waits_for_room() {
+    let gap = Duration::from_millis(100);
+    let transport = OpaqueUpstreams::new(30, gap, gap);
+    let relay = new_relay("host-a", transport.clone(), &["u0"]);
+    let workspace = Workspace::new(WorkspaceName::new("workspace"));
+    let keys = WorkspaceKeys {
+        workspace: workspace.clone(),
+        keys: vec!["key".to_owned()],
+    };
+    relay.set_workspaces(Some(&WorkspaceDirectory::new(vec![keys]).unwrap()));
+    let caller = CallerIdentity::Member(Arc::new(workspace));
+    let mut answers = JoinSet::new();
+    for number in 0..2 * opaque::SLOTS {
+        let mut sent = request(
+            &format!("s{number}"),
+            slow_route(Duration::from_millis(3_500)),
+        );
+        sent.caller = caller.clone();
+        let relay = relay.clone();
+        answers.spawn(async move { (sent.id.to_string(), relay.relay(sent).await) });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(gap * 3).await;
+    let sent = transport.attempts();
+    let is_sent = |id: &str| sent.iter().any(|attempt| attempt.request == id);
+    let began = Instant::now();
+    relay.stop_gate().begin(began + Duration::from_secs(1));
+    let mut refused = 0;
+    // Keep their slots.
+    let mut streams = Vec::new();
+    while let Some(answer) = answers.join_next().await {
+        let (id, answer) = answer.unwrap();
+        let RelayAnswer::Refused { reason, .. } = answer else {
+            assert!(is_sent(&id), "{id} is sent too late");
+            streams.push(answer);
+            continue;
+        };
+        assert_eq!(reason, RelayRefusal::ShuttingDown);
+        assert!(began.elapsed() < gap, "{id} is refused late");
+        refused += 1;
+    }
+    assert!(refused > 0, "no request has waited");
+    assert_eq!(transport.attempts().len(), sent.len());
+}
