review: set the time at which the items of case 11 end

Cause: the case ended the job at a time that followed from how long the hand-over took, and held where that was too late.

Added: the workers' stand-ins end resumed items at a set time.

--- a/review/tool-3/ended_job.rs
+++ b/review/tool-3/ended_job.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,11 +23,14 @@
 const ITEMS: usize = 24;
 /// Age of the reads for which clients of the store ask with `staleOk`.
 const STALE_AGE: Duration = Duration::from_secs(3);
-const EVENTS: u64 = 83;
+/// Events of an item; one that goes on after the hand-over ends at a set time.
+const EVENTS: u64 = 99;
 const EVENT_GAP: Duration = Duration::from_millis(100);
 /// Bound of the deployment from the acknowledgement of a job's end.
 const CANCEL_TIME: Duration = Duration::from_millis(3_000);
-/// Time before the end of running items at which the job is ended.
+/// Time from SIGTERM to the end of the items that run then.
+const ITEMS_END: Duration = Duration::from_millis(5_900);
+/// Time before that at which the job is ended.
 const BEFORE_END: Duration = Duration::from_millis(3_120);
 const JOB: &str = "7c41e09b52d6a3f8";
 
@@ -52,10 +56,23 @@
     let network = fleet::free_network(FRONTS).ok_or("no free addresses")?;
     let store = Store::start(&format!("{network}.1"), STALE_AGE).map_err(|err| err.to_string())?;
     store.put("op/config", &manifest());
+    let items_end: Arc<Mutex<Option<Instant>>> = Arc::default();
     let workers: Result<Vec<Worker>, _> = (1..=WORKERS)
         .map(|number| {
             let (id, ip) = (format!("i-7f3a91c{number}"), format!("{network}.{number}"));
-            let length = Arc::new(|_: &http::Message| EVENTS);
+            let items_end = items_end.clone();
+            let length = Arc::new(move |request: &http::Message| {
+                let last = request.header("last-event-id");
+                let after: Option<u64> = last.and_then(|last| last.parse().ok());
+                let end = *items_end.lock().expect("end lock");
+                match (after, end) {
+                    (Some(after), Some(end)) => {
+                        let left = end.saturating_duration_since(Instant::now());
+                        after + (left.as_millis() / EVENT_GAP.as_millis()) as u64
+                    }
+                    _ => EVENTS,
+                }
+            });
             Worker::start(&id, &ip, "jm-west-a", EVENT_GAP, length, &store, record)
         })
         .collect();
@@ -88,6 +105,7 @@
     thread::sleep(Duration::from_secs(4));
     let stopped = Instant::now();
     if is_disturbed {
+        *items_end.lock().expect("end lock") = Some(stopped + ITEMS_END);
         fronts[first].signal("-TERM");
         record.add(&format!("SIGTERM to {}", fronts[first].name));
     }
@@ -100,8 +118,14 @@
     let other = &fronts[other.ok_or("there is no third front")?];
 
     // The job is ended a little more than the bound before the first items end.
-    let ends = expected_end(&workers).ok_or("no item runs")?;
-    let at = ends.checked_sub(BEFORE_END).unwrap_or(stopped);
+    if workers
+        .iter()
+        .flat_map(Worker::runs)
+        .all(|run| run.ended.is_some())
+    {
+        return Err("no item runs".to_owned());
+    }
+    let at = stopped + ITEMS_END - BEFORE_END;
     thread::sleep(at.saturating_duration_since(Instant::now()));
     record.add(&format!("the end of the job is sent to {}", other.name));
     let ended = http::call(
@@ -155,11 +179,3 @@
     let names = (1..=FRONTS).map(|number| format!("front-jm-west-a-{number}"));
     names.into_iter().find(|name| value.contains(name.as_str()))
 }
-
-/// When the first of the items that run now will end.
-fn expected_end(workers: &[Worker]) -> Option<Instant> {
-    let runs = workers.iter().flat_map(Worker::runs);
-    let open = runs.filter(|run| run.ended.is_none());
-    open.map(|run| run.began + EVENT_GAP * (EVENTS - run.after) as u32)
-        .min()
-}
