review: a stopping front cuts off a stream that may be repeated

Cause: the stop gate forgets long streams of a route within some hundred short ones, if they may be repeated.

--- a/review/tool-3/long_request.rs
+++ b/review/tool-3/long_request.rs
@@ -1,4 +1,5 @@
-//! A long request arrives at a process that shuts down.
+//! A long request arrives at a process that shuts down: one that may run once, at a process that has served
+//! none before, or one that may be repeated, at a process that has served one among many short ones.
 
 use std::io::BufReader;
 use std::io::Write;
@@ -25,26 +26,52 @@
 const FRONTS: usize = 2;
 const TOKENS_PER_EVENT: u64 = 7;
 const EVENT_GAP: Duration = Duration::from_millis(17);
-const SHORT_TOKENS: u64 = 250;
 const LONG_TOKENS: u64 = 1_950;
-const SHORT_REQUESTS: usize = 60;
 const TIME_LIMIT: Duration = Duration::from_millis(5_000);
 const GRACE: Duration = Duration::from_secs(8);
 /// Time from SIGTERM to the long request; past the three seconds in which a request may be too long.
 const AFTER_TERM: Duration = Duration::from_millis(3_200);
 
-pub fn play(is_disturbed: bool, record: &Record, folder: &Path) -> Verdict {
-    match try_play(is_disturbed, record, folder) {
+/// The requests of the route before the process is stopped.
+pub struct History {
+    /// Whether requests of the route may be repeated.
+    is_resumable: bool,
+    /// Whether a long request is served first.
+    has_long: bool,
+    short_requests: usize,
+    short_tokens: u64,
+}
+
+impl History {
+    /// Requests that may run once, of which none is long.
+    pub const ONCE: Self = Self {
+        is_resumable: false,
+        has_long: false,
+        short_requests: 60,
+        short_tokens: 250,
+    };
+
+    /// Requests that may be repeated, of which the first one is long.
+    pub const REPEATABLE: Self = Self {
+        is_resumable: true,
+        has_long: true,
+        short_requests: 300,
+        short_tokens: 84,
+    };
+}
+
+pub fn play(history: &History, is_disturbed: bool, record: &Record, folder: &Path) -> Verdict {
+    match try_play(history, is_disturbed, record, folder) {
         Ok(verdict) => verdict,
         Err(cause) => Verdict::NotRun(cause),
     }
 }
 
-fn manifest() -> String {
+fn manifest(is_resumable: bool) -> String {
     format!(
         "{{\"version\":3,\"routes\":[{{\"name\":\"material-quote\",\"host\":\"{HOST}\",\"prefix\":\"/lohu930/\",\
-         \"kind\":\"stream\",\"resumable\":false,\"service\":\"{0}\",\"timeoutMs\":5000,\"sloMs\":300,\
-         \"gapSloMs\":300,\"attempts\":1,\"priority\":0,\"sticky\":true}}],\
+         \"kind\":\"stream\",\"resumable\":{is_resumable},\"service\":\"{0}\",\"timeoutMs\":5000,\"sloMs\":300,\
+         \"gapSloMs\":300,\"attempts\":2,\"priority\":0,\"sticky\":true}}],\
          \"services\":[{{\"name\":\"{0}\",\"healthPath\":\"/health\"}}],\
          \"limits\":{{\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerMs\":3000,\"idleMs\":15000}}}}",
         service()
@@ -77,11 +104,16 @@
     http::read_message(&mut BufReader::new(stream), true)
 }
 
-fn try_play(is_disturbed: bool, record: &Record, folder: &Path) -> Result<Verdict, String> {
+fn try_play(
+    history: &History,
+    is_disturbed: bool,
+    record: &Record,
+    folder: &Path,
+) -> Result<Verdict, String> {
     let network = fleet::free_network(FRONTS).ok_or("no free addresses")?;
     let ip = format!("{network}.1");
     let store = Store::start(&ip, Duration::ZERO).map_err(|err| err.to_string())?;
-    store.put("op/config", &manifest());
+    store.put("op/config", &manifest(history.is_resumable));
     let worker = Worker::start(
         "i-7f3a91c2",
         &ip,
@@ -96,13 +128,20 @@
         fleet::start(&network, FRONTS, &store, folder).ok_or("the fronts did not start")?;
     record.add("all fronts are ready");
     let to = fronts[0].callers();
+    if history.has_long {
+        let answer = ask(to, "10a60000", LONG_TOKENS);
+        if !answer.is_some_and(|answer| is_served(&answer, LONG_TOKENS)) {
+            return Err("the first long request was not served".to_owned());
+        }
+        record.add("a long request was served");
+    }
+    let (requests, tokens) = (history.short_requests, history.short_tokens);
     let callers: Vec<_> = (0..4)
         .map(|caller| {
             thread::spawn(move || {
-                (0..SHORT_REQUESTS / 4).all(|number| {
+                (0..requests / 4).all(|number| {
                     let id = format!("5a1e{caller:02x}{number:04x}");
-                    ask(to, &id, SHORT_TOKENS)
-                        .is_some_and(|answer| is_served(&answer, SHORT_TOKENS))
+                    ask(to, &id, tokens).is_some_and(|answer| is_served(&answer, tokens))
                 })
             })
         })
@@ -113,7 +152,7 @@
     {
         return Err("a short request was not served".to_owned());
     }
-    record.add(&format!("{SHORT_REQUESTS} short requests were served"));
+    record.add(&format!("{requests} short requests were served"));
     if fronts[0].resolved() != FRONTS {
         return Err("the directory does not name all fronts".to_owned());
     }
--- a/review/tool-3/main.rs
+++ b/review/tool-3/main.rs
@@ -15,6 +15,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use long_request::History;
 use record::Record;
 
 /// What a case came to.
@@ -46,7 +47,10 @@
     }
     let verdict = match name.as_str() {
         "ended-job" => ended_job::play(is_disturbed, &record, &temporary),
-        "long-request" => long_request::play(is_disturbed, &record, &temporary),
+        "long-request" => long_request::play(&History::ONCE, is_disturbed, &record, &temporary),
+        "long-request-again" => {
+            long_request::play(&History::REPEATABLE, is_disturbed, &record, &temporary)
+        }
         _ => Verdict::NotRun("there is no such case".to_owned()),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
