--- a/review/tool-3/fleet.rs
+++ b/review/tool-3/fleet.rs
@@ -62,10 +62,9 @@
     /// Sends a signal, named as for `kill`.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .arg(name)
-                .arg(child.id().to_string())
-                .status();
+            // The shell's own command, as a machine may lack the program.
+            let kill = format!("kill {name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
         }
     }
 
